Policy core: choice, evidence, collectors, permits

Cause: nothing stood yet. The decisions come first, as a pure library driven by events, with time and randomness passed in.

--- /dev/null
+++ b/crates/honeypulley_policy/src/lib.rs
@@ -0,0 +1,33 @@
+//! Pure decision logic of honeypulley.
+//!
+//! Events go in and decisions come out. Time and randomness are passed in, so a
+//! seed and a list of events always give the same decisions. Nothing here does
+//! I/O, starts a thread or keeps global state.
+//!
+//! Read in this order: [`router`] (one box's choice of upstream), [`ledger`]
+//! (evidence against an upstream), [`collector`] (evidence of many boxes) and
+//! [`permits`] (the fleet-wide bound on ejections).
+
+pub mod collector;
+pub mod ledger;
+pub mod limits;
+pub mod naive;
+pub mod permits;
+pub mod placement;
+pub mod router;
+pub mod spec;
+pub mod spread;
+pub mod time;
+
+/// The names most users of this crate need.
+pub mod prelude {
+    pub use crate::{
+        collector::{Collector, Report, ReportItem, Verdict},
+        ledger::Evidence,
+        limits::{Gcra, RetryBudget},
+        permits::{FloorContext, PermitRecord, PermitView},
+        router::{Attempt, Outcome, Pick, Refusal, Router, ServiceKey, UpstreamKey},
+        spec::{Lean, Member, MemberState, Repeat, ServiceSpec},
+        time::Time,
+    };
+}
--- /dev/null
+++ b/crates/honeypulley_policy/src/naive.rs
@@ -0,0 +1,78 @@
+//! The naive policy that the real one is measured against.
+//!
+//! Every box alone: five consecutive failures set an upstream aside for thirty
+//! seconds, at most a tenth of the service at a time. These are the published
+//! defaults of common outlier detection.
+
+use crate::time::Time;
+use std::time::Duration;
+
+/// Consecutive failures that eject.
+pub const FAILURES: u32 = 5;
+/// Time within which they must fall.
+pub const WINDOW: Duration = Duration::from_secs(10);
+/// Time set aside.
+pub const ASIDE: Duration = Duration::from_secs(30);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Entry {
+    run: u32,
+    first: Time,
+    until: Option<Time>,
+    out: u32,
+}
+
+/// One box's naive view of one service.
+#[derive(Clone, Debug)]
+pub struct Naive {
+    entries: Vec<Entry>,
+}
+
+impl Naive {
+    /// Builds a view of `n` upstreams.
+    #[must_use]
+    pub fn new(n: usize) -> Self {
+        Self { entries: vec![Entry::default(); n] }
+    }
+
+    /// Tells whether upstream `i` is set aside at `now`.
+    #[must_use]
+    pub fn is_aside(&self, i: usize, now: Time) -> bool {
+        self.entries[i].until.is_some_and(|t| now < t)
+    }
+
+    /// Picks the one with fewer outstanding of two drawn at random.
+    ///
+    /// Returns `None` if all are set aside.
+    pub fn pick(&mut self, now: Time, rng: &mut fastrand::Rng) -> Option<usize> {
+        let open: Vec<usize> = (0..self.entries.len()).filter(|&i| !self.is_aside(i, now)).collect();
+        let draw = |rng: &mut fastrand::Rng| (!open.is_empty()).then(|| open[rng.usize(..open.len())]);
+        let (a, b) = (draw(rng)?, draw(rng)?);
+        let best = if self.entries[a].out <= self.entries[b].out { a } else { b };
+        self.entries[best].out += 1;
+        Some(best)
+    }
+
+    /// Takes the end of a request; returns whether this set the upstream aside.
+    pub fn finish(&mut self, i: usize, ok: bool, now: Time) -> bool {
+        let aside = (0..self.entries.len()).filter(|&j| self.is_aside(j, now)).count();
+        let most = (self.entries.len() / 10).max(1);
+        let e = &mut self.entries[i];
+        e.out = e.out.saturating_sub(1);
+        if ok {
+            e.run = 0;
+            return false;
+        }
+        if e.run == 0 || now.since(e.first) > WINDOW {
+            e.run = 0;
+            e.first = now;
+        }
+        e.run += 1;
+        if e.run < FAILURES || aside >= most || e.until.is_some_and(|t| now < t) {
+            return false;
+        }
+        e.run = 0;
+        e.until = Some(now + ASIDE);
+        true
+    }
+}
--- /dev/null
+++ b/crates/honeypulley_policy/src/placement.rs
@@ -0,0 +1,71 @@
+//! Deterministic placement by rendezvous hashing.
+//!
+//! Every box computes the same answer from the same list, so no election is
+//! needed. A lagging list costs a little traffic and never correctness.
+//! Source: Thaler and Ravishankar, 1998.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Role that a rendezvous draw is for, so that roles land on different boxes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Watches the platform for a data hall.
+    Relay,
+    /// Collects evidence for a service.
+    Collector,
+    /// Upstreams that a box sends a service's requests to.
+    Subset,
+}
+
+/// Boxes that collect evidence for one service.
+pub const COLLECTORS: usize = 2;
+
+/// Boxes of one data hall that watch the platform.
+pub const RELAYS: usize = 3;
+
+/// Returns the weight of `name` for `subject` in `role`.
+#[must_use]
+pub fn weight(role: Role, subject: &str, name: &str) -> u64 {
+    let key = format!("{role:?}\0{subject}\0{name}");
+    xxh3_64(key.as_bytes())
+}
+
+/// Returns the `k` names with the highest weight for `subject`.
+#[must_use]
+pub fn top<'a>(
+    role: Role,
+    subject: &str,
+    names: impl IntoIterator<Item = &'a str>,
+    k: usize,
+) -> Vec<&'a str> {
+    let mut drawn: Vec<(u64, &str)> = names.into_iter().map(|n| (weight(role, subject, n), n)).collect();
+    drawn.sort_unstable_by(|a, b| b.cmp(a));
+    drawn.truncate(k);
+    drawn.into_iter().map(|(_, n)| n).collect()
+}
+
+/// Returns how many upstreams of a service one box may connect to.
+///
+/// `boxes` boxes with one connection each must stay under `connections` at every
+/// upstream. A random draw spreads as a binomial, so four standard deviations are
+/// kept free. The whole set is returned where it fits, as it does today.
+#[must_use]
+pub fn subset_size(boxes: usize, upstreams: usize, connections: usize) -> usize {
+    if boxes <= connections {
+        return upstreams;
+    }
+    let fits = |d: usize| {
+        let p = d as f64 / upstreams as f64;
+        let mean = boxes as f64 * p;
+        let spread = (mean * (1.0 - p)).sqrt();
+        mean + 4.0 * spread <= connections as f64
+    };
+    (1..=upstreams).take_while(|&d| fits(d)).last().unwrap_or(1)
+}
+
+/// Returns how many connections one box may hold to one upstream.
+#[must_use]
+pub fn connection_share(boxes: usize, subset: usize, upstreams: usize, connections: usize) -> usize {
+    let sharers = (boxes * subset).div_ceil(upstreams.max(1)).max(1);
+    (connections / sharers).max(1)
+}
--- /dev/null
+++ b/crates/honeypulley_policy/src/router.rs
@@ -0,0 +1,434 @@
+//! One box's routing state: events in, picks and reports out.
+//!
+//! The thread that serves requests owns a [`Router`]. Other duties feed it
+//! bundles, members, permits and verdicts as events.
+
+mod choice;
+mod evidence;
+
+use crate::collector::{Judgement, NameId, Verdict};
+use crate::ledger::Ledger;
+use crate::limits::{Gcra, RetryBudget};
+use crate::permits::{Hold, PermitView};
+use crate::placement::{self, Role};
+use crate::spec::{Member, MemberState, ServiceSpec};
+use crate::spread::Spread;
+use crate::time::Time;
+use slotmap::{SlotMap, new_key_type};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+new_key_type! {
+    /// Key of a service in a router's arena.
+    pub struct ServiceKey;
+    /// Key of an upstream in a router's arena.
+    pub struct UpstreamKey;
+    /// Key of one attempt in a router's arena.
+    pub struct AttemptKey;
+}
+
+/// Why an upstream was picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The cheaper of two drawn at random.
+    TwoChoices,
+    /// A little work for one on probation.
+    Canary,
+    /// Every preferred upstream is full, so one that is avoided gets the work.
+    LastResort,
+}
+
+/// A picked upstream; give the attempt back with [`Router::finish`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// The attempt that was opened.
+    pub attempt: AttemptKey,
+    /// The upstream picked.
+    pub upstream: UpstreamKey,
+    /// Why it was picked.
+    pub reason: Reason,
+}
+
+/// Why no upstream was picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RefusalKind {
+    /// The service has no live upstream.
+    #[error("no live upstream")]
+    NoUpstream,
+    /// Every live upstream holds all the connections this box may open.
+    #[error("every upstream is full")]
+    Full,
+    /// The service's rate is used up.
+    #[error("the service's rate is used up")]
+    Rate,
+    /// The caller's rate is used up.
+    #[error("the caller's rate is used up")]
+    CallerRate,
+}
+
+/// A refusal: the request was not run, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{kind}; come back in {retry_after:?}")]
+pub struct Refusal {
+    /// Why.
+    pub kind: RefusalKind,
+    /// Earliest time at which asking again makes sense.
+    pub retry_after: Duration,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer passed through.
+    Whole,
+    /// The upstream refused before running it.
+    NotRun,
+    /// Refused connection, reset, or a failure answer.
+    Failed,
+    /// Malformed, cut or mislabelled answer.
+    Wrong,
+    /// The deadline passed first.
+    Late,
+    /// The caller left, or another attempt won.
+    Abandoned,
+}
+
+/// One open attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+    upstream: UpstreamKey,
+    service: ServiceKey,
+    started: Time,
+    /// Set once the attempt bore witness, so that it does so only once.
+    judged: bool,
+    /// Set once the answer's head arrived.
+    answered: bool,
+}
+
+/// This box's own hold on an upstream.
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnHold {
+    until: Option<Time>,
+    probation: bool,
+    round: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SharedHold {
+    judgement: Judgement,
+    until: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Upstream {
+    name: String,
+    addr: String,
+    id: NameId,
+    service: ServiceKey,
+    near: bool,
+    leaving: bool,
+    drained: bool,
+    joined: Time,
+    out: usize,
+    load: Option<(f64, Time)>,
+    own: OwnHold,
+    shared: Option<SharedHold>,
+    permit: Option<Hold>,
+    pending: (u16, u16),
+}
+
+#[derive(Clone, Debug)]
+struct Service {
+    spec: ServiceSpec,
+    id: NameId,
+    spread: Spread,
+    budget: RetryBudget,
+    ledger: Ledger<UpstreamKey>,
+    upstreams: Vec<UpstreamKey>,
+    rate: Option<Gcra>,
+    share: usize,
+    reported: Time,
+    urgent: bool,
+}
+
+/// What an operator sees of one upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamStatus {
+    /// Service name.
+    pub service: String,
+    /// Upstream name.
+    pub upstream: String,
+    /// State in one word.
+    pub state: &'static str,
+    /// Why it is in that state.
+    pub reason: String,
+    /// Open attempts of this box.
+    pub out: usize,
+}
+
+/// One box's routing state.
+#[derive(Debug)]
+pub struct Router {
+    name: String,
+    id: NameId,
+    hall: String,
+    boxes: usize,
+    services: SlotMap<ServiceKey, Service>,
+    by_name: BTreeMap<String, ServiceKey>,
+    by_id: BTreeMap<NameId, UpstreamKey>,
+    upstreams: SlotMap<UpstreamKey, Upstream>,
+    attempts: SlotMap<AttemptKey, Attempt>,
+    confirmed: Option<Time>,
+    rng: fastrand::Rng,
+}
+
+impl Router {
+    /// Builds the router of box `name` in data hall `hall`.
+    #[must_use]
+    pub fn new(name: &str, hall: &str, seed: u64) -> Self {
+        Self {
+            name: name.to_owned(),
+            id: NameId::of(name),
+            hall: hall.to_owned(),
+            boxes: 1,
+            services: SlotMap::with_key(),
+            by_name: BTreeMap::new(),
+            by_id: BTreeMap::new(),
+            upstreams: SlotMap::with_key(),
+            attempts: SlotMap::with_key(),
+            confirmed: None,
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Takes the services of a bundle; what was learnt of kept ones stays.
+    pub fn set_services(&mut self, specs: impl IntoIterator<Item = ServiceSpec>) {
+        let mut gone: BTreeSet<String> = self.by_name.keys().cloned().collect();
+        for spec in specs {
+            gone.remove(&spec.name);
+            if let Some(&k) = self.by_name.get(&spec.name) {
+                self.services[k].configure(spec, self.boxes);
+            } else {
+                let name = spec.name.clone();
+                let k = self.services.insert(Service::new(spec, self.boxes));
+                self.by_name.insert(name, k);
+            }
+        }
+        for name in gone {
+            self.drop_service(&name);
+        }
+    }
+
+    /// Takes the lagging list of upstreams and the number of live boxes.
+    ///
+    /// Members of services that no bundle names are left out.
+    pub fn set_members(&mut self, members: &[Member], boxes: usize, now: Time) {
+        self.boxes = boxes.max(1);
+        let mut listed: BTreeMap<ServiceKey, Vec<&Member>> = BTreeMap::new();
+        for m in members {
+            if let Some(&k) = self.by_name.get(&m.service) {
+                listed.entry(k).or_default().push(m);
+            }
+        }
+        let keys: Vec<ServiceKey> = self.services.keys().collect();
+        for k in keys {
+            let list = listed.remove(&k).unwrap_or_default();
+            self.set_service_members(k, &list, now);
+        }
+    }
+
+    fn set_service_members(&mut self, k: ServiceKey, list: &[&Member], now: Time) {
+        let s = &self.services[k];
+        let size = placement::subset_size(self.boxes, list.len().max(1), s.spec.connections);
+        let names = list.iter().map(|m| m.name.as_str());
+        let subset = placement::top(Role::Subset, &self.name, names, size);
+        let old = s.upstreams.clone();
+        let kept: Vec<UpstreamKey> = list
+            .iter()
+            .filter(|m| subset.contains(&m.name.as_str()))
+            .map(|m| self.set_member(k, m, now))
+            .collect();
+        for u in old.into_iter().filter(|u| !kept.contains(u)) {
+            self.drop_upstream(u);
+        }
+        let s = &mut self.services[k];
+        s.share = placement::connection_share(self.boxes, size, list.len(), s.spec.connections);
+        s.ledger.retain(|u| kept.contains(&u));
+        s.upstreams = kept;
+    }
+
+    fn set_member(&mut self, service: ServiceKey, m: &Member, now: Time) -> UpstreamKey {
+        let id = NameId::of(&m.name);
+        let leaving = m.state == MemberState::Leaving;
+        let same = |u: &Upstream| u.addr == m.addr && u.service == service;
+        if let Some(&k) = self.by_id.get(&id)
+            && self.upstreams.get(k).is_some_and(same)
+        {
+            self.upstreams[k].leaving = leaving;
+            return k;
+        }
+        let up = Upstream {
+            name: m.name.clone(),
+            addr: m.addr.clone(),
+            id,
+            service,
+            near: m.hall == self.hall,
+            leaving,
+            drained: false,
+            joined: now,
+            out: 0,
+            load: None,
+            own: OwnHold::default(),
+            shared: None,
+            permit: None,
+            pending: (0, 0),
+        };
+        let k = self.upstreams.insert(up);
+        self.by_id.insert(id, k);
+        k
+    }
+
+    /// Takes a view of the permits, as the platform or a relay gave it.
+    pub fn set_permits(&mut self, view: &PermitView) {
+        self.confirmed = view.confirmed;
+        for u in self.upstreams.values_mut() {
+            let service = &self.services[u.service].spec.name;
+            let record = view.records.get(service);
+            u.permit = record.and_then(|r| r.entries.get(&u.name)).copied();
+        }
+    }
+
+    /// Takes the time at which the permits in hand were last confirmed.
+    pub const fn confirm_permits(&mut self, at: Time) {
+        self.confirmed = Some(at);
+    }
+
+    /// Takes a collector's verdict; returns the upstream's name if it is known.
+    pub fn set_verdict(&mut self, v: &Verdict, now: Time) -> Option<&str> {
+        let k = *self.by_id.get(&v.upstream)?;
+        let u = self.upstreams.get_mut(k)?;
+        let s = self.services.get_mut(u.service)?;
+        u.shared = Some(SharedHold { judgement: v.judgement, until: now + v.hold });
+        if v.judgement == Judgement::Clear {
+            u.shared = None;
+            u.own = OwnHold::default();
+            s.ledger.reset(k);
+        }
+        Some(&u.name)
+    }
+
+    /// Returns the key of a service by name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<ServiceKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns what the bundle says of a service.
+    #[must_use]
+    pub fn spec(&self, k: ServiceKey) -> Option<&ServiceSpec> {
+        self.services.get(k).map(|s| &s.spec)
+    }
+
+    /// Returns name and address of an upstream.
+    #[must_use]
+    pub fn upstream(&self, k: UpstreamKey) -> Option<(&str, &str)> {
+        self.upstreams.get(k).map(|u| (u.name.as_str(), u.addr.as_str()))
+    }
+
+    /// Returns the names of the services in force.
+    pub fn service_names(&self) -> impl Iterator<Item = &str> {
+        self.by_name.keys().map(String::as_str)
+    }
+
+    /// Returns the number of open attempts.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Takes one request of the service's rate.
+    ///
+    /// # Errors
+    /// A [`Refusal`] saying when to come back.
+    pub fn admit(&mut self, k: ServiceKey, now: Time) -> Result<(), Refusal> {
+        let Some(rate) = self.services.get_mut(k).and_then(|s| s.rate.as_mut()) else {
+            return Ok(());
+        };
+        let burst = 10.0;
+        rate.take(burst, now).map_err(|d| Refusal {
+            kind: RefusalKind::Rate,
+            retry_after: jitter(d, &mut self.rng),
+        })
+    }
+
+    /// Spends one retry or hedge of the service; tells whether there was one.
+    pub fn spend_retry(&mut self, k: ServiceKey) -> bool {
+        self.services.get_mut(k).is_some_and(|s| s.budget.spend())
+    }
+
+    /// Returns the age at which an attempt counts as stalled.
+    #[must_use]
+    pub fn stall_limit(&self, k: ServiceKey) -> Duration {
+        self.services.get(k).map_or(Duration::from_secs(1), Service::stall_limit)
+    }
+
+    fn drop_service(&mut self, name: &str) {
+        let Some(k) = self.by_name.remove(name) else { return };
+        let Some(s) = self.services.remove(k) else { return };
+        for u in s.upstreams {
+            self.drop_upstream(u);
+        }
+    }
+
+    fn drop_upstream(&mut self, k: UpstreamKey) {
+        let Some(u) = self.upstreams.remove(k) else { return };
+        // A successor at another address may already stand under the name.
+        if self.by_id.get(&u.id) == Some(&k) {
+            self.by_id.remove(&u.id);
+        }
+    }
+}
+
+impl Service {
+    fn new(spec: ServiceSpec, boxes: usize) -> Self {
+        let mut s = Self {
+            id: NameId::of(&spec.name),
+            spread: Spread::default(),
+            budget: RetryBudget::new(spec.retries),
+            ledger: Ledger::new(2.0 * evidence::own_bar(spec.lean)),
+            upstreams: Vec::new(),
+            rate: None,
+            share: 1,
+            reported: Time::ZERO,
+            urgent: false,
+            spec: spec.clone(),
+        };
+        s.configure(spec, boxes);
+        s
+    }
+
+    fn configure(&mut self, spec: ServiceSpec, boxes: usize) {
+        if spec.retries != self.spec.retries {
+            self.budget = RetryBudget::new(spec.retries);
+        }
+        // Each box admits its equal share of a rate that holds fleet-wide.
+        if spec.rate != self.spec.rate || self.rate.is_none() {
+            self.rate = spec.rate.map(|r| Gcra::new(r / boxes as f64));
+        }
+        self.spec = spec;
+    }
+
+    fn stall_limit(&self) -> Duration {
+        self.spread.limit(self.spec.lean.mix(3.5, 4.5)).min(self.spec.deadline)
+    }
+
+    fn slow_limit(&self) -> Duration {
+        self.spread.limit(self.spec.lean.mix(3.0, 4.0))
+    }
+}
+
+/// Spreads a wait over one to one and a half times its length.
+#[must_use]
+pub fn jitter(d: Duration, rng: &mut fastrand::Rng) -> Duration {
+    d.mul_f64(1.0 + rng.f64() / 2.0)
+}
--- /dev/null
+++ b/crates/honeypulley_policy/src/router/choice.rs
@@ -0,0 +1,217 @@
+//! Choice among a service's upstreams.
+
+use super::{
+    Attempt, Pick, Reason, Refusal, RefusalKind, Router, Service, ServiceKey, Upstream, UpstreamKey,
+    UpstreamStatus, jitter,
+};
+use crate::collector::Judgement;
+use crate::permits::{Hold, LEASE};
+use crate::time::Time;
+use std::time::Duration;
+
+/// Share of picks that try one on probation.
+const CANARY_SHARE: f64 = 0.05;
+/// Time over which a new upstream is ramped up.
+const COLD_START: Duration = Duration::from_secs(10);
+/// Time after which a reported load says nothing more.
+const LOAD_LIFE: Duration = Duration::from_secs(2);
+/// Load report up to which one more request is taken without a queue.
+const LOAD_FULL: f64 = 2.0;
+/// Cost of leaving the data hall, in outstanding requests.
+const HALL_COST: f64 = 0.5;
+
+/// Standing of an upstream at one moment, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    Preferred,
+    Probation,
+    /// This box avoids it.
+    Avoided,
+    /// The collectors call it suspect.
+    Suspect,
+    /// A valid permit ejects it.
+    Ejected,
+}
+
+impl Router {
+    /// Picks an upstream for one attempt and opens it.
+    ///
+    /// `tried` upstreams are left out. Canary requests go out only if the
+    /// request may be repeated, or if the service has none that may.
+    ///
+    /// # Errors
+    /// A [`Refusal`] if there is none; nothing was sent then.
+    pub fn pick(
+        &mut self,
+        service: ServiceKey,
+        repeatable: bool,
+        tried: &[UpstreamKey],
+        now: Time,
+    ) -> Result<Pick, Refusal> {
+        let Some(s) = self.services.get(service) else {
+            return Err(self.refuse(RefusalKind::NoUpstream, Duration::from_secs(1)));
+        };
+        let mut open = self.classes(s, now);
+        open.retain(|(u, _)| !tried.contains(u) && !self.upstreams[*u].is_gone());
+        if open.is_empty() {
+            return Err(self.refuse(RefusalKind::NoUpstream, Duration::from_secs(1)));
+        }
+        let share = s.share;
+        let middle = s.spread.middle();
+        let may_try = repeatable || s.spec.repeat == crate::spec::Repeat::Never;
+        open.retain(|(u, c)| *c != Class::Ejected && self.upstreams[*u].out < share);
+        let canaries = of_class(&open, |c| c == Class::Probation);
+        if may_try && !canaries.is_empty() && self.rng.f64() < CANARY_SHARE * canaries.len() as f64 {
+            let u = canaries[self.rng.usize(..canaries.len())];
+            return Ok(self.open_attempt(service, u, Reason::Canary, now));
+        }
+        let preferred = of_class(&open, |c| c == Class::Preferred);
+        let free: Vec<UpstreamKey> =
+            preferred.iter().copied().filter(|&u| !self.upstreams[u].is_full(now)).collect();
+        if let Some(u) = self.cheaper_of_two(&free, now) {
+            return Ok(self.open_attempt(service, u, Reason::TwoChoices, now));
+        }
+        // One that is avoided is still capacity: it gets work before a queue does.
+        let rest = of_class(&open, |c| c != Class::Preferred);
+        if let Some(u) = self.cheaper_of_two(&rest, now) {
+            return Ok(self.open_attempt(service, u, Reason::LastResort, now));
+        }
+        if let Some(u) = self.cheaper_of_two(&preferred, now) {
+            return Ok(self.open_attempt(service, u, Reason::TwoChoices, now));
+        }
+        Err(self.refuse(RefusalKind::Full, middle))
+    }
+
+    /// Returns the state of every upstream, for operators.
+    #[must_use]
+    pub fn status(&self, now: Time) -> Vec<UpstreamStatus> {
+        self.services.values().flat_map(|s| self.service_status(s, now)).collect()
+    }
+
+    fn service_status(&self, s: &Service, now: Time) -> Vec<UpstreamStatus> {
+        let row = |(k, c): (UpstreamKey, Class)| {
+            let u = &self.upstreams[k];
+            let (good, bad) = s.ledger.counts(k);
+            let state = if u.is_gone() { "leaving" } else { c.word() };
+            UpstreamStatus {
+                service: s.spec.name.clone(),
+                upstream: u.name.clone(),
+                state,
+                reason: format!("own score {:.1}, good {good:.0}, bad {bad:.1}", s.ledger.score(k)),
+                out: u.out,
+            }
+        };
+        self.classes(s, now).into_iter().map(row).collect()
+    }
+
+    /// Classes a service's upstreams, never setting aside more than the floor spares.
+    fn classes(&self, s: &Service, now: Time) -> Vec<(UpstreamKey, Class)> {
+        let valid = self.confirmed.is_some_and(|at| now.since(at) < LEASE);
+        let mut all: Vec<(UpstreamKey, Class)> =
+            s.upstreams.iter().map(|&u| (u, self.upstreams[u].class(valid, now))).collect();
+        let live = all.iter().filter(|(u, _)| !self.upstreams[*u].is_gone()).count();
+        let spare = live.saturating_sub(s.spec.floor.count(s.upstreams.len()));
+        let mut aside: Vec<(Class, u64, UpstreamKey)> = all
+            .iter()
+            .filter(|(u, c)| *c >= Class::Avoided && !self.upstreams[*u].is_gone())
+            .map(|&(u, c)| (c, (s.ledger.score(u) * 1e3) as u64, u))
+            .collect();
+        if aside.len() <= spare {
+            return all;
+        }
+        aside.sort_unstable_by(|a, b| b.cmp(a));
+        for (_, _, kept) in aside.into_iter().skip(spare) {
+            for (u, c) in &mut all {
+                if *u == kept {
+                    *c = Class::Preferred;
+                }
+            }
+        }
+        all
+    }
+
+    fn cheaper_of_two(&mut self, from: &[UpstreamKey], now: Time) -> Option<UpstreamKey> {
+        if from.is_empty() {
+            return None;
+        }
+        let a = self.rng.usize(..from.len());
+        // The second draw is over the others, so two are compared if there are two.
+        let b = (a + 1 + self.rng.usize(..from.len().max(2) - 1)) % from.len();
+        let cost = |u: UpstreamKey| self.upstreams[u].cost(now);
+        let (a, b) = (from[a], from[b]);
+        Some(if cost(a) <= cost(b) { a } else { b })
+    }
+
+    fn open_attempt(&mut self, service: ServiceKey, u: UpstreamKey, reason: Reason, now: Time) -> Pick {
+        self.upstreams[u].out += 1;
+        let attempt = Attempt { upstream: u, service, started: now, judged: false, answered: false };
+        Pick { attempt: self.attempts.insert(attempt), upstream: u, reason }
+    }
+
+    fn refuse(&mut self, kind: RefusalKind, wait: Duration) -> Refusal {
+        Refusal { kind, retry_after: jitter(wait, &mut self.rng) }
+    }
+}
+
+impl Upstream {
+    /// Tells whether it is leaving, by the list or by its own mark.
+    pub(super) const fn is_gone(&self) -> bool {
+        self.leaving || self.drained
+    }
+
+    fn class(&self, valid: bool, now: Time) -> Class {
+        match self.permit {
+            Some(Hold::Ejected) if valid => return Class::Ejected,
+            // A lapsed permit binds nobody; the suspicion behind it remains.
+            Some(Hold::Ejected) => return Class::Suspect,
+            Some(Hold::Canary) => return Class::Probation,
+            _ => {}
+        }
+        let shared = self.shared.map(|h| (h.judgement, now < h.until));
+        match shared {
+            Some((Judgement::Suspect, true)) => return Class::Suspect,
+            Some((Judgement::Probation, true)) => return Class::Probation,
+            _ => {}
+        }
+        match self.own.until {
+            Some(t) if now < t => Class::Avoided,
+            _ if self.own.probation => Class::Probation,
+            _ => Class::Preferred,
+        }
+    }
+
+    fn fresh_load(&self, now: Time) -> f64 {
+        let Some((load, at)) = self.load else { return 0.0 };
+        let age = now.since(at).as_secs_f64() / LOAD_LIFE.as_secs_f64();
+        // A lying report moves the cost by two requests at most.
+        load.clamp(0.0, LOAD_FULL) * (1.0 - age).max(0.0)
+    }
+
+    fn is_full(&self, now: Time) -> bool {
+        self.fresh_load(now) >= LOAD_FULL * 0.95
+    }
+
+    fn cost(&self, now: Time) -> f64 {
+        let age = now.since(self.joined).as_secs_f64() / COLD_START.as_secs_f64();
+        // The clock starts at zero with the box, when every upstream looks new.
+        let cold = if self.joined == Time::ZERO { 1.0 } else { 4.0 - 3.0 * age.min(1.0) };
+        let hall = if self.near { 0.0 } else { HALL_COST };
+        (1.0 + self.out as f64 + self.fresh_load(now) + hall) * cold
+    }
+}
+
+impl Class {
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Preferred => "preferred",
+            Self::Probation => "probation",
+            Self::Avoided => "avoided",
+            Self::Suspect => "suspect",
+            Self::Ejected => "ejected",
+        }
+    }
+}
+
+fn of_class(open: &[(UpstreamKey, Class)], is: impl Fn(Class) -> bool) -> Vec<UpstreamKey> {
+    open.iter().filter(|(_, c)| is(*c)).map(|(u, _)| *u).collect()
+}
--- /dev/null
+++ b/crates/honeypulley_policy/src/router/evidence.rs
@@ -0,0 +1,159 @@
+//! What attempts tell of the upstreams they went to.
+
+use super::{AttemptKey, Outcome, Router, UpstreamKey};
+use crate::collector::{Report, ReportItem};
+use crate::ledger::Evidence;
+use crate::spec::Lean;
+use crate::time::Time;
+use std::time::Duration;
+
+/// Shortest time between two reports on a service.
+const URGENT_GAP: Duration = Duration::from_millis(20);
+/// Shortest time between two reports that say nothing bad.
+const LAZY_GAP: Duration = Duration::from_secs(1);
+/// Bytes of one report on the wire, to both collectors.
+const REPORT_BYTES: f64 = 160.0;
+/// Bytes a second that reports with nothing bad may take.
+const REPORT_RATE: f64 = 3_000.0;
+/// First hold of a box alone; doubles with each relapse.
+const OWN_HOLD: Duration = Duration::from_secs(2);
+/// Longest hold of a box alone.
+const MAX_OWN_HOLD: Duration = Duration::from_secs(60);
+/// Good outcomes that end a box's own probation.
+const OWN_PROBATION_GOOD: f64 = 3.0;
+
+/// Score at which a box alone avoids an upstream.
+pub(super) fn own_bar(lean: Lean) -> f64 {
+    lean.mix(6.0, 11.0)
+}
+
+impl Router {
+    /// Takes the head of an answer; `ok` is false for a failure answer.
+    pub fn answered(&mut self, k: AttemptKey, ok: bool, now: Time) {
+        let Some(a) = self.attempts.get_mut(k) else { return };
+        a.answered = true;
+        let (a, took) = (*a, now.since(a.started));
+        let Some(s) = self.services.get_mut(a.service) else { return };
+        if !ok {
+            return self.witness(k, Evidence::Failure, now);
+        }
+        let slow = s.spread.is_warm() && took > s.slow_limit();
+        s.spread.add(took);
+        s.budget.earn();
+        self.witness(k, if slow { Evidence::Slow } else { Evidence::Good }, now);
+    }
+
+    /// Takes the load that an upstream reported with an answer.
+    ///
+    /// `load` is busy slots over all slots; over 1.0 something waits there.
+    pub fn reported_load(&mut self, k: UpstreamKey, load: f64, now: Time) {
+        if let Some(u) = self.upstreams.get_mut(k) {
+            u.load = Some((load, now));
+        }
+    }
+
+    /// Takes an upstream's own word that it is leaving.
+    pub fn drained(&mut self, k: UpstreamKey) {
+        if let Some(u) = self.upstreams.get_mut(k) {
+            u.drained = true;
+        }
+    }
+
+    /// Closes an attempt.
+    pub fn finish(&mut self, k: AttemptKey, outcome: Outcome, now: Time) {
+        match outcome {
+            Outcome::Whole | Outcome::Abandoned => {}
+            // An upstream that sheds may be busy; if it alone sheds, it is sick.
+            Outcome::NotRun => self.witness(k, Evidence::Slow, now),
+            Outcome::Failed | Outcome::Late => self.witness(k, Evidence::Failure, now),
+            Outcome::Wrong => {
+                if let Some(a) = self.attempts.get_mut(k) {
+                    a.judged = false;
+                }
+                self.witness(k, Evidence::Wrong, now);
+            }
+        }
+        let Some(a) = self.attempts.remove(k) else { return };
+        if let Some(u) = self.upstreams.get_mut(a.upstream) {
+            u.out = u.out.saturating_sub(1);
+        }
+    }
+
+    /// Looks for stalled attempts and returns the reports that are due.
+    ///
+    /// Call it each 10 to 20 ms.
+    pub fn tick(&mut self, now: Time) -> Vec<Report> {
+        let is_stalled = |a: &super::Attempt| {
+            let limit = self.services.get(a.service).map(super::Service::stall_limit);
+            !a.answered && !a.judged && limit.is_some_and(|l| now.since(a.started) > l)
+        };
+        let stalled: Vec<AttemptKey> =
+            self.attempts.iter().filter(|(_, a)| is_stalled(a)).map(|(k, _)| k).collect();
+        for k in stalled {
+            self.witness(k, Evidence::Stall, now);
+        }
+        self.due_reports(now)
+    }
+
+    fn witness(&mut self, k: AttemptKey, e: Evidence, now: Time) {
+        let Some(a) = self.attempts.get_mut(k) else { return };
+        // A stalled attempt that ends well later has borne witness already.
+        if a.judged {
+            return;
+        }
+        a.judged = true;
+        let a = *a;
+        let Some(u) = self.upstreams.get_mut(a.upstream) else { return };
+        let Some(s) = self.services.get_mut(a.service) else { return };
+        let bad = f64::from(e.tenths()) / 10.0;
+        let good = f64::from(u8::from(e == Evidence::Good));
+        let score = s.ledger.add(a.upstream, good, bad, now);
+        u.pending.0 = u.pending.0.saturating_add(u16::from(e == Evidence::Good));
+        u.pending.1 = u.pending.1.saturating_add(e.tenths());
+        s.urgent |= bad > 0.0;
+        u.own.after(score, own_bar(s.spec.lean), s.ledger.counts(a.upstream), now);
+        if score >= own_bar(s.spec.lean) {
+            s.ledger.reset(a.upstream);
+        }
+    }
+
+    fn due_reports(&mut self, now: Time) -> Vec<Report> {
+        let budget = self.services.len() as f64 * REPORT_BYTES / REPORT_RATE;
+        let lazy = LAZY_GAP.max(Duration::from_secs_f64(budget));
+        let mut reports = Vec::new();
+        for s in self.services.values_mut() {
+            let gap = if s.urgent { URGENT_GAP } else { lazy };
+            if now.since(s.reported) < gap {
+                continue;
+            }
+            let mut items = Vec::new();
+            for &k in &s.upstreams {
+                let u = &mut self.upstreams[k];
+                let (good, bad) = std::mem::take(&mut u.pending);
+                if good > 0 || bad > 0 {
+                    items.push(ReportItem { upstream: u.id, good, bad });
+                }
+            }
+            s.urgent = false;
+            if !items.is_empty() {
+                s.reported = now;
+                reports.push(Report { service: s.id, reporter: self.id, items });
+            }
+        }
+        reports
+    }
+}
+
+impl super::OwnHold {
+    /// Moves between good standing, hold and probation.
+    fn after(&mut self, score: f64, bar: f64, counts: (f64, f64), now: Time) {
+        let held = self.until.is_some_and(|t| now < t);
+        if score >= bar && !held {
+            let d = (OWN_HOLD * 2u32.pow(self.round.min(5))).min(MAX_OWN_HOLD);
+            *self = Self { until: Some(now + d), probation: true, round: self.round + 1 };
+        } else if self.probation && !held && counts.0 >= OWN_PROBATION_GOOD && counts.1 < 1.0 {
+            self.probation = false;
+            self.round = self.round.saturating_sub(1);
+        }
+    }
+}
