--- a/crates/honeypulley_daemon/src/context.rs
+++ b/crates/honeypulley_daemon/src/context.rs
@@ -16,6 +16,7 @@
 use parking_lot::{Mutex, MutexGuard};
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Silence of platform and all peers after which a box is not ready.
@@ -310,12 +311,15 @@
     /// # Errors
     /// Returns the reason in a short sentence.
     pub fn readiness(&self) -> Result<(), String> {
-        if self.shared.leaving.load(std::sync::atomic::Ordering::Relaxed) {
+        if self.shared.leaving.load(Ordering::Relaxed) {
             return Err("leaving".to_owned());
         }
         if self.shared.in_force.load().is_none() {
             return Err("no bundle is in force yet".to_owned());
         }
+        if !self.shared.listed.load(Ordering::Relaxed) {
+            return Err("the list of upstreams is not known yet".to_owned());
+        }
         let silence = self.silence();
         if silence > ALONE {
             return Err(format!(
--- a/crates/honeypulley_daemon/src/peer.rs
+++ b/crates/honeypulley_daemon/src/peer.rs
@@ -266,7 +266,7 @@
                 };
                 match got.await {
                     Ok(json) if !json.is_empty() && self.ctx.roster().is_none() => {
-                        self.ctx.set_roster(json)
+                        self.ctx.set_roster(json);
                     }
                     Ok(_) => {}
                     Err(e) => log::info!(peer:display = addr; "join: {e}"),
--- a/crates/honeypulley_daemon/src/platform.rs
+++ b/crates/honeypulley_daemon/src/platform.rs
@@ -15,6 +15,8 @@
 const WATCH: Duration = Duration::from_secs(1);
 /// Time between two reads of the list.
 const LIST_GAP: Duration = Duration::from_secs(2);
+/// The same while the list is empty, as right after a start.
+const FIRST_GAP: Duration = Duration::from_millis(200);
 /// Wait after a call that failed; with jitter.
 const FAILED_GAP: Duration = Duration::from_millis(500);
 /// Least time between two reads of the head by a box that is no relay.
@@ -60,7 +62,8 @@
                         log::info!("platform: answers again");
                     }
                     self.ctx.set_roster(json);
-                    sleep(jitter(LIST_GAP)).await;
+                    let known = self.ctx.roster().is_some_and(|r| !r.boxes.is_empty());
+                    sleep(jitter(if known { LIST_GAP } else { FIRST_GAP })).await;
                 }
                 Err(e) => {
                     // One line for an outage, not one for each try.
--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -1,9 +1,10 @@
 //! Serves callers, and ends only when every open session has.
 
 use crate::context::Context;
-use eyre::{Result, WrapErr};
+use eyre::{Result, WrapErr, eyre};
 use honeypulley_proxy::handler::ProxyHandler;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
+use parking_lot::Mutex;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use salvo::prelude::{Router, Server, Service};
@@ -20,8 +21,8 @@
 pub struct ServeDuty {
     /// Shared state.
     pub ctx: Arc<Context>,
-    /// Bound port; it outlives restarts of the duty.
-    pub listener: TcpListener,
+    /// Bound port; it outlives restarts of the duty, and a planned stop closes it.
+    pub listener: Mutex<Option<TcpListener>>,
 }
 
 impl Duty for ServeDuty {
@@ -37,7 +38,9 @@
 impl ServeDuty {
     async fn serve(&self, stop: &Stop) -> Result<()> {
         let shared = Arc::clone(&self.ctx.shared);
-        let listener = tokio::net::TcpListener::from_std(self.listener.try_clone()?)?;
+        let listener = self.listener.lock().as_ref().map(TcpListener::try_clone).transpose()?;
+        let listener = listener.ok_or_else(|| eyre!("serve: the port is closed already"))?;
+        let listener = tokio::net::TcpListener::from_std(listener)?;
         let acceptor = TcpAcceptor::try_from(listener).wrap_err("serve: listen")?;
         let fuse =
             FuseConfig::default().with_http1_header_timeout(Some(self.ctx.settings.head_time));
@@ -57,6 +60,9 @@
         log::info!(open = shared.open.load(Ordering::Relaxed); "stop: not ready any more, the port closes in {wait:?}");
         tokio::time::sleep(wait).await;
         handle.stop_graceful(None);
+        // While any handle is open the kernel goes on taking connections that
+        // nobody would serve.
+        drop(self.listener.lock().take());
         serving.await.wrap_err("serve: the server died")?;
         // Upgraded sessions have left the server's own count.
         while shared.open.load(Ordering::Relaxed) > 0 {
--- a/crates/honeypulley_daemon/src/start.rs
+++ b/crates/honeypulley_daemon/src/start.rs
@@ -18,6 +18,7 @@
 use logforth::append::Stdout;
 use logforth::layout::LogfmtLayout;
 use logforth::record::LevelFilter;
+use parking_lot::Mutex;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::sync::Arc;
@@ -63,7 +64,7 @@
         .duty(PermitDuty { ctx: Arc::clone(&ctx), platform })
         .duty(CollectDuty { ctx: Arc::clone(&ctx) })
         .duty(PeerDuty { ctx: Arc::clone(&ctx), socket: datagrams, listener: peers })
-        .duty(ServeDuty { ctx, listener: callers })
+        .duty(ServeDuty { ctx, listener: Mutex::new(Some(callers)) })
         .run()
 }
 
--- /dev/null
+++ b/crates/honeypulley_operator/src/cli.rs
@@ -0,0 +1,194 @@
+//! The command line.
+
+use crate::report::FleetPage;
+use crate::settings::Settings;
+use crate::{fleet, keys, rollout};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use eyre::{Result, WrapErr, bail};
+use honeypulley_ini::parse;
+use honeypulley_platform::accept::read_head;
+use honeypulley_platform::http::HttpPlatform;
+use std::io::{IsTerminal, Write};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Returns the command line's shape.
+#[must_use]
+pub fn command() -> Command {
+    let file = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .required(true)
+            .value_name("FILE")
+            .value_parser(value_parser!(PathBuf))
+            .help(help)
+    };
+    let settings = || file("settings", "Operators' settings, in INI").long("settings").short('s');
+    let name = || {
+        Arg::new("name").long("name").required(true).help("Your name, as in the lists of signers")
+    };
+    let json = || Arg::new("json").long("json").action(ArgAction::SetTrue).help("Prints JSON");
+    let bundle = Command::new("bundle")
+        .about("Checks and signs bundles")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check")
+                .about("Checks a bundle and changes nothing")
+                .arg(file("bundle", "The bundle")),
+        )
+        .subcommand(
+            Command::new("sign")
+                .about("Signs a bundle off; writes FILE.sig beside it")
+                .arg(file("bundle", "The bundle"))
+                .arg(name())
+                .arg(file("key", "Your secret key").long("key")),
+        );
+    Command::new("honeypulley")
+        .about("Drives a fleet by signed bundles and shows what is in force")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help(EXAMPLES)
+        .subcommand_required(true)
+        .subcommand(bundle)
+        .subcommand(
+            Command::new("keygen")
+                .about("Makes a key; prints the public part")
+                .arg(name())
+                .arg(file("key", "Where the secret key goes; must not exist").long("key")),
+        )
+        .subcommand(
+            Command::new("roll-out")
+                .about("Has a signed bundle accepted")
+                .arg(file("bundle", "The bundle, with FILE.sig beside it"))
+                .arg(settings())
+                .arg(
+                    Arg::new("wait")
+                        .long("wait")
+                        .action(ArgAction::SetTrue)
+                        .help("Waits until every live box has it in force"),
+                )
+                .arg(
+                    Arg::new("timeout")
+                        .long("timeout")
+                        .default_value("30s")
+                        .value_parser(|s: &str| parse::duration(s))
+                        .help("Longest wait"),
+                ),
+        )
+        .subcommand(
+            Command::new("status")
+                .about("Shows boxes, versions and upstreams")
+                .arg(settings())
+                .arg(json()),
+        )
+        .subcommand(
+            Command::new("why")
+                .about("Shows why boxes treat an upstream as they do")
+                .arg(Arg::new("service").required(true))
+                .arg(Arg::new("upstream").required(true))
+                .arg(settings()),
+        )
+        .subcommand(Command::new("completions").about("Prints completions").arg(
+            Arg::new("shell").required(true).value_parser(value_parser!(clap_complete::Shell)),
+        ))
+}
+
+const EXAMPLES: &str = "Examples:
+  honeypulley keygen --name alice --key alice.key
+  honeypulley bundle check fleet.ini
+  honeypulley bundle sign fleet.ini --name alice --key alice.key
+  honeypulley roll-out fleet.ini --settings operator.ini --wait
+  honeypulley status --settings operator.ini --json
+  honeypulley why guestlist u3 --settings operator.ini
+
+Exit codes: 0 done, 1 not done (the reason is on standard error), 2 usage.";
+
+/// Runs what the command line asks for.
+///
+/// # Errors
+/// Returns what went wrong, in one line for a person.
+pub fn run(args: &ArgMatches) -> Result<()> {
+    let (name, sub) = args.subcommand().expect("clap asks for one");
+    match name {
+        "bundle" => run_bundle(sub),
+        "keygen" => {
+            let public = keys::create(text(sub, "name"), path(sub, "key"))?;
+            println!("{} = {public}", text(sub, "name"));
+            Ok(())
+        }
+        "completions" => {
+            let shell = *sub.get_one::<clap_complete::Shell>("shell").expect("required");
+            clap_complete::generate(shell, &mut command(), "honeypulley", &mut std::io::stdout());
+            Ok(())
+        }
+        _ => {
+            let settings = Settings::load(path(sub, "settings"))?;
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, run_fleet(name, sub, &settings))
+        }
+    }
+}
+
+fn run_bundle(args: &ArgMatches) -> Result<()> {
+    let (name, sub) = args.subcommand().expect("clap asks for one");
+    let file = path(sub, "bundle");
+    if name == "sign" {
+        let off = keys::sign(file, text(sub, "name"), path(sub, "key"))?;
+        println!("{}: signed off by {}", off.display(), text(sub, "name"));
+        return Ok(());
+    }
+    let (bundle, split) = keys::read_bundle(file)?;
+    let (services, parts) = (bundle.services().count(), split.parts.len());
+    println!(
+        "{}: fine: {services} services, {parts} parts, manifest {}",
+        file.display(),
+        split.manifest.digest()
+    );
+    Ok(())
+}
+
+async fn run_fleet(name: &str, args: &ArgMatches, s: &Settings) -> Result<()> {
+    let platform = HttpPlatform::new(&s.platform.to_string())?;
+    if name == "roll-out" {
+        return roll_out(args, s, &platform).await;
+    }
+    let roster = fleet::roster(s, &platform).await?;
+    let accepted = read_head(&platform).await.ok().flatten().map(|h| h.head.version.0);
+    let page = FleetPage::new(accepted, fleet::ask_all(s, &roster).await);
+    match name {
+        "why" => print!("{}", page.why(text(args, "service"), text(args, "upstream"))),
+        _ if args.get_flag("json") => println!("{}", serde_json::to_string_pretty(&page)?),
+        _ => print!("{}", page.text()),
+    }
+    Ok(())
+}
+
+async fn roll_out(args: &ArgMatches, s: &Settings, p: &HttpPlatform) -> Result<()> {
+    let accepted = rollout::roll_out(p, path(args, "bundle")).await?;
+    let how = if accepted.resolved { " (an answer was lost on the way and resolved)" } else { "" };
+    println!("accepted as {}{how}", accepted.version);
+    if !args.get_flag("wait") {
+        return Ok(());
+    }
+    let most = *args.get_one::<Duration>("timeout").expect("has a default");
+    let shown = std::io::stderr().is_terminal();
+    let waited = rollout::wait(s, p, accepted.version, most, |have, all| {
+        if shown {
+            eprint!("\rin force on {have} of {all} boxes ");
+            let _ = std::io::stderr().flush();
+        }
+    });
+    let waited = waited.await.wrap_err("roll-out --wait")?;
+    if waited > most {
+        bail!("roll-out --wait: took {waited:?}");
+    }
+    println!("in force on every live box after {} ms", waited.as_millis());
+    Ok(())
+}
+
+fn text<'a>(args: &'a ArgMatches, name: &str) -> &'a str {
+    args.get_one::<String>(name).expect("required")
+}
+
+fn path<'a>(args: &'a ArgMatches, name: &str) -> &'a PathBuf {
+    args.get_one::<PathBuf>(name).expect("required")
+}
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -87,6 +87,8 @@
     pub open: AtomicUsize,
     /// Set during a planned stop.
     pub leaving: AtomicBool,
+    /// Set once upstreams were taken from the list.
+    pub listed: AtomicBool,
     /// Live boxes, among which limits are shared.
     pub boxes: AtomicUsize,
     /// State of every upstream, renewed four times a second for operators.
@@ -133,6 +135,7 @@
             metrics,
             open: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
+            listed: AtomicBool::new(false),
             boxes: AtomicUsize::new(1),
             rows: ArcSwap::default(),
         })
@@ -187,6 +190,7 @@
         if let (true, Some(m)) = (listed, last.as_ref()) {
             router.set_members(&m.upstreams, m.boxes, now);
             self.boxes.store(m.boxes.max(1), Ordering::Relaxed);
+            self.listed.store(true, Ordering::Relaxed);
         }
         while let Some(view) = self.feed.permits.pop() {
             router.set_permits(&view);
--- a/crates/honeypulley_proxy/src/upgrade.rs
+++ b/crates/honeypulley_proxy/src/upgrade.rs
@@ -42,7 +42,7 @@
         guard.ended(Outcome::Whole);
         match end {
             Ok((up, down)) => {
-                log::info!(request = id.as_str(), up, down; "session: ended by its own parties")
+                log::info!(request = id.as_str(), up, down; "session: ended by its own parties");
             }
             Err(e) => log::info!(request = id.as_str(); "session: ended: {e}"),
         }
--- /dev/null
+++ b/tools/fleet/tests/path.rs
@@ -0,0 +1,109 @@
+//! The whole path as processes.
+
+use eyre::Result;
+use fleet::{Fleet, check, path_str, shape::Shape, until};
+use nix::sys::signal::Signal;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+fn get(fleet: &Fleet, i: usize, path: &str) -> reqwest::RequestBuilder {
+    let url = format!("http://{}{path}", fleet.boxes[i].listen);
+    fleet.client.get(url).header("host", "guestlist.example")
+}
+
+#[tokio::test]
+async fn a_request_goes_end_to_end_and_back_whole() -> Result<()> {
+    let fleet = Fleet::ready(Shape::default()).await?;
+    for i in 0..fleet.boxes.len() {
+        let answer =
+            get(&fleet, i, "/list?size=300000").header("x-request-id", "r1").send().await?;
+        assert_eq!(answer.status(), 200);
+        let text = answer.text().await?;
+        assert!(text.contains("\"request\":\"r1\""), "not the answer to this request");
+        assert!(text.ends_with(&"x".repeat(300_000)));
+    }
+    let body = vec![7u8; 2_000_000];
+    let url = format!("http://{}/photos", fleet.boxes[0].listen);
+    let post = fleet.client.post(url).header("host", "guestlist.example").body(body);
+    assert!(post.send().await?.text().await?.contains("\"body\":2000000"));
+    Ok(())
+}
+
+#[tokio::test]
+async fn http2_callers_are_served() -> Result<()> {
+    let fleet = Fleet::ready(Shape::default()).await?;
+    let client = reqwest::Client::builder().no_proxy().http2_prior_knowledge().build()?;
+    let url = format!("http://{}/list", fleet.boxes[0].listen);
+    let answer = client.get(url).header("host", "guestlist.example").send().await?;
+    assert_eq!((answer.status().as_u16(), answer.version()), (200, reqwest::Version::HTTP_2));
+    Ok(())
+}
+
+/// Opens an echo session through a box and returns it after the switch.
+async fn open_session(fleet: &Fleet, i: usize) -> Result<TcpStream> {
+    let mut s = TcpStream::connect(fleet.boxes[i].listen).await?;
+    s.write_all(b"GET /chat HTTP/1.1\r\nhost: guestlist.example\r\nconnection: upgrade\r\nupgrade: echo\r\n\r\n").await?;
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(s.read_u8().await?);
+    }
+    let head = String::from_utf8(head)?.to_ascii_lowercase();
+    assert!(head.starts_with("http/1.1 101"), "{head}");
+    assert!(head.contains("upgrade: echo"), "{head}");
+    Ok(s)
+}
+
+async fn echo(s: &mut TcpStream, text: &[u8]) -> Result<()> {
+    s.write_all(text).await?;
+    let mut back = vec![0; text.len()];
+    s.read_exact(&mut back).await?;
+    assert_eq!(back, text);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_planned_stop_carries_an_open_session_to_its_end() -> Result<()> {
+    let mut fleet = Fleet::ready(Shape::default()).await?;
+    let mut s = open_session(&fleet, 0).await?;
+    echo(&mut s, b"before").await?;
+    fleet.boxes[0].process.signal(Signal::SIGTERM)?;
+    until("readiness is off", Duration::from_secs(5), async || {
+        fleet.readiness(0).await.is_ok_and(|(ready, _)| !ready)
+    })
+    .await?;
+    // The callers' port closes, the session goes on.
+    let listen = fleet.boxes[0].listen;
+    until("the port is closed", Duration::from_secs(5), async || {
+        let refused = |e: std::io::Error| e.kind() == std::io::ErrorKind::ConnectionRefused;
+        TcpStream::connect(listen).await.is_err_and(refused)
+    })
+    .await?;
+    echo(&mut s, b"after").await?;
+    assert!(fleet.boxes[0].process.ended().is_none(), "the box ended before its session");
+    drop(s);
+    let end = fleet.boxes[0].process.wait_end(Duration::from_secs(5)).await?;
+    assert!(end.success(), "{end}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_roll_out_is_in_force_on_every_box() -> Result<()> {
+    let fleet = Fleet::ready(Shape::default()).await?;
+    let url = format!("http://{}/", fleet.boxes[0].listen);
+    let early = fleet.client.get(url).header("host", "new.example").send().await?;
+    assert_eq!(early.status(), 404);
+    let text = fleet.shape().bundle() + "new.example/ = guestlist\n";
+    let path = fleet.write_bundle("second.ini", &text)?;
+    fleet.sign(&path, "alice")?;
+    let ini = fleet.operator_ini();
+    let out = fleet.operator(&["roll-out", path_str(&path), "--settings", &ini, "--wait"])?;
+    check(&out)?;
+    assert!(String::from_utf8_lossy(&out.stdout).contains("accepted as v2"));
+    for i in 0..fleet.boxes.len() {
+        assert_eq!(fleet.status(i).await?.bundle, 2);
+        let url = format!("http://{}/", fleet.boxes[i].listen);
+        assert_eq!(fleet.client.get(url).header("host", "new.example").send().await?.status(), 200);
+    }
+    Ok(())
+}
