--- /dev/null
+++ b/tools/trial/src/main.rs
@@ -0,0 +1,43 @@
+//! Measures the policy against the naive one on a model of the users' systems.
+//!
+//! Simulated time and fixed seeds: the same command prints the same figures.
+//! The policy library is the one the daemons run; upstreams, network and the
+//! platform's object are small fakes here.
+
+mod model;
+mod report;
+mod sizes;
+
+use clap::{Arg, Command, value_parser};
+use model::{Fault, Policy, Run, Scenario};
+use report::Table;
+use sizes::SIZES;
+
+fn main() {
+    let args = Command::new("trial")
+        .about("Measures the policy against the naive one, paired by seed")
+        .arg(Arg::new("seeds").long("seeds").default_value("20").value_parser(value_parser!(u64)))
+        .arg(Arg::new("size").long("size").help("Only this size, such as guestlist"))
+        .get_matches();
+    let seeds = *args.get_one::<u64>("seeds").expect("has a default");
+    let only = args.get_one::<String>("size");
+    for size in SIZES.iter().filter(|s| only.is_none_or(|o| o == s.name)) {
+        println!("\n## {} ({} boxes, {} upstreams of {} slots, lean {})", size.name, size.boxes, size.upstreams, size.slots, size.lean);
+        let mut table = Table::new();
+        for fault in Fault::GRAY {
+            for policy in [Policy::Naive, Policy::Alone, Policy::Shared] {
+                let scenario = Scenario { size, fault, policy, usage: 0.6 };
+                let runs: Vec<Run> = (0..seeds).map(|seed| model::run(&scenario, seed)).collect();
+                table.add(&scenario, &runs);
+            }
+        }
+        for (fault, usage) in [(Fault::None, 0.3), (Fault::None, 0.6), (Fault::None, 0.85), (Fault::Overload, 0.6)] {
+            for policy in [Policy::Naive, Policy::Alone, Policy::Shared] {
+                let scenario = Scenario { size, fault, policy, usage };
+                let runs: Vec<Run> = (0..seeds).map(|seed| model::run(&scenario, seed)).collect();
+                table.add(&scenario, &runs);
+            }
+        }
+        table.print();
+    }
+}
--- /dev/null
+++ b/tools/trial/src/model.rs
@@ -0,0 +1,572 @@
+//! A model of one service: boxes, upstreams, network and the permit object.
+
+use crate::sizes::Size;
+use honeypulley_policy::collector::{Collector, Judgement, NameId, Report, Verdict};
+use honeypulley_policy::ledger::Evidence;
+use honeypulley_policy::naive::Naive;
+use honeypulley_policy::permits::{FloorContext, PermitRecord, PermitView};
+use honeypulley_policy::placement::COLLECTORS;
+use honeypulley_policy::router::{AttemptKey, Outcome, Reason, Router, ServiceKey};
+use honeypulley_policy::spec::{Floor, Lean, Member, MemberState, Repeat, ServiceSpec};
+use honeypulley_policy::time::Time;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::time::Duration;
+
+/// Middle of the service time; log-normal with [`SIGMA`].
+const MIDDLE: f64 = 0.05;
+/// Deviation of the logarithm of the service time.
+const SIGMA: f64 = 0.5;
+/// Failure answers of a healthy upstream.
+const BACKGROUND: f64 = 0.001;
+/// Longest time of a request.
+const DEADLINE: Duration = Duration::from_secs(2);
+/// When the fault begins.
+pub const FAULT_AT: Time = Time::from_millis(20_000);
+/// When a run ends.
+const END: Time = Time::from_millis(50_000);
+/// Time between two ticks of a box.
+const TICK: Duration = Duration::from_millis(10);
+/// Window over which the share of a sick upstream is taken.
+const WINDOW: Duration = Duration::from_millis(500);
+/// Share of its fair share at which a sick upstream counts as relieved.
+const RELIEVED: f64 = 0.1;
+/// Share that each service must keep.
+const FLOOR: f64 = 0.6;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// One upstream takes requests and never answers.
+    Stall,
+    /// One upstream takes ten times as long.
+    Slow,
+    /// One upstream answers with failures.
+    Fail,
+    /// One upstream cuts a third of its answers.
+    Cut,
+    /// One upstream stalls for a quarter of the boxes.
+    Partial,
+    /// One upstream stalls and recovers each second.
+    Flap,
+    /// Half again as many requests for ten seconds.
+    Overload,
+}
+
+impl Fault {
+    /// The faults of one upstream.
+    pub const GRAY: [Self; 6] = [Self::Stall, Self::Slow, Self::Fail, Self::Cut, Self::Partial, Self::Flap];
+}
+
+/// Whose decisions are measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// Five consecutive failures, every box alone.
+    Naive,
+    /// Ours with every box alone.
+    Alone,
+    /// Ours with collectors and permits.
+    Shared,
+}
+
+/// One thing to measure.
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    /// Size.
+    pub size: &'static Size,
+    /// What goes wrong.
+    pub fault: Fault,
+    /// Whose decisions.
+    pub policy: Policy,
+    /// Busy slots over all slots.
+    pub usage: f64,
+}
+
+/// What one run showed.
+#[derive(Clone, Debug, Default)]
+pub struct Run {
+    /// Seconds until the sick upstream was relieved; `None` if it never was.
+    pub detect: Option<f64>,
+    /// Requests that went to the sick upstream after the fault began.
+    pub sick_work: u64,
+    /// Times a healthy upstream was set aside, each box counted apart.
+    pub false_asides: u64,
+    /// Box-upstream-seconds for which healthy ones were set aside.
+    pub aside_secs: f64,
+    /// Fleet-wide suspicions of healthy upstreams.
+    pub false_verdicts: u64,
+    /// Requests asked after the fault began.
+    pub asked: u64,
+    /// Requests answered well after the fault began.
+    pub good: u64,
+    /// Answer times after the fault began, in milliseconds.
+    pub took: Vec<f64>,
+    /// Datagram bytes sent for control.
+    pub bytes: u64,
+    /// Times the union of ejections broke the floor.
+    pub broken: u64,
+}
+
+enum Event {
+    Arrive,
+    AtUpstream { request: usize, up: usize },
+    Done { request: usize, up: usize, ok: bool, kind: Outcome },
+    Answer { request: usize, up: usize, ok: bool, kind: Outcome },
+    Deadline { request: usize },
+    Tick { b: usize },
+    Report { c: usize, report: Report },
+    CollectTick,
+    Verdict { b: usize, v: Verdict },
+    Permits { b: usize },
+    Observe,
+}
+
+struct Request {
+    b: usize,
+    born: Time,
+    attempt: Option<AttemptKey>,
+    up: usize,
+    tries: u8,
+    over: bool,
+}
+
+#[derive(Default)]
+struct Up {
+    busy: usize,
+    queue: VecDeque<usize>,
+}
+
+struct World<'a> {
+    s: &'a Scenario,
+    rng: fastrand::Rng,
+    now: Time,
+    heap: BinaryHeap<Reverse<(Time, u64)>>,
+    events: HashMap<u64, Event>,
+    next: u64,
+    requests: Vec<Request>,
+    ups: Vec<Up>,
+    routers: Vec<Router>,
+    keys: Vec<ServiceKey>,
+    naive: Vec<Naive>,
+    collectors: Vec<Collector>,
+    record: PermitRecord,
+    permits_seen: Vec<PermitRecord>,
+    aside: Vec<Vec<bool>>,
+    recent: VecDeque<(Time, bool)>,
+    run: Run,
+}
+
+fn name(i: usize) -> String {
+    format!("u{i}")
+}
+
+/// Runs one scenario with one seed.
+#[must_use]
+pub fn run(s: &Scenario, seed: u64) -> Run {
+    let mut w = World::new(s, seed);
+    w.plan_start();
+    while let Some(Reverse((at, id))) = w.heap.pop() {
+        if at > END {
+            break;
+        }
+        w.now = at;
+        let e = w.events.remove(&id).expect("planned");
+        w.step(e);
+    }
+    w.run
+}
+
+impl<'a> World<'a> {
+    fn new(s: &'a Scenario, seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let n = s.size.upstreams;
+        let lean = Lean::new(s.size.lean).unwrap_or_default();
+        let spec = ServiceSpec::builder()
+            .name("s")
+            .floor(Floor::Share(FLOOR))
+            .repeat(Repeat::Always)
+            .deadline(DEADLINE)
+            .lean(lean)
+            .connections(s.size.connections)
+            .build();
+        let members: Vec<Member> = (0..n)
+            .map(|i| Member {
+                name: name(i),
+                service: "s".into(),
+                addr: format!("10.0.0.{i}:80"),
+                hall: format!("h{}", i % s.size.halls),
+                state: MemberState::Live,
+            })
+            .collect();
+        let mut routers = Vec::new();
+        for b in 0..s.size.boxes {
+            let mut r = Router::new(&format!("b{b}"), &format!("h{}", b % s.size.halls), rng.u64(..));
+            r.set_services([spec.clone()]);
+            r.set_members(&members, s.size.boxes, Time::ZERO);
+            routers.push(r);
+        }
+        let keys = routers.iter().map(|r| r.service("s").expect("set")).collect();
+        let mut collector = Collector::new("s", lean, spec.floor);
+        collector.set_members((0..n).map(|i| NameId::of(&name(i))), s.size.boxes);
+        Self {
+            s,
+            rng,
+            now: Time::ZERO,
+            heap: BinaryHeap::new(),
+            events: HashMap::new(),
+            next: 0,
+            requests: Vec::new(),
+            ups: (0..n).map(|_| Up::default()).collect(),
+            keys,
+            naive: vec![Naive::new(n); s.size.boxes],
+            collectors: vec![collector; COLLECTORS],
+            record: PermitRecord::default(),
+            permits_seen: vec![PermitRecord::default(); s.size.boxes],
+            aside: vec![vec![false; n]; s.size.boxes],
+            recent: VecDeque::new(),
+            run: Run::default(),
+            routers,
+        }
+    }
+
+    fn plan(&mut self, d: Duration, e: Event) {
+        let id = self.next;
+        self.next += 1;
+        self.events.insert(id, e);
+        self.heap.push(Reverse((self.now + d, id)));
+    }
+
+    fn plan_start(&mut self) {
+        self.plan(Duration::ZERO, Event::Arrive);
+        for b in 0..self.s.size.boxes {
+            let offset = Duration::from_micros(self.rng.u64(0..10_000));
+            self.plan(offset, Event::Tick { b });
+        }
+        self.plan(Duration::from_millis(100), Event::CollectTick);
+        self.plan(Duration::from_millis(50), Event::Observe);
+    }
+
+    fn step(&mut self, e: Event) {
+        match e {
+            Event::Arrive => self.arrive(),
+            Event::AtUpstream { request, up } => self.at_upstream(request, up),
+            Event::Done { request, up, ok, kind } => self.done(request, up, ok, kind),
+            Event::Answer { request, up, ok, kind } => self.answer(request, up, ok, kind),
+            Event::Deadline { request } => self.late(request),
+            Event::Tick { b } => self.tick(b),
+            Event::Report { c, report } => {
+                let verdicts = self.collectors[c].report(&report, self.now);
+                self.publish(&verdicts);
+            }
+            Event::CollectTick => {
+                for c in 0..COLLECTORS {
+                    let verdicts = self.collectors[c].tick(self.now);
+                    self.publish(&verdicts);
+                }
+                self.plan(Duration::from_millis(100), Event::CollectTick);
+            }
+            Event::Verdict { b, v } => {
+                self.routers[b].set_verdict(&v, self.now);
+            }
+            Event::Permits { b } => self.see_permits(b),
+            Event::Observe => self.observe(),
+        }
+    }
+
+    fn exp(&mut self, mean: f64) -> Duration {
+        Duration::from_secs_f64(-mean * (1.0 - self.rng.f64()).ln())
+    }
+
+    fn normal(&mut self) -> f64 {
+        let (u, v) = (1.0 - self.rng.f64(), self.rng.f64());
+        (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos()
+    }
+
+    fn rate(&self) -> f64 {
+        let size = self.s.size;
+        let mean = MIDDLE * (SIGMA * SIGMA / 2.0).exp();
+        let usual = self.s.usage * (size.upstreams * size.slots) as f64 / mean;
+        let surge = self.s.fault == Fault::Overload
+            && self.now >= FAULT_AT
+            && self.now.since(FAULT_AT) < Duration::from_secs(10);
+        // Half again over what all slots can do.
+        if surge { usual / self.s.usage * 1.5 } else { usual }
+    }
+
+    fn arrive(&mut self) {
+        let gap = self.exp(1.0 / self.rate());
+        self.plan(gap, Event::Arrive);
+        let b = self.rng.usize(..self.s.size.boxes);
+        let request = self.requests.len();
+        self.requests.push(Request { b, born: self.now, attempt: None, up: 0, tries: 0, over: false });
+        if self.now >= FAULT_AT {
+            self.run.asked += 1;
+        }
+        self.plan(DEADLINE, Event::Deadline { request });
+        self.send(request);
+    }
+
+    fn send(&mut self, request: usize) {
+        let b = self.requests[request].b;
+        let now = self.now;
+        let (up, attempt, regular) = if self.s.policy == Policy::Naive {
+            let Some(up) = self.naive[b].pick(now, &mut self.rng) else {
+                self.requests[request].over = true;
+                return;
+            };
+            (up, None, true)
+        } else {
+            let Ok(p) = self.routers[b].pick(self.keys[b], true, &[], now) else {
+                self.requests[request].over = true;
+                return;
+            };
+            let up = self.routers[b].upstream(p.upstream).expect("picked").0[1..].parse().expect("numbered");
+            (up, Some(p.attempt), p.reason == Reason::TwoChoices)
+        };
+        let r = &mut self.requests[request];
+        (r.up, r.attempt) = (up, attempt);
+        r.tries += 1;
+        if now >= FAULT_AT && self.is_sick(up) {
+            self.run.sick_work += 1;
+        }
+        self.recent.push_back((now, self.is_sick(up) && regular));
+        let hop = self.hop(b, up);
+        self.plan(hop, Event::AtUpstream { request, up });
+    }
+
+    fn hop(&self, b: usize, up: usize) -> Duration {
+        let same = b % self.s.size.halls == up % self.s.size.halls;
+        Duration::from_micros(if same { 100 } else { self.s.size.hall_us })
+    }
+
+    /// The upstream numbered zero is the one that turns gray.
+    fn is_sick(&self, up: usize) -> bool {
+        up == 0 && !matches!(self.s.fault, Fault::None | Fault::Overload)
+    }
+
+    fn at_upstream(&mut self, request: usize, up: usize) {
+        if self.requests[request].over {
+            return;
+        }
+        if self.ups[up].busy < self.s.size.slots {
+            self.begin(request, up);
+        } else {
+            self.ups[up].queue.push_back(request);
+        }
+    }
+
+    fn begin(&mut self, request: usize, up: usize) {
+        self.ups[up].busy += 1;
+        let b = self.requests[request].b;
+        let mut secs = MIDDLE * (SIGMA * self.normal()).exp();
+        let mut ok = self.rng.f64() >= BACKGROUND;
+        let mut kind = Outcome::Whole;
+        if self.is_sick(up) && self.now >= FAULT_AT {
+            let phase = self.now.since(FAULT_AT).as_millis() / 1_000;
+            match self.s.fault {
+                // The slot comes free when the caller leaves.
+                Fault::Stall => secs = 1e6,
+                Fault::Partial if b.is_multiple_of(4) => secs = 1e6,
+                Fault::Flap if phase.is_multiple_of(2) => secs = 1e6,
+                Fault::Slow => secs *= 10.0,
+                Fault::Fail => (ok, secs) = (false, secs / 10.0),
+                Fault::Cut if self.rng.f64() < 0.33 => kind = Outcome::Wrong,
+                _ => {}
+            }
+        }
+        if secs < 1e5 {
+            self.plan(Duration::from_secs_f64(secs), Event::Done { request, up, ok, kind });
+        }
+    }
+
+    fn done(&mut self, request: usize, up: usize, ok: bool, kind: Outcome) {
+        let r = &self.requests[request];
+        // A cancelled request has freed its slot already.
+        if r.over || r.up != up {
+            return;
+        }
+        let hop = self.hop(r.b, up);
+        self.free_slot(up);
+        self.plan(hop, Event::Answer { request, up, ok, kind });
+    }
+
+    fn free_slot(&mut self, up: usize) {
+        self.ups[up].busy -= 1;
+        while let Some(next) = self.ups[up].queue.pop_front() {
+            if !self.requests[next].over && self.requests[next].up == up {
+                self.begin(next, up);
+                return;
+            }
+        }
+    }
+
+    fn answer(&mut self, request: usize, up: usize, ok: bool, kind: Outcome) {
+        let (b, now) = (self.requests[request].b, self.now);
+        if self.requests[request].over {
+            return;
+        }
+        let good = ok && kind == Outcome::Whole;
+        self.close(request, ok, kind);
+        let r = &mut self.requests[request];
+        if !good && r.tries < 2 && kind == Outcome::Whole {
+            return self.send(request);
+        }
+        r.over = true;
+        if now >= FAULT_AT && good {
+            self.run.good += 1;
+            let took = now.since(self.requests[request].born);
+            self.run.took.push(took.as_secs_f64() * 1e3);
+        }
+        let _ = (b, up);
+    }
+
+    /// Tells the policy how an attempt ended.
+    fn close(&mut self, request: usize, ok: bool, kind: Outcome) {
+        let r = &self.requests[request];
+        let (b, up, now) = (r.b, r.up, self.now);
+        match r.attempt {
+            None => {
+                self.naive[b].finish(up, ok && kind == Outcome::Whole, now);
+            }
+            Some(a) => {
+                if kind != Outcome::Late {
+                    self.routers[b].answered(a, ok, now);
+                }
+                self.routers[b].finish(a, kind, now);
+            }
+        }
+    }
+
+    fn late(&mut self, request: usize) {
+        if self.requests[request].over {
+            return;
+        }
+        self.close(request, false, Outcome::Late);
+        let up = self.requests[request].up;
+        self.requests[request].over = true;
+        // Cancellation frees the slot, or leaves the queue.
+        if let Some(i) = self.ups[up].queue.iter().position(|&q| q == request) {
+            self.ups[up].queue.remove(i);
+        } else if self.ups[up].busy > 0 {
+            self.free_slot(up);
+        }
+    }
+
+    fn tick(&mut self, b: usize) {
+        self.plan(TICK, Event::Tick { b });
+        if self.s.policy == Policy::Naive {
+            return;
+        }
+        let reports = self.routers[b].tick(self.now);
+        if self.s.policy == Policy::Alone {
+            return;
+        }
+        for report in reports {
+            for c in 0..COLLECTORS {
+                self.run.bytes += 60 + 12 * report.items.len() as u64;
+                let report = report.clone();
+                self.plan(Duration::from_millis(1), Event::Report { c, report });
+            }
+        }
+    }
+
+    fn publish(&mut self, verdicts: &[Verdict]) {
+        for v in verdicts {
+            for b in 0..self.s.size.boxes {
+                self.run.bytes += 70;
+                self.plan(Duration::from_millis(1), Event::Verdict { b, v: *v });
+            }
+            let up = (0..self.s.size.upstreams).find(|&i| NameId::of(&name(i)) == v.upstream);
+            let Some(up) = up else { continue };
+            if v.judgement == Judgement::Suspect && !self.is_sick(up) {
+                self.run.false_verdicts += 1;
+            }
+            self.change_permit(up, v.judgement);
+        }
+    }
+
+    fn change_permit(&mut self, up: usize, j: Judgement) {
+        let n = self.s.size.upstreams;
+        let ctx = FloorContext { live: n, floor: Floor::Share(FLOOR).count(n) };
+        let next = match j {
+            Judgement::Suspect => self.record.eject(&name(up), ctx),
+            Judgement::Probation => self.record.try_canary(&name(up)),
+            Judgement::Clear => self.record.release(&name(up)),
+        };
+        let Ok(next) = next else { return };
+        self.record = next;
+        for b in 0..self.s.size.boxes {
+            let d = Duration::from_micros(self.rng.u64(5_000..1_400_000));
+            self.plan(d, Event::Permits { b });
+        }
+    }
+
+    fn see_permits(&mut self, b: usize) {
+        self.permits_seen[b] = self.record.clone();
+        let records = [("s".to_owned(), self.record.clone())].into();
+        // A run is shorter than what the lease's confirmations need to matter.
+        let view = PermitView { records, confirmed: Some(self.now + Duration::from_secs(60)) };
+        self.routers[b].set_permits(&view);
+        let n = self.s.size.upstreams;
+        let union = (0..n)
+            .filter(|&i| self.permits_seen.iter().any(|r| r.hold(&name(i)).is_some()))
+            .count();
+        if n - union < Floor::Share(FLOOR).count(n) {
+            self.run.broken += 1;
+        }
+    }
+
+    /// Looks at who is set aside where, and at the sick upstream's share.
+    fn observe(&mut self) {
+        const STEP: Duration = Duration::from_millis(50);
+        self.plan(STEP, Event::Observe);
+        let now = self.now;
+        for b in 0..self.s.size.boxes {
+            let aside = self.set_aside(b);
+            for (up, is) in aside.into_iter().enumerate() {
+                let healthy = !self.is_sick(up);
+                if is && healthy {
+                    self.run.aside_secs += STEP.as_secs_f64();
+                    self.run.false_asides += u64::from(!self.aside[b][up]);
+                }
+                self.aside[b][up] = is;
+            }
+        }
+        while self.recent.front().is_some_and(|(at, _)| now.since(*at) > WINDOW) {
+            self.recent.pop_front();
+        }
+        let since = now.since(FAULT_AT);
+        if now < FAULT_AT + WINDOW / 5 || self.run.detect.is_some() || self.recent.is_empty() {
+            return;
+        }
+        let fresh = self.recent.iter().filter(|(at, _)| now.since(*at) < WINDOW / 5);
+        let (all, sick) = fresh.fold((0u32, 0u32), |(a, s), (_, x)| (a + 1, s + u32::from(*x)));
+        let fair = f64::from(all) / self.s.size.upstreams as f64;
+        if f64::from(sick) <= fair * RELIEVED && fair > 0.0 {
+            // The share must stay down for the rest of the window.
+            let whole = self.recent.iter().filter(|(_, x)| *x).count() as f64;
+            let window = self.recent.len() as f64 / self.s.size.upstreams as f64;
+            if whole <= window * RELIEVED {
+                self.run.detect = Some((since.as_secs_f64() - WINDOW.as_secs_f64()).max(0.0));
+            }
+        }
+    }
+
+    fn set_aside(&self, b: usize) -> Vec<bool> {
+        let n = self.s.size.upstreams;
+        if self.s.policy == Policy::Naive {
+            return (0..n).map(|i| self.naive[b].is_aside(i, self.now)).collect();
+        }
+        let mut aside = vec![false; n];
+        for row in self.routers[b].status(self.now) {
+            let i: usize = row.upstream[1..].parse().expect("numbered");
+            aside[i] = matches!(row.state, "avoided" | "suspect" | "ejected");
+        }
+        aside
+    }
+}
+
+/// Keeps the evidence type in view for readers of this model.
+const _: u16 = Evidence::Stall.tenths();
