Detection: a trouble that all upstreams share is not held against one

A dump of the ledger at each verdict showed the three reasons: the long sibling counts lag behind the onset; bad outcomes are reported at once and good ones up to a second late; and each box's spread learns the slower times, so the siblings look well while one queue bursts.

Change: a short sibling count beside the long one; an upstream must also have several times its siblings' bad outcomes of the last second; lateness counts a tenth while the whole service answers at over twice its long-run middle.

--- a/crates/honeypulley_policy/src/collector.rs
+++ b/crates/honeypulley_policy/src/collector.rs
@@ -72,6 +72,8 @@
     pub witnesses: u16,
 }
 
+/// Half-life of the counts that show a trouble which all share.
+const SHORT_LIFE: Duration = Duration::from_secs(1);
 /// Time for which a box's testimony counts.
 const WITNESS_WINDOW: Duration = Duration::from_secs(5);
 /// Bad outcomes that one box can contribute within the window.
@@ -86,6 +88,8 @@
 const PROBATION_GOOD: f64 = 6.0;
 /// Bad outcomes that end it the other way.
 const PROBATION_BAD: f64 = 2.0;
+/// Least bad rate of a relapse.
+const PROBATION_RATE: f64 = 0.2;
 /// Time in good standing after which relapses are forgotten.
 const FORGIVE: Duration = Duration::from_secs(60);
 
@@ -122,7 +126,7 @@
             floor,
             members: BTreeSet::new(),
             boxes: 1,
-            ledger: Ledger::new(2.0 * Self::bar(lean)),
+            ledger: Ledger::new(2.0 * Self::bar(lean), SHORT_LIFE),
             testimony: BTreeMap::new(),
             standing: BTreeMap::new(),
         }
@@ -147,13 +151,18 @@
     /// Returns the score at which an upstream is suspect.
     #[must_use]
     pub fn bar(lean: Lean) -> f64 {
-        lean.mix(9.0, 18.0)
+        lean.mix(12.0, 20.0)
+    }
+
+    /// Returns the bad outcomes of the last moments that a suspicion needs.
+    fn least(&self) -> f64 {
+        self.lean.mix(4.0, 6.0)
     }
 
     /// Returns the witnesses needed for a suspicion.
     #[must_use]
     fn quorum(&self) -> usize {
-        (self.lean.mix(2.0, 4.0).round() as usize).min(self.boxes)
+        (self.lean.mix(3.0, 4.0).round() as usize).min(self.boxes)
     }
 
     /// Takes over an upstream that another collector ejected.
@@ -260,7 +269,10 @@
             Some(Judgement::Probation) => {
                 let (good, bad) = self.ledger.counts(u);
                 let round = s?.round;
-                if bad >= PROBATION_BAD && bad > good / 4.0 {
+                // A relapse too must stand out: under overload all answer badly.
+                let usual = self.ledger.sibling_rate(u) * 2.0;
+                let rate = bad / (bad + good).max(1.0);
+                if bad >= PROBATION_BAD && rate > usual.max(PROBATION_RATE) {
                     (Judgement::Suspect, round + 1)
                 } else if good >= PROBATION_GOOD {
                     (Judgement::Clear, round)
@@ -285,7 +297,10 @@
 
     fn is_outlier(&self, u: NameId, now: Time) -> bool {
         let bar = Self::bar(self.lean);
-        if self.ledger.score(u) < bar || self.witnesses(u, now) < self.quorum() {
+        if self.ledger.score(u) < bar || !self.ledger.is_outlier(u, self.least()) {
+            return false;
+        }
+        if self.witnesses(u, now) < self.quorum() {
             return false;
         }
         let held = self.standing().count();
--- a/crates/honeypulley_policy/src/ledger.rs
+++ b/crates/honeypulley_policy/src/ledger.rs
@@ -25,6 +25,12 @@
 }
 
 impl Evidence {
+    /// Tells whether it is about time alone.
+    #[must_use]
+    pub const fn is_lateness(self) -> bool {
+        matches!(self, Self::Slow | Self::Stall)
+    }
+
     /// Returns the weight of this evidence in tenths of a failure.
     #[must_use]
     pub const fn tenths(self) -> u16 {
@@ -37,8 +43,12 @@
     }
 }
 
-/// Half-life of the sibling counts.
+/// Half-life of the long counts.
 const HALF_LIFE: Duration = Duration::from_secs(10);
+/// Aging is done in steps of this share of a half-life.
+const AGING_STEP: f64 = 0.05;
+/// Times the mean of its siblings' bad outcomes that an outlier has.
+const OUTLIER_RATIO: f64 = 3.0;
 /// Bad rate that a sick upstream is tested for.
 const SICK_RATE: f64 = 0.5;
 /// Outcomes assumed before any were seen.
@@ -51,9 +61,35 @@
 /// Running counts and score of one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Entry {
+    long: Counts,
+    short: Counts,
+    score: f64,
+}
+
+/// Good and bad outcomes, aged.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Counts {
     good: f64,
     bad: f64,
-    score: f64,
+}
+
+impl Counts {
+    fn add(&mut self, good: f64, bad: f64) {
+        self.good += good;
+        self.bad += bad;
+    }
+
+    fn keep(&mut self, share: f64) {
+        self.good *= share;
+        self.bad *= share;
+    }
+
+    /// Returns the bad rate of these without `own`, with a prior.
+    fn rate_without(self, own: Self, prior: f64) -> f64 {
+        let bad = (self.bad - own.bad).max(0.0);
+        let all = bad + (self.good - own.good).max(0.0);
+        (bad + prior * PRIOR_BAD) / (all + prior)
+    }
 }
 
 /// Evidence on every upstream of one service, keyed by `K`.
@@ -61,16 +97,30 @@
 pub struct Ledger<K> {
     entries: BTreeMap<K, Entry>,
     aged: Time,
-    good: f64,
-    bad: f64,
+    aged_short: Time,
+    short_life: Duration,
+    long: Counts,
+    short: Counts,
     cap: f64,
 }
 
 impl<K: Ord + Copy> Ledger<K> {
     /// Builds an empty ledger whose scores stop at `cap`.
+    ///
+    /// `short_life` is the half-life of the counts that show a trouble which all
+    /// share before the long ones do.
     #[must_use]
-    pub const fn new(cap: f64) -> Self {
-        Self { entries: BTreeMap::new(), aged: Time::ZERO, good: 0.0, bad: 0.0, cap }
+    pub const fn new(cap: f64, short_life: Duration) -> Self {
+        let none = Counts { good: 0.0, bad: 0.0 };
+        Self {
+            entries: BTreeMap::new(),
+            aged: Time::ZERO,
+            aged_short: Time::ZERO,
+            short_life,
+            long: none,
+            short: none,
+            cap,
+        }
     }
 
     /// Adds `good` good outcomes and `bad` weighted bad ones of `key`.
@@ -83,21 +133,33 @@
         let sick = SICK_RATE.max(null + (1.0 - null) * SICK_RATE);
         let up = (sick / null).ln();
         let down = ((1.0 - sick) / (1.0 - null)).ln();
-        e.good += good;
-        e.bad += bad;
+        e.long.add(good, bad);
+        e.short.add(good, bad);
         e.score = (e.score + bad * up + good * down).clamp(MIN_SCORE, self.cap);
-        self.good += good;
-        self.bad += bad;
+        self.long.add(good, bad);
+        self.short.add(good, bad);
         e.score
     }
 
-    /// Returns the bad rate of the other upstreams.
+    /// Returns the bad rate of the other upstreams, the worse of long and short.
     #[must_use]
     pub fn sibling_rate(&self, key: K) -> f64 {
         let own = self.entries.get(&key).copied().unwrap_or_default();
-        let bad = (self.bad - own.bad).max(0.0) + PRIOR * PRIOR_BAD;
-        let all = (self.good - own.good).max(0.0) + (self.bad - own.bad).max(0.0) + PRIOR;
-        (bad / all).clamp(PRIOR_BAD / 2.0, 0.9)
+        let long = self.long.rate_without(own.long, PRIOR);
+        let short = self.short.rate_without(own.short, PRIOR / 2.0);
+        long.max(short).clamp(PRIOR_BAD / 2.0, 0.9)
+    }
+
+    /// Tells whether `key` had far more bad outcomes lately than its siblings.
+    ///
+    /// It needs `least` of them at any rate. Good outcomes are left out: they are
+    /// reported late, bad ones at once.
+    #[must_use]
+    pub fn is_outlier(&self, key: K, least: f64) -> bool {
+        let own = self.entries.get(&key).map_or(0.0, |e| e.short.bad);
+        let siblings = self.entries.len().saturating_sub(1).max(1) as f64;
+        let mean = (self.short.bad - own).max(0.0) / siblings;
+        own >= least + OUTLIER_RATIO * mean
     }
 
     /// Returns the score of `key`, zero if it was never seen.
@@ -109,7 +171,7 @@
     /// Returns the aged counts of good and bad outcomes of `key`.
     #[must_use]
     pub fn counts(&self, key: K) -> (f64, f64) {
-        self.entries.get(&key).map_or((0.0, 0.0), |e| (e.good, e.bad))
+        self.entries.get(&key).map_or((0.0, 0.0), |e| (e.long.good, e.long.bad))
     }
 
     /// Counts upstreams whose score is at least `h`.
@@ -118,11 +180,11 @@
         self.entries.values().filter(|e| e.score >= h).count()
     }
 
-    /// Forgets the score of `key`, as after a hold.
+    /// Forgets everything of `key`, as after a hold.
     pub fn reset(&mut self, key: K) {
         if let Some(e) = self.entries.get_mut(&key) {
-            self.good -= e.good;
-            self.bad -= e.bad;
+            self.long.add(-e.long.good, -e.long.bad);
+            self.short.add(-e.short.good, -e.short.bad);
             *e = Entry::default();
         }
     }
@@ -136,22 +198,30 @@
         }
     }
 
-    /// Halves the counts once in each half-life.
     fn age(&mut self, now: Time) {
-        let dt = now.since(self.aged).as_secs_f64();
-        // Aging in steps of a tenth keeps this off the path of most outcomes.
-        if dt < HALF_LIFE.as_secs_f64() / 10.0 {
-            return;
+        if let Some(share) = kept(&mut self.aged, HALF_LIFE, now) {
+            self.long = Counts::default();
+            for e in self.entries.values_mut() {
+                e.long.keep(share);
+                self.long.add(e.long.good, e.long.bad);
+            }
         }
-        self.aged = now;
-        let keep = 0.5f64.powf(dt / HALF_LIFE.as_secs_f64());
-        self.good = 0.0;
-        self.bad = 0.0;
-        for e in self.entries.values_mut() {
-            e.good *= keep;
-            e.bad *= keep;
-            self.good += e.good;
-            self.bad += e.bad;
+        if let Some(share) = kept(&mut self.aged_short, self.short_life, now) {
+            self.short = Counts::default();
+            for e in self.entries.values_mut() {
+                e.short.keep(share);
+                self.short.add(e.short.good, e.short.bad);
+            }
         }
     }
 }
+
+/// Returns the share that counts keep, if a step of aging is due.
+fn kept(aged: &mut Time, half_life: Duration, now: Time) -> Option<f64> {
+    let lives = now.since(*aged).as_secs_f64() / half_life.as_secs_f64();
+    if lives < AGING_STEP {
+        return None;
+    }
+    *aged = now;
+    Some(0.5f64.powf(lives))
+}
--- a/crates/honeypulley_policy/src/router.rs
+++ b/crates/honeypulley_policy/src/router.rs
@@ -393,7 +393,7 @@
             id: NameId::of(&spec.name),
             spread: Spread::default(),
             budget: RetryBudget::new(spec.retries),
-            ledger: Ledger::new(2.0 * evidence::own_bar(spec.lean)),
+            ledger: Ledger::new(2.0 * evidence::own_bar(spec.lean), evidence::OWN_SHORT_LIFE),
             upstreams: Vec::new(),
             rate: None,
             share: 1,
--- a/crates/honeypulley_policy/src/router/evidence.rs
+++ b/crates/honeypulley_policy/src/router/evidence.rs
@@ -22,6 +22,11 @@
 /// Good outcomes that end a box's own probation.
 const OWN_PROBATION_GOOD: f64 = 3.0;
 
+/// Weight of lateness, in tenths, while the whole service is slowed.
+const RAISED_TENTHS: u16 = 1;
+/// Half-life of the counts that show a trouble which all upstreams share.
+pub(super) const OWN_SHORT_LIFE: Duration = Duration::from_secs(4);
+
 /// Score at which a box alone avoids an upstream.
 pub(super) fn own_bar(lean: Lean) -> f64 {
     lean.mix(6.0, 11.0)
@@ -65,7 +70,8 @@
             Outcome::Whole | Outcome::Abandoned => {}
             // An upstream that sheds may be busy; if it alone sheds, it is sick.
             Outcome::NotRun => self.witness(k, Evidence::Slow, now),
-            Outcome::Failed | Outcome::Late => self.witness(k, Evidence::Failure, now),
+            Outcome::Failed => self.witness(k, Evidence::Failure, now),
+            Outcome::Late => self.witness(k, Evidence::Stall, now),
             Outcome::Wrong => {
                 if let Some(a) = self.attempts.get_mut(k) {
                     a.judged = false;
@@ -105,11 +111,15 @@
         let a = *a;
         let Some(u) = self.upstreams.get_mut(a.upstream) else { return };
         let Some(s) = self.services.get_mut(a.service) else { return };
-        let bad = f64::from(e.tenths()) / 10.0;
+        let tenths =
+            if e.is_lateness() && s.spread.is_raised() { RAISED_TENTHS } else { e.tenths() };
+        let bad = f64::from(tenths) / 10.0;
         let good = f64::from(u8::from(e == Evidence::Good));
         let score = s.ledger.add(a.upstream, good, bad, now);
+        let score =
+            if s.ledger.is_outlier(a.upstream, s.spec.lean.mix(1.5, 2.5)) { score } else { 0.0 };
         u.pending.0 = u.pending.0.saturating_add(u16::from(e == Evidence::Good));
-        u.pending.1 = u.pending.1.saturating_add(e.tenths());
+        u.pending.1 = u.pending.1.saturating_add(tenths);
         s.urgent |= bad > 0.0;
         u.own.after(score, own_bar(s.spec.lean), s.ledger.counts(a.upstream), now);
         if score >= own_bar(s.spec.lean) {
--- a/crates/honeypulley_policy/src/spread.rs
+++ b/crates/honeypulley_policy/src/spread.rs
@@ -4,6 +4,14 @@
 
 /// Weight of one new sample in the running mean and variance.
 const GAIN: f64 = 0.02;
+/// Weight of one new sample in the mean of the last moments.
+const FAST_GAIN: f64 = 0.1;
+/// Weight of one new sample in the long-run mean.
+const BASE_GAIN: f64 = 0.001;
+/// Times the long-run middle at which the whole service counts as slowed.
+///
+/// One upstream in nine at ten times its usual time raises the middle by 1.3.
+const RAISED: f64 = 2.0;
 /// Samples before the spread is trusted.
 const WARM: u32 = 20;
 /// Limit assumed while cold.
@@ -18,12 +26,14 @@
 pub struct Spread {
     mean: f64,
     var: f64,
+    fast: f64,
+    base: f64,
     seen: u32,
 }
 
 impl Default for Spread {
     fn default() -> Self {
-        Self { mean: (0.05f64).ln(), var: 0.25, seen: 0 }
+        Self { mean: (0.05f64).ln(), var: 0.25, fast: 0.0, base: 0.0, seen: 0 }
     }
 }
 
@@ -39,10 +49,13 @@
             let k = f64::from(self.seen);
             let delta = x - self.mean;
             self.mean = if self.seen == 1 { x } else { self.mean + delta / k };
+            (self.fast, self.base) = (self.mean, self.mean);
             return;
         }
         let sd = self.var.sqrt();
         let x = x.min(self.mean + 4.0 * sd);
+        self.fast += FAST_GAIN * (x - self.fast);
+        self.base += BASE_GAIN * (x - self.base);
         let delta = x - self.mean;
         self.mean += GAIN * delta;
         self.var = (self.var + GAIN * (delta * delta - self.var)).max(0.01);
@@ -64,6 +77,14 @@
         Duration::from_secs_f64(self.mean.exp().min(3_600.0))
     }
 
+    /// Tells whether the whole service answers far later than it used to.
+    ///
+    /// That is overload or the network, and says nothing of one upstream.
+    #[must_use]
+    pub fn is_raised(&self) -> bool {
+        self.is_warm() && self.fast - self.base > RAISED.ln()
+    }
+
     /// Tells whether enough samples were seen to trust the limits.
     #[must_use]
     pub const fn is_warm(&self) -> bool {
