--- a/crates/honeypulley_policy/src/collector.rs
+++ b/crates/honeypulley_policy/src/collector.rs
@@ -214,7 +214,9 @@
             .range((report.reporter, NameId(0))..=(report.reporter, NameId(u64::MAX)))
             .filter(|(_, (_, at))| now.since(*at) < WITNESS_WINDOW)
             .map(|((_, u), _)| *u);
-        let accused: BTreeSet<NameId> = fresh.chain(held).collect();
+        // Those that many boxes agree on already cast no doubt on this one.
+        let agreed = |u: &NameId| self.standing().any(|(s, _)| s == *u);
+        let accused: BTreeSet<NameId> = fresh.chain(held).filter(|u| !agreed(u)).collect();
         let usual = (self.members.len() / 4).max(1);
         if accused.len() > usual { 1.0 / (accused.len() * accused.len()) as f64 } else { 1.0 }
     }
@@ -303,11 +305,11 @@
         if self.witnesses(u, now) < self.quorum() {
             return false;
         }
-        let held = self.standing().count();
-        let troubled = self.ledger.over(bar / 2.0) + held;
+        let held = self.standing().map(|(u, _)| u);
+        let troubled: BTreeSet<NameId> = self.ledger.over(bar / 2.0).chain(held).collect();
         // Most of a service in trouble at once is overload or the network.
         let spare = self.members.len().saturating_sub(self.floor.count(self.members.len()));
-        troubled <= spare
+        troubled.len() <= spare
     }
 }
 
--- a/crates/honeypulley_policy/src/ledger.rs
+++ b/crates/honeypulley_policy/src/ledger.rs
@@ -174,10 +174,9 @@
         self.entries.get(&key).map_or((0.0, 0.0), |e| (e.long.good, e.long.bad))
     }
 
-    /// Counts upstreams whose score is at least `h`.
-    #[must_use]
-    pub fn over(&self, h: f64) -> usize {
-        self.entries.values().filter(|e| e.score >= h).count()
+    /// Returns the upstreams whose score is at least `h`.
+    pub fn over(&self, h: f64) -> impl Iterator<Item = K> + '_ {
+        self.entries.iter().filter(move |(_, e)| e.score >= h).map(|(&k, _)| k)
     }
 
     /// Forgets everything of `key`, as after a hold.
--- a/crates/honeypulley_policy/src/router/evidence.rs
+++ b/crates/honeypulley_policy/src/router/evidence.rs
@@ -24,12 +24,14 @@
 
 /// Weight of lateness, in tenths, while the whole service is slowed.
 const RAISED_TENTHS: u16 = 1;
+/// Bad outcomes of the last moments that a box alone needs to avoid an upstream.
+const OWN_LEAST: f64 = 2.5;
 /// Half-life of the counts that show a trouble which all upstreams share.
 pub(super) const OWN_SHORT_LIFE: Duration = Duration::from_secs(4);
 
 /// Score at which a box alone avoids an upstream.
 pub(super) fn own_bar(lean: Lean) -> f64 {
-    lean.mix(6.0, 11.0)
+    lean.mix(9.0, 11.0)
 }
 
 impl Router {
@@ -116,8 +118,7 @@
         let bad = f64::from(tenths) / 10.0;
         let good = f64::from(u8::from(e == Evidence::Good));
         let score = s.ledger.add(a.upstream, good, bad, now);
-        let score =
-            if s.ledger.is_outlier(a.upstream, s.spec.lean.mix(1.5, 2.5)) { score } else { 0.0 };
+        let score = if s.ledger.is_outlier(a.upstream, OWN_LEAST) { score } else { 0.0 };
         u.pending.0 = u.pending.0.saturating_add(u16::from(e == Evidence::Good));
         u.pending.1 = u.pending.1.saturating_add(tenths);
         s.urgent |= bad > 0.0;
--- a/crates/honeypulley_policy/src/spread.rs
+++ b/crates/honeypulley_policy/src/spread.rs
@@ -4,6 +4,8 @@
 
 /// Weight of one new sample in the running mean and variance.
 const GAIN: f64 = 0.02;
+/// Deviations above the middle at which a sample is clipped.
+const CLIP: f64 = 2.0;
 /// Weight of one new sample in the mean of the last moments.
 const FAST_GAIN: f64 = 0.1;
 /// Weight of one new sample in the long-run mean.
@@ -40,8 +42,9 @@
 impl Spread {
     /// Adds one answer time.
     ///
-    /// A sample over four deviations counts as four, so that one sick upstream
-    /// cannot teach the service that slow is usual.
+    /// A sample over two deviations counts as two, so that one sick upstream
+    /// cannot teach the service that slow is usual. At four, one sick in nine
+    /// fed the variance by 16/9 of itself and it grew without bound.
     pub fn add(&mut self, d: Duration) {
         let x = d.as_secs_f64().max(1e-6).ln();
         self.seen = self.seen.saturating_add(1);
@@ -53,7 +56,7 @@
             return;
         }
         let sd = self.var.sqrt();
-        let x = x.min(self.mean + 4.0 * sd);
+        let x = x.min(self.mean + CLIP * sd);
         self.fast += FAST_GAIN * (x - self.fast);
         self.base += BASE_GAIN * (x - self.base);
         let delta = x - self.mean;
--- /dev/null
+++ b/crates/honeypulley_policy/tests/collector.rs
@@ -0,0 +1,149 @@
+//! Judgement from the evidence of many boxes.
+
+use honeypulley_policy::collector::{Collector, Judgement, NameId, Report, ReportItem, Verdict};
+use honeypulley_policy::spec::{Floor, Lean};
+use honeypulley_policy::time::Time;
+use rstest::rstest;
+
+const N: usize = 9;
+const BOXES: usize = 10;
+
+fn up(i: usize) -> NameId {
+    NameId::of(&format!("u{i}"))
+}
+
+fn reporter(i: usize) -> NameId {
+    NameId::of(&format!("b{i}"))
+}
+
+fn collector(lean: Lean) -> Collector {
+    let mut c = Collector::new("tilldogs", lean, Floor::Share(0.6));
+    c.set_members((0..N).map(up), BOXES);
+    c
+}
+
+fn report(b: usize, items: &[(usize, u16, u16)]) -> Report {
+    let item = |&(u, good, bad): &(usize, u16, u16)| ReportItem { upstream: up(u), good, bad };
+    Report {
+        service: NameId::of("tilldogs"),
+        reporter: reporter(b),
+        items: items.iter().map(item).collect(),
+    }
+}
+
+/// Sends one report of each box and returns all verdicts.
+fn round(
+    c: &mut Collector,
+    at: u64,
+    items: impl Fn(usize) -> Vec<(usize, u16, u16)>,
+) -> Vec<Verdict> {
+    (0..BOXES).flat_map(|b| c.report(&report(b, &items(b)), Time::from_millis(at))).collect()
+}
+
+fn healthy(c: &mut Collector) {
+    for t in 0..20 {
+        let v = round(c, t * 1_000, |_| (0..N).map(|u| (u, 5, 0)).collect());
+        assert_eq!(v, [], "healthy load is judged well");
+    }
+}
+
+#[rstest]
+#[case(Lean::DETECTION)]
+#[case(Lean::EXACTNESS)]
+fn one_sick_upstream_is_suspect_after_the_word_of_several_boxes(#[case] lean: Lean) {
+    let mut c = collector(lean);
+    healthy(&mut c);
+    let v = round(&mut c, 20_100, |_| vec![(3, 0, 10)]);
+    assert_eq!(v.len(), 1);
+    assert_eq!((v[0].upstream, v[0].judgement), (up(3), Judgement::Suspect));
+    assert!(v[0].witnesses >= 3);
+}
+
+#[test]
+fn one_box_alone_convinces_nobody() {
+    let mut c = collector(Lean::DETECTION);
+    healthy(&mut c);
+    for t in 0..50 {
+        assert_eq!(c.report(&report(0, &[(3, 0, 30)]), Time::from_millis(20_000 + t * 100)), []);
+    }
+}
+
+#[test]
+fn a_box_that_suspects_many_is_itself_doubted() {
+    let mut c = collector(Lean::DETECTION);
+    healthy(&mut c);
+    // Three boxes behind one bad switch see every upstream stall.
+    for t in 0..20 {
+        for b in 0..3 {
+            let all: Vec<_> = (0..N).map(|u| (u, 0, 10)).collect();
+            assert_eq!(c.report(&report(b, &all), Time::from_millis(20_000 + t * 200)), []);
+        }
+    }
+}
+
+#[test]
+fn a_trouble_of_most_upstreams_is_nobodys_fault() {
+    let mut c = collector(Lean::DETECTION);
+    healthy(&mut c);
+    for t in 0..30 {
+        let v = round(&mut c, 20_000 + t * 100, |_| (0..N).map(|u| (u, 1, 10)).collect());
+        assert_eq!(v, [], "overload is not held against anyone");
+    }
+}
+
+#[test]
+fn no_more_are_suspect_at_once_than_the_floor_spares() {
+    let mut c = collector(Lean::DETECTION);
+    healthy(&mut c);
+    let mut suspects = 0;
+    for t in 0..100 {
+        // Five of nine are sick, one after the other; the floor spares three.
+        let sick = (t / 20) as usize;
+        let v = round(&mut c, 20_000 + t * 30, |_| vec![(sick, 0, 10)]);
+        suspects += v.iter().filter(|v| v.judgement == Judgement::Suspect).count();
+        assert!(c.standing().count() <= 3);
+    }
+    assert_eq!(suspects, 3);
+}
+
+#[test]
+fn a_suspect_returns_by_probation_and_a_relapse_holds_longer() {
+    let mut c = collector(Lean::DETECTION);
+    healthy(&mut c);
+    let first = round(&mut c, 20_100, |_| vec![(3, 0, 10)])[0];
+    let hold = first.hold.as_millis() as u64;
+    assert_eq!(c.tick(Time::from_millis(20_100 + hold - 1)), []);
+    let probation = c.tick(Time::from_millis(20_100 + hold));
+    assert_eq!(probation[0].judgement, Judgement::Probation);
+    let relapse =
+        round(&mut c, 20_200 + hold, |b| if b < 4 { vec![(3, 0, 10)] } else { Vec::new() });
+    assert_eq!(relapse[0].judgement, Judgement::Suspect);
+    assert!(relapse[0].hold > first.hold);
+}
+
+#[test]
+fn good_canaries_end_a_probation() {
+    let mut c = collector(Lean::DETECTION);
+    healthy(&mut c);
+    let first = round(&mut c, 20_100, |_| vec![(3, 0, 10)])[0];
+    let at = 20_100 + first.hold.as_millis() as u64;
+    c.tick(Time::from_millis(at));
+    let v = round(&mut c, at + 500, |_| vec![(3, 1, 0)]);
+    assert_eq!(v[0].judgement, Judgement::Clear);
+    assert_eq!(c.standing().count(), 0);
+}
+
+#[test]
+fn an_ejection_left_by_another_collector_is_taken_over() {
+    let mut c = collector(Lean::DETECTION);
+    c.adopt(up(2), Time::ZERO);
+    assert_eq!(c.standing().collect::<Vec<_>>(), [(up(2), Judgement::Suspect)]);
+    let v = c.tick(Time::from_millis(60_000));
+    assert_eq!((v[0].upstream, v[0].judgement), (up(2), Judgement::Probation));
+}
+
+#[test]
+fn reports_on_strangers_are_ignored() {
+    let mut c = collector(Lean::DETECTION);
+    assert_eq!(round(&mut c, 100, |_| vec![(99, 0, 100)]), []);
+}
--- /dev/null
+++ b/crates/honeypulley_policy/tests/placement.rs
@@ -0,0 +1,118 @@
+//! Deterministic placement under churn, and the limits.
+
+use honeypulley_policy::limits::{Gcra, RetryBudget};
+use honeypulley_policy::placement::{Role, subset_size, top};
+use honeypulley_policy::spread::Spread;
+use honeypulley_policy::time::Time;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn names(n: usize) -> Vec<String> {
+    (0..n).map(|i| format!("box{i}")).collect()
+}
+
+#[test]
+fn losing_a_box_moves_only_what_it_held() {
+    let all = names(40);
+    let mut moved = 0;
+    for s in 0..500 {
+        let subject = format!("service{s}");
+        let before = top(Role::Collector, &subject, all.iter().map(String::as_str), 2);
+        let rest = all.iter().map(String::as_str).filter(|n| *n != "box7");
+        let after = top(Role::Collector, &subject, rest, 2);
+        if before.contains(&"box7") {
+            moved += 1;
+        } else {
+            assert_eq!(before, after);
+        }
+    }
+    assert!((10..50).contains(&moved), "about one in twenty services, not {moved} of 500");
+}
+
+#[test]
+fn the_whole_set_is_used_today() {
+    assert_eq!(subset_size(40, 16, 220), 16);
+    assert_eq!(subset_size(40, 6, 220), 6);
+}
+
+#[test]
+fn at_full_size_no_upstream_gets_more_connections_than_it_accepts() {
+    let (boxes, ups) = (names(657), (0..21).map(|i| format!("u{i}")).collect::<Vec<_>>());
+    let d = subset_size(657, 21, 220);
+    assert!(d >= 4, "{d}");
+    for service in 0..20 {
+        let mut load: BTreeMap<&str, usize> = BTreeMap::new();
+        for b in &boxes {
+            let key = format!("{service}{b}");
+            for u in top(Role::Subset, &key, ups.iter().map(String::as_str), d) {
+                *load.entry(u).or_default() += 1;
+            }
+        }
+        assert!(load.values().all(|&n| n <= 220), "{load:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Against a naive count of what was admitted in every window.
+    #[test]
+    fn no_window_admits_more_than_rate_and_burst(
+        gaps in prop::collection::vec(0u64..200, 1..300),
+        rate in 1.0f64..100.0,
+        burst in 1.0f64..20.0,
+    ) {
+        let (mut cell, mut now, mut taken) = (Gcra::new(rate), Time::from_millis(5), Vec::new());
+        for g in gaps {
+            now = now + Duration::from_millis(g);
+            match cell.take(burst, now) {
+                Ok(()) => taken.push(now),
+                Err(wait) => {
+                    let mut later = cell;
+                    let back = now + wait + Duration::from_micros(2);
+                    prop_assert!(later.take(burst, back).is_ok(), "told to come back too soon");
+                }
+            }
+        }
+        for (i, a) in taken.iter().enumerate() {
+            for (j, b) in taken.iter().enumerate().skip(i) {
+                let most = rate * b.since(*a).as_secs_f64() + burst + 1.0;
+                prop_assert!(((j - i + 1) as f64) <= most + 1e-6);
+            }
+        }
+    }
+}
+
+#[test]
+fn retries_stay_a_share_of_successes() {
+    let mut b = RetryBudget::new(0.1);
+    while b.spend() {}
+    let spent = (0..1_000)
+        .filter(|_| {
+            b.earn();
+            b.spend()
+        })
+        .count();
+    assert!((95..=101).contains(&spent), "{spent}");
+    assert!(!RetryBudget::new(0.0).spend(), "no share, no retry");
+}
+
+#[test]
+fn one_slow_upstream_does_not_teach_that_slow_is_usual() {
+    let mut s = Spread::default();
+    for i in 0..2_000u64 {
+        let sick = i % 9 == 0 && i > 1_000;
+        s.add(Duration::from_millis(if sick { 500 } else { 45 + i % 10 }));
+    }
+    assert!(s.limit(4.5) < Duration::from_millis(300), "{:?}", s.limit(4.5));
+    assert!(!s.is_raised());
+}
+
+#[test]
+fn a_service_that_slows_as_a_whole_is_told_apart() {
+    let mut s = Spread::default();
+    (0..2_000u64).for_each(|i| s.add(Duration::from_millis(45 + i % 10)));
+    (0..60).for_each(|_| s.add(Duration::from_millis(400)));
+    assert!(s.is_raised());
+}
--- /dev/null
+++ b/crates/honeypulley_policy/tests/router.rs
@@ -0,0 +1,294 @@
+//! One box's choices.
+
+use honeypulley_policy::collector::{Judgement, NameId, Verdict};
+use honeypulley_policy::permits::{FloorContext, LEASE, PermitRecord, PermitView};
+use honeypulley_policy::router::{
+    AttemptKey, Outcome, Pick, Reason, RefusalKind, Router, ServiceKey,
+};
+use honeypulley_policy::spec::{Floor, Lean, Member, MemberState, Repeat, ServiceSpec};
+use honeypulley_policy::time::Time;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const N: usize = 5;
+
+fn member(i: usize) -> Member {
+    let name = format!("u{i}");
+    Member {
+        name,
+        service: "s".into(),
+        addr: format!("10.0.0.{i}:80"),
+        hall: "h".into(),
+        state: MemberState::Live,
+    }
+}
+
+fn spec(repeat: Repeat) -> ServiceSpec {
+    let lean = Lean::DETECTION;
+    ServiceSpec::builder()
+        .name("s")
+        .floor(Floor::Count(3))
+        .repeat(repeat)
+        .lean(lean)
+        .connections(20)
+        .build()
+}
+
+fn router(repeat: Repeat) -> (Router, ServiceKey) {
+    let mut r = Router::new("b", "h", 7);
+    r.set_services([spec(repeat)]);
+    let all: Vec<Member> = (0..N).map(member).collect();
+    r.set_members(&all, 2, Time::ZERO);
+    let k = r.service("s").expect("set");
+    (r, k)
+}
+
+fn view(ups: &[&str], confirmed: Time) -> PermitView {
+    let ctx = FloorContext { live: N, floor: 3 };
+    let record = ups.iter().fold(PermitRecord::default(), |r, u| r.eject(u, ctx).expect("allowed"));
+    PermitView { records: [("s".to_owned(), record)].into(), confirmed: Some(confirmed) }
+}
+
+fn suspect(u: &str, hold: u64) -> Verdict {
+    let (service, upstream) = (NameId::of("s"), NameId::of(u));
+    Verdict {
+        service,
+        upstream,
+        judgement: Judgement::Suspect,
+        hold: Duration::from_millis(hold),
+        witnesses: 3,
+    }
+}
+
+/// Picks and closes `n` times; returns how often each upstream was picked.
+fn spread(
+    r: &mut Router,
+    k: ServiceKey,
+    n: usize,
+    repeatable: bool,
+    at: Time,
+) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for _ in 0..n {
+        let p = r.pick(k, repeatable, &[], at).expect("there are upstreams");
+        *counts.entry(r.upstream(p.upstream).expect("known").0.to_owned()).or_default() += 1;
+        r.finish(p.attempt, Outcome::Abandoned, at);
+    }
+    counts
+}
+
+#[test]
+fn a_valid_permit_takes_all_work_and_a_lapsed_one_binds_nobody() {
+    let (mut r, k) = router(Repeat::Always);
+    r.set_permits(&view(&["u0"], Time::from_millis(1_000)));
+    let within = Time::from_millis(1_000) + (LEASE - Duration::from_millis(1));
+    assert!(!spread(&mut r, k, 500, true, within).contains_key("u0"));
+    // After the lease, as after a pause: it is avoided, and there if needed.
+    let lapsed = Time::from_millis(1_000) + LEASE;
+    let picks: Vec<Pick> = std::iter::from_fn(|| r.pick(k, true, &[], lapsed).ok()).collect();
+    let last = picks.iter().filter(|p| p.reason == Reason::LastResort).count();
+    assert!(last > 0, "the lapsed one is still capacity");
+    assert!(
+        picks.iter().all(|p| (p.reason == Reason::LastResort)
+            == (r.upstream(p.upstream).expect("known").0 == "u0"))
+    );
+}
+
+#[test]
+fn no_more_are_set_aside_than_the_floor_spares_even_if_all_look_sick() {
+    let (mut r, k) = router(Repeat::Always);
+    for i in 0..N {
+        r.set_verdict(&suspect(&format!("u{i}"), 4_000), Time::ZERO);
+    }
+    let used = spread(&mut r, k, 500, true, Time::from_millis(1));
+    assert_eq!(used.len(), 3, "three of five keep their work: {used:?}");
+}
+
+#[test]
+fn leaving_upstreams_cost_the_ejected_ones_their_hold() {
+    let (mut r, k) = router(Repeat::Always);
+    r.set_permits(&view(&["u0", "u1"], Time::ZERO));
+    let now = Time::from_millis(10);
+    assert_eq!(spread(&mut r, k, 300, true, now).len(), 3);
+    let mut list: Vec<Member> = (0..N).map(member).collect();
+    list[4].state = MemberState::Leaving;
+    r.set_members(&list, 2, now);
+    // Four live and a floor of three: one of the two must work again.
+    let used = spread(&mut r, k, 300, true, now);
+    assert_eq!(used.len(), 3, "{used:?}");
+    assert!(!used.contains_key("u4"));
+}
+
+#[test]
+fn a_drain_mark_ends_new_work_at_once() {
+    let (mut r, k) = router(Repeat::Always);
+    let p = r.pick(k, true, &[], Time::ZERO).expect("there are upstreams");
+    let name = r.upstream(p.upstream).expect("known").0.to_owned();
+    r.drained(p.upstream);
+    assert!(!spread(&mut r, k, 300, true, Time::ZERO).contains_key(&name));
+}
+
+#[test]
+fn a_stall_is_seen_before_any_timeout() {
+    let (mut r, k) = router(Repeat::Always);
+    let mut now = Time::ZERO;
+    for _ in 0..200 {
+        let p = r.pick(k, true, &[], now).expect("there are upstreams");
+        now = now + Duration::from_millis(10);
+        r.answered(p.attempt, true, now);
+        r.finish(p.attempt, Outcome::Whole, now);
+    }
+    let p = r.pick(k, true, &[], now).expect("there are upstreams");
+    assert!(r.stall_limit(k) < Duration::from_millis(200), "{:?}", r.stall_limit(k));
+    now = now + Duration::from_millis(250);
+    let stalled = NameId::of(r.upstream(p.upstream).expect("known").0);
+    let reports = r.tick(now);
+    let item = reports[0].items.iter().find(|i| i.upstream == stalled).expect("reported");
+    assert_eq!(item.bad, 10);
+    // The late end of the same attempt bears witness no second time.
+    r.finish(p.attempt, Outcome::Late, now + Duration::from_secs(2));
+    let again = r.tick(now + Duration::from_secs(3));
+    assert!(again.iter().flat_map(|r| &r.items).all(|i| i.bad == 0), "{again:?}");
+}
+
+#[test]
+fn canaries_are_repeatable_requests_where_there_are_any() {
+    let (mut r, k) = router(Repeat::Reads);
+    let probation = Verdict { judgement: Judgement::Probation, ..suspect("u0", 60_000) };
+    r.set_verdict(&probation, Time::ZERO);
+    let now = Time::from_millis(1);
+    assert!(!spread(&mut r, k, 1_000, false, now).contains_key("u0"));
+    let tried = spread(&mut r, k, 1_000, true, now)["u0"];
+    assert!((20..100).contains(&tried), "about one in twenty, not {tried}");
+}
+
+#[test]
+fn full_upstreams_are_refused_at_once_with_a_time_to_come_back() {
+    let (mut r, k) = router(Repeat::Always);
+    // Two boxes share twenty connections of each upstream: ten each.
+    let open: Vec<AttemptKey> =
+        std::iter::from_fn(|| r.pick(k, true, &[], Time::ZERO).ok()).map(|p| p.attempt).collect();
+    assert_eq!(open.len(), N * 10);
+    let refusal = r.pick(k, true, &[], Time::ZERO).expect_err("full");
+    assert_eq!(refusal.kind, RefusalKind::Full);
+    assert!(refusal.retry_after > Duration::ZERO);
+}
+
+#[test]
+fn a_rate_is_shared_by_the_boxes_and_says_when() {
+    let mut r = Router::new("b", "h", 7);
+    r.set_members(&[], 4, Time::ZERO);
+    r.set_services([ServiceSpec { rate: Some(40.0), ..spec(Repeat::Always) }]);
+    let k = r.service("s").expect("set");
+    let admitted = (0..1_000).filter(|i| r.admit(k, Time::from_millis(i * 10)).is_ok()).count();
+    // Ten a second for ten seconds, and the burst.
+    assert!((100..=111).contains(&admitted), "{admitted}");
+    let refusal = r.admit(k, Time::from_millis(9_990)).expect_err("used up");
+    assert!(refusal.retry_after <= Duration::from_millis(150));
+}
+
+#[test]
+fn a_restarted_upstream_at_a_new_address_starts_afresh() {
+    let (mut r, k) = router(Repeat::Always);
+    r.set_verdict(&suspect("u0", 60_000), Time::ZERO);
+    let mut list: Vec<Member> = (0..N).map(member).collect();
+    list[0].addr = "10.0.0.99:80".into();
+    r.set_members(&list, 2, Time::ZERO);
+    assert!(spread(&mut r, k, 500, true, Time::from_millis(1)).contains_key("u0"));
+}
+
+/// One generated event.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Pick(bool),
+    Finish(usize, u8),
+    Suspect(usize),
+    Permit(usize, bool),
+    Drain,
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => any::<bool>().prop_map(Step::Pick),
+        5 => (0usize..50, 0u8..5).prop_map(|(i, o)| Step::Finish(i, o)),
+        1 => (0..N).prop_map(Step::Suspect),
+        1 => (0..N, any::<bool>()).prop_map(|(i, valid)| Step::Permit(i, valid)),
+        1 => Just(Step::Drain),
+        3 => (1u64..3_000).prop_map(Step::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Against a naive bookkeeper: what is open, drained and ejected by permit.
+    #[test]
+    fn picks_agree_with_a_naive_bookkeeper(steps in prop::collection::vec(step(), 1..200)) {
+        let (mut r, k) = router(Repeat::Always);
+        let (mut now, mut open) = (Time::ZERO, Vec::<(AttemptKey, String)>::new());
+        let mut drained: Vec<String> = Vec::new();
+        let mut ejected: Option<(String, Time)> = None;
+        for s in steps {
+            match s {
+                Step::Pick(repeatable) => {
+                    let before: BTreeMap<&String, usize> = open.iter().fold(BTreeMap::new(), |mut m, (_, u)| { *m.entry(u).or_default() += 1; m });
+                    match r.pick(k, repeatable, &[], now) {
+                        Ok(p) => {
+                            let name = r.upstream(p.upstream).expect("known").0.to_owned();
+                            prop_assert!(!drained.contains(&name), "work for one that is leaving");
+                            prop_assert!(before.get(&name).copied().unwrap_or(0) < 10, "over the share of connections");
+                            if let Some((u, at)) = &ejected {
+                                prop_assert!(*u != name || now.since(*at) >= LEASE, "work for an ejected one");
+                            }
+                            open.push((p.attempt, name));
+                        }
+                        Err(e) => {
+                            prop_assert_eq!(e.kind, RefusalKind::Full);
+                            let room = |u: &String| before.get(u).copied().unwrap_or(0) < 10;
+                            let free = (0..N).map(|i| format!("u{i}")).filter(|u| room(u) && !drained.contains(u));
+                            let held = |u: &String| ejected.as_ref().is_some_and(|(e, at)| e == u && now.since(*at) < LEASE);
+                            prop_assert_eq!(free.filter(|u| !held(u)).count(), 0, "refused with room left");
+                        }
+                    }
+                }
+                Step::Finish(i, o) if !open.is_empty() => {
+                    let (a, _) = open.swap_remove(i % open.len());
+                    let outcome = [Outcome::Whole, Outcome::Failed, Outcome::Late, Outcome::Wrong, Outcome::Abandoned][o as usize];
+                    r.answered(a, o != 1, now);
+                    r.finish(a, outcome, now);
+                }
+                Step::Finish(..) => {}
+                Step::Suspect(i) => { r.set_verdict(&suspect(&format!("u{i}"), 4_000), now); }
+                Step::Permit(i, valid) => {
+                    let u = format!("u{i}");
+                    r.set_permits(&view(&[&u], now));
+                    ejected = Some((u, now));
+                    if !valid {
+                        now = now + LEASE;
+                    }
+                }
+                Step::Drain => {
+                    if let Some((a, u)) = open.pop() {
+                        let p = r.pick(k, true, &[], now).ok().filter(|p| r.upstream(p.upstream).is_some_and(|(n, _)| n == u));
+                        if let Some(p) = p {
+                            if drained.is_empty() {
+                                r.drained(p.upstream);
+                                drained.push(u);
+                            }
+                            r.finish(p.attempt, Outcome::Abandoned, now);
+                        }
+                        r.finish(a, Outcome::Abandoned, now);
+                    }
+                    // The pick above may have gone elsewhere and stays closed below.
+                    let _ = r.tick(now);
+                }
+                Step::Pass(ms) => {
+                    now = now + Duration::from_millis(ms);
+                    let _ = r.tick(now);
+                }
+            }
+        }
+    }
+}
