--- a/crates/honeypulley_bundle/src/model.rs
+++ b/crates/honeypulley_bundle/src/model.rs
@@ -60,6 +60,10 @@
         }
         part.routes.sort_unstable();
         part.callers.sort_unstable();
+        // Parts are many and live long.
+        part.services.shrink_to_fit();
+        part.routes.shrink_to_fit();
+        part.callers.shrink_to_fit();
         Ok(part)
     }
 
--- a/crates/honeypulley_daemon/src/peer.rs
+++ b/crates/honeypulley_daemon/src/peer.rs
@@ -26,7 +26,7 @@
 /// Time between two questions to a peer.
 const ASK_GAP: Duration = Duration::from_millis(700);
 /// Peers told of a new version at once.
-const RUMOUR_FANOUT: usize = 5;
+const RUMOUR_FANOUT: usize = 8;
 /// Questions whose answer is still awaited.
 const MAX_ASKED: usize = 64;
 /// Datagrams sent to one peer list before a short pause.
--- a/crates/honeypulley_daemon/src/platform.rs
+++ b/crates/honeypulley_daemon/src/platform.rs
@@ -15,6 +15,8 @@
 const WATCH: Duration = Duration::from_secs(1);
 /// Time between two reads of the list.
 const LIST_GAP: Duration = Duration::from_secs(2);
+/// Reads of the list that all boxes may add up to, a second.
+const LIST_RATE: f64 = 500.0;
 /// The same while the list is empty, as right after a start.
 const FIRST_GAP: Duration = Duration::from_millis(200);
 /// Wait after a call that failed; with jitter.
@@ -62,8 +64,9 @@
                         log::info!("platform: answers again");
                     }
                     self.ctx.set_roster(json);
-                    let known = self.ctx.roster().is_some_and(|r| !r.boxes.is_empty());
-                    sleep(jitter(if known { LIST_GAP } else { FIRST_GAP })).await;
+                    let boxes = self.ctx.roster().map_or(0, |r| r.live_boxes().count());
+                    let gap = LIST_GAP.max(Duration::from_secs_f64(boxes as f64 / LIST_RATE));
+                    sleep(jitter(if boxes > 0 { gap } else { FIRST_GAP })).await;
                 }
                 Err(e) => {
                     // One line for an outage, not one for each try.
--- a/crates/honeypulley_daemon/src/pull.rs
+++ b/crates/honeypulley_daemon/src/pull.rs
@@ -27,7 +27,8 @@
             let key = part_key(&d);
             let found = p.get(&key).await.wrap_err("read a part")?;
             let object = found.ok_or_else(|| eyre!("the platform has no {key}"))?;
-            Ok::<_, eyre::Report>((d, object.value))
+            // A copy, since a slice would keep the whole read buffer behind it.
+            Ok::<_, eyre::Report>((d, Bytes::copy_from_slice(&object.value)))
         })
         .buffer_unordered(PARALLEL)
         .try_collect()
--- a/crates/honeypulley_platform/src/http.rs
+++ b/crates/honeypulley_platform/src/http.rs
@@ -2,13 +2,15 @@
 //!
 //! `GET /objects/KEY` reads, with the version in `etag`. `PUT /objects/KEY`
 //! writes under `if-match: VERSION` or `if-none-match: *`. `GET
-//! /watch?prefix=&after=&wait_ms=` waits. `GET /members` lists.
+//! /watch?prefix=&after=&wait_ms=` waits. `GET /members` lists, with an `etag`.
 
 use crate::api::{Changes, Expect, Object, Platform, PlatformError};
 use async_trait::async_trait;
 use base64::{Engine, engine::general_purpose::STANDARD as BASE64};
 use bytes::Bytes;
-use reqwest::{Client, Response, StatusCode, header};
+use parking_lot::Mutex;
+use reqwest::header::{self, HeaderValue};
+use reqwest::{Client, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -36,10 +38,12 @@
 }
 
 /// Client of the platform's object API.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct HttpPlatform {
     base: String,
     client: Client,
+    /// The list as last read, with its tag: an unchanged one is not moved again.
+    listed: Mutex<Option<(HeaderValue, Bytes)>>,
 }
 
 impl HttpPlatform {
@@ -54,7 +58,7 @@
             .retry(reqwest::retry::never())
             .build()
             .map_err(|e| unavailable(addr, "set up", &e))?;
-        Ok(Self { base: format!("http://{addr}"), client })
+        Ok(Self { base: format!("http://{addr}"), client, listed: Mutex::new(None) })
     }
 
     fn url(&self, key: &str) -> String {
@@ -140,11 +144,21 @@
     }
 
     async fn members(&self) -> Result<Bytes, PlatformError> {
-        let answer = self.read("list", format!("{}/members", self.base), CALL_TIME).await?;
-        if answer.status() != StatusCode::OK {
-            return Err(self.refused("list", answer.status()));
+        let held = self.listed.lock().clone();
+        let mut request = self.client.get(format!("{}/members", self.base)).timeout(CALL_TIME);
+        if let Some((tag, _)) = &held {
+            request = request.header(header::IF_NONE_MATCH, tag);
+        }
+        let answer = request.send().await.map_err(|e| self.lost("list", &e))?;
+        match (answer.status(), held) {
+            (StatusCode::OK, _) => {}
+            (StatusCode::NOT_MODIFIED, Some((_, json))) => return Ok(json),
+            (other, _) => return Err(self.refused("list", other)),
         }
-        answer.bytes().await.map_err(|e| self.lost("list", &e))
+        let tag = answer.headers().get(header::ETAG).cloned();
+        let json = answer.bytes().await.map_err(|e| self.lost("list", &e))?;
+        *self.listed.lock() = tag.map(|t| (t, json.clone()));
+        Ok(json)
     }
 }
 
--- a/crates/honeypulley_standin/src/platform.rs
+++ b/crates/honeypulley_standin/src/platform.rs
@@ -19,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Failures and limits that can be switched.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
@@ -130,7 +131,7 @@
             return;
         }
         let done = match path.as_str() {
-            "/members" => self.list(res).await,
+            "/members" => self.list(req, res).await,
             "/watch" => self.watch(req, res).await,
             _ if write => self.put(&path, req, res).await,
             _ => self.get(&path, res).await,
@@ -161,8 +162,15 @@
         });
     }
 
-    async fn list(&self, res: &mut Response) -> Result<(), PlatformError> {
+    async fn list(&self, req: &Request, res: &mut Response) -> Result<(), PlatformError> {
         let json = self.0.store.members().await?;
+        let tag = xxh3_64(&json);
+        set_etag(res, tag);
+        let known: Option<String> = req.header(header::IF_NONE_MATCH);
+        if known.is_some_and(|k| k == format!("\"{tag}\"")) {
+            res.status_code(StatusCode::NOT_MODIFIED);
+            return Ok(());
+        }
         res.replace_body(ResBody::Once(if json.is_empty() {
             Bytes::from_static(b"{}")
         } else {
--- a/tools/measure/src/main.rs
+++ b/tools/measure/src/main.rs
@@ -1,10 +1,11 @@
 //! Prints the figures of docs/CAPACITY.md anew.
 //!
 //! `overhead` pairs requests through one box with direct ones. `spread` times a
-//! bundle from acceptance to in force on every box. `slopes` gives memory and
+//! bundle from acceptance to in force on every box. `full` puts a bundle of full size on boxes. `slopes` gives memory and
 //! processor time for each route, caller, service, upstream, report and member.
 //! Build with `--release`, programs first.
 
+mod full;
 mod overhead;
 mod slopes;
 mod spread;
@@ -42,12 +43,14 @@
             ),
         )
         .subcommand(Command::new("slopes"))
+        .subcommand(Command::new("full"))
         .get_matches();
     let (name, sub) = args.subcommand().expect("clap asks for one");
     let get = |k: &str| *sub.get_one::<u64>(k).expect("has a default");
     match name {
         "overhead" => overhead::run(get("rate"), get("seconds")).await,
         "spread" => spread::run(get("boxes") as usize, get("rounds"), sub.get_flag("freeze")).await,
+        "full" => full::run().await,
         _ => slopes::run(),
     }
 }
--- a/tools/measure/src/slopes.rs
+++ b/tools/measure/src/slopes.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 /// Full size: services, routes, callers (organisations).
-const FULL: (usize, usize, usize) = (4_700, 82_000, 580_000);
+pub const FULL: (usize, usize, usize) = (4_700, 82_000, 580_000);
 /// One region: services, upstreams of each, boxes.
 const REGION: (usize, usize, usize) = (671, 21, 657);
 
@@ -33,7 +33,8 @@
     Ok(())
 }
 
-fn text(services: usize, routes: usize, callers: usize) -> String {
+/// Returns the text of a bundle with so many services, routes and callers.
+pub fn text(services: usize, routes: usize, callers: usize) -> String {
     let mut t = String::new();
     for i in 0..services {
         let _ = writeln!(
