--- a/crates/honeypulley_daemon/src/collect.rs
+++ b/crates/honeypulley_daemon/src/collect.rs
@@ -2,6 +2,8 @@
 
 use crate::context::{Context, Wish, WishKind};
 use eyre::Result;
+use honeypulley_bundle::head::Version;
+use honeypulley_platform::roster::Roster;
 use honeypulley_policy::collector::{Collector, Judgement, NameId, Verdict};
 use honeypulley_policy::permits::Hold;
 use honeypulley_policy::placement::{self, COLLECTORS, Role};
@@ -15,6 +17,9 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Ticks between two looks at bundle and list.
 const REFRESH_TICKS: u32 = 5;
+/// Ticks after which the desks are set up anew even if nothing has changed, for
+/// releases that are overdue.
+const AFRESH_TICKS: u32 = 100;
 
 /// Judges upstreams.
 #[derive(Debug)]
@@ -23,6 +28,24 @@
     pub ctx: Arc<Context>,
 }
 
+/// What the desks were last set up by.
+#[derive(Default)]
+struct Known {
+    bundle: Version,
+    permits: u64,
+    roster: Option<Arc<Roster>>,
+}
+
+impl Known {
+    fn same(&self, other: &Self) -> bool {
+        let roster = match (&self.roster, &other.roster) {
+            (Some(a), Some(b)) => Arc::ptr_eq(a, b),
+            _ => false,
+        };
+        roster && self.bundle == other.bundle && self.permits == other.permits
+    }
+}
+
 /// One service that this box collects on.
 struct Desk {
     service: String,
@@ -51,6 +74,7 @@
         let mut desks: BTreeMap<NameId, Desk> = BTreeMap::new();
         let mut tick = tokio::time::interval(TICK);
         let mut turns = 0u32;
+        let mut known = Known::default();
         loop {
             tokio::select! {
                 report = self.ctx.reports_in.next() => {
@@ -60,8 +84,11 @@
                     }
                 }
                 _ = tick.tick() => {
+                    if turns.is_multiple_of(AFRESH_TICKS) {
+                        known = Known::default();
+                    }
                     if turns.is_multiple_of(REFRESH_TICKS) {
-                        self.refresh(&mut desks);
+                        self.refresh(&mut desks, &mut known);
                     }
                     turns = turns.wrapping_add(1);
                     let now = self.ctx.now();
@@ -91,10 +118,22 @@
     }
 
     /// Takes on and gives up services as bundle and list say.
-    fn refresh(&self, desks: &mut BTreeMap<NameId, Desk>) {
+    ///
+    /// Placing every service costs a draw among all boxes, so it is done only
+    /// when bundle, list or permits have changed.
+    fn refresh(&self, desks: &mut BTreeMap<NameId, Desk>, known: &mut Known) {
         let (Some(roster), Some(f)) = (self.ctx.roster(), self.ctx.held()) else { return };
-        let boxes: Vec<&str> = roster.live_boxes().map(|b| b.name.as_str()).collect();
         let permits = self.ctx.permits();
+        let now = Known {
+            bundle: f.head.version,
+            permits: permits.version,
+            roster: Some(Arc::clone(&roster)),
+        };
+        if now.same(known) {
+            return;
+        }
+        *known = now;
+        let boxes: Vec<&str> = roster.live_boxes().map(|b| b.name.as_str()).collect();
         let mine = |service: &str| {
             let chosen =
                 placement::top(Role::Collector, service, boxes.iter().copied(), COLLECTORS);
--- a/crates/honeypulley_daemon/src/peer.rs
+++ b/crates/honeypulley_daemon/src/peer.rs
@@ -9,6 +9,7 @@
 use honeypulley_peer::client::PeerClient;
 use honeypulley_peer::codec::{Body, Datagram, MAX_DATAGRAM, report_bodies};
 use honeypulley_peer::server::{self, HeldPermits, PeerView};
+use honeypulley_platform::roster::Roster;
 use honeypulley_policy::collector::{NameId, Report};
 use honeypulley_policy::permits::PermitView;
 use honeypulley_policy::placement::{self, COLLECTORS, Role};
@@ -49,6 +50,22 @@
     socket: tokio::net::UdpSocket,
     asked: RefCell<HashMap<u64, Time>>,
     pulling: Cell<bool>,
+    drawn: RefCell<Drawn>,
+}
+
+/// Collectors drawn so far, for one bundle and list.
+#[derive(Default)]
+struct Drawn {
+    bundle: Version,
+    roster: Option<Arc<Roster>>,
+    names: HashMap<NameId, String>,
+    collectors: HashMap<NameId, Vec<Option<SocketAddr>>>,
+}
+
+impl Drawn {
+    fn is_of(&self, roster: &Arc<Roster>) -> bool {
+        self.roster.as_ref().is_some_and(|r| Arc::ptr_eq(r, roster))
+    }
 }
 
 impl Duty for PeerDuty {
@@ -65,6 +82,7 @@
                 socket,
                 asked: RefCell::default(),
                 pulling: Cell::new(false),
+                drawn: RefCell::default(),
             });
             tokio::select! {
                 r = desk.receive() => r,
@@ -239,25 +257,50 @@
     }
 
     async fn send_report(&self, r: &Report) {
-        let (Some(roster), Some(f)) = (self.ctx.roster(), self.ctx.held()) else { return };
-        let Some(spec) = f.bundle.services().find(|s| NameId::of(&s.name) == r.service) else {
-            return;
-        };
-        let names = roster.live_boxes().map(|b| b.name.as_str());
-        for name in placement::top(Role::Collector, &spec.name, names, COLLECTORS) {
-            if name == self.ctx.settings.name {
+        for to in self.collectors_of(r.service) {
+            let Some(to) = to else {
                 self.ctx.reports_in.push(r.clone());
                 continue;
-            }
-            let addr =
-                roster.boxes.iter().find(|b| b.name == name).and_then(|b| b.peer.parse().ok());
-            let Some(to) = addr else { continue };
+            };
             for body in report_bodies(r) {
                 self.send(to, body).await;
             }
         }
     }
 
+    /// Returns where a service's collectors are; `None` stands for this box.
+    fn collectors_of(&self, service: NameId) -> Vec<Option<SocketAddr>> {
+        let (Some(roster), Some(f)) = (self.ctx.roster(), self.ctx.held()) else {
+            return Vec::new();
+        };
+        let mut drawn = self.drawn.borrow_mut();
+        if drawn.bundle != f.head.version || !drawn.is_of(&roster) {
+            *drawn = Drawn {
+                bundle: f.head.version,
+                roster: Some(Arc::clone(&roster)),
+                ..Drawn::default()
+            };
+            drawn.names =
+                f.bundle.services().map(|s| (NameId::of(&s.name), s.name.clone())).collect();
+        }
+        if let Some(found) = drawn.collectors.get(&service) {
+            return found.clone();
+        }
+        let Some(name) = drawn.names.get(&service) else { return Vec::new() };
+        let boxes = roster.live_boxes().map(|b| b.name.as_str());
+        let chosen = placement::top(Role::Collector, name, boxes, COLLECTORS);
+        let address =
+            |n: &str| roster.boxes.iter().find(|b| b.name == n).and_then(|b| b.peer.parse().ok());
+        let found: Vec<Option<SocketAddr>> = chosen
+            .into_iter()
+            .filter_map(
+                |n| if n == self.ctx.settings.name { Some(None) } else { address(n).map(Some) },
+            )
+            .collect();
+        drawn.collectors.insert(service, found.clone());
+        found
+    }
+
     /// Asks the seeds for the list while there is none.
     async fn seed(&self) {
         while self.ctx.roster().is_none() {
--- /dev/null
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -0,0 +1,102 @@
+//! Datagrams and logins, right, forged and malformed.
+
+use honeypulley_bundle::head::Version;
+use honeypulley_peer::codec::{Body, Datagram, MAX_DATAGRAM, MAX_ITEMS, report_bodies};
+use honeypulley_peer::key::FleetKey;
+use honeypulley_policy::collector::{Judgement, NameId, Report, ReportItem, Verdict};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::time::Duration;
+
+fn body() -> impl Strategy<Value = Body> {
+    let item = (any::<u64>(), any::<u16>(), any::<u16>()).prop_map(|(u, good, bad)| ReportItem {
+        upstream: NameId(u),
+        good,
+        bad,
+    });
+    let judgement =
+        prop_oneof![Just(Judgement::Suspect), Just(Judgement::Probation), Just(Judgement::Clear)];
+    prop_oneof![
+        any::<u64>().prop_map(|nonce| Body::Ask { nonce }),
+        (any::<u64>(), any::<u64>(), any::<u64>(), prop::option::of(0u64..4_000_000)).prop_map(
+            |(nonce, b, permits, age)| Body::Tell {
+                nonce,
+                bundle: Version(b),
+                permits,
+                age: age.map(Duration::from_millis),
+            }
+        ),
+        any::<u64>().prop_map(|b| Body::Rumour { bundle: Version(b) }),
+        (any::<u64>(), prop::collection::vec(item, 0..MAX_ITEMS))
+            .prop_map(|(s, items)| Body::Report { service: NameId(s), items }),
+        (any::<u64>(), any::<u64>(), judgement, 0u64..4_000_000, any::<u16>()).prop_map(
+            |(s, u, judgement, hold, witnesses)| Body::Verdict(Verdict {
+                service: NameId(s),
+                upstream: NameId(u),
+                judgement,
+                hold: Duration::from_millis(hold),
+                witnesses,
+            })
+        ),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn what_is_sealed_is_opened_alike(sender in any::<u64>(), body in body()) {
+        let key = FleetKey::derive("a fleet key of tests");
+        let d = Datagram { sender: NameId(sender), body };
+        let bytes = d.seal(&key);
+        prop_assert!(bytes.len() <= MAX_DATAGRAM, "{}", bytes.len());
+        prop_assert_eq!(Datagram::open(&bytes, &key), Some(d));
+    }
+
+    #[test]
+    fn a_changed_byte_or_another_key_opens_nothing(body in body(), at in any::<prop::sample::Index>(), flip in 1u8..) {
+        let key = FleetKey::derive("a fleet key of tests");
+        let mut bytes = Datagram { sender: NameId(1), body }.seal(&key);
+        prop_assert_eq!(Datagram::open(&bytes, &FleetKey::derive("another key")), None);
+        let i = at.index(bytes.len());
+        bytes[i] ^= flip;
+        prop_assert_eq!(Datagram::open(&bytes, &key), None);
+    }
+
+    /// Arbitrary bytes under a right tag: the decoder alone must hold.
+    #[test]
+    fn arbitrary_bytes_never_panic(mut bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        let key = FleetKey::derive("a fleet key of tests");
+        let _ = Datagram::open(&bytes, &key);
+        let tag = key.tag(&bytes);
+        bytes.extend_from_slice(&tag);
+        let _ = Datagram::open(&bytes, &key);
+    }
+}
+
+#[test]
+fn a_long_report_is_cut_into_datagrams_that_fit() {
+    let items: Vec<ReportItem> =
+        (0..200).map(|i| ReportItem { upstream: NameId(u64::MAX - i), good: 9, bad: 9 }).collect();
+    let report = Report { service: NameId(1), reporter: NameId(2), items };
+    let key = FleetKey::derive("a fleet key of tests");
+    let sizes: Vec<usize> = report_bodies(&report)
+        .map(|body| Datagram { sender: NameId(2), body }.seal(&key).len())
+        .collect();
+    assert_eq!(sizes.len(), 4);
+    assert!(sizes.iter().all(|&n| n <= MAX_DATAGRAM), "{sizes:?}");
+}
+
+#[test]
+fn a_login_owes_the_proof_of_its_own_challenge() {
+    let (key, other) = (FleetKey::derive("one"), FleetKey::derive("two"));
+    assert!(key.check(b"nonce", &key.prove(b"nonce")));
+    assert!(!key.check(b"nonce", &key.prove(b"earlier")));
+    assert!(!key.check(b"nonce", &other.prove(b"nonce")));
+    assert!(!key.check(b"nonce", b"short"));
+    assert!(!format!("{key:?}").contains("one"), "keys stay out of logs");
+}
--- a/crates/honeypulley_policy/src/placement.rs
+++ b/crates/honeypulley_policy/src/placement.rs
@@ -4,7 +4,7 @@
 //! needed. A lagging list costs a little traffic and never correctness.
 //! Source: Thaler and Ravishankar, 1998.
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Role that a rendezvous draw is for, so that roles land on different boxes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,14 +23,10 @@
 /// Boxes of one data hall that watch the platform.
 pub const RELAYS: usize = 3;
 
-/// Returns the weight of `name` for `subject` in `role`.
-#[must_use]
-pub fn weight(role: Role, subject: &str, name: &str) -> u64 {
-    let key = format!("{role:?}\0{subject}\0{name}");
-    xxh3_64(key.as_bytes())
-}
-
 /// Returns the `k` names with the highest weight for `subject`.
+///
+/// The subject is hashed once and seeds the hash of each name, since a box
+/// draws for hundreds of services among hundreds of names.
 #[must_use]
 pub fn top<'a>(
     role: Role,
@@ -38,10 +34,16 @@
     names: impl IntoIterator<Item = &'a str>,
     k: usize,
 ) -> Vec<&'a str> {
-    let mut drawn: Vec<(u64, &str)> =
-        names.into_iter().map(|n| (weight(role, subject, n), n)).collect();
-    drawn.sort_unstable_by(|a, b| b.cmp(a));
+    let seed = xxh3_64_with_seed(subject.as_bytes(), role as u64 + 1);
+    let weight = |n: &str| xxh3_64_with_seed(n.as_bytes(), seed);
+    let mut drawn: Vec<(u64, &str)> = names.into_iter().map(|n| (weight(n), n)).collect();
+    let k = k.min(drawn.len());
+    if k == 0 {
+        return Vec::new();
+    }
+    drawn.select_nth_unstable_by(k - 1, |a, b| b.cmp(a));
     drawn.truncate(k);
+    drawn.sort_unstable_by(|a, b| b.cmp(a));
     drawn.into_iter().map(|(_, n)| n).collect()
 }
 
--- a/crates/honeypulley_policy/tests/collector.rs
+++ b/crates/honeypulley_policy/tests/collector.rs
@@ -72,7 +72,9 @@
 
 #[test]
 fn boxes_that_suspect_many_are_themselves_doubted() {
-    let mut c = collector(Lean::DETECTION);
+    // A floor that would spare five, so that it is not the floor that refuses.
+    let mut c = Collector::new("tilldogs", Lean::DETECTION, Floor::Count(4));
+    c.set_members((0..N).map(up), BOXES);
     healthy(&mut c);
     // Four boxes behind one bad switch see four of nine upstreams stall.
     for t in 0..20 {
@@ -104,11 +106,15 @@
 #[test]
 fn one_with_no_more_bad_outcomes_than_its_siblings_is_no_outlier() {
     let mut c = collector(Lean::DETECTION);
+    c.set_members((0..N).map(up), 45);
     healthy(&mut c);
-    let others = |u: usize| if u == 3 { (3, 0, 10) } else { (u, 20, 10) };
+    // Each box accuses two, and so each upstream has ten boxes against it.
+    let said = |u: usize| if u == 3 { (3, 0, 10) } else { (u, 20, 10) };
     for t in 0..5 {
-        let v = round(&mut c, 20_000 + t * 500, |_| (0..N).map(others).collect());
-        assert_eq!(v, []);
+        for b in 0..45 {
+            let two = [said(b % N), said((b + 1) % N)];
+            assert_eq!(c.report(&report(b, &two), Time::from_millis(20_000 + t * 500)), []);
+        }
     }
 }
 
