Overload: refuse a share at once; fewer false verdicts at high use

Ruled out: a longer hold or a quorum of four (slower for partial faults).

Change: while a service answers at over twice its long-run middle, the share that would push answers past a quarter of the deadline is refused as not run, with when to come back. A suspicion needs six bad outcomes of the last second and a score of 15 (exactness 8 and 22) instead of four and 12; what one box can contribute follows from the quorum.

--- a/crates/honeypulley_policy/src/collector.rs
+++ b/crates/honeypulley_policy/src/collector.rs
@@ -76,8 +76,9 @@
 const SHORT_LIFE: Duration = Duration::from_secs(1);
 /// Time for which a box's testimony counts.
 const WITNESS_WINDOW: Duration = Duration::from_secs(5);
-/// Bad outcomes that one box can contribute within the window.
-const WITNESS_CAP: f64 = 2.0;
+/// Bad outcomes that the least number of witnesses can contribute together, in
+/// multiples of what a suspicion needs.
+const WITNESS_SPARE: f64 = 1.5;
 /// Least contribution of a box that counts as a witness.
 const WITNESS_MIN: f64 = 0.5;
 /// Hold after the first suspicion; doubles with each relapse.
@@ -151,12 +152,17 @@
     /// Returns the score at which an upstream is suspect.
     #[must_use]
     pub fn bar(lean: Lean) -> f64 {
-        lean.mix(12.0, 20.0)
+        lean.mix(15.0, 22.0)
     }
 
     /// Returns the bad outcomes of the last moments that a suspicion needs.
     fn least(&self) -> f64 {
-        self.lean.mix(4.0, 6.0)
+        self.lean.mix(6.0, 8.0)
+    }
+
+    /// Returns the bad outcomes that one box can contribute within the window.
+    fn witness_cap(&self) -> f64 {
+        self.least() * WITNESS_SPARE / self.quorum() as f64
     }
 
     /// Returns the witnesses needed for a suspicion.
@@ -227,11 +233,12 @@
             return 0.0;
         }
         let bad = f64::from(item.bad) / 10.0 * weight;
+        let cap = self.witness_cap();
         let slot = self.testimony.entry((reporter, item.upstream)).or_insert((0.0, now));
         if now.since(slot.1) >= WITNESS_WINDOW {
             *slot = (0.0, now);
         }
-        let room = (WITNESS_CAP - slot.0).max(0.0);
+        let room = (cap - slot.0).max(0.0);
         let taken = bad.min(room);
         *slot = (slot.0 + taken, now);
         taken
--- a/crates/honeypulley_policy/src/router.rs
+++ b/crates/honeypulley_policy/src/router.rs
@@ -18,6 +18,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// Requests that a rate admits at once.
+const RATE_BURST: f64 = 10.0;
+/// Share of the deadline that answers may take before requests are refused.
+const SHED_TARGET: f64 = 0.25;
+
 new_key_type! {
     /// Key of a service in a router's arena.
     pub struct ServiceKey;
@@ -58,6 +63,9 @@
     /// Every live upstream holds all the connections this box may open.
     #[error("every upstream is full")]
     Full,
+    /// The whole service is so slow that requests would miss their deadline.
+    #[error("the service is overloaded")]
+    Overload,
     /// The service's rate is used up.
     #[error("the service's rate is used up")]
     Rate,
@@ -376,17 +384,22 @@
         self.attempts.len()
     }
 
-    /// Takes one request of the service's rate.
+    /// Admits one request by the service's rate and its overload.
     ///
     /// # Errors
     /// A [`Refusal`] saying when to come back.
     pub fn admit(&mut self, k: ServiceKey, now: Time) -> Result<(), Refusal> {
-        let Some(rate) = self.services.get_mut(k).and_then(|s| s.rate.as_mut()) else {
-            return Ok(());
-        };
-        let burst = 10.0;
-        rate.take(burst, now)
-            .map_err(|d| Refusal { kind: RefusalKind::Rate, retry_after: jitter(d, &mut self.rng) })
+        let Some(s) = self.services.get_mut(k) else { return Ok(()) };
+        let limited = s.rate.as_mut().map_or(Ok(()), |r| r.take(RATE_BURST, now));
+        if let Err(wait) = limited {
+            let retry_after = jitter(wait, &mut self.rng);
+            return Err(Refusal { kind: RefusalKind::Rate, retry_after });
+        }
+        if self.rng.f64() < s.shed_share() {
+            let retry_after = jitter(s.spec.deadline, &mut self.rng);
+            return Err(Refusal { kind: RefusalKind::Overload, retry_after });
+        }
+        Ok(())
     }
 
     /// Spends one retry or hedge of the service; tells whether there was one.
@@ -446,6 +459,19 @@
         self.spec = spec;
     }
 
+    /// Returns the share of requests to refuse under overload.
+    ///
+    /// The queue is held at a quarter of the deadline: what is admitted is
+    /// answered in time, the rest is told at once when to come back.
+    fn shed_share(&self) -> f64 {
+        let target = self.spec.deadline.as_secs_f64() * SHED_TARGET;
+        let recent = self.spread.recent().as_secs_f64();
+        if !self.spread.is_raised() || recent <= target {
+            return 0.0;
+        }
+        1.0 - target / recent
+    }
+
     fn stall_limit(&self) -> Duration {
         self.spread.limit(self.spec.lean.mix(3.5, 4.5)).min(self.spec.deadline)
     }
--- a/crates/honeypulley_policy/src/spread.rs
+++ b/crates/honeypulley_policy/src/spread.rs
@@ -88,6 +88,12 @@
         self.is_warm() && self.fast - self.base > RAISED.ln()
     }
 
+    /// Returns the middle answer time of the last moments.
+    #[must_use]
+    pub fn recent(&self) -> Duration {
+        Duration::from_secs_f64(self.fast.exp().min(3_600.0))
+    }
+
     /// Tells whether enough samples were seen to trust the limits.
     #[must_use]
     pub const fn is_warm(&self) -> bool {
--- a/crates/honeypulley_policy/tests/router.rs
+++ b/crates/honeypulley_policy/tests/router.rs
@@ -189,6 +189,37 @@
     assert!(refusal.retry_after <= Duration::from_millis(150));
 }
 
+/// Serves `n` requests that take `ms` each; returns how many were refused.
+fn serve(r: &mut Router, k: ServiceKey, now: &mut Time, n: usize, ms: u64) -> usize {
+    let mut refused = 0;
+    for _ in 0..n {
+        *now = *now + Duration::from_millis(20);
+        if let Err(e) = r.admit(k, *now) {
+            assert_eq!(e.kind, RefusalKind::Overload);
+            assert!(e.retry_after >= Duration::from_secs(2), "the deadline at least");
+            refused += 1;
+            continue;
+        }
+        let p = r.pick(k, true, &[], *now).expect("there are upstreams");
+        let end = *now + Duration::from_millis(ms);
+        r.answered(p.attempt, true, end);
+        r.finish(p.attempt, Outcome::Whole, end);
+    }
+    refused
+}
+
+#[test]
+fn an_overloaded_service_refuses_a_share_at_once_and_recovers() {
+    let (mut r, k) = router(Repeat::Always);
+    let mut now = Time::ZERO;
+    assert_eq!(serve(&mut r, k, &mut now, 500, 50), 0, "healthy load is admitted");
+    // Answers at half the deadline of two seconds: half of the share goes.
+    let refused = serve(&mut r, k, &mut now, 400, 1_000);
+    assert!((130..250).contains(&refused), "{refused} of 400");
+    serve(&mut r, k, &mut now, 100, 50);
+    assert_eq!(serve(&mut r, k, &mut now, 200, 50), 0, "it is over");
+}
+
 #[test]
 fn a_restarted_upstream_at_a_new_address_starts_afresh() {
     let (mut r, k) = router(Repeat::Always);
--- a/tools/trial/src/model.rs
+++ b/tools/trial/src/model.rs
@@ -333,6 +333,12 @@
         if self.now >= FAULT_AT {
             self.run.asked += 1;
         }
+        let admitted =
+            self.s.policy == Policy::Naive || self.routers[b].admit(self.keys[b], self.now).is_ok();
+        if !admitted {
+            self.requests[request].over = true;
+            return;
+        }
         self.plan(DEADLINE, Event::Deadline { request });
         self.send(request);
     }
