--- a/tools/trial/src/main.rs
+++ b/tools/trial/src/main.rs
@@ -38,7 +38,7 @@
         let healthy = [0.3, 0.6, 0.85].map(|u| (Fault::None, u));
         let rows = gray.into_iter().chain(healthy).chain([(Fault::Overload, 0.6)]);
         for (fault, usage) in rows {
-            for policy in [Policy::Naive, Policy::Alone, Policy::Shared] {
+            for policy in [Policy::Naive, Policy::Alone, Policy::Home, Policy::Shared] {
                 let scenario = Scenario { size, fault, policy, usage };
                 let runs: Vec<Run> = (0..seeds).map(|seed| model::run(&scenario, seed)).collect();
                 if explain {
