--- a/crates/honeypulley_daemon/src/collect.rs
+++ b/crates/honeypulley_daemon/src/collect.rs
@@ -104,7 +104,10 @@
     /// Sends a verdict out and wishes for the permit that goes with it.
     fn publish(&self, d: &Desk, v: &Verdict) {
         let Some(upstream) = d.names.get(&v.upstream) else { return };
-        log::info!(service = d.service.as_str(), upstream = upstream.as_str(), witnesses = v.witnesses; "collect: {upstream} of {} is {:?}", d.service, v.judgement);
+        log::info!(
+            service = d.service.as_str(), upstream = upstream.as_str(), witnesses = v.witnesses;
+            "collect: {upstream} of {} is {:?}", d.service, v.judgement
+        );
         self.ctx.shared.count("verdicts");
         self.ctx.verdicts_out.push(*v);
         self.ctx.shared.feed.verdicts.push(*v);
--- a/crates/honeypulley_daemon/src/context.rs
+++ b/crates/honeypulley_daemon/src/context.rs
@@ -145,7 +145,11 @@
         fresh: &HashMap<Digest, Bytes>,
     ) -> Result<(), OfferError> {
         let f = self.keeper.lock().offer(head, manifest, fresh)?;
-        log::info!(bundle = f.head.version.0, from, moved = fresh.len(); "bundle: {} taken from {from}, {} parts moved", f.head.version, fresh.len());
+        let (version, moved) = (f.head.version, fresh.len());
+        log::info!(
+            bundle = version.0, from, moved;
+            "bundle: {version} taken from {from}, {moved} parts moved"
+        );
         self.rumours.push(f.head.version);
         if self.is_joined() {
             self.shared.feed.bundles.push(f);
--- a/crates/honeypulley_daemon/src/permit.rs
+++ b/crates/honeypulley_daemon/src/permit.rs
@@ -169,7 +169,8 @@
         for ((service, upstream, serial), age) in due {
             let how = PermitChange::Retire { serial, seen: age };
             if change(self.platform.as_ref(), &service, &upstream, &how).await.is_ok() {
-                log::info!(service = service.as_str(), upstream = upstream.as_str(); "permit: slot of {upstream} is free");
+                let (service, upstream) = (service.as_str(), upstream.as_str());
+                log::info!(service, upstream; "permit: slot of {upstream} is free");
             }
         }
     }
--- a/crates/honeypulley_daemon/src/start.rs
+++ b/crates/honeypulley_daemon/src/start.rs
@@ -55,7 +55,11 @@
     let metrics = Arc::new(metrics(settings.metrics)?);
     let shared = Shared::new(router, Feed::default(), Clock::start(), metrics, settings.source)?;
     let shared = Arc::new(shared);
-    log::info!(name = settings.name.as_str(), hall = settings.hall.as_str(); "start: {} in {}, callers at {listen}, peers at {peer}, readiness at {admin}", settings.name, settings.hall);
+    let (name, hall) = (settings.name.as_str(), settings.hall.as_str());
+    log::info!(
+        name, hall;
+        "start: {name} in {hall}, callers at {listen}, peers at {peer}, readiness at {admin}"
+    );
     let ctx = Arc::new(Context::new(settings, shared));
     Tree::new(Stop::default())
         .duty(SignalDuty)
--- a/crates/honeypulley_operator/src/cli.rs
+++ b/crates/honeypulley_operator/src/cli.rs
@@ -15,69 +15,24 @@
 /// Returns the command line's shape.
 #[must_use]
 pub fn command() -> Command {
-    let file = |name: &'static str, help: &'static str| {
-        Arg::new(name)
-            .required(true)
-            .value_name("FILE")
-            .value_parser(value_parser!(PathBuf))
-            .help(help)
-    };
-    let settings = || file("settings", "Operators' settings, in INI").long("settings").short('s');
-    let name = || {
-        Arg::new("name").long("name").required(true).help("Your name, as in the lists of signers")
-    };
-    let json = || Arg::new("json").long("json").action(ArgAction::SetTrue).help("Prints JSON");
-    let bundle = Command::new("bundle")
-        .about("Checks and signs bundles")
-        .subcommand_required(true)
-        .subcommand(
-            Command::new("check")
-                .about("Checks a bundle and changes nothing")
-                .arg(file("bundle", "The bundle")),
-        )
-        .subcommand(
-            Command::new("sign")
-                .about("Signs a bundle off; writes FILE.sig beside it")
-                .arg(file("bundle", "The bundle"))
-                .arg(name())
-                .arg(file("key", "Your secret key").long("key")),
-        );
     Command::new("honeypulley")
         .about("Drives a fleet by signed bundles and shows what is in force")
         .version(env!("CARGO_PKG_VERSION"))
         .after_help(EXAMPLES)
         .subcommand_required(true)
-        .subcommand(bundle)
+        .subcommand(bundle_command())
         .subcommand(
             Command::new("keygen")
                 .about("Makes a key; prints the public part")
                 .arg(name())
                 .arg(file("key", "Where the secret key goes; must not exist").long("key")),
         )
-        .subcommand(
-            Command::new("roll-out")
-                .about("Has a signed bundle accepted")
-                .arg(file("bundle", "The bundle, with FILE.sig beside it"))
-                .arg(settings())
-                .arg(
-                    Arg::new("wait")
-                        .long("wait")
-                        .action(ArgAction::SetTrue)
-                        .help("Waits until every live box has it in force"),
-                )
-                .arg(
-                    Arg::new("timeout")
-                        .long("timeout")
-                        .default_value("30s")
-                        .value_parser(|s: &str| parse::duration(s))
-                        .help("Longest wait"),
-                ),
-        )
+        .subcommand(roll_out_command())
         .subcommand(
             Command::new("status")
                 .about("Shows boxes, versions and upstreams")
                 .arg(settings())
-                .arg(json()),
+                .arg(flag("json", "Prints JSON")),
         )
         .subcommand(
             Command::new("why")
@@ -91,6 +46,55 @@
         ))
 }
 
+fn bundle_command() -> Command {
+    let bundle = || file("bundle", "The bundle");
+    Command::new("bundle")
+        .about("Checks and signs bundles")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check").about("Checks a bundle and changes nothing").arg(bundle()),
+        )
+        .subcommand(
+            Command::new("sign")
+                .about("Signs a bundle off; writes FILE.sig beside it")
+                .arg(bundle())
+                .arg(name())
+                .arg(file("key", "Your secret key").long("key")),
+        )
+}
+
+fn roll_out_command() -> Command {
+    let timeout = Arg::new("timeout")
+        .long("timeout")
+        .default_value("30s")
+        .value_parser(|s: &str| parse::duration(s))
+        .help("Longest wait");
+    Command::new("roll-out")
+        .about("Has a signed bundle accepted")
+        .arg(file("bundle", "The bundle, with FILE.sig beside it"))
+        .arg(settings())
+        .arg(flag("wait", "Waits until every live box has it in force"))
+        .arg(timeout)
+}
+
+fn file(name: &'static str, help: &'static str) -> Arg {
+    let path = value_parser!(PathBuf);
+    Arg::new(name).required(true).value_name("FILE").value_parser(path).help(help)
+}
+
+fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).action(ArgAction::SetTrue).help(help)
+}
+
+fn settings() -> Arg {
+    file("settings", "Operators' settings, in INI").long("settings").short('s')
+}
+
+fn name() -> Arg {
+    let help = "Your name, as in the lists of signers";
+    Arg::new("name").long("name").required(true).help(help)
+}
+
 const EXAMPLES: &str = "Examples:
   honeypulley keygen --name alice --key alice.key
   honeypulley bundle check fleet.ini
--- a/crates/honeypulley_platform/src/lib.rs
+++ b/crates/honeypulley_platform/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The platform stores objects with versions, updates them on a condition, lets
 //! callers wait for changes and lists boxes with a lag. It may be away, slow, or
-//! lose an answer after the write took effect: [`PlatformError::Unknown`].
+//! lose an answer after the write took effect: [`PlatformError::Unknown`](api::PlatformError::Unknown).
 
 pub mod accept;
 pub mod api;
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -101,17 +101,25 @@
         tally: &mut Tally,
         kind: &str,
     ) -> Result<(), Refusal> {
+        let bundle = self.shared.version().0;
         let mut router = self.shared.router.lock();
         let now = self.shared.now();
         let pick = match router.pick(self.service, self.repeatable, &tally.tried, now) {
             Ok(p) => p,
             Err(r) => {
-                log::info!(request = self.id.as_str(), service = self.name.as_str(), bundle = self.shared.version().0; "route: {kind} not sent, {}", r.kind);
+                log::info!(
+                    request = self.id.as_str(), service = self.name.as_str(), bundle;
+                    "route: {kind} not sent, {}", r.kind
+                );
                 return Err(r);
             }
         };
         let (name, addr) = router.upstream(pick.upstream).expect("just picked");
-        log::info!(request = self.id.as_str(), service = self.name.as_str(), upstream = name, reason:debug = pick.reason, bundle = self.shared.version().0; "route: {kind} sent to {name}");
+        log::info!(
+            request = self.id.as_str(), service = self.name.as_str(), upstream = name,
+            reason:debug = pick.reason, bundle;
+            "route: {kind} sent to {name}"
+        );
         let addr = addr.to_owned();
         drop(router);
         let guard = AttemptGuard::new(&self.shared, pick);
@@ -154,14 +162,18 @@
     fn book(&self, upstream: UpstreamKey, failure: &Failure, tally: &mut Tally) {
         let router = self.shared.router.lock();
         let name = router.upstream(upstream).map_or("gone", |(n, _)| n);
+        let (request, service) = (self.id.as_str(), self.name.as_str());
         match failure {
             Failure::NotRun { why, retry_after } => {
-                log::info!(request = self.id.as_str(), service = self.name.as_str(), upstream = name; "attempt: {name} did not run it: {why}");
+                log::info!(request, service, upstream = name; "attempt: {name} did not run it: {why}");
                 tally.last.clone_from(why);
                 tally.retry_after = retry_after.or(tally.retry_after);
             }
             Failure::Unknown { why } => {
-                log::info!(request = self.id.as_str(), service = self.name.as_str(), upstream = name; "attempt: {name} failed, outcome unknown: {why}");
+                log::info!(
+                    request, service, upstream = name;
+                    "attempt: {name} failed, outcome unknown: {why}"
+                );
                 tally.unknown = Some(why.clone());
             }
         }
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -179,7 +179,8 @@
         let mut listed = false;
         while let Some(f) = self.feed.bundles.pop() {
             router.set_services(f.bundle.services().cloned());
-            log::info!(bundle = f.head.version.0, signer = f.head.signature.signer.as_str(); "proxy: {} is in force", f.head.version);
+            let signer = f.head.signature.signer.as_str();
+            log::info!(bundle = f.head.version.0, signer; "proxy: {} is in force", f.head.version);
             self.in_force.store(Some(f));
             listed = true;
         }
@@ -203,7 +204,10 @@
         }
         while let Some(v) = self.feed.verdicts.pop() {
             if let Some(name) = router.set_verdict(&v, now) {
-                log::info!(upstream = name, witnesses = v.witnesses, hold_ms = v.hold.as_millis() as u64; "verdict: {name} is {:?}, {} boxes bear witness", v.judgement, v.witnesses);
+                log::info!(
+                    upstream = name, witnesses = v.witnesses, hold_ms = v.hold.as_millis() as u64;
+                    "verdict: {name} is {:?}, {} boxes bear witness", v.judgement, v.witnesses
+                );
             }
         }
     }
--- a/crates/honeypulley_supervisor/src/tree.rs
+++ b/crates/honeypulley_supervisor/src/tree.rs
@@ -96,7 +96,11 @@
         if started.elapsed() > LONG_RUN {
             wait = FIRST_WAIT;
         }
-        log::error!(duty = duty.name(), wait_ms = wait.as_millis() as u64; "supervisor: duty {} ended ({why}); started again in {wait:?}", duty.name());
+        let (name, wait_ms) = (duty.name(), wait.as_millis() as u64);
+        log::error!(
+            duty = name, wait_ms;
+            "supervisor: duty {name} ended ({why}); started again in {wait:?}"
+        );
         thread::sleep(wait);
         wait = (wait * 2).min(MAX_WAIT);
     }
