--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -13,6 +13,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+/// Longest gap within a caller's body.
+const BODY_GAP: Duration = Duration::from_secs(60);
 /// Time between two looks at what is still open.
 const DRAIN_TICK: Duration = Duration::from_millis(20);
 
@@ -42,8 +44,9 @@
         let listener = listener.ok_or_else(|| eyre!("serve: the port is closed already"))?;
         let listener = tokio::net::TcpListener::from_std(listener)?;
         let acceptor = TcpAcceptor::try_from(listener).wrap_err("serve: listen")?;
-        let fuse =
-            FuseConfig::default().with_http1_header_timeout(Some(self.ctx.settings.head_time));
+        let fuse = FuseConfig::default()
+            .with_http1_header_timeout(Some(self.ctx.settings.head_time))
+            .with_request_body_timeout(Some(BODY_GAP));
         let server =
             Server::new(acceptor).fuse_config(fuse).max_connections(self.ctx.settings.max_callers);
         let handle = server.handle();
--- a/tools/fleet/src/lib.rs
+++ b/tools/fleet/src/lib.rs
@@ -160,9 +160,9 @@
         let leave = self.shape.leave_wait.as_millis();
         let text = format!(
             "[box]\nname = {name}\nhall = {hall}\nlisten = {listen}\npeer = {peer}\nadmin = {admin}\n\
-             platform = {}\nsource = {source}\nfleet-key = {FLEET_KEY}\nleave-wait = {leave}ms\n{seeds}\
+             platform = {}\nsource = {source}\nfleet-key = {FLEET_KEY}\nleave-wait = {leave}ms\n{seeds}{}\
              [signers]\nalice = {}\n",
-            self.platform, self.public_key
+            self.platform, self.shape.box_lines, self.public_key
         );
         let path = self.dir.path().join(format!("{name}-{}.ini", listen.port()));
         std::fs::write(&path, text)?;
--- a/tools/fleet/src/shape.rs
+++ b/tools/fleet/src/shape.rs
@@ -21,6 +21,8 @@
     pub leave_wait: Duration,
     /// More arguments of each upstream.
     pub upstream_args: Vec<String>,
+    /// More lines of each box's settings.
+    pub box_lines: String,
     /// Lines of each service in the bundle, by name; see [`Shape::bundle`].
     pub service_lines: Vec<(String, String)>,
 }
@@ -35,6 +37,7 @@
             list_lag: Duration::from_millis(100),
             leave_wait: Duration::from_millis(200),
             upstream_args: Vec::new(),
+            box_lines: String::new(),
             service_lines: Vec::new(),
         }
     }
--- a/tools/fleet/tests/path.rs
+++ b/tools/fleet/tests/path.rs
@@ -138,6 +138,20 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_caller_that_sends_its_head_too_slowly_is_let_go() -> Result<()> {
+    let box_lines = "head-time = 300ms\n".to_owned();
+    let fleet = Fleet::ready(Shape { box_lines, ..Shape::default() }).await?;
+    let mut s = TcpStream::connect(fleet.boxes[0].listen).await?;
+    s.write_all(b"GET /list HTTP/1.1\r\nhost: guest").await?;
+    let mut rest = Vec::new();
+    let end = tokio::time::timeout(Duration::from_secs(5), s.read_to_end(&mut rest)).await;
+    assert!(end.is_ok(), "the connection is held open");
+    assert!(!rest.starts_with(b"HTTP/1.1 200"));
+    assert_eq!(get(&fleet, 0, "/list").send().await?.status(), 200, "others are served");
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_caller_that_leaves_cancels_its_work_upstream() -> Result<()> {
     let fleet = Fleet::ready(Shape::default()).await?;
