--- a/tools/fleet/tests/bundles.rs
+++ b/tools/fleet/tests/bundles.rs
@@ -1,5 +1,6 @@
 //! Bundles, boxes and the platform under failure, as processes.
 
+#[expect(dead_code, reason = "the histories are used by another test program")]
 mod common;
 
 use common::{answered, check_told, load, runs};
--- a/tools/fleet/tests/gray.rs
+++ b/tools/fleet/tests/gray.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{answered, check_told, load, runs};
+use common::{Came, Op, RunOnce, answered, check_told, is_run_once, load, load_logged, runs};
 use eyre::Result;
 use fleet::{Fleet, shape::Shape, until};
 use honeypulley_standin::work::{Mode, Switches};
@@ -11,6 +11,7 @@
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
+use todc_utils::{Action, History, WGLChecker};
 
 fn shape(service: &str, upstreams: usize, lines: &str) -> Shape {
     Shape {
@@ -18,6 +19,9 @@
         boxes: 3,
         halls: 3,
         service_lines: vec![(service.to_owned(), lines.to_owned())],
+        // Long enough that a busy machine does not double it, which would count
+        // as overload.
+        upstream_args: vec!["--work-ms".to_owned(), "30".to_owned()],
         ..Shape::default()
     }
 }
@@ -45,12 +49,35 @@
 async fn what_may_not_repeat_runs_at_most_once(#[case] m: Mode) -> Result<()> {
     let fleet = Fleet::ready(shape("rsvp", 4, ONCE)).await?;
     fleet.switch(1, &mode(m)).await?;
-    let told = load(&fleet, &all(&fleet), Method::POST, "p", 300, Duration::from_millis(5)).await?;
-    check_told(&told, &runs(&fleet).await?, true);
+    let gap = Duration::from_millis(5);
+    let (told, log) = load_logged(&fleet, &all(&fleet), Method::POST, "p", 300, gap).await?;
+    let runs = runs(&fleet).await?;
+    check_told(&told, &runs, true);
+    assert!(is_run_once(&log, &told, &runs, "p"), "the history is not linearizable");
     assert!(answered(&told) >= 200, "only {} of 300 answered", answered(&told));
     Ok(())
 }
 
+#[rstest]
+#[case(Came::Answered(1), 1, true)]
+#[case(Came::Answered(1), 2, false)]
+#[case(Came::Answered(2), 1, false)]
+#[case(Came::Answered(1), 0, false)]
+#[case(Came::NotRun, 0, true)]
+#[case(Came::NotRun, 1, false)]
+#[case(Came::Unknown(true), 1, true)]
+#[case(Came::Unknown(true), 2, false)]
+fn the_checker_tells_a_wrong_history(#[case] came: Came, #[case] ran: u32, #[case] fits: bool) {
+    let journal = if ran == 0 { [].into() } else { [(1, ran)].into() };
+    let actions = vec![
+        (0, Action::Call(Op::Run(1, None))),
+        (0, Action::Response(Op::Run(1, Some(came)))),
+        (1, Action::Call(Op::Journal(None))),
+        (1, Action::Response(Op::Journal(Some(journal)))),
+    ];
+    assert_eq!(WGLChecker::<RunOnce>::is_linearizable(History::from_actions(actions)), fits);
+}
+
 #[rstest]
 #[case(Mode::Stall)]
 #[case(Mode::Slow)]
@@ -71,17 +98,21 @@
 async fn frozen_upstreams_and_killed_boxes_double_nothing() -> Result<()> {
     let mut fleet = Fleet::ready(shape("rsvp", 4, ONCE)).await?;
     let to = all(&fleet);
-    let (load, _) =
-        tokio::join!(load(&fleet, &to, Method::POST, "k", 400, Duration::from_millis(5)), async {
+    let (load, _) = tokio::join!(
+        load_logged(&fleet, &to, Method::POST, "k", 400, Duration::from_millis(5)),
+        async {
             tokio::time::sleep(Duration::from_millis(400)).await;
             let _ = fleet.upstreams[2].process.freeze();
             tokio::time::sleep(Duration::from_millis(600)).await;
             let _ = fleet.boxes[0].process.signal(nix::sys::signal::Signal::SIGKILL);
             tokio::time::sleep(Duration::from_millis(600)).await;
             let _ = fleet.upstreams[2].process.thaw();
-        });
-    let told = load?;
-    check_told(&told, &runs(&fleet).await?, true);
+        }
+    );
+    let (told, log) = load?;
+    let runs = runs(&fleet).await?;
+    check_told(&told, &runs, true);
+    assert!(is_run_once(&log, &told, &runs, "k"), "the history is not linearizable");
     assert!(answered(&told) >= 150);
     fleet.boxes[0].process.kill();
     Ok(())
