The serving thread never goes back; joining is a pure rule

Cause: found by reading. Two duties that take two versions push them to the serving thread without a common order, so v1 could follow v2; and a confirmation could be taken while the permits it was for still stood in their ring.

Change: the serving thread checks the order too, the last entrance that did not; confirmations are taken before permits.

--- a/crates/honeypulley_daemon/src/collect.rs
+++ b/crates/honeypulley_daemon/src/collect.rs
@@ -1,6 +1,6 @@
 //! Judges upstreams for the services this box collects evidence on.
 
-use crate::context::{Context, Wish, WishKind};
+use crate::context::{Context, PermitRequest, RequestKind};
 use eyre::Result;
 use honeypulley_bundle::head::Version;
 use honeypulley_platform::roster::Roster;
@@ -17,7 +17,7 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Ticks between two looks at bundle and list.
 const REFRESH_TICKS: u32 = 5;
-/// Ticks after which the desks are set up anew even if nothing has changed, for
+/// Ticks after which the judged services are set up anew even if nothing has changed, for
 /// releases that are overdue.
 const AFRESH_TICKS: u32 = 100;
 
@@ -28,7 +28,7 @@
     pub ctx: Arc<Context>,
 }
 
-/// What the desks were last set up by.
+/// What the judged services were last set up by.
 #[derive(Default)]
 struct Known {
     bundle: Version,
@@ -47,7 +47,7 @@
 }
 
 /// One service that this box collects on.
-struct Desk {
+struct Judged {
     service: String,
     collector: Collector,
     names: BTreeMap<NameId, String>,
@@ -71,14 +71,14 @@
 
 impl CollectDuty {
     async fn collect(&self) {
-        let mut desks: BTreeMap<NameId, Desk> = BTreeMap::new();
+        let mut judged: BTreeMap<NameId, Judged> = BTreeMap::new();
         let mut tick = tokio::time::interval(TICK);
         let mut turns = 0u32;
         let mut known = Known::default();
         loop {
             tokio::select! {
                 report = self.ctx.reports_in.next() => {
-                    if let Some(d) = desks.get_mut(&report.service) {
+                    if let Some(d) = judged.get_mut(&report.service) {
                         let verdicts = d.collector.report(&report, self.ctx.now());
                         verdicts.iter().for_each(|v| self.publish(d, v));
                     }
@@ -88,11 +88,11 @@
                         known = Known::default();
                     }
                     if turns.is_multiple_of(REFRESH_TICKS) {
-                        self.refresh(&mut desks, &mut known);
+                        self.refresh(&mut judged, &mut known);
                     }
                     turns = turns.wrapping_add(1);
                     let now = self.ctx.now();
-                    for d in desks.values_mut() {
+                    for d in judged.values_mut() {
                         let verdicts = d.collector.tick(now);
                         verdicts.iter().for_each(|v| self.publish(d, v));
                     }
@@ -101,8 +101,8 @@
         }
     }
 
-    /// Sends a verdict out and wishes for the permit that goes with it.
-    fn publish(&self, d: &Desk, v: &Verdict) {
+    /// Sends a verdict out and asks for the permit that goes with it.
+    fn publish(&self, d: &Judged, v: &Verdict) {
         let Some(upstream) = d.names.get(&v.upstream) else { return };
         log::info!(
             service = d.service.as_str(), upstream = upstream.as_str(), witnesses = v.witnesses;
@@ -112,19 +112,19 @@
         self.ctx.verdicts_out.push(*v);
         self.ctx.shared.feed.verdicts.push(*v);
         let kind = match v.judgement {
-            Judgement::Suspect => WishKind::Eject,
-            Judgement::Probation => WishKind::Canary,
-            Judgement::Clear => WishKind::Release,
+            Judgement::Suspect => RequestKind::Eject,
+            Judgement::Probation => RequestKind::Canary,
+            Judgement::Clear => RequestKind::Release,
         };
         let (service, upstream) = (d.service.clone(), upstream.clone());
-        self.ctx.wishes.push(Wish { service, upstream, kind });
+        self.ctx.requests.push(PermitRequest { service, upstream, kind });
     }
 
     /// Takes on and gives up services as bundle and list say.
     ///
     /// Placing every service costs a draw among all boxes, so it is done only
     /// when bundle, list or permits have changed.
-    fn refresh(&self, desks: &mut BTreeMap<NameId, Desk>, known: &mut Known) {
+    fn refresh(&self, judged: &mut BTreeMap<NameId, Judged>, known: &mut Known) {
         let (Some(roster), Some(f)) = (self.ctx.roster(), self.ctx.held()) else { return };
         let permits = self.ctx.permits();
         let now = Known {
@@ -148,9 +148,9 @@
             .filter(|s| mine(&s.name))
             .map(|s| (NameId::of(&s.name), s))
             .collect();
-        desks.retain(|id, _| specs.contains_key(id));
+        judged.retain(|id, _| specs.contains_key(id));
         for (id, spec) in specs {
-            let d = desks.entry(id).or_insert_with(|| Desk {
+            let d = judged.entry(id).or_insert_with(|| Judged {
                 service: spec.name.clone(),
                 collector: Collector::new(&spec.name, spec.lean, spec.floor),
                 names: BTreeMap::new(),
--- a/crates/honeypulley_daemon/src/context.rs
+++ b/crates/honeypulley_daemon/src/context.rs
@@ -8,6 +8,7 @@
 use honeypulley_platform::permits as permit_objects;
 use honeypulley_platform::prelude::{Object, Roster};
 use honeypulley_policy::collector::{NameId, Report, Verdict};
+use honeypulley_policy::join::Join;
 use honeypulley_policy::permits::PermitView;
 use honeypulley_policy::placement::{self, RELAYS, Role};
 use honeypulley_policy::time::Time;
@@ -24,23 +25,21 @@
 /// It is the time within which a change must be in force everywhere: a box that
 /// hears nobody for longer may serve an older bundle.
 pub const ALONE: Duration = Duration::from_secs(9);
-/// Peers that must have told their version before a box starts on their word.
-const JOIN_PEERS: usize = 3;
 
-/// A change of a permit that a collector wants.
+/// A change of a permit that a collector asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Wish {
+pub struct PermitRequest {
     /// Service name.
     pub service: String,
     /// Upstream name.
     pub upstream: String,
     /// What is wanted.
-    pub kind: WishKind,
+    pub kind: RequestKind,
 }
 
-/// What a collector wants of a permit.
+/// What a collector asks of a permit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WishKind {
+pub enum RequestKind {
     /// Eject it.
     Eject,
     /// Send it canary requests.
@@ -58,16 +57,6 @@
     pub view: PermitView,
 }
 
-/// How far this box is in joining the fleet.
-#[derive(Clone, Debug, Default)]
-struct Join {
-    done: bool,
-    /// Peers that told their version.
-    told: HashMap<NameId, Version>,
-    /// Version that the platform told, if it did.
-    platform: Option<Version>,
-}
-
 /// State that the duties of one box share.
 #[derive(Debug)]
 pub struct Context {
@@ -81,8 +70,8 @@
     pub verdicts_out: Ring<Verdict>,
     /// Reports that reached this box as a collector.
     pub reports_in: Ring<Report>,
-    /// Wishes for the permit duty.
-    pub wishes: Ring<Wish>,
+    /// Changes of permits for the permit duty.
+    pub requests: Ring<PermitRequest>,
     /// Versions that came in force here, to be told on.
     pub rumours: Ring<Version>,
     /// Datagram bytes sent to peers.
@@ -104,7 +93,7 @@
             shared,
             verdicts_out: Ring::new(1_024, Full::DropOldest),
             reports_in: Ring::new(16_384, Full::DropNewest),
-            wishes: Ring::new(1_024, Full::DropOldest),
+            requests: Ring::new(1_024, Full::DropOldest),
             rumours: Ring::new(4, Full::DropOldest),
             sent: AtomicU64::new(0),
             keeper: Mutex::new(keeper),
@@ -264,53 +253,34 @@
     /// Books the version that the platform told.
     pub fn platform_told(&self, v: Version) {
         self.heard();
-        self.join.lock().platform = Some(v);
+        self.join.lock().platform_told(v.0);
         self.try_join();
     }
 
     /// Books the version that a peer told.
     pub fn peer_told(&self, peer: NameId, v: Version) {
         self.heard();
-        let mut join = self.join.lock();
-        if !join.done {
-            join.told.insert(peer, v);
-            drop(join);
-            self.try_join();
-        }
+        self.join.lock().peer_told(peer, v.0);
+        self.try_join();
     }
 
     /// Tells whether this box may serve what it holds.
     #[must_use]
     pub fn is_joined(&self) -> bool {
-        self.join.lock().done
+        self.join.lock().is_done()
     }
 
-    /// Joins once nobody who could be asked has a later version than this box.
-    ///
-    /// The platform's word is enough, since it orders versions. While it is
-    /// away, the word of a few peers is, or of all there are.
+    /// Starts to serve once the rule of [`Join`] allows it.
     fn try_join(&self) {
-        let held = self.held();
-        let version = held.as_ref().map_or(Version(0), |f| f.head.version);
-        let mut join = self.join.lock();
-        if join.done || version == Version(0) {
+        if self.is_joined() {
             return;
         }
-        let roster = self.roster.lock();
-        let boxes = roster.as_ref().map_or(0, |(r, _)| r.live_boxes().count());
-        drop(roster);
-        let others = boxes.saturating_sub(1);
-        let by_platform = join.platform.is_some_and(|v| version >= v);
-        let enough = others > 0 && join.told.len() >= JOIN_PEERS.min(others);
-        let newest = join.told.values().max().copied().unwrap_or_default();
-        if (by_platform || enough) && version >= newest {
-            join.done = true;
-            let by = if by_platform { "the platform" } else { "its peers" };
-            log::info!(bundle = version.0; "join: starts on {version}, by the word of {by}");
-            if let Some(f) = held {
-                self.shared.feed.bundles.push(f);
-            }
-        }
+        let Some(held) = self.held() else { return };
+        let boxes = self.roster().map_or(0, |r| r.live_boxes().count());
+        let version = held.head.version;
+        let Some(by) = self.join.lock().decide(version.0, boxes.saturating_sub(1)) else { return };
+        log::info!(bundle = version.0; "join: starts on {version}, by the word of the {by:?}");
+        self.shared.feed.bundles.push(held);
     }
 
     /// Tells whether callers should be sent here, and why not.
--- a/crates/honeypulley_daemon/src/peer.rs
+++ b/crates/honeypulley_daemon/src/peer.rs
@@ -45,7 +45,7 @@
 }
 
 /// The duty's state on its own thread.
-struct Desk {
+struct Node {
     ctx: Arc<Context>,
     socket: tokio::net::UdpSocket,
     asked: RefCell<HashMap<u64, Time>>,
@@ -77,7 +77,7 @@
         block_on(async {
             let socket = tokio::net::UdpSocket::from_std(self.socket.try_clone()?)?;
             let listener = tokio::net::TcpListener::from_std(self.listener.try_clone()?)?;
-            let desk = Rc::new(Desk {
+            let node = Rc::new(Node {
                 ctx: Arc::clone(&self.ctx),
                 socket,
                 asked: RefCell::default(),
@@ -85,18 +85,18 @@
                 drawn: RefCell::default(),
             });
             tokio::select! {
-                r = desk.receive() => r,
-                r = desk.accept(&listener) => r,
-                () = desk.ask_on() => Ok(()),
-                () = desk.send_news() => Ok(()),
-                () = desk.seed() => Ok(()),
+                r = node.receive() => r,
+                r = node.accept(&listener) => r,
+                () = node.ask_on() => Ok(()),
+                () = node.send_news() => Ok(()),
+                () = node.seed() => Ok(()),
                 () = stop.halt.cancelled() => Ok(()),
             }
         })
     }
 }
 
-impl Desk {
+impl Node {
     async fn receive(self: &Rc<Self>) -> Result<()> {
         let mut buffer = [0; MAX_DATAGRAM + 1];
         loop {
@@ -172,12 +172,12 @@
         if self.pulling.replace(true) {
             return;
         }
-        let desk = Rc::clone(self);
+        let node = Rc::clone(self);
         spawn_local(async move {
-            if let Err(e) = desk.pull(from, bundle, permits.is_some()).await {
+            if let Err(e) = node.pull(from, bundle, permits.is_some()).await {
                 log::info!(peer:display = from; "peer: pull from {from} failed: {e:#}");
             }
-            desk.pulling.set(false);
+            node.pulling.set(false);
         });
     }
 
--- a/crates/honeypulley_daemon/src/permit.rs
+++ b/crates/honeypulley_daemon/src/permit.rs
@@ -1,6 +1,6 @@
-//! Writes the permits that collectors wish for, and frees their slots.
+//! Writes the permits that collectors ask for, and frees their slots.
 
-use crate::context::{Context, Wish, WishKind};
+use crate::context::{Context, PermitRequest, RequestKind};
 use eyre::Result;
 use honeypulley_platform::api::Platform;
 use honeypulley_platform::permits::{ChangeError, PermitChange, change};
@@ -15,7 +15,7 @@
 
 /// Time between two looks for slots to free.
 const SWEEP: Duration = Duration::from_secs(1);
-/// Time between two looks at wishes that are due.
+/// Time between two looks at requests that are due.
 const TICK: Duration = Duration::from_millis(50);
 /// First wait after a write that failed; doubles, with jitter.
 const FIRST_WAIT: Duration = Duration::from_millis(200);
@@ -34,13 +34,13 @@
 /// Releases by service, upstream and serial, with the time they were first seen.
 type Seen = BTreeMap<(String, String, u64), Time>;
 
-/// Latest wish for each upstream of a service, until it is granted or refused.
+/// Latest request for each upstream of a service, until it is granted or refused.
 type Pending = BTreeMap<(String, String), Turn>;
 
-/// One pending wish.
+/// One pending request.
 #[derive(Clone, Copy, Debug)]
 struct Turn {
-    kind: WishKind,
+    kind: RequestKind,
     due: Time,
     tries: u32,
 }
@@ -58,8 +58,8 @@
             loop {
                 tokio::select! {
                     () = stop.halt.cancelled() => return Ok(()),
-                    w = self.ctx.wishes.next() => {
-                        // A later wish for the same upstream replaces the earlier.
+                    w = self.ctx.requests.next() => {
+                        // A later request for the same upstream replaces the earlier.
                         let turn = Turn { kind: w.kind, due: self.ctx.now(), tries: 0 };
                         pending.insert((w.service, w.upstream), turn);
                     }
@@ -77,7 +77,7 @@
         let due: Vec<_> =
             pending.iter().filter(|(_, t)| t.due <= now).map(|(k, t)| (k.clone(), *t)).collect();
         for ((service, upstream), turn) in due {
-            let w = Wish { service, upstream, kind: turn.kind };
+            let w = PermitRequest { service, upstream, kind: turn.kind };
             let key = (w.service.clone(), w.upstream.clone());
             if self.grant(&w, turn.tries).await {
                 pending.remove(&key);
@@ -89,8 +89,8 @@
         }
     }
 
-    /// Tries to grant a wish; tells whether it is done with.
-    async fn grant(&self, w: &Wish, tries: u32) -> bool {
+    /// Tries to grant a request; tells whether it is done with.
+    async fn grant(&self, w: &PermitRequest, tries: u32) -> bool {
         let Some(how) = self.change_for(w) else { return true };
         let (service, upstream) = (w.service.as_str(), w.upstream.as_str());
         match change(self.platform.as_ref(), service, upstream, &how).await {
@@ -112,11 +112,11 @@
         }
     }
 
-    fn change_for(&self, w: &Wish) -> Option<PermitChange> {
+    fn change_for(&self, w: &PermitRequest) -> Option<PermitChange> {
         Some(match w.kind {
-            WishKind::Eject => PermitChange::Eject(self.capacity(&w.service)?),
-            WishKind::Canary => PermitChange::Canary,
-            WishKind::Release => PermitChange::Release,
+            RequestKind::Eject => PermitChange::Eject(self.capacity(&w.service)?),
+            RequestKind::Canary => PermitChange::Canary,
+            RequestKind::Release => PermitChange::Release,
         })
     }
 
@@ -160,8 +160,12 @@
                     standing.insert(key, first);
                 } else if !listed {
                     // It left for good; nobody will judge it again.
-                    let wish = Wish { service: service.clone(), upstream, kind: WishKind::Release };
-                    self.ctx.wishes.push(wish);
+                    let request = PermitRequest {
+                        service: service.clone(),
+                        upstream,
+                        kind: RequestKind::Release,
+                    };
+                    self.ctx.requests.push(request);
                 }
             }
         }
--- a/crates/honeypulley_policy/src/lib.rs
+++ b/crates/honeypulley_policy/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`permits`] (the fleet-wide bound on ejections).
 
 pub mod collector;
+pub mod join;
 pub mod ledger;
 pub mod limits;
 pub mod naive;
--- a/crates/honeypulley_policy/src/router.rs
+++ b/crates/honeypulley_policy/src/router.rs
@@ -334,8 +334,8 @@
     }
 
     /// Takes the time at which the permits in hand were last confirmed.
-    pub const fn confirm_permits(&mut self, at: Time) {
-        self.confirmed = Some(at);
+    pub fn confirm_permits(&mut self, at: Time) {
+        self.confirmed = self.confirmed.max(Some(at));
     }
 
     /// Takes a collector's verdict; returns the upstream's name if it is known.
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -178,6 +178,10 @@
         let now = self.now();
         let mut listed = false;
         while let Some(f) = self.feed.bundles.pop() {
+            // Two duties may have pushed two versions the other way round.
+            if f.head.version <= self.version() {
+                continue;
+            }
             router.set_services(f.bundle.services().cloned());
             let signer = f.head.signature.signer.as_str();
             log::info!(bundle = f.head.version.0, signer; "proxy: {} is in force", f.head.version);
@@ -196,10 +200,13 @@
                 self.listed.store(true, Ordering::Relaxed);
             }
         }
+        // Confirmations first: one that is in the ring by now is of permits that
+        // are in theirs, so no older view is taken for confirmed.
+        let confirmed = std::iter::from_fn(|| self.feed.confirms.pop()).last();
         while let Some(view) = self.feed.permits.pop() {
             router.set_permits(&view);
         }
-        while let Some(at) = self.feed.confirms.pop() {
+        if let Some(at) = confirmed {
             router.confirm_permits(at);
         }
         while let Some(v) = self.feed.verdicts.pop() {
--- /dev/null
+++ b/crates/honeypulley_proxy/tests/order.rs
@@ -0,0 +1,42 @@
+//! The serving thread never goes back, whatever order its ring holds.
+
+use cadence::{NopMetricSink, StatsdClient};
+use honeypulley_bundle::head::{Head, Version};
+use honeypulley_bundle::keeper::InForce;
+use honeypulley_bundle::model::Bundle;
+use honeypulley_bundle::sign::Signer;
+use honeypulley_policy::router::Router;
+use honeypulley_proxy::shared::{Feed, Shared};
+use honeypulley_supervisor::clock::Clock;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn in_force(version: u64) -> Arc<InForce> {
+    let text = format!(
+        "[service s{version}]\nfloor = 1\nrepeat = reads\ndeadline = 2s\n[routes]\nx.example/ = s{version}\n"
+    );
+    let (bundle, split) = Bundle::read("f.ini", &text).expect("fine");
+    let manifest = split.manifest.digest();
+    let signature = Signer::from_secret("alice", &[1; 32]).sign(&manifest);
+    let rollout = format!("r{version}");
+    let head = Head { version: Version(version), rollout, manifest, signature, past: Vec::new() };
+    Arc::new(InForce { head, manifest: split.manifest, bundle, parts: HashMap::new() })
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_older_bundle_behind_a_newer_one_in_the_ring_is_dropped() {
+    // Two duties took two versions and pushed them the other way round.
+    let metrics = Arc::new(StatsdClient::from_sink("test", NopMetricSink));
+    let router = Router::new("b", "h", 7);
+    let shared = Arc::new(
+        Shared::new(router, Feed::default(), Clock::start(), metrics, None).expect("set up"),
+    );
+    shared.feed.bundles.push(in_force(2));
+    shared.feed.bundles.push(in_force(1));
+    let ticking = shared.keep_ticking();
+    let _ = tokio::time::timeout(Duration::from_millis(50), ticking).await;
+    assert_eq!(shared.version(), Version(2));
+    assert!(shared.router.lock().service("s2").is_some());
+    assert!(shared.router.lock().service("s1").is_none());
+}
