A load report that says full is not believed of a quick upstream

Cause: an upstream that always claims to be full got 15 requests of 1,000 where 200 are fair: a load of two shut it out until the report had aged. Ruled out: a lower cap on all reports, which would blind the choice to queues. Change: while an upstream answers within one deviation of the usual, its report counts for busy slots at most, never for a queue. Measured: the test wants 20 to 200 for the liar that is always full and at most 480 for the one that is always idle; both pass. Besides: a box that starts with neither platform nor seeds says why it waits, and refuses as not run.

--- a/crates/honeypulley_policy/src/router.rs
+++ b/crates/honeypulley_policy/src/router.rs
@@ -139,6 +139,8 @@
     joined: Time,
     out: usize,
     load: Option<(f64, Time)>,
+    /// Whether its last answer came as quickly as usual.
+    quick: bool,
     own: OwnHold,
     shared: Option<SharedHold>,
     /// Boxes behind the last suspicion.
@@ -312,6 +314,7 @@
             joined: now,
             out: 0,
             load: None,
+            quick: false,
             own: OwnHold::default(),
             shared: None,
             witnesses: 0,
--- a/crates/honeypulley_policy/src/router/choice.rs
+++ b/crates/honeypulley_policy/src/router/choice.rs
@@ -15,6 +15,8 @@
 const COLD_START: Duration = Duration::from_secs(10);
 /// Time after which a reported load says nothing more.
 const LOAD_LIFE: Duration = Duration::from_secs(2);
+/// Load report of an upstream whose slots are all busy and nothing waits.
+const LOAD_BUSY: f64 = 1.0;
 /// Load report up to which one more request is taken without a queue.
 const LOAD_FULL: f64 = 2.0;
 /// Time for which an upstream's own word that it is leaving holds.
@@ -213,8 +215,10 @@
     fn fresh_load(&self, now: Time) -> f64 {
         let Some((load, at)) = self.load else { return 0.0 };
         let age = now.since(at).as_secs_f64() / LOAD_LIFE.as_secs_f64();
-        // A lying report moves the cost by two requests at most.
-        load.clamp(0.0, LOAD_FULL) * (1.0 - age).max(0.0)
+        // A lying report moves the cost by two requests at most, and by one if the
+        // upstream answers as if nothing waited there.
+        let most = if self.quick { LOAD_BUSY } else { LOAD_FULL };
+        load.clamp(0.0, most) * (1.0 - age).max(0.0)
     }
 
     fn is_full(&self, now: Time) -> bool {
--- a/crates/honeypulley_policy/src/router/evidence.rs
+++ b/crates/honeypulley_policy/src/router/evidence.rs
@@ -7,6 +7,8 @@
 use crate::time::Time;
 use std::time::Duration;
 
+/// Deviations above the middle up to which an answer shows that nothing waits.
+const QUICK: f64 = 1.0;
 /// Shortest time between two reports on a service.
 const URGENT_GAP: Duration = Duration::from_millis(20);
 /// Shortest time between two reports that say nothing bad.
@@ -45,6 +47,9 @@
             return self.witness(k, Evidence::Failure, now);
         }
         let slow = s.spread.is_warm() && took > s.slow_limit();
+        if let Some(u) = self.upstreams.get_mut(a.upstream) {
+            u.quick = took < s.spread.limit(QUICK);
+        }
         s.spread.add(took);
         s.budget.earn();
         self.witness(k, if slow { Evidence::Slow } else { Evidence::Good }, now);
--- a/crates/honeypulley_policy/tests/router.rs
+++ b/crates/honeypulley_policy/tests/router.rs
@@ -189,6 +189,29 @@
     assert!(refusal.retry_after <= Duration::from_millis(150));
 }
 
+#[rstest::rstest]
+#[case::always_idle(0.0, 250..480)]
+#[case::always_full(9.0, 20..200)]
+fn a_lying_load_report_moves_a_bounded_share(
+    #[case] lie: f64,
+    #[case] share: std::ops::Range<usize>,
+) {
+    let (mut r, k) = router(Repeat::Always);
+    let (mut now, mut liars) = (Time::ZERO, 0);
+    for _ in 0..1_000 {
+        now = now + Duration::from_millis(20);
+        let p = r.pick(k, true, &[], now).expect("there are upstreams");
+        let lies = r.upstream(p.upstream).expect("known").0 == "u0";
+        liars += usize::from(lies);
+        r.answered(p.attempt, true, now + Duration::from_millis(15));
+        r.finish(p.attempt, Outcome::Whole, now + Duration::from_millis(15));
+        // The others tell the truth: two of three slots are busy.
+        r.reported_load(p.upstream, if lies { lie } else { 0.667 }, now);
+    }
+    // A fair share is two hundred: it wins each draw, or none while it is fresh.
+    assert!(share.contains(&liars), "{liars} of 1000");
+}
+
 /// Serves `n` requests that take `ms` each; returns how many were refused.
 fn serve(r: &mut Router, k: ServiceKey, now: &mut Time, n: usize, ms: u64) -> usize {
     let mut refused = 0;
--- a/tools/fleet/tests/bundles.rs
+++ b/tools/fleet/tests/bundles.rs
@@ -228,6 +228,26 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_box_that_starts_without_platform_and_seeds_waits_and_says_why() -> Result<()> {
+    let mut fleet = Fleet::ready(Shape::default()).await?;
+    fleet.platform_process.kill();
+    fleet.boxes[1].process.kill();
+    fleet.boxes[1] = fleet.start_box(1, &[])?;
+    until("it says why", Duration::from_secs(10), async || {
+        fleet
+            .readiness(1)
+            .await
+            .is_ok_and(|(ready, why)| !ready && why.contains("no bundle is in force yet"))
+    })
+    .await?;
+    let told =
+        load(&fleet, &[fleet.boxes[1].listen], Method::POST, "e", 3, Duration::from_millis(5))
+            .await?;
+    assert!(told.values().all(|t| *t == common::Told::NotRun(503)), "{told:?}");
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_port_in_use_ends_the_start_with_one_line() -> Result<()> {
     let taken = free_port()?;
