A box that avoids an upstream tells the collectors how sure it is

Cause: in one run of the demo three boxes each avoided the stalled upstream by their own evidence and no verdict came: each had three bad outcomes, seconds apart, and then sent it nothing more. Ruled out: lost reports (a run with the collector's ledger printed showed all). Change: the report on entering its own hold carries two bad outcomes more; what one box can contribute rises from a half to two thirds of what is needed.

--- a/crates/honeypulley_policy/src/collector.rs
+++ b/crates/honeypulley_policy/src/collector.rs
@@ -78,7 +78,7 @@
 const WITNESS_WINDOW: Duration = Duration::from_secs(5);
 /// Bad outcomes that the least number of witnesses can contribute together, in
 /// multiples of what a suspicion needs.
-const WITNESS_SPARE: f64 = 1.5;
+const WITNESS_SPARE: f64 = 2.0;
 /// Share of its usual counts that a stalled upstream has as bad outcomes at once.
 const STALLED_SHARE: f64 = 0.1;
 /// Bad outcomes of the last moments that even a quiet service must show.
--- a/crates/honeypulley_policy/src/router/evidence.rs
+++ b/crates/honeypulley_policy/src/router/evidence.rs
@@ -26,6 +26,8 @@
 
 /// Weight of lateness, in tenths, while the whole service is slowed.
 const RAISED_TENTHS: u16 = 1;
+/// Evidence that a box adds, in tenths, when its own outcomes convince it.
+const CONVINCED_TENTHS: u16 = 20;
 /// Bad outcomes of the last moments that a box alone needs to avoid an upstream.
 const OWN_LEAST: f64 = 2.5;
 /// Half-life of the counts that show a trouble which all upstreams share.
@@ -133,6 +135,8 @@
         s.urgent |= bad > 0.0;
         u.own.after(sick, s.ledger.counts(a.upstream), now);
         if sick {
+            // From here on this box sends it little, so it says now how sure it is.
+            u.pending.1 = u.pending.1.saturating_add(CONVINCED_TENTHS);
             s.ledger.reset(a.upstream);
         }
     }
--- a/crates/honeypulley_policy/tests/router.rs
+++ b/crates/honeypulley_policy/tests/router.rs
@@ -153,6 +153,25 @@
     assert!(again.iter().flat_map(|r| &r.items).all(|i| i.bad == 0), "{again:?}");
 }
 
+#[test]
+fn a_box_that_is_convinced_says_how_sure_it_is() {
+    let (mut r, k) = router(Repeat::Always);
+    let mut now = Time::ZERO;
+    let (mut bad, mut failed) = (0, 0);
+    for _ in 0..400 {
+        now = now + Duration::from_millis(10);
+        let p = r.pick(k, true, &[], now).expect("there are upstreams");
+        let sick = r.upstream(p.upstream).expect("known").0 == "u0";
+        failed += u32::from(sick);
+        r.answered(p.attempt, !sick, now);
+        r.finish(p.attempt, Outcome::Whole, now);
+        let reports = r.tick(now);
+        bad += reports.iter().flat_map(|r| &r.items).map(|i| u32::from(i.bad)).sum::<u32>();
+    }
+    assert!((3..12).contains(&failed), "it avoids the failing one: {failed}");
+    assert!(bad >= failed * 10 + 20, "{bad} tenths for {failed} failures");
+}
+
 #[test]
 fn canaries_are_repeatable_requests_where_there_are_any() {
     let (mut r, k) = router(Repeat::Reads);
