--- a/crates/honeypulley_daemon/src/collect.rs
+++ b/crates/honeypulley_daemon/src/collect.rs
@@ -6,7 +6,7 @@
 use honeypulley_platform::roster::Roster;
 use honeypulley_policy::collector::{Collector, Judgement, NameId, Verdict};
 use honeypulley_policy::permits::Hold;
-use honeypulley_policy::placement::{self, COLLECTORS, Role};
+use honeypulley_policy::placement;
 use honeypulley_policy::spec::MemberState;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
 use std::collections::BTreeMap;
@@ -138,8 +138,7 @@
         *known = now;
         let boxes: Vec<&str> = roster.live_boxes().map(|b| b.name.as_str()).collect();
         let mine = |service: &str| {
-            let chosen =
-                placement::top(Role::Collector, service, boxes.iter().copied(), COLLECTORS);
+            let chosen = placement::collectors(service, boxes.iter().copied());
             chosen.contains(&self.ctx.settings.name.as_str())
         };
         let specs: BTreeMap<NameId, _> = f
--- a/crates/honeypulley_daemon/src/peer.rs
+++ b/crates/honeypulley_daemon/src/peer.rs
@@ -12,7 +12,7 @@
 use honeypulley_platform::roster::Roster;
 use honeypulley_policy::collector::{NameId, Report};
 use honeypulley_policy::permits::PermitView;
-use honeypulley_policy::placement::{self, COLLECTORS, Role};
+use honeypulley_policy::placement;
 use honeypulley_policy::time::Time;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
 use std::cell::{Cell, RefCell};
@@ -288,7 +288,7 @@
         }
         let Some(name) = drawn.names.get(&service) else { return Vec::new() };
         let boxes = roster.live_boxes().map(|b| b.name.as_str());
-        let chosen = placement::top(Role::Collector, name, boxes, COLLECTORS);
+        let chosen = placement::collectors(name, boxes);
         let address =
             |n: &str| roster.boxes.iter().find(|b| b.name == n).and_then(|b| b.peer.parse().ok());
         let found: Vec<Option<SocketAddr>> = chosen
--- a/crates/honeypulley_daemon/src/permit.rs
+++ b/crates/honeypulley_daemon/src/permit.rs
@@ -5,7 +5,7 @@
 use honeypulley_platform::api::Platform;
 use honeypulley_platform::permits::{ChangeError, PermitChange, change};
 use honeypulley_policy::permits::{FloorContext, Hold, LEASE, MARGIN};
-use honeypulley_policy::placement::{self, COLLECTORS, Role};
+use honeypulley_policy::placement;
 use honeypulley_policy::spec::MemberState;
 use honeypulley_policy::time::Time;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
@@ -144,8 +144,7 @@
         let mut due = Vec::new();
         let mut standing = Seen::new();
         for (service, record) in self.ctx.permits().view.records {
-            let chosen =
-                placement::top(Role::Collector, &service, boxes.iter().copied(), COLLECTORS);
+            let chosen = placement::collectors(&service, boxes.iter().copied());
             if !chosen.contains(&self.ctx.settings.name.as_str()) {
                 continue;
             }
--- a/crates/honeypulley_policy/src/placement.rs
+++ b/crates/honeypulley_policy/src/placement.rs
@@ -47,6 +47,12 @@
     drawn.into_iter().map(|(_, n)| n).collect()
 }
 
+/// Returns the boxes that collect evidence on a service.
+#[must_use]
+pub fn collectors<'a>(service: &str, boxes: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    top(Role::Collector, service, boxes, COLLECTORS)
+}
+
 /// Returns how many upstreams of a service one box may connect to.
 ///
 /// `boxes` boxes with one connection each must stay under `connections` at every
--- a/crates/honeypulley_policy/src/router.rs
+++ b/crates/honeypulley_policy/src/router.rs
@@ -376,11 +376,6 @@
         self.upstreams.get(k).map(|u| (u.name.as_str(), u.addr.as_str()))
     }
 
-    /// Returns the names of the services in force.
-    pub fn service_names(&self) -> impl Iterator<Item = &str> {
-        self.by_name.keys().map(String::as_str)
-    }
-
     /// Returns the number of open attempts.
     #[must_use]
     pub fn open(&self) -> usize {
