--- a/crates/honeypulley_daemon/src/collect.rs
+++ b/crates/honeypulley_daemon/src/collect.rs
@@ -108,7 +108,7 @@
             service = d.service.as_str(), upstream = upstream.as_str(), witnesses = v.witnesses;
             "collect: {upstream} of {} is {:?}", d.service, v.judgement
         );
-        self.ctx.shared.count("verdicts");
+        self.ctx.shared.gate.count("verdicts");
         self.ctx.verdicts_out.push(*v);
         self.ctx.shared.feed.verdicts.push(*v);
         let kind = match v.judgement {
--- a/crates/honeypulley_daemon/src/context.rs
+++ b/crates/honeypulley_daemon/src/context.rs
@@ -1,6 +1,8 @@
 //! What the duties of one box share.
 
+use crate::admin::AdminView;
 use crate::settings::Settings;
+use crate::status;
 use bytes::Bytes;
 use honeypulley_bundle::head::{Head, Version};
 use honeypulley_bundle::keeper::{InForce, Keeper, OfferError};
@@ -288,10 +290,10 @@
     /// # Errors
     /// Returns the reason in a short sentence.
     pub fn readiness(&self) -> Result<(), String> {
-        if self.shared.leaving.load(Ordering::Relaxed) {
+        if self.shared.gate.leaving.load(Ordering::Relaxed) {
             return Err("leaving".to_owned());
         }
-        if self.shared.in_force.load().is_none() {
+        if self.shared.in_force().is_none() {
             return Err("no bundle is in force yet".to_owned());
         }
         if !self.shared.listed.load(Ordering::Relaxed) {
@@ -307,3 +309,18 @@
         Ok(())
     }
 }
+
+impl AdminView for Context {
+    fn readiness(&self) -> Result<(), String> {
+        Self::readiness(self)
+    }
+
+    fn status(&self) -> Vec<u8> {
+        serde_json::to_vec(&status::collect(self)).unwrap_or_default()
+    }
+
+    fn metrics(&self) -> String {
+        // A box without a platform sends its metrics over StatsD.
+        String::new()
+    }
+}
--- a/crates/honeypulley_daemon/src/peer.rs
+++ b/crates/honeypulley_daemon/src/peer.rs
@@ -108,7 +108,7 @@
             };
             match Datagram::open(&buffer[..n], &self.ctx.settings.key) {
                 Some(d) => self.take(d, from).await,
-                None => self.ctx.shared.count("peer.refused"),
+                None => self.ctx.shared.gate.count("peer.refused"),
             }
         }
     }
@@ -138,6 +138,12 @@
                 self.ctx.reports_in.push(report);
             }
             Body::Verdict(v) => self.ctx.shared.feed.verdicts.push(v),
+            // Spoken by fleets on a platform's store, which have no collectors.
+            Body::Hello { .. }
+            | Body::Book(_)
+            | Body::Beacon(_)
+            | Body::News(_)
+            | Body::Changes { .. } => self.ctx.shared.gate.count("peer.refused"),
         }
     }
 
@@ -355,7 +361,7 @@
     async fn send(&self, to: SocketAddr, body: Body) {
         let bytes = Datagram { sender: self.ctx.id, body }.seal(&self.ctx.settings.key);
         self.ctx.sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-        self.ctx.shared.count_by("peer.sent_bytes", bytes.len());
+        self.ctx.shared.gate.count_by("peer.sent_bytes", bytes.len());
         // A datagram that is lost is made good by the next question.
         let _ = self.socket.send_to(&bytes, to).await;
     }
--- a/crates/honeypulley_daemon/src/start.rs
+++ b/crates/honeypulley_daemon/src/start.rs
@@ -6,7 +6,7 @@
 use crate::peer::PeerDuty;
 use crate::permit::PermitDuty;
 use crate::platform::PlatformDuty;
-use crate::serve::ServeDuty;
+use crate::serve::{ServeDuty, ServeLimits};
 use crate::settings::Settings;
 use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 use eyre::{Result, WrapErr};
@@ -60,25 +60,42 @@
         name, hall;
         "start: {name} in {hall}, callers at {listen}, peers at {peer}, readiness at {admin}"
     );
+    let limits = ServeLimits {
+        head_time: settings.head_time,
+        max_callers: settings.max_callers,
+        leave_wait: settings.leave_wait,
+        grace: None,
+    };
+    let serve = ServeDuty {
+        gate: Arc::clone(&shared.gate),
+        feeder: Arc::<Shared>::clone(&shared),
+        limits,
+        listener: Mutex::new(Some(callers)),
+    };
     let ctx = Arc::new(Context::new(settings, shared));
     Tree::new(Stop::default())
         .duty(SignalDuty)
-        .duty(AdminDuty { ctx: Arc::clone(&ctx), listener: operators })
+        .duty(AdminDuty { view: Arc::<Context>::clone(&ctx), listener: operators })
         .duty(PlatformDuty { ctx: Arc::clone(&ctx), platform: platform.clone() })
         .duty(PermitDuty { ctx: Arc::clone(&ctx), platform })
         .duty(CollectDuty { ctx: Arc::clone(&ctx) })
         .duty(PeerDuty { ctx: Arc::clone(&ctx), socket: datagrams, listener: peers })
-        .duty(ServeDuty { ctx, listener: Mutex::new(Some(callers)) })
+        .duty(serve)
         .run()
 }
 
-fn bind(addr: SocketAddr, key: &str) -> Result<TcpListener> {
+/// Binds a TCP port, calling it `key` in errors.
+///
+/// # Errors
+/// Returns an error if the port is in use.
+pub fn bind(addr: SocketAddr, key: &str) -> Result<TcpListener> {
     let listener = TcpListener::bind(addr).wrap_err_with(|| format!("[box] {key}: bind {addr}"))?;
     listener.set_nonblocking(true)?;
     Ok(listener)
 }
 
-fn start_logs(level: log::LevelFilter) {
+/// Sends log lines of at least `level` to standard output.
+pub fn start_logs(level: log::LevelFilter) {
     let least = match level {
         log::LevelFilter::Off => LevelFilter::Off,
         log::LevelFilter::Error => LevelFilter::MoreSevereEqual(logforth::record::Level::Error),
@@ -101,7 +118,7 @@
 
 /// Turns SIGTERM and SIGINT into a planned stop.
 #[derive(Debug)]
-struct SignalDuty;
+pub struct SignalDuty;
 
 impl Duty for SignalDuty {
     fn name(&self) -> &'static str {
--- a/crates/honeypulley_daemon/src/status.rs
+++ b/crates/honeypulley_daemon/src/status.rs
@@ -56,7 +56,7 @@
 /// Collects the state of this box.
 #[must_use]
 pub fn collect(ctx: &Context) -> BoxStatus {
-    let f = ctx.shared.in_force.load_full();
+    let f = ctx.shared.in_force();
     let (_, confirmed) = ctx.permits_mark();
     let row = |r: &honeypulley_policy::router::UpstreamStatus| UpstreamRow {
         service: r.service.clone(),
@@ -76,7 +76,7 @@
         relay: ctx.is_relay(),
         silence_ms: ctx.silence().as_millis() as u64,
         permits_valid: confirmed.is_some_and(|at| ctx.now().since(at) < LEASE),
-        open: ctx.shared.open.load(Ordering::Relaxed),
+        open: ctx.shared.gate.open.load(Ordering::Relaxed),
         dropped: ctx.shared.feed.reports.dropped(),
         sent: ctx.sent.load(Ordering::Relaxed),
         upstreams: ctx.shared.rows.load().iter().map(row).collect(),
--- /dev/null
+++ b/crates/honeypulley_mesh/src/lib.rs
@@ -0,0 +1,25 @@
+//! How boxes act together on a platform that keeps configuration and lists.
+//!
+//! A few boxes read the platform's store ([`readers`]); the others hear of
+//! changes by datagram and pull what they miss ([`peers`]). Each box keeps the
+//! list of upstreams ([`list`]), the addresses of the other boxes ([`book`]) and
+//! the routing table, and feeds them to the serving thread ([`serving`]). What
+//! one box sees of an upstream reaches all others at once.
+
+pub mod book;
+pub mod list;
+pub mod peers;
+pub mod readers;
+pub mod serving;
+pub mod state;
+pub mod store;
+
+/// The names most users of this crate need.
+pub mod prelude {
+    pub use crate::{
+        peers::PeerDuty,
+        serving::{Announcer, Pump, TableRoutes},
+        state::{Decoder, Mesh, MeshSettings, StoreKeys},
+        store::StoreDuty,
+    };
+}
--- /dev/null
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -0,0 +1,356 @@
+//! Talks to the other boxes: beacons, news, changes, and pulls of what is missed.
+
+use crate::readers::BEACON_GAP;
+use crate::state::Mesh;
+use crate::store::fetch_table;
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use honeypulley_peer::client::{PeerClient, PeerError};
+use honeypulley_peer::codec::{Body, Datagram, MAX_DATAGRAM, MAX_ITEMS};
+use honeypulley_peer::listing::{BoxAddress, Entry, MAX_BOXES, MAX_ENTRIES};
+use honeypulley_peer::server::{self, Held, PeerView};
+use honeypulley_platform::api::{Object, Platform};
+use honeypulley_policy::balance::News;
+use honeypulley_supervisor::tree::{Duty, Stop, block_on};
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+
+/// Time that a reader leaves to one of a lower id to tell changes first.
+const TELL_STEP: Duration = Duration::from_millis(60);
+/// Wait before a pull is tried again.
+const PULL_GAP: Duration = Duration::from_millis(150);
+/// Most of the random wait before a table is fetched, so that boxes spread.
+const FETCH_SPREAD_MS: u64 = 60;
+/// Time between two hellos to the seeds while no other box is known.
+const HELLO_GAP: Duration = Duration::from_millis(500);
+
+/// Talks to the other boxes.
+#[derive(Debug)]
+pub struct PeerDuty {
+    /// State of the box.
+    pub mesh: Arc<Mesh>,
+    /// The platform, from which a missed table is fetched.
+    pub platform: Arc<dyn Platform>,
+    /// Bound UDP port; it outlives restarts of the duty.
+    pub socket: UdpSocket,
+    /// Bound TCP port; it outlives restarts of the duty.
+    pub listener: TcpListener,
+}
+
+/// The duty's state on its own thread.
+struct Node {
+    mesh: Arc<Mesh>,
+    platform: Arc<dyn Platform>,
+    socket: tokio::net::UdpSocket,
+    /// Highest version up to which another reader told changes.
+    told: Cell<u64>,
+}
+
+impl Duty for PeerDuty {
+    fn name(&self) -> &'static str {
+        "peer"
+    }
+
+    fn run(&self, stop: &Stop) -> Result<()> {
+        block_on(async {
+            let socket = tokio::net::UdpSocket::from_std(self.socket.try_clone()?)?;
+            let listener = tokio::net::TcpListener::from_std(self.listener.try_clone()?)?;
+            let node = Rc::new(Node {
+                mesh: Arc::clone(&self.mesh),
+                platform: Arc::clone(&self.platform),
+                socket,
+                told: Cell::new(0),
+            });
+            tokio::select! {
+                r = node.receive() => r,
+                r = node.accept(&listener) => r,
+                () = node.beacon_on() => Ok(()),
+                () = node.send_news() => Ok(()),
+                () = node.pull_on() => Ok(()),
+                () = node.greet() => Ok(()),
+                () = stop.halt.cancelled() => Ok(()),
+            }
+        })
+    }
+}
+
+impl Node {
+    async fn receive(self: &Rc<Self>) -> Result<()> {
+        let mut buffer = [0; MAX_DATAGRAM + 1];
+        loop {
+            let (n, from) = match self.socket.recv_from(&mut buffer).await {
+                Ok(x) => x,
+                // An ICMP refusal of an earlier datagram shows up here.
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => continue,
+                Err(e) => return Err(e).wrap_err("peer: receive"),
+            };
+            match Datagram::open(&buffer[..n], &self.mesh.settings.key) {
+                Some(d) => self.take(d, from).await,
+                None => log::warn!(peer:display = from; "peer: a datagram of {from} is not ours"),
+            }
+        }
+    }
+
+    async fn take(&self, d: Datagram, from: SocketAddr) {
+        let hall = match &d.body {
+            Body::Hello { hall, .. } => hall.clone(),
+            _ => String::new(),
+        };
+        let known = self.mesh.book().knows(d.sender);
+        self.mesh.learn(BoxAddress { id: d.sender, addr: from, hall });
+        if !known && !matches!(d.body, Body::Hello { .. }) {
+            self.hello(from, true).await;
+        }
+        match d.body {
+            Body::Hello { wants_reply, .. } => {
+                if wants_reply {
+                    self.hello(from, false).await;
+                    self.send_book(from).await;
+                }
+            }
+            Body::Book(boxes) => {
+                for b in boxes {
+                    let addr = b.addr;
+                    if self.mesh.learn(b) {
+                        self.hello(addr, false).await;
+                    }
+                }
+            }
+            Body::Beacon(b) => self.mesh.take_beacon(d.sender, from, b),
+            Body::News(news) => {
+                for n in news {
+                    self.mesh.news_in.push((d.sender, n));
+                }
+            }
+            Body::Changes { since, upto, entries } => {
+                self.told.set(self.told.get().max(upto));
+                self.mesh.apply(since, upto, entries, &from.to_string());
+            }
+            // Spoken by fleets with collectors and bundles.
+            Body::Ask { .. }
+            | Body::Tell { .. }
+            | Body::Rumour { .. }
+            | Body::Report { .. }
+            | Body::Verdict(_) => {
+                log::debug!(peer:display = from; "peer: {from} speaks of bundles");
+            }
+        }
+    }
+
+    async fn accept(&self, listener: &tokio::net::TcpListener) -> Result<()> {
+        let view: Rc<dyn PeerView> = Rc::new(View(Arc::clone(&self.mesh)));
+        loop {
+            let (stream, from) = listener.accept().await.wrap_err("peer: accept")?;
+            let (key, view) = (self.mesh.settings.key.clone(), Rc::clone(&view));
+            spawn_local(async move {
+                if let Err(e) = server::serve(stream, key, view).await {
+                    log::debug!(peer:display = from; "peer: {from}: {e}");
+                }
+            });
+        }
+    }
+
+    /// Makes this box known to the seeds, and then to every box in the store.
+    async fn greet(&self) {
+        let mut greeted = 0;
+        loop {
+            let known: Vec<SocketAddr> = self.mesh.book().all().collect();
+            if known.is_empty() {
+                for &to in &self.mesh.settings.seeds {
+                    self.hello(to, true).await;
+                }
+            } else if known.len() > greeted {
+                for to in &known {
+                    self.hello(*to, false).await;
+                }
+                greeted = known.len();
+            }
+            tokio::time::sleep(HELLO_GAP).await;
+        }
+    }
+
+    /// Tells the others what this box has, while it is a reader.
+    async fn beacon_on(&self) {
+        let mut was_reader = false;
+        let mut number = 0;
+        loop {
+            self.tell_changes().await;
+            let b = self.mesh.beacon();
+            if b.reader || was_reader {
+                was_reader = b.reader;
+                number = b.table;
+                self.send_all(&Body::Beacon(b)).await;
+            }
+            let until = tokio::time::Instant::now() + BEACON_GAP;
+            // A new table or a change is told at once, other wakes wait.
+            loop {
+                let woken = tokio::time::timeout_at(until, self.mesh.telling.notified()).await;
+                let b = self.mesh.beacon();
+                let news = b.reader != was_reader || (b.reader && b.table > number);
+                if woken.is_err() || news {
+                    break;
+                }
+                self.tell_changes().await;
+            }
+        }
+    }
+
+    /// Tells the others what this box learnt from the platform.
+    ///
+    /// The reader with the lowest id does so at once, the others only if they
+    /// have not heard it from another by then.
+    async fn tell_changes(&self) {
+        let untold = self.mesh.take_untold();
+        if untold.is_empty() {
+            return;
+        }
+        let rank = self.mesh.readers().rank(self.mesh.now()) as u32;
+        if rank > 0 {
+            tokio::time::sleep(TELL_STEP * rank).await;
+        }
+        for (since, upto, entries) in untold {
+            if rank > 0 && self.told.get() >= upto {
+                continue;
+            }
+            let parts: Vec<&[Entry]> = entries.chunks(MAX_ENTRIES).collect();
+            let last = parts.len() - 1;
+            for (i, part) in parts.into_iter().enumerate() {
+                // Only the last part completes the version.
+                let upto = if i == last { upto } else { since };
+                let entries = part.to_vec();
+                self.send_all(&Body::Changes { since, upto, entries }).await;
+            }
+        }
+    }
+
+    /// Tells the others what this box sees of upstreams, as it sees it.
+    async fn send_news(&self) {
+        let news = &self.mesh.news_out;
+        loop {
+            let mut batch = vec![news.next().await];
+            while batch.len() < MAX_ITEMS
+                && let Some(n) = news.pop()
+            {
+                batch.push(n);
+            }
+            let (near, all): (Vec<News>, Vec<News>) =
+                batch.into_iter().partition(|n| matches!(n, News::Open { .. }));
+            if !all.is_empty() {
+                self.send_all(&Body::News(all)).await;
+            }
+            if !near.is_empty() {
+                let to: Vec<SocketAddr> = self.mesh.book().near().collect();
+                self.send_each(&to, &Body::News(near)).await;
+            }
+        }
+    }
+
+    /// Pulls tables and lists that others have and this box misses.
+    async fn pull_on(&self) {
+        loop {
+            self.mesh.pulling.notified().await;
+            loop {
+                let missed = self.mesh.missed();
+                if missed.table.is_none() && missed.list.is_none() {
+                    break;
+                }
+                if let Some((number, from)) = missed.table {
+                    self.pull_table(number, from).await;
+                }
+                if let Some((_, from)) = missed.list
+                    && let Err(e) = self.pull_list(from).await
+                {
+                    log::info!("list: not pulled: {e}");
+                }
+                let left = self.mesh.missed();
+                if left.table.is_none() && left.list.is_none() {
+                    break;
+                }
+                tokio::time::sleep(PULL_GAP.mul_f64(0.5 + fastrand::f64())).await;
+            }
+        }
+    }
+
+    /// Takes a newer table from the platform, or from the box that told of it.
+    async fn pull_table(&self, number: u64, from: SocketAddr) {
+        let wait = fastrand::u64(..=FETCH_SPREAD_MS);
+        tokio::time::sleep(Duration::from_millis(wait)).await;
+        match fetch_table(&self.mesh, self.platform.as_ref()).await {
+            Ok(Some(o)) => self.mesh.take_table(&o, "platform"),
+            Ok(None) => log::warn!("table: the platform has none"),
+            Err(e) => log::info!("table: not read from the platform: {e}"),
+        }
+        if self.mesh.table_number() >= number {
+            return;
+        }
+        if let Err(e) = self.pull_table_from(from).await {
+            log::info!("table: not pulled: {e}");
+        }
+    }
+
+    async fn pull_table_from(&self, from: SocketAddr) -> Result<(), PeerError> {
+        let peer = PeerClient::connect(from, &self.mesh.settings.key).await?;
+        let Held { version, value } = peer.table().await?;
+        if version > 0 {
+            let key = self.mesh.decoder.keys().table.clone();
+            self.mesh.take_table(&Object { key, value, version }, &from.to_string());
+        }
+        Ok(())
+    }
+
+    async fn pull_list(&self, from: SocketAddr) -> Result<(), PeerError> {
+        let peer = PeerClient::connect(from, &self.mesh.settings.key).await?;
+        let Held { version, value } = peer.upstreams().await?;
+        if version > 0 {
+            let hold = self.mesh.readers().hold(self.mesh.now());
+            self.mesh.replace(version, value, hold, &from.to_string());
+        }
+        Ok(())
+    }
+
+    async fn hello(&self, to: SocketAddr, wants_reply: bool) {
+        let hall = self.mesh.settings.hall.clone();
+        self.send_each(&[to], &Body::Hello { hall, wants_reply }).await;
+    }
+
+    async fn send_book(&self, to: SocketAddr) {
+        let boxes: Vec<BoxAddress> = self.mesh.book().entries().cloned().collect();
+        for part in boxes.chunks(MAX_BOXES) {
+            self.send_each(&[to], &Body::Book(part.to_vec())).await;
+        }
+    }
+
+    async fn send_all(&self, body: &Body) {
+        let to: Vec<SocketAddr> = self.mesh.book().all().collect();
+        self.send_each(&to, body).await;
+    }
+
+    async fn send_each(&self, to: &[SocketAddr], body: &Body) {
+        let datagram = Datagram { sender: self.mesh.id, body: body.clone() };
+        let bytes = datagram.seal(&self.mesh.settings.key);
+        for addr in to {
+            // A datagram that is lost is made good by the next beacon.
+            if let Err(e) = self.socket.send_to(&bytes, addr).await {
+                log::debug!(peer:display = addr; "peer: not sent to {addr}: {e}");
+            }
+        }
+    }
+}
+
+/// What this box shows to peers.
+#[derive(Debug)]
+struct View(Arc<Mesh>);
+
+impl PeerView for View {
+    fn table(&self) -> Held<Bytes> {
+        self.0.held_table()
+    }
+
+    fn upstreams(&self) -> Held<Vec<Entry>> {
+        self.0.held_list()
+    }
+}
--- /dev/null
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -0,0 +1,161 @@
+//! Who reads the platform's store.
+//!
+//! A few boxes read and tell the others by beacons. Nobody elects them: a box
+//! that hears too few fresh beacons begins to read by chance, and one that hears
+//! enough of a lower id stops. A reader that the store turns away or that is cut
+//! off stops being fresh, and another takes its place. Too many readers cost
+//! calls for some moments; too few never last.
+
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::time::Time;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Readers wanted in a fleet.
+///
+/// Three are struck together by a fault of a third of the boxes in 4 of 100.
+pub const WANTED: usize = 3;
+/// Time between two beacons of a reader.
+pub const BEACON_GAP: Duration = Duration::from_millis(500);
+/// Time that a watch waits at the platform, so that its silence is noticed soon.
+pub const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// Silence after which a reader counts as lost: three beacons.
+const HEARD_LIFE: Duration = Duration::from_millis(1_500);
+/// Age of the platform's last answer up to which a reader is fresh: a whole
+/// watch, a slow answer and a beacon.
+const FRESH_AGE: Duration = Duration::from_millis(2_200);
+/// Time without a fresh reader after which the platform counts as having been away.
+const AWAY_GAP: Duration = Duration::from_millis(2_400);
+/// Time after its return within which the platform shows lost entries again.
+///
+/// The platform's owners say about two seconds.
+const RETURN_TIME: Duration = Duration::from_millis(2_300);
+/// Chance of beginning to read at one look if no reader is heard at all.
+const ALONE_CHANCE: f64 = 0.4;
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Time,
+    /// Point at which the platform last answered that reader, at the latest.
+    read: Time,
+}
+
+/// What one box knows of the readers.
+#[derive(Clone, Debug)]
+pub struct Readers {
+    me: NameId,
+    reading: Option<Time>,
+    heard: BTreeMap<NameId, Heard>,
+    own_read: Option<Time>,
+    /// Latest point at which the platform answered anyone.
+    contact: Option<Time>,
+    returned: Option<Time>,
+}
+
+impl Readers {
+    /// Builds the state of box `me`, which does not read yet.
+    #[must_use]
+    pub const fn new(me: NameId) -> Self {
+        Self {
+            me,
+            reading: None,
+            heard: BTreeMap::new(),
+            own_read: None,
+            contact: None,
+            returned: None,
+        }
+    }
+
+    /// Takes a reader's beacon.
+    pub fn heard(&mut self, id: NameId, reader: bool, read_age: Duration, now: Time) {
+        if !reader {
+            self.heard.remove(&id);
+            return;
+        }
+        let read = now.before(read_age);
+        self.heard.insert(id, Heard { at: now, read });
+        if read_age < FRESH_AGE {
+            self.touch(read);
+        }
+    }
+
+    /// Takes that the platform answered this box.
+    pub fn answered(&mut self, now: Time) {
+        self.own_read = Some(now);
+        self.touch(now);
+    }
+
+    fn touch(&mut self, at: Time) {
+        let last = self.contact.unwrap_or(at);
+        if at.since(last) > AWAY_GAP {
+            self.returned = Some(at);
+        }
+        self.contact = Some(last.max(at));
+    }
+
+    /// Returns how long an entry that went must be waited for.
+    ///
+    /// It is zero unless the platform is or was away just now.
+    #[must_use]
+    pub fn hold(&self, now: Time) -> Duration {
+        let away = self.contact.is_some_and(|c| now.since(c) > AWAY_GAP);
+        if away {
+            return RETURN_TIME;
+        }
+        self.returned.map_or(Duration::ZERO, |r| RETURN_TIME.saturating_sub(now.since(r)))
+    }
+
+    /// Tells whether the platform's objects are known as of some moments ago.
+    #[must_use]
+    pub fn in_touch(&self, now: Time) -> bool {
+        self.contact.is_some_and(|c| now.since(c) < AWAY_GAP)
+    }
+
+    /// Returns the age of the platform's last answer to this box.
+    #[must_use]
+    pub fn read_age(&self, now: Time) -> Duration {
+        self.own_read.map_or(Duration::from_secs(3_600), |t| now.since(t))
+    }
+
+    /// Tells whether this box reads.
+    #[must_use]
+    pub const fn is_reading(&self) -> bool {
+        self.reading.is_some()
+    }
+
+    /// Returns how many fresh readers have a lower id than this box.
+    #[must_use]
+    pub fn rank(&self, now: Time) -> usize {
+        self.fresh(now).filter(|id| *id < self.me).count()
+    }
+
+    fn fresh(&self, now: Time) -> impl Iterator<Item = NameId> + '_ {
+        let is_fresh = move |h: &Heard| {
+            now.since(h.at) < HEARD_LIFE && now.since(h.read) < FRESH_AGE + BEACON_GAP
+        };
+        self.heard.iter().filter(move |(_, h)| is_fresh(h)).map(|(id, _)| *id)
+    }
+
+    /// Decides whether to read from now on; `draw` is random from zero to one.
+    ///
+    /// Call it each 150 to 350 ms. Returns whether that changed.
+    pub fn decide(&mut self, boxes: usize, draw: f64, now: Time) -> bool {
+        let before = self.reading.is_some();
+        let fresh = self.fresh(now).count();
+        let live = self.heard.values().filter(|h| now.since(h.at) < HEARD_LIFE).count();
+        if let Some(since) = self.reading {
+            let trusted = now.since(since) < FRESH_AGE || self.read_age(now) < FRESH_AGE;
+            let spare = if trusted { self.rank(now) >= WANTED } else { fresh >= WANTED };
+            if spare {
+                self.reading = None;
+            }
+        } else if fresh < WANTED {
+            let missing = (WANTED - fresh) as f64;
+            let chance = if live == 0 { ALONE_CHANCE } else { 1.5 * missing / boxes.max(1) as f64 };
+            if draw < chance {
+                self.reading = Some(now);
+            }
+        }
+        before != self.reading.is_some()
+    }
+}
--- /dev/null
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -0,0 +1,203 @@
+//! The serving thread's side: routes in force, the policy, and its news.
+
+use crate::list::ListChange;
+use crate::state::Mesh;
+use async_trait::async_trait;
+use honeypulley_policy::balance::{Balancer, News};
+use honeypulley_policy::chooser::{Ask, Chooser, LoadReport, Place};
+use honeypulley_policy::router::{AttemptKey, Outcome, Pick, Refusal, ServiceKey, UpstreamKey};
+use honeypulley_policy::routes::RequestKind;
+use honeypulley_policy::time::Time;
+use honeypulley_proxy::answer::OwnAnswer;
+use honeypulley_proxy::gate::{Routed, Routes, Wanted};
+use honeypulley_proxy::shared::Feeder;
+use honeypulley_supervisor::ring::Ring;
+use http::StatusCode;
+use parking_lot::Mutex;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// When to come back while this box is not set up.
+const NOT_YET_WAIT: Duration = Duration::from_millis(400);
+
+/// A balancer that hands its news on at once.
+#[derive(Debug)]
+pub struct Announcer {
+    balancer: Balancer,
+    news: Ring<News>,
+}
+
+impl Announcer {
+    /// Wraps a balancer; its news go to `news`.
+    #[must_use]
+    pub const fn new(balancer: Balancer, news: Ring<News>) -> Self {
+        Self { balancer, news }
+    }
+
+    /// Gives the balancer to change it by what other duties heard.
+    pub const fn balancer(&mut self) -> &mut Balancer {
+        &mut self.balancer
+    }
+
+    fn announce(&mut self) {
+        self.balancer.take_news().into_iter().for_each(|n| self.news.push(n));
+    }
+}
+
+impl Chooser for Announcer {
+    fn pick(&mut self, ask: &Ask, tried: &[UpstreamKey], now: Time) -> Result<Pick, Refusal> {
+        let picked = self.balancer.pick(ask, tried, now);
+        self.announce();
+        picked
+    }
+
+    fn place(&self, k: UpstreamKey) -> Option<Place<'_>> {
+        self.balancer.place(k)
+    }
+
+    fn overdue_after(&self, ask: &Ask) -> Duration {
+        self.balancer.overdue_after(ask)
+    }
+
+    fn overdue(&mut self, k: AttemptKey, now: Time) {
+        self.balancer.overdue(k, now);
+        self.announce();
+    }
+
+    fn spend_retry(&mut self, k: ServiceKey, now: Time) -> bool {
+        let spent = self.balancer.spend_retry(k, now);
+        self.announce();
+        spent
+    }
+
+    fn answered(&mut self, k: AttemptKey, ok: bool, now: Time) {
+        self.balancer.answered(k, ok, now);
+        self.announce();
+    }
+
+    fn reported_load(&mut self, k: UpstreamKey, load: LoadReport, now: Time) {
+        self.balancer.reported_load(k, load, now);
+    }
+
+    fn drained(&mut self, k: UpstreamKey, now: Time) {
+        self.balancer.drained(k, now);
+    }
+
+    fn finish(&mut self, k: AttemptKey, outcome: Outcome, now: Time) {
+        self.balancer.finish(k, outcome, now);
+        self.announce();
+    }
+}
+
+/// Routes of the table in force.
+#[derive(Clone, Debug)]
+pub struct TableRoutes {
+    /// State of the box.
+    pub mesh: Arc<Mesh>,
+    /// The policy.
+    pub policy: Arc<Mutex<Announcer>>,
+}
+
+impl Routes for TableRoutes {
+    fn route(&self, wanted: &Wanted<'_>, now: Time) -> Result<Routed, OwnAnswer> {
+        let Some(table) = self.mesh.in_force.load_full() else {
+            return Err(not_yet("no routing table is in force on this box yet".to_owned()));
+        };
+        let (host, path, version) = (wanted.host, wanted.path, table.version);
+        let Some(route) = table.find(host, path) else {
+            return Err(self.unknown(host, path, version, now));
+        };
+        let name = route.target(fastrand::f64());
+        let mut policy = self.policy.lock();
+        let Some(service) = policy.balancer().service(name) else {
+            return Err(not_yet(format!("service {name} is not set up on this box yet")));
+        };
+        policy.balancer().arrived(service, now);
+        Ok(Routed {
+            ask: Ask {
+                service,
+                repeatable: route.kind.is_repeatable(),
+                bulky: route.kind == RequestKind::Download,
+                aim: route.aim,
+            },
+            service: name.to_owned(),
+            timeout: route.timeout,
+            attempts: route.attempts,
+            version,
+            collect: true,
+            body_bytes: table.limits.body_bytes,
+        })
+    }
+}
+
+impl TableRoutes {
+    /// Refuses a request for which the table has no route.
+    ///
+    /// A box that has not heard of the platform lately may miss a newer table, so
+    /// it does not say that there is no such route.
+    fn unknown(&self, host: &str, path: &str, version: u64, now: Time) -> OwnAnswer {
+        let in_touch = self.mesh.readers().in_touch(now);
+        log::info!(host, version, in_touch; "route: refused, no route");
+        if !in_touch {
+            return not_yet(format!("no route for {host}{path}, and the table may be old"));
+        }
+        let why = format!("no route for {host}{path}");
+        OwnAnswer::not_run(StatusCode::NOT_FOUND, None, why)
+    }
+}
+
+fn not_yet(why: String) -> OwnAnswer {
+    let wait = NOT_YET_WAIT.mul_f64(1.0 + fastrand::f64() / 2.0);
+    OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, Some(wait), why)
+}
+
+/// Feeds the policy and the routes, on the serving thread.
+#[derive(Debug)]
+pub struct Pump {
+    /// State of the box.
+    pub mesh: Arc<Mesh>,
+    /// The policy.
+    pub policy: Arc<Mutex<Announcer>>,
+}
+
+#[async_trait]
+impl Feeder for Pump {
+    async fn feed(&self) {
+        loop {
+            self.take_lists();
+            tokio::select! {
+                () = self.mesh.serving.notified() => {}
+                (from, news) = self.mesh.news_in.next() => self.take_news(from, news),
+            }
+        }
+    }
+}
+
+impl Pump {
+    fn take_news(&self, from: honeypulley_policy::collector::NameId, first: News) {
+        let mut policy = self.policy.lock();
+        let now = self.mesh.now();
+        policy.balancer().heard(from, first, now);
+        while let Some((from, news)) = self.mesh.news_in.pop() {
+            policy.balancer().heard(from, news, now);
+        }
+    }
+
+    fn take_lists(&self) {
+        let mut policy = self.policy.lock();
+        let now = self.mesh.now();
+        policy.balancer().set_boxes(self.mesh.book().count());
+        // Services first, so that no route leads to one that is not set up.
+        if let Some(table) = self.mesh.next_table() {
+            policy.balancer().set_services(&table.services, now);
+            log::info!(version = table.version; "table: version {} is in force", table.version);
+            self.mesh.in_force.store(Some(table));
+        }
+        for change in self.mesh.next_list() {
+            match change {
+                ListChange::Set(l) => policy.balancer().set_upstream(l, now),
+                ListChange::Gone(name) => policy.balancer().remove_upstream(&name),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -0,0 +1,263 @@
+//! Reads the platform's store, if this box is one of its readers.
+
+use crate::readers::WATCH_WAIT;
+use crate::state::Mesh;
+use bytes::Bytes;
+use eyre::Result;
+use honeypulley_peer::listing::BoxAddress;
+use honeypulley_platform::api::{Expect, Freshness, Object, Platform, PlatformError};
+use honeypulley_policy::collector::NameId;
+use honeypulley_supervisor::tree::{Duty, Stop, block_on};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// First wait after a call that failed; doubles with each failure.
+const FIRST_WAIT: Duration = Duration::from_millis(150);
+/// Longest such wait.
+const MAX_WAIT: Duration = Duration::from_millis(1_000);
+/// Bounds of the time between two looks at who reads.
+const LOOK_GAP: (u64, u64) = (150, 350);
+/// Time after a start in which no box begins to read, so that beacons get round.
+const SETTLE_TIME: Duration = Duration::from_millis(700);
+
+/// Reads the platform's store.
+#[derive(Debug)]
+pub struct StoreDuty {
+    /// State of the box.
+    pub mesh: Arc<Mesh>,
+    /// The platform.
+    pub platform: Arc<dyn Platform>,
+}
+
+/// This box as it stands in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct BoxRecord {
+    peer: SocketAddr,
+    hall: String,
+}
+
+impl Duty for StoreDuty {
+    fn name(&self) -> &'static str {
+        "store"
+    }
+
+    fn run(&self, stop: &Stop) -> Result<()> {
+        block_on(async {
+            tokio::select! {
+                () = self.join() => {}
+                () = self.look_on() => {}
+                () = self.watch_tables() => {}
+                () = self.watch_upstreams() => {}
+                () = self.expire_on() => {}
+                () = stop.halt.cancelled() => {}
+            }
+            Ok(())
+        })
+    }
+}
+
+impl StoreDuty {
+    /// Takes table and list, and makes this box known, each until it is done.
+    async fn join(&self) {
+        tokio::join!(self.first_table(), self.first_list(), self.register());
+        std::future::pending::<()>().await;
+    }
+
+    async fn first_table(&self) {
+        let mut wait = FIRST_WAIT;
+        while self.mesh.table_number() == 0 {
+            if self.read_table().await.is_err() {
+                pause(&mut wait).await;
+            }
+        }
+    }
+
+    async fn first_list(&self) {
+        let mut wait = FIRST_WAIT;
+        while self.mesh.list_version() == 0 {
+            if self.read_list().await.is_err() {
+                pause(&mut wait).await;
+            }
+        }
+    }
+
+    /// Reads the routing table.
+    async fn read_table(&self) -> Result<(), PlatformError> {
+        let key = &self.mesh.decoder.keys().table;
+        let found = self.noted("table", self.platform.get(key).await)?;
+        if let Some(o) = found {
+            self.mesh.take_table(&o, "platform");
+        }
+        Ok(())
+    }
+
+    /// Reads the whole list of upstreams.
+    async fn read_list(&self) -> Result<(), PlatformError> {
+        let prefix = &self.mesh.decoder.keys().upstreams;
+        let all = self.platform.list(prefix, Freshness::Latest).await;
+        let all = self.noted("list", all)?;
+        self.mesh.take_list(&all, "platform");
+        Ok(())
+    }
+
+    /// Writes this box's address if it is not there, and reads the others'.
+    async fn register(&self) {
+        let mut wait = FIRST_WAIT;
+        while let Err(e) = self.try_register().await {
+            log::info!("join: {e}");
+            pause(&mut wait).await;
+        }
+        self.mesh.telling.notify_one();
+    }
+
+    async fn try_register(&self) -> Result<(), PlatformError> {
+        let settings = &self.mesh.settings;
+        let prefix = &self.mesh.decoder.keys().boxes;
+        let key = format!("{prefix}{}", settings.name);
+        let record = BoxRecord { peer: settings.peer, hall: settings.hall.clone() };
+        let value = Bytes::from(serde_json::to_vec(&record).expect("a record is plain data"));
+        match self.platform.put(&key, value.clone(), Expect::Absent).await {
+            Ok(_) => {}
+            Err(PlatformError::Conflict { current, .. }) => {
+                // It stands from an earlier life; the same value changes nothing.
+                let again = self.platform.put(&key, value, Expect::Version(current)).await;
+                if !matches!(again, Err(PlatformError::Conflict { .. })) {
+                    again?;
+                }
+            }
+            Err(e) => return Err(e),
+        }
+        let all = self.platform.list(prefix, Freshness::Latest).await?;
+        for o in &all.objects {
+            let name = o.key.strip_prefix(prefix.as_str()).unwrap_or(&o.key);
+            match serde_json::from_slice::<BoxRecord>(&o.value) {
+                Ok(r) => {
+                    let b = BoxAddress { id: NameId::of(name), addr: r.peer, hall: r.hall };
+                    self.mesh.learn(b);
+                }
+                Err(e) => log::warn!(key = o.key.as_str(); "join: {name} left out, {e}"),
+            }
+        }
+        log::info!(boxes = self.mesh.book().count(); "join: this box is known to the platform");
+        Ok(())
+    }
+
+    /// Decides again and again whether this box reads.
+    async fn look_on(&self) {
+        tokio::time::sleep(SETTLE_TIME).await;
+        loop {
+            let (changed, reading) = {
+                let boxes = self.mesh.book().count();
+                let mut readers = self.mesh.readers();
+                let changed = readers.decide(boxes, fastrand::f64(), self.mesh.now());
+                (changed, readers.is_reading())
+            };
+            if changed {
+                let word = if reading { "begins" } else { "stops" };
+                log::info!(reading; "readers: this box {word} reading the platform");
+                self.mesh.reading.notify_waiters();
+                self.mesh.telling.notify_one();
+            }
+            let gap = fastrand::u64(LOOK_GAP.0..LOOK_GAP.1);
+            tokio::time::sleep(Duration::from_millis(gap)).await;
+        }
+    }
+
+    async fn until_reading(&self) {
+        loop {
+            let woken = self.mesh.reading.notified();
+            if self.mesh.readers().is_reading() {
+                return;
+            }
+            woken.await;
+        }
+    }
+
+    async fn watch_tables(&self) {
+        let mut wait = FIRST_WAIT;
+        loop {
+            self.until_reading().await;
+            let since = self.mesh.table_object();
+            let keys = self.mesh.decoder.keys();
+            if since == 0 {
+                pause(&mut wait).await;
+                continue;
+            }
+            let got = self.platform.watch(&keys.tables, since, WATCH_WAIT).await;
+            match self.noted("watch of tables", got) {
+                Ok(c) => {
+                    wait = FIRST_WAIT;
+                    let newest = c.objects.iter().filter(|o| o.key == keys.table);
+                    if let Some(o) = newest.max_by_key(|o| o.version) {
+                        self.mesh.take_table(o, "platform");
+                    }
+                }
+                Err(PlatformError::Compacted { .. }) => {
+                    if self.read_table().await.is_err() {
+                        pause(&mut wait).await;
+                    }
+                }
+                Err(_) => pause(&mut wait).await,
+            }
+        }
+    }
+
+    async fn watch_upstreams(&self) {
+        let mut wait = FIRST_WAIT;
+        loop {
+            self.until_reading().await;
+            let since = self.mesh.list_version();
+            if since == 0 {
+                pause(&mut wait).await;
+                continue;
+            }
+            let prefix = &self.mesh.decoder.keys().upstreams;
+            let got = self.platform.watch(prefix, since, WATCH_WAIT).await;
+            match self.noted("watch of upstreams", got) {
+                Ok(c) => {
+                    wait = FIRST_WAIT;
+                    self.mesh.take_changes(since, &c, "platform");
+                }
+                Err(PlatformError::Compacted { .. }) => {
+                    if self.read_list().await.is_err() {
+                        pause(&mut wait).await;
+                    }
+                }
+                Err(_) => pause(&mut wait).await,
+            }
+        }
+    }
+
+    async fn expire_on(&self) {
+        loop {
+            self.mesh.expire_list();
+            tokio::time::sleep(Duration::from_millis(LOOK_GAP.1)).await;
+        }
+    }
+
+    /// Notes for the choice of readers whether the platform answered.
+    fn noted<T>(&self, what: &str, r: Result<T, PlatformError>) -> Result<T, PlatformError> {
+        match &r {
+            Ok(_) | Err(PlatformError::Compacted { .. }) => {
+                self.mesh.readers().answered(self.mesh.now());
+            }
+            Err(e) => log::info!("store: {what} failed: {e}"),
+        }
+        r
+    }
+}
+
+/// Reads the routing table for a box that has heard of a newer one.
+///
+/// # Errors
+/// Any error of the platform.
+pub async fn fetch_table(mesh: &Mesh, p: &dyn Platform) -> Result<Option<Object>, PlatformError> {
+    p.get(&mesh.decoder.keys().table).await
+}
+
+async fn pause(wait: &mut Duration) {
+    tokio::time::sleep(wait.mul_f64(0.5 + fastrand::f64())).await;
+    *wait = (*wait * 2).min(MAX_WAIT);
+}
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -28,6 +28,71 @@
       holdMs @13 :UInt32;
       witnesses @14 :UInt16;
     }
+    # The sender is new, or does not know the receiver's data hall.
+    hello :group {
+      helloHall @15 :Text;
+      wantsReply @16 :Bool;
+    }
+    # Boxes that the sender knows.
+    book :group {
+      boxes @17 :List(BoxAddress);
+    }
+    # What the sender has, and whether it reads the platform itself.
+    beacon :group {
+      tableVersion @18 :UInt64;
+      listVersion @19 :UInt64;
+      reader @20 :Bool;
+      # Milliseconds since the platform last answered the sender.
+      readAgeMs @21 :UInt32;
+    }
+    news :group {
+      seen @22 :List(NewsItem);
+    }
+    # Changes of the list of upstreams.
+    changes :group {
+      since @23 :UInt64;
+      upto @24 :UInt64;
+      entries @25 :List(Entry);
+    }
+  }
+
+  struct BoxAddress {
+    id @0 :UInt64;
+    ip @1 :UInt32;
+    port @2 :UInt16;
+    hall @3 :Text;
+  }
+
+  struct NewsItem {
+    subject @0 :UInt64;
+    kind @1 :NewsKind;
+    count @2 :UInt16;
+  }
+
+  enum NewsKind {
+    success @0;
+    failure @1;
+    refused @2;
+    unreachable @3;
+    overdue @4;
+    shed @5;
+    open @6;
+    retry @7;
+  }
+
+  struct Entry {
+    name @0 :Text;
+    version @1 :UInt64;
+    # Gone from the list; the rest is empty then.
+    gone @2 :Bool;
+    # Milliseconds to wait for it to come back before it is taken for gone.
+    holdMs @3 :UInt32;
+    service @4 :Text;
+    addr @5 :Text;
+    hall @6 :Text;
+    leaving @7 :Bool;
+    slots @8 :UInt16;
+    coldMs @9 :UInt32;
   }
 
   struct Item {
@@ -64,6 +129,10 @@
   status @4 () -> (json :Data);
   # The platform's list as this box last saw it, as JSON, empty if it never did.
   roster @5 () -> (json :Data);
+  # The routing table as the platform holds it, and the version of the platform.
+  table @6 () -> (version :UInt64, value :Data);
+  # Every entry of the list of upstreams, and the version it is complete up to.
+  upstreams @7 () -> (version :UInt64, entries :List(Datagram.Entry));
 
   struct Change {
     bucket @0 :UInt32;
--- a/crates/honeypulley_peer/src/client.rs
+++ b/crates/honeypulley_peer/src/client.rs
@@ -1,8 +1,9 @@
 //! The side that pulls.
 
 use crate::key::FleetKey;
+use crate::listing::{Entry, read_entries};
 use crate::peer_capnp::{gate, peer};
-use crate::server::{HeldPermits, MAX_PARTS};
+use crate::server::{Held, HeldPermits, MAX_PARTS};
 use bytes::Bytes;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::AsyncReadExt;
@@ -189,6 +190,34 @@
         limit(self.addr, "roster", call).await
     }
 
+    /// Returns the routing table as the peer holds it.
+    ///
+    /// # Errors
+    /// Returns a [`PeerError`] if no readable answer comes in time.
+    pub async fn table(&self) -> Result<Held<Bytes>, PeerError> {
+        let call = async {
+            let answer = self.peer.table_request().send().promise.await?;
+            let r = answer.get()?;
+            let value = Bytes::copy_from_slice(r.get_value()?);
+            Ok::<_, capnp::Error>(Held { version: r.get_version(), value })
+        };
+        limit(self.addr, "table", call).await
+    }
+
+    /// Returns every entry of the list of upstreams that the peer holds.
+    ///
+    /// # Errors
+    /// Returns a [`PeerError`] if no readable answer comes in time.
+    pub async fn upstreams(&self) -> Result<Held<Vec<Entry>>, PeerError> {
+        let call = async {
+            let answer = self.peer.upstreams_request().send().promise.await?;
+            let r = answer.get()?;
+            let value = read_entries(r.get_entries()?)?;
+            Ok::<_, capnp::Error>(Held { version: r.get_version(), value })
+        };
+        limit(self.addr, "upstreams", call).await
+    }
+
     fn error(&self, step: &'static str, cause: &dyn fmt::Display) -> PeerError {
         PeerError { peer: self.addr, step, cause: cause.to_string() }
     }
--- a/crates/honeypulley_peer/src/codec.rs
+++ b/crates/honeypulley_peer/src/codec.rs
@@ -1,8 +1,12 @@
 //! Datagrams as bytes.
 
 use crate::key::FleetKey;
+use crate::listing::{
+    BoxAddress, Entry, read_boxes, read_entries, read_news, write_boxes, write_entries, write_news,
+};
 use crate::peer_capnp::datagram as wire;
 use honeypulley_bundle::head::Version;
+use honeypulley_policy::balance::News;
 use honeypulley_policy::collector::{Judgement, NameId, Report, ReportItem, Verdict};
 use std::time::Duration;
 
@@ -44,6 +48,41 @@
     },
     /// A collector's verdict.
     Verdict(Verdict),
+    /// The sender is new, or does not know the receiver's data hall.
+    Hello {
+        /// The sender's data hall.
+        hall: String,
+        /// Whether it wants a hello and a [`Body::Book`] back.
+        wants_reply: bool,
+    },
+    /// Boxes that the sender knows.
+    Book(Vec<BoxAddress>),
+    /// What the sender has, and whether it reads the platform itself.
+    Beacon(Beacon),
+    /// What the sender saw of upstreams.
+    News(Vec<News>),
+    /// Changes of the list of upstreams.
+    Changes {
+        /// Version after which they begin.
+        since: u64,
+        /// Version up to which they are complete.
+        upto: u64,
+        /// The changes.
+        entries: Vec<Entry>,
+    },
+}
+
+/// What a box has of the platform's objects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Beacon {
+    /// Version of the routing table in force, zero if there is none.
+    pub table: u64,
+    /// Version of the platform up to which its list of upstreams is complete.
+    pub list: u64,
+    /// Whether it reads the platform itself.
+    pub reader: bool,
+    /// Time since the platform last answered it.
+    pub read_age: Duration,
 }
 
 /// A datagram with its sender.
@@ -106,6 +145,30 @@
             Self::Rumour { bundle } => root.init_rumour().set_rumour_bundle(bundle.0),
             Self::Report { service, items } => write_report(root, *service, items),
             Self::Verdict(v) => write_verdict(root, v),
+            Self::Hello { hall, wants_reply } => {
+                let mut b = root.init_hello();
+                b.set_hello_hall(hall.as_str());
+                b.set_wants_reply(*wants_reply);
+            }
+            Self::Book(boxes) => {
+                write_boxes(root.init_book().init_boxes(boxes.len() as u32), boxes);
+            }
+            Self::Beacon(x) => {
+                let mut b = root.init_beacon();
+                b.set_table_version(x.table);
+                b.set_list_version(x.list);
+                b.set_reader(x.reader);
+                b.set_read_age_ms(millis(x.read_age));
+            }
+            Self::News(news) => {
+                write_news(root.init_news().init_seen(news.len() as u32), news);
+            }
+            Self::Changes { since, upto, entries } => {
+                let mut b = root.init_changes();
+                b.set_since(*since);
+                b.set_upto(*upto);
+                write_entries(b.init_entries(entries.len() as u32), entries);
+            }
         }
     }
 
@@ -135,6 +198,23 @@
                 hold: Duration::from_millis(r.get_hold_ms().into()),
                 witnesses: r.get_witnesses(),
             }),
+            Ok(wire::Hello(r)) => Self::Hello {
+                hall: r.get_hello_hall()?.to_string()?,
+                wants_reply: r.get_wants_reply(),
+            },
+            Ok(wire::Book(r)) => Self::Book(read_boxes(r.get_boxes()?)?),
+            Ok(wire::Beacon(r)) => Self::Beacon(Beacon {
+                table: r.get_table_version(),
+                list: r.get_list_version(),
+                reader: r.get_reader(),
+                read_age: Duration::from_millis(r.get_read_age_ms().into()),
+            }),
+            Ok(wire::News(r)) => Self::News(read_news(r.get_seen()?)?),
+            Ok(wire::Changes(r)) => Self::Changes {
+                since: r.get_since(),
+                upto: r.get_upto(),
+                entries: read_entries(r.get_entries()?)?,
+            },
         };
         Ok(Some(body))
     }
--- /dev/null
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -0,0 +1,174 @@
+//! Entries of the list of upstreams and news of boxes, as bytes.
+
+use crate::peer_capnp::datagram as wire;
+use honeypulley_policy::balance::{Listed, News};
+use honeypulley_policy::belief::Observation;
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::spec::{Member, MemberState};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+/// Entries that fit one datagram; each takes up to 150 bytes.
+pub const MAX_ENTRIES: usize = 7;
+/// Addresses that fit one datagram; each takes up to 40 bytes.
+pub const MAX_BOXES: usize = 30;
+
+/// One entry of the list of upstreams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Name of the upstream.
+    pub name: String,
+    /// Version of the platform at which it was written or went.
+    pub version: u64,
+    /// What the list says.
+    pub state: EntryState,
+}
+
+/// What the list says of one upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EntryState {
+    /// It is there.
+    Present(Listed),
+    /// It is gone; if it is not back after the hold, it is taken to have left.
+    Gone {
+        /// Time to wait for it to come back.
+        hold: Duration,
+    },
+}
+
+/// Where another box is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BoxAddress {
+    /// The box on the wire.
+    pub id: NameId,
+    /// Address of its peers' port.
+    pub addr: SocketAddr,
+    /// Its data hall, empty if that is not known.
+    pub hall: String,
+}
+
+pub(crate) fn write_entries(
+    mut list: capnp::struct_list::Builder<'_, wire::entry::Owned>,
+    entries: &[Entry],
+) {
+    for (i, e) in entries.iter().enumerate() {
+        let mut row = list.reborrow().get(i as u32);
+        row.set_name(e.name.as_str());
+        row.set_version(e.version);
+        match &e.state {
+            EntryState::Gone { hold } => {
+                row.set_gone(true);
+                row.set_hold_ms(hold.as_millis() as u32);
+            }
+            EntryState::Present(l) => {
+                row.set_service(l.member.service.as_str());
+                row.set_addr(l.member.addr.as_str());
+                row.set_hall(l.member.hall.as_str());
+                row.set_leaving(l.member.state == MemberState::Leaving);
+                row.set_slots(u16::try_from(l.slots).unwrap_or(u16::MAX));
+                row.set_cold_ms(l.cold.as_millis() as u32);
+            }
+        }
+    }
+}
+
+pub(crate) fn read_entries(
+    list: capnp::struct_list::Reader<'_, wire::entry::Owned>,
+) -> Result<Vec<Entry>, capnp::Error> {
+    list.iter().map(read_entry).collect()
+}
+
+fn read_entry(r: wire::entry::Reader<'_>) -> Result<Entry, capnp::Error> {
+    let name = r.get_name()?.to_string()?;
+    let state = if r.get_gone() {
+        EntryState::Gone { hold: Duration::from_millis(r.get_hold_ms().into()) }
+    } else {
+        EntryState::Present(Listed {
+            member: Member {
+                name: name.clone(),
+                service: r.get_service()?.to_string()?,
+                addr: r.get_addr()?.to_string()?,
+                hall: r.get_hall()?.to_string()?,
+                state: if r.get_leaving() { MemberState::Leaving } else { MemberState::Live },
+            },
+            slots: r.get_slots().into(),
+            cold: Duration::from_millis(r.get_cold_ms().into()),
+        })
+    };
+    Ok(Entry { name, version: r.get_version(), state })
+}
+
+pub(crate) fn write_boxes(
+    mut list: capnp::struct_list::Builder<'_, wire::box_address::Owned>,
+    boxes: &[BoxAddress],
+) {
+    for (i, b) in boxes.iter().enumerate() {
+        let mut row = list.reborrow().get(i as u32);
+        row.set_id(b.id.0);
+        // The platform speaks IPv4 alone.
+        if let SocketAddr::V4(a) = b.addr {
+            row.set_ip((*a.ip()).into());
+            row.set_port(a.port());
+        }
+        row.set_hall(b.hall.as_str());
+    }
+}
+
+pub(crate) fn read_boxes(
+    list: capnp::struct_list::Reader<'_, wire::box_address::Owned>,
+) -> Result<Vec<BoxAddress>, capnp::Error> {
+    let read = |r: wire::box_address::Reader<'_>| {
+        let addr = SocketAddrV4::new(Ipv4Addr::from(r.get_ip()), r.get_port());
+        let hall = r.get_hall()?.to_string()?;
+        Ok(BoxAddress { id: NameId(r.get_id()), addr: addr.into(), hall })
+    };
+    list.iter().map(read).collect()
+}
+
+pub(crate) fn write_news(
+    mut list: capnp::struct_list::Builder<'_, wire::news_item::Owned>,
+    news: &[News],
+) {
+    for (i, n) in news.iter().enumerate() {
+        let mut row = list.reborrow().get(i as u32);
+        let (subject, kind, count) = match *n {
+            News::Seen { upstream, what } => (upstream, observation_kind(what), 0),
+            News::Open { upstream, count } => (upstream, wire::NewsKind::Open, count),
+            News::Retry { service } => (service, wire::NewsKind::Retry, 0),
+        };
+        row.set_subject(subject.0);
+        row.set_kind(kind);
+        row.set_count(count);
+    }
+}
+
+pub(crate) fn read_news(
+    list: capnp::struct_list::Reader<'_, wire::news_item::Owned>,
+) -> Result<Vec<News>, capnp::Error> {
+    let read = |r: wire::news_item::Reader<'_>| {
+        let id = NameId(r.get_subject());
+        let seen = |what| News::Seen { upstream: id, what };
+        Ok(match r.get_kind()? {
+            wire::NewsKind::Success => seen(Observation::Success),
+            wire::NewsKind::Failure => seen(Observation::Failure),
+            wire::NewsKind::Refused => seen(Observation::Refused),
+            wire::NewsKind::Unreachable => seen(Observation::Unreachable),
+            wire::NewsKind::Overdue => seen(Observation::Overdue),
+            wire::NewsKind::Shed => seen(Observation::Shed),
+            wire::NewsKind::Open => News::Open { upstream: id, count: r.get_count() },
+            wire::NewsKind::Retry => News::Retry { service: id },
+        })
+    };
+    list.iter().map(read).collect()
+}
+
+const fn observation_kind(o: Observation) -> wire::NewsKind {
+    match o {
+        Observation::Success => wire::NewsKind::Success,
+        Observation::Failure => wire::NewsKind::Failure,
+        Observation::Refused => wire::NewsKind::Refused,
+        Observation::Unreachable => wire::NewsKind::Unreachable,
+        Observation::Overdue => wire::NewsKind::Overdue,
+        Observation::Shed => wire::NewsKind::Shed,
+    }
+}
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -5,7 +5,7 @@
 // capnpc crate version: 0.27.0
 
 pub mod datagram {
-    pub use self::Which::{Ask, Report, Rumour, Tell, Verdict};
+    pub use self::Which::{Ask, Beacon, Book, Changes, Hello, News, Report, Rumour, Tell, Verdict};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -118,6 +118,11 @@
                 2 => ::core::result::Result::Ok(Rumour(self.reader.into())),
                 3 => ::core::result::Result::Ok(Report(self.reader.into())),
                 4 => ::core::result::Result::Ok(Verdict(self.reader.into())),
+                5 => ::core::result::Result::Ok(Hello(self.reader.into())),
+                6 => ::core::result::Result::Ok(Book(self.reader.into())),
+                7 => ::core::result::Result::Ok(Beacon(self.reader.into())),
+                8 => ::core::result::Result::Ok(News(self.reader.into())),
+                9 => ::core::result::Result::Ok(Changes(self.reader.into())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -247,6 +252,42 @@
             self.builder.into()
         }
         #[inline]
+        pub fn init_hello(mut self) -> crate::peer_capnp::datagram::hello::Builder<'a> {
+            self.builder.set_data_field::<u16>(8, 5);
+            self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.set_bool_field(144, false);
+            self.builder.into()
+        }
+        #[inline]
+        pub fn init_book(mut self) -> crate::peer_capnp::datagram::book::Builder<'a> {
+            self.builder.set_data_field::<u16>(8, 6);
+            self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.into()
+        }
+        #[inline]
+        pub fn init_beacon(self) -> crate::peer_capnp::datagram::beacon::Builder<'a> {
+            self.builder.set_data_field::<u16>(8, 7);
+            self.builder.set_data_field::<u64>(1, 0u64);
+            self.builder.set_data_field::<u64>(3, 0u64);
+            self.builder.set_bool_field(144, false);
+            self.builder.set_data_field::<u32>(5, 0u32);
+            self.builder.into()
+        }
+        #[inline]
+        pub fn init_news(mut self) -> crate::peer_capnp::datagram::news::Builder<'a> {
+            self.builder.set_data_field::<u16>(8, 8);
+            self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.into()
+        }
+        #[inline]
+        pub fn init_changes(mut self) -> crate::peer_capnp::datagram::changes::Builder<'a> {
+            self.builder.set_data_field::<u16>(8, 9);
+            self.builder.set_data_field::<u64>(1, 0u64);
+            self.builder.set_data_field::<u64>(3, 0u64);
+            self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.into()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(8) {
                 0 => ::core::result::Result::Ok(Ask(self.builder.into())),
@@ -254,6 +295,11 @@
                 2 => ::core::result::Result::Ok(Rumour(self.builder.into())),
                 3 => ::core::result::Result::Ok(Report(self.builder.into())),
                 4 => ::core::result::Result::Ok(Verdict(self.builder.into())),
+                5 => ::core::result::Result::Ok(Hello(self.builder.into())),
+                6 => ::core::result::Result::Ok(Book(self.builder.into())),
+                7 => ::core::result::Result::Ok(Beacon(self.builder.into())),
+                8 => ::core::result::Result::Ok(News(self.builder.into())),
+                9 => ::core::result::Result::Ok(Changes(self.builder.into())),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -269,70 +315,120 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 134] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
             ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(51, 44, 126, 155, 192, 164, 245, 209),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 5, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 10, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 39, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 103, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
             ::capnp::word(114, 97, 109, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(91, 244, 139, 48, 238, 19, 62, 132),
+            ::capnp::word(41, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(163, 147, 255, 11, 1, 113, 61, 247),
+            ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(203, 81, 49, 26, 92, 118, 154, 201),
+            ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(34, 120, 191, 243, 108, 243, 251, 228),
+            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(122, 109, 127, 128, 4, 244, 18, 192),
-            ::capnp::word(9, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(51, 176, 142, 121, 61, 206, 117, 203),
-            ::capnp::word(5, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(66, 111, 120, 65, 100, 100, 114, 101),
+            ::capnp::word(115, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(78, 101, 119, 115, 73, 116, 101, 109),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(78, 101, 119, 115, 75, 105, 110, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 110, 116, 114, 121, 0, 0, 0),
             ::capnp::word(73, 116, 101, 109, 0, 0, 0, 0),
             ::capnp::word(74, 117, 100, 103, 101, 109, 101, 110),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(87, 15, 211, 65, 248, 155, 90, 164),
-            ::capnp::word(157, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(2, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(170, 36, 39, 139, 64, 153, 158, 131),
-            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 143, 243, 14, 235, 182, 214, 141),
-            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(85, 167, 38, 27, 177, 122, 234, 238),
-            ::capnp::word(85, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(176, 13, 1, 187, 49, 80, 183, 144),
-            ::capnp::word(61, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 250, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 65, 103, 156, 55, 162, 104, 248),
+            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 249, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(123, 194, 208, 108, 29, 83, 76, 252),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 248, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(218, 152, 204, 188, 33, 10, 37, 207),
+            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 247, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 91, 171, 245, 96, 79, 22, 243),
+            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 246, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(67, 212, 255, 237, 249, 185, 160, 245),
+            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -349,6 +445,11 @@
             ::capnp::word(114, 117, 109, 111, 117, 114, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
             ::capnp::word(118, 101, 114, 100, 105, 99, 116, 0),
+            ::capnp::word(104, 101, 108, 108, 111, 0, 0, 0),
+            ::capnp::word(98, 111, 111, 107, 0, 0, 0, 0),
+            ::capnp::word(98, 101, 97, 99, 111, 110, 0, 0),
+            ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -358,6 +459,11 @@
                 3 => <crate::peer_capnp::datagram::rumour::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::peer_capnp::datagram::report::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <crate::peer_capnp::datagram::verdict::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::peer_capnp::datagram::hello::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <crate::peer_capnp::datagram::book::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <crate::peer_capnp::datagram::beacon::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::peer_capnp::datagram::news::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <crate::peer_capnp::datagram::changes::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -377,16 +483,21 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3, 4, 5];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 4, 3, 0, 2, 5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 8, 7, 10, 6, 9, 4, 3, 0, 2, 5];
         pub(crate) const TYPE_ID: u64 = 0x9106_69fa_69ce_674c;
     }
-    pub enum Which<A0, A1, A2, A3, A4> {
+    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7, A8, A9> {
         Ask(A0),
         Tell(A1),
         Rumour(A2),
         Report(A3),
         Verdict(A4),
+        Hello(A5),
+        Book(A6),
+        Beacon(A7),
+        News(A8),
+        Changes(A9),
     }
     pub type WhichReader<'a> = Which<
         crate::peer_capnp::datagram::ask::Reader<'a>,
@@ -394,6 +505,11 @@
         crate::peer_capnp::datagram::rumour::Reader<'a>,
         crate::peer_capnp::datagram::report::Reader<'a>,
         crate::peer_capnp::datagram::verdict::Reader<'a>,
+        crate::peer_capnp::datagram::hello::Reader<'a>,
+        crate::peer_capnp::datagram::book::Reader<'a>,
+        crate::peer_capnp::datagram::beacon::Reader<'a>,
+        crate::peer_capnp::datagram::news::Reader<'a>,
+        crate::peer_capnp::datagram::changes::Reader<'a>,
     >;
     pub type WhichBuilder<'a> = Which<
         crate::peer_capnp::datagram::ask::Builder<'a>,
@@ -401,9 +517,14 @@
         crate::peer_capnp::datagram::rumour::Builder<'a>,
         crate::peer_capnp::datagram::report::Builder<'a>,
         crate::peer_capnp::datagram::verdict::Builder<'a>,
+        crate::peer_capnp::datagram::hello::Builder<'a>,
+        crate::peer_capnp::datagram::book::Builder<'a>,
+        crate::peer_capnp::datagram::beacon::Builder<'a>,
+        crate::peer_capnp::datagram::news::Builder<'a>,
+        crate::peer_capnp::datagram::changes::Builder<'a>,
     >;
 
-    pub mod item {
+    pub mod box_address {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -499,7 +620,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -508,16 +629,27 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_upstream(self) -> u64 {
+            pub fn get_id(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn get_good(self) -> u16 {
-                self.reader.get_data_field::<u16>(4)
+            pub fn get_ip(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
             }
             #[inline]
-            pub fn get_bad(self) -> u16 {
-                self.reader.get_data_field::<u16>(5)
+            pub fn get_port(self) -> u16 {
+                self.reader.get_data_field::<u16>(6)
+            }
+            #[inline]
+            pub fn get_hall(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_hall(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
@@ -526,7 +658,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+                ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -603,28 +735,55 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_upstream(self) -> u64 {
+            pub fn get_id(self) -> u64 {
                 self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_upstream(&mut self, value: u64) {
+            pub fn set_id(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn get_good(self) -> u16 {
-                self.builder.get_data_field::<u16>(4)
+            pub fn get_ip(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
             }
             #[inline]
-            pub fn set_good(&mut self, value: u16) {
-                self.builder.set_data_field::<u16>(4, value);
+            pub fn set_ip(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(2, value);
             }
             #[inline]
-            pub fn get_bad(self) -> u16 {
-                self.builder.get_data_field::<u16>(5)
+            pub fn get_port(self) -> u16 {
+                self.builder.get_data_field::<u16>(6)
             }
             #[inline]
-            pub fn set_bad(&mut self, value: u16) {
-                self.builder.set_data_field::<u16>(5, value);
+            pub fn set_port(&mut self, value: u16) {
+                self.builder.set_data_field::<u16>(6, value);
+            }
+            #[inline]
+            pub fn get_hall(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_hall(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_hall(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_hall(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -638,48 +797,54 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(122, 109, 127, 128, 4, 244, 18, 192),
+                ::capnp::word(91, 244, 139, 48, 238, 19, 62, 132),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-                ::capnp::word(114, 97, 109, 46, 73, 116, 101, 109),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 97, 109, 46, 66, 111, 120, 65),
+                ::capnp::word(100, 100, 114, 101, 115, 115, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -687,15 +852,15 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(103, 111, 111, 100, 0, 0, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 112, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(98, 97, 100, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 111, 114, 116, 0, 0, 0, 0),
                 ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -703,12 +868,21 @@
                 ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 97, 108, 108, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -727,111 +901,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
-            pub(crate) const TYPE_ID: u64 = 0xc012_f404_807f_6d7a;
-        }
-    }
-
-    #[repr(u16)]
-    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-    pub enum Judgement {
-        Suspect = 0,
-        Probation = 1,
-        Clear = 2,
-    }
-
-    impl ::capnp::introspect::Introspect for Judgement {
-        fn introspect() -> ::capnp::introspect::Type {
-            ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(
-                &judgement::ARENA,
-                judgement::get_annotation_types,
-            ))
-            .into()
-        }
-    }
-    impl ::core::convert::From<Judgement> for ::capnp::dynamic_value::Reader<'_> {
-        fn from(e: Judgement) -> Self {
-            ::capnp::dynamic_value::Enum::new(
-                e.into(),
-                ::capnp::introspect::RawEnumSchema::new(
-                    &judgement::ARENA,
-                    judgement::get_annotation_types,
-                )
-                .into(),
-            )
-            .into()
-        }
-    }
-    impl ::core::convert::TryFrom<u16> for Judgement {
-        type Error = ::capnp::NotInSchema;
-        fn try_from(
-            value: u16,
-        ) -> ::core::result::Result<Self, <Judgement as ::core::convert::TryFrom<u16>>::Error>
-        {
-            match value {
-                0 => ::core::result::Result::Ok(Self::Suspect),
-                1 => ::core::result::Result::Ok(Self::Probation),
-                2 => ::core::result::Result::Ok(Self::Clear),
-                n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
-            }
-        }
-    }
-    impl From<Judgement> for u16 {
-        #[inline]
-        fn from(x: Judgement) -> u16 {
-            x as u16
-        }
-    }
-    impl ::capnp::traits::HasTypeId for Judgement {
-        const TYPE_ID: u64 = 0xcb75_ce3d_798e_b033u64;
-    }
-    mod judgement {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 31] = [
-            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(51, 176, 142, 121, 61, 206, 117, 203),
-            ::capnp::word(20, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 79, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-            ::capnp::word(114, 97, 109, 46, 74, 117, 100, 103),
-            ::capnp::word(101, 109, 101, 110, 116, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 0),
-            ::capnp::word(112, 114, 111, 98, 97, 116, 105, 111),
-            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 108, 101, 97, 114, 0, 0, 0),
-        ];
-        pub(crate) fn get_annotation_types(
-            child_index: Option<u16>,
-            index: u32,
-        ) -> ::capnp::introspect::Type {
-            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 0, 1, 2];
+            pub(crate) const TYPE_ID: u64 = 0x843e_13ee_308b_f45b;
         }
-        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
-            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
     }
 
-    pub mod ask {
+    pub mod news_item {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -936,8 +1013,19 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_nonce(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
+            pub fn get_subject(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_kind(
+                self,
+            ) -> ::core::result::Result<crate::peer_capnp::datagram::NewsKind, ::capnp::NotInSchema>
+            {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(4))
+            }
+            #[inline]
+            pub fn get_count(self) -> u16 {
+                self.reader.get_data_field::<u16>(5)
             }
         }
 
@@ -946,7 +1034,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1023,12 +1111,31 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_nonce(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
+            pub fn get_subject(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_nonce(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(1, value);
+            pub fn set_subject(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_kind(
+                self,
+            ) -> ::core::result::Result<crate::peer_capnp::datagram::NewsKind, ::capnp::NotInSchema>
+            {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(4))
+            }
+            #[inline]
+            pub fn set_kind(&mut self, value: crate::peer_capnp::datagram::NewsKind) {
+                self.builder.set_data_field::<u16>(4, value as u16);
+            }
+            #[inline]
+            pub fn get_count(self) -> u16 {
+                self.builder.get_data_field::<u16>(5)
+            }
+            #[inline]
+            pub fn set_count(&mut self, value: u16) {
+                self.builder.set_data_field::<u16>(5, value);
             }
         }
 
@@ -1042,31 +1149,47 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 31] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(87, 15, 211, 65, 248, 155, 90, 164),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(163, 147, 255, 11, 1, 113, 61, 247),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-                ::capnp::word(114, 97, 109, 46, 97, 115, 107, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(114, 97, 109, 46, 78, 101, 119, 115),
+                ::capnp::word(73, 116, 101, 109, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(110, 111, 110, 99, 101, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 117, 98, 106, 101, 99, 116, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1074,10 +1197,28 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(203, 81, 49, 26, 92, 118, 154, 201),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::peer_capnp::datagram::NewsKind as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -1096,14 +1237,141 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xa45a_9bf8_41d3_0f57;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xf73d_7101_0bff_93a3;
         }
     }
 
-    pub mod tell {
+    #[repr(u16)]
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum NewsKind {
+        Success = 0,
+        Failure = 1,
+        Refused = 2,
+        Unreachable = 3,
+        Overdue = 4,
+        Shed = 5,
+        Open = 6,
+        Retry = 7,
+    }
+
+    impl ::capnp::introspect::Introspect for NewsKind {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(
+                &news_kind::ARENA,
+                news_kind::get_annotation_types,
+            ))
+            .into()
+        }
+    }
+    impl ::core::convert::From<NewsKind> for ::capnp::dynamic_value::Reader<'_> {
+        fn from(e: NewsKind) -> Self {
+            ::capnp::dynamic_value::Enum::new(
+                e.into(),
+                ::capnp::introspect::RawEnumSchema::new(
+                    &news_kind::ARENA,
+                    news_kind::get_annotation_types,
+                )
+                .into(),
+            )
+            .into()
+        }
+    }
+    impl ::core::convert::TryFrom<u16> for NewsKind {
+        type Error = ::capnp::NotInSchema;
+        fn try_from(
+            value: u16,
+        ) -> ::core::result::Result<Self, <NewsKind as ::core::convert::TryFrom<u16>>::Error>
+        {
+            match value {
+                0 => ::core::result::Result::Ok(Self::Success),
+                1 => ::core::result::Result::Ok(Self::Failure),
+                2 => ::core::result::Result::Ok(Self::Refused),
+                3 => ::core::result::Result::Ok(Self::Unreachable),
+                4 => ::core::result::Result::Ok(Self::Overdue),
+                5 => ::core::result::Result::Ok(Self::Shed),
+                6 => ::core::result::Result::Ok(Self::Open),
+                7 => ::core::result::Result::Ok(Self::Retry),
+                n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+            }
+        }
+    }
+    impl From<NewsKind> for u16 {
+        #[inline]
+        fn from(x: NewsKind) -> u16 {
+            x as u16
+        }
+    }
+    impl ::capnp::traits::HasTypeId for NewsKind {
+        const TYPE_ID: u64 = 0xc99a_765c_1a31_51cbu64;
+    }
+    mod news_kind {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(203, 81, 49, 26, 92, 118, 154, 201),
+            ::capnp::word(20, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 199, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
+            ::capnp::word(114, 97, 109, 46, 78, 101, 119, 115),
+            ::capnp::word(75, 105, 110, 100, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(32, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 99, 99, 101, 115, 115, 0),
+            ::capnp::word(102, 97, 105, 108, 117, 114, 101, 0),
+            ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
+            ::capnp::word(117, 110, 114, 101, 97, 99, 104, 97),
+            ::capnp::word(98, 108, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 118, 101, 114, 100, 117, 101, 0),
+            ::capnp::word(115, 104, 101, 100, 0, 0, 0, 0),
+            ::capnp::word(111, 112, 101, 110, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 116, 114, 121, 0, 0, 0),
+        ];
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+    }
+
+    pub mod entry {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -1199,7 +1467,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -1208,24 +1476,72 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_tell_nonce(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
+            pub fn get_name(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn get_bundle(self) -> u64 {
-                self.reader.get_data_field::<u64>(3)
+            pub fn has_name(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_permits(self) -> u64 {
-                self.reader.get_data_field::<u64>(4)
+            pub fn get_version(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn get_confirmed(self) -> bool {
-                self.reader.get_bool_field(144)
+            pub fn get_gone(self) -> bool {
+                self.reader.get_bool_field(64)
             }
             #[inline]
-            pub fn get_age_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(5)
+            pub fn get_hold_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(3)
+            }
+            #[inline]
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_service(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn get_addr(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_addr(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
+            #[inline]
+            pub fn get_hall(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(3),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_hall(&self) -> bool {
+                !self.reader.get_pointer_field(3).is_null()
+            }
+            #[inline]
+            pub fn get_leaving(self) -> bool {
+                self.reader.get_bool_field(65)
+            }
+            #[inline]
+            pub fn get_slots(self) -> u16 {
+                self.reader.get_data_field::<u16>(5)
+            }
+            #[inline]
+            pub fn get_cold_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(4)
             }
         }
 
@@ -1234,7 +1550,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1311,128 +1627,271 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_tell_nonce(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
+            pub fn get_name(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_tell_nonce(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(1, value);
+            pub fn set_name(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
             }
             #[inline]
-            pub fn get_bundle(self) -> u64 {
-                self.builder.get_data_field::<u64>(3)
+            pub fn init_name(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn set_bundle(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(3, value);
+            pub fn has_name(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_permits(self) -> u64 {
-                self.builder.get_data_field::<u64>(4)
+            pub fn get_version(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_permits(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(4, value);
+            pub fn set_version(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn get_confirmed(self) -> bool {
-                self.builder.get_bool_field(144)
+            pub fn get_gone(self) -> bool {
+                self.builder.get_bool_field(64)
             }
             #[inline]
-            pub fn set_confirmed(&mut self, value: bool) {
-                self.builder.set_bool_field(144, value);
+            pub fn set_gone(&mut self, value: bool) {
+                self.builder.set_bool_field(64, value);
             }
             #[inline]
-            pub fn get_age_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(5)
+            pub fn get_hold_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(3)
             }
             #[inline]
-            pub fn set_age_ms(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(5, value);
+            pub fn set_hold_ms(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(3, value);
             }
-        }
-
-        pub struct Pipeline {
-            _typeless: ::capnp::any_pointer::Pipeline,
-        }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless }
+            #[inline]
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
             }
-        }
-        impl Pipeline {}
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(170, 36, 39, 139, 64, 153, 158, 131),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
-                ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            #[inline]
+            pub fn set_service(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_service(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_addr(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_addr(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(2),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_addr(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(2).init_text(size)
+            }
+            #[inline]
+            pub fn has_addr(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
+            #[inline]
+            pub fn get_hall(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(3),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_hall(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(3),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_hall(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(3).init_text(size)
+            }
+            #[inline]
+            pub fn has_hall(&self) -> bool {
+                !self.builder.is_pointer_field_null(3)
+            }
+            #[inline]
+            pub fn get_leaving(self) -> bool {
+                self.builder.get_bool_field(65)
+            }
+            #[inline]
+            pub fn set_leaving(&mut self, value: bool) {
+                self.builder.set_bool_field(65, value);
+            }
+            #[inline]
+            pub fn get_slots(self) -> u16 {
+                self.builder.get_data_field::<u16>(5)
+            }
+            #[inline]
+            pub fn set_slots(&mut self, value: u16) {
+                self.builder.set_data_field::<u16>(5, value);
+            }
+            #[inline]
+            pub fn get_cold_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(4)
+            }
+            #[inline]
+            pub fn set_cold_ms(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(4, value);
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 168] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(34, 120, 191, 243, 108, 243, 251, 228),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
+                ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-                ::capnp::word(114, 97, 109, 46, 116, 101, 108, 108),
+                ::capnp::word(114, 97, 109, 46, 69, 110, 116, 114),
+                ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(25, 1, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 144, 0, 0, 0),
+                ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(29, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(33, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(116, 101, 108, 108, 78, 111, 110, 99),
-                ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(7, 0, 0, 0, 65, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(98, 117, 110, 100, 108, 101, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1440,8 +1899,7 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 111, 110, 102, 105, 114, 109, 101),
-                ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 111, 110, 101, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1449,7 +1907,55 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+                ::capnp::word(104, 111, 108, 100, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 100, 100, 114, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 97, 108, 108, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 108, 111, 116, 115, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 108, 100, 77, 115, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1460,11 +1966,16 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    7 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    8 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -1483,14 +1994,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 1, 3, 2, 0];
-            pub(crate) const TYPE_ID: u64 = 0x839e_9940_8b27_24aa;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 9, 2, 6, 3, 7, 0, 4, 8, 1];
+            pub(crate) const TYPE_ID: u64 = 0xe4fb_f36c_f3bf_7822;
         }
     }
 
-    pub mod rumour {
+    pub mod item {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -1595,8 +2106,16 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_rumour_bundle(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
+            pub fn get_upstream(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_good(self) -> u16 {
+                self.reader.get_data_field::<u16>(4)
+            }
+            #[inline]
+            pub fn get_bad(self) -> u16 {
+                self.reader.get_data_field::<u16>(5)
             }
         }
 
@@ -1605,7 +2124,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1682,12 +2201,28 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_rumour_bundle(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
+            pub fn get_upstream(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_rumour_bundle(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(1, value);
+            pub fn set_upstream(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_good(self) -> u16 {
+                self.builder.get_data_field::<u16>(4)
+            }
+            #[inline]
+            pub fn set_good(&mut self, value: u16) {
+                self.builder.set_data_field::<u16>(4, value);
+            }
+            #[inline]
+            pub fn get_bad(self) -> u16 {
+                self.builder.get_data_field::<u16>(5)
+            }
+            #[inline]
+            pub fn set_bad(&mut self, value: u16) {
+                self.builder.set_data_field::<u16>(5, value);
             }
         }
 
@@ -1701,44 +2236,77 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(114, 143, 243, 14, 235, 182, 214, 141),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(122, 109, 127, 128, 4, 244, 18, 192),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-                ::capnp::word(114, 97, 109, 46, 114, 117, 109, 111),
-                ::capnp::word(117, 114, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+                ::capnp::word(114, 97, 109, 46, 73, 116, 101, 109),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 117, 109, 111, 117, 114, 66, 117),
-                ::capnp::word(110, 100, 108, 101, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 111, 111, 100, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 97, 100, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -1757,14 +2325,111 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x8dd6_b6eb_0ef3_8f72;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xc012_f404_807f_6d7a;
         }
     }
 
-    pub mod report {
+    #[repr(u16)]
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum Judgement {
+        Suspect = 0,
+        Probation = 1,
+        Clear = 2,
+    }
+
+    impl ::capnp::introspect::Introspect for Judgement {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(
+                &judgement::ARENA,
+                judgement::get_annotation_types,
+            ))
+            .into()
+        }
+    }
+    impl ::core::convert::From<Judgement> for ::capnp::dynamic_value::Reader<'_> {
+        fn from(e: Judgement) -> Self {
+            ::capnp::dynamic_value::Enum::new(
+                e.into(),
+                ::capnp::introspect::RawEnumSchema::new(
+                    &judgement::ARENA,
+                    judgement::get_annotation_types,
+                )
+                .into(),
+            )
+            .into()
+        }
+    }
+    impl ::core::convert::TryFrom<u16> for Judgement {
+        type Error = ::capnp::NotInSchema;
+        fn try_from(
+            value: u16,
+        ) -> ::core::result::Result<Self, <Judgement as ::core::convert::TryFrom<u16>>::Error>
+        {
+            match value {
+                0 => ::core::result::Result::Ok(Self::Suspect),
+                1 => ::core::result::Result::Ok(Self::Probation),
+                2 => ::core::result::Result::Ok(Self::Clear),
+                n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+            }
+        }
+    }
+    impl From<Judgement> for u16 {
+        #[inline]
+        fn from(x: Judgement) -> u16 {
+            x as u16
+        }
+    }
+    impl ::capnp::traits::HasTypeId for Judgement {
+        const TYPE_ID: u64 = 0xcb75_ce3d_798e_b033u64;
+    }
+    mod judgement {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 31] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(51, 176, 142, 121, 61, 206, 117, 203),
+            ::capnp::word(20, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 79, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
+            ::capnp::word(114, 97, 109, 46, 74, 117, 100, 103),
+            ::capnp::word(101, 109, 101, 110, 116, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 0),
+            ::capnp::word(112, 114, 111, 98, 97, 116, 105, 111),
+            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 101, 97, 114, 0, 0, 0),
+        ];
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+    }
+
+    pub mod ask {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -1860,7 +2525,7 @@
             }
         }
 
-        impl<'a> Reader<'a> {
+        impl Reader<'_> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -1869,24 +2534,9 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_report_service(self) -> u64 {
+            pub fn get_nonce(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
-            #[inline]
-            pub fn get_items(
-                self,
-            ) -> ::capnp::Result<
-                ::capnp::struct_list::Reader<'a, crate::peer_capnp::datagram::item::Owned>,
-            > {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_items(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> {
@@ -1971,50 +2621,13 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_report_service(self) -> u64 {
+            pub fn get_nonce(self) -> u64 {
                 self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn set_report_service(&mut self, value: u64) {
+            pub fn set_nonce(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(1, value);
             }
-            #[inline]
-            pub fn get_items(
-                self,
-            ) -> ::capnp::Result<
-                ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::item::Owned>,
-            > {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_items(
-                &mut self,
-                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::datagram::item::Owned>,
-            ) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
-            }
-            #[inline]
-            pub fn init_items(
-                self,
-                size: u32,
-            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::item::Owned>
-            {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
-                    size,
-                )
-            }
-            #[inline]
-            pub fn has_items(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline {
@@ -2027,40 +2640,31 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 31] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(85, 167, 38, 27, 177, 122, 234, 238),
+                ::capnp::word(87, 15, 211, 65, 248, 155, 90, 164),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-                ::capnp::word(114, 97, 109, 46, 114, 101, 112, 111),
-                ::capnp::word(114, 116, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(114, 97, 109, 46, 97, 115, 107, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 114, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 112, 111, 114, 116, 83, 101),
-                ::capnp::word(114, 118, 105, 99, 101, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 111, 110, 99, 101, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2068,23 +2672,10 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 116, 101, 109, 115, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(122, 109, 127, 128, 4, 244, 18, 192),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::struct_list::Owned<crate::peer_capnp::datagram::item::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2103,14 +2694,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
-            pub(crate) const TYPE_ID: u64 = 0xeeea_7ab1_1b26_a755;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xa45a_9bf8_41d3_0f57;
         }
     }
 
-    pub mod verdict {
+    pub mod tell {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -2215,27 +2806,24 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_verdict_service(self) -> u64 {
+            pub fn get_tell_nonce(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn get_upstream(self) -> u64 {
+            pub fn get_bundle(self) -> u64 {
                 self.reader.get_data_field::<u64>(3)
             }
             #[inline]
-            pub fn get_judgement(
-                self,
-            ) -> ::core::result::Result<crate::peer_capnp::datagram::Judgement, ::capnp::NotInSchema>
-            {
-                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(10))
+            pub fn get_permits(self) -> u64 {
+                self.reader.get_data_field::<u64>(4)
             }
             #[inline]
-            pub fn get_hold_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(8)
+            pub fn get_confirmed(self) -> bool {
+                self.reader.get_bool_field(144)
             }
             #[inline]
-            pub fn get_witnesses(self) -> u16 {
-                self.reader.get_data_field::<u16>(11)
+            pub fn get_age_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(5)
             }
         }
 
@@ -2321,47 +2909,44 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_verdict_service(self) -> u64 {
+            pub fn get_tell_nonce(self) -> u64 {
                 self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn set_verdict_service(&mut self, value: u64) {
+            pub fn set_tell_nonce(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(1, value);
             }
             #[inline]
-            pub fn get_upstream(self) -> u64 {
+            pub fn get_bundle(self) -> u64 {
                 self.builder.get_data_field::<u64>(3)
             }
             #[inline]
-            pub fn set_upstream(&mut self, value: u64) {
+            pub fn set_bundle(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(3, value);
             }
             #[inline]
-            pub fn get_judgement(
-                self,
-            ) -> ::core::result::Result<crate::peer_capnp::datagram::Judgement, ::capnp::NotInSchema>
-            {
-                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(10))
+            pub fn get_permits(self) -> u64 {
+                self.builder.get_data_field::<u64>(4)
             }
             #[inline]
-            pub fn set_judgement(&mut self, value: crate::peer_capnp::datagram::Judgement) {
-                self.builder.set_data_field::<u16>(10, value as u16);
+            pub fn set_permits(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(4, value);
             }
             #[inline]
-            pub fn get_hold_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(8)
+            pub fn get_confirmed(self) -> bool {
+                self.builder.get_bool_field(144)
             }
             #[inline]
-            pub fn set_hold_ms(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(8, value);
+            pub fn set_confirmed(&mut self, value: bool) {
+                self.builder.set_bool_field(144, value);
             }
             #[inline]
-            pub fn get_witnesses(self) -> u16 {
-                self.builder.get_data_field::<u16>(11)
+            pub fn get_age_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(5)
             }
             #[inline]
-            pub fn set_witnesses(&mut self, value: u16) {
-                self.builder.set_data_field::<u16>(11, value);
+            pub fn set_age_ms(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(5, value);
             }
         }
 
@@ -2375,14 +2960,14 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(176, 13, 1, 187, 49, 80, 183, 144),
+                ::capnp::word(170, 36, 39, 139, 64, 153, 158, 131),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
@@ -2390,46 +2975,46 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-                ::capnp::word(114, 97, 109, 46, 118, 101, 114, 100),
-                ::capnp::word(105, 99, 116, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 97, 109, 46, 116, 101, 108, 108),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 122, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 10, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+                ::capnp::word(3, 0, 0, 0, 144, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 8, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(149, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(4, 0, 0, 0, 11, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(118, 101, 114, 100, 105, 99, 116, 83),
-                ::capnp::word(101, 114, 118, 105, 99, 101, 0, 0),
+                ::capnp::word(116, 101, 108, 108, 78, 111, 110, 99),
+                ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2437,8 +3022,7 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 117, 110, 100, 108, 101, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2446,30 +3030,29 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(106, 117, 100, 103, 101, 109, 101, 110),
-                ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(51, 176, 142, 121, 61, 206, 117, 203),
+                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 111, 108, 100, 77, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 102, 105, 114, 109, 101),
+                ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 105, 116, 110, 101, 115, 115, 101),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
@@ -2477,9 +3060,9 @@
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <crate::peer_capnp::datagram::Judgement as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    4 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2500,276 +3083,72 @@
                 );
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 2, 1, 0, 4];
-            pub(crate) const TYPE_ID: u64 = 0x90b7_5031_bb01_0db0;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 1, 3, 2, 0];
+            pub(crate) const TYPE_ID: u64 = 0x839e_9940_8b27_24aa;
         }
     }
-}
-
-pub mod gate {
-    #![allow(unused_variables)]
-    pub type ChallengeParams =
-        ::capnp::capability::Params<crate::peer_capnp::gate::challenge_params::Owned>;
-    pub type ChallengeResults =
-        ::capnp::capability::Results<crate::peer_capnp::gate::challenge_results::Owned>;
-    pub type LoginParams =
-        ::capnp::capability::Params<crate::peer_capnp::gate::login_params::Owned>;
-    pub type LoginResults =
-        ::capnp::capability::Results<crate::peer_capnp::gate::login_results::Owned>;
 
-    pub struct Client {
-        pub client: ::capnp::capability::Client,
-    }
-    impl ::capnp::capability::FromClientHook for Client {
-        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
-            Self { client: ::capnp::capability::Client::new(hook) }
-        }
-        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
-            self.client.hook
+    pub mod rumour {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
         }
-        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
-            &*self.client.hook
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
         }
-    }
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned {
-        fn introspect() -> ::capnp::introspect::Type {
-            ::capnp::introspect::TypeVariant::Capability.into()
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
         }
-    }
-    impl ::capnp::traits::Owned for Owned {
-        type Reader<'a> = Client;
-        type Builder<'a> = Client;
-    }
-    impl ::capnp::traits::Pipelined for Owned {
-        type Pipeline = Client;
-    }
-    impl<'a> ::capnp::traits::FromPointerReader<'a> for Client {
-        fn get_from_pointer(
-            reader: &::capnp::private::layout::PointerReader<'a>,
-            _default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
-                reader.get_capability()?,
-            ))
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
         }
-    }
-    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Client {
-        fn init_pointer(
-            _builder: ::capnp::private::layout::PointerBuilder<'a>,
-            _size: u32,
-        ) -> Self {
-            unimplemented!()
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
         }
-        fn get_from_pointer(
-            builder: ::capnp::private::layout::PointerBuilder<'a>,
-            _default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
-                builder.get_capability()?,
-            ))
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
-    }
 
-    impl ::capnp::traits::SetterInput<Owned> for Client {
-        fn set_pointer_builder(
-            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-            from: Self,
-            _canonicalize: bool,
-        ) -> ::capnp::Result<()> {
-            pointer.set_capability(from.client.hook);
-            ::core::result::Result::Ok(())
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
         }
-    }
-    impl ::capnp::traits::HasTypeId for Client {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl Clone for Client {
-        fn clone(&self) -> Self {
-            Self { client: self.client.clone() }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
         }
-    }
-    impl Client {
-        pub fn challenge_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::peer_capnp::gate::challenge_params::Owned,
-            crate::peer_capnp::gate::challenge_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
-        }
-        pub fn login_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::peer_capnp::gate::login_params::Owned,
-            crate::peer_capnp::gate::login_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
-        }
-    }
-    pub trait Server: 'static {
-        fn challenge(
-            self: ::capnp::capability::Rc<Self>,
-            _: ChallengeParams,
-            _: ChallengeResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method gate::Server::challenge not implemented".to_string(),
-            )))
-        }
-        fn login(
-            self: ::capnp::capability::Rc<Self>,
-            _: LoginParams,
-            _: LoginResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method gate::Server::login not implemented".to_string(),
-            )))
-        }
-    }
-    pub struct ServerDispatch<_T> {
-        pub server: ::capnp::capability::Rc<_T>,
-    }
-    impl<_S: Server + 'static> ::capnp::capability::FromServer<_S> for Client {
-        type Dispatch = ServerDispatch<_S>;
-        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S> {
-            ServerDispatch { server: s }
-        }
-    }
-    impl<_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
-        type Target = _T;
-        fn deref(&self) -> &_T {
-            &self.server
-        }
-    }
-    impl<_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
-        fn clone(&self) -> Self {
-            Self { server: self.server.clone() }
-        }
-    }
-    impl<_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
-        fn dispatch_call(
-            self,
-            interface_id: u64,
-            method_id: u16,
-            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
-            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
-        ) -> ::capnp::capability::DispatchCallResult {
-            match interface_id {
-                _private::TYPE_ID => {
-                    Self::dispatch_call_internal(self.server, method_id, params, results)
-                }
-                _ => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
-                        "Method not implemented.".to_string(),
-                    )),
-                    false,
-                ),
-            }
-        }
-        fn as_ptr(&self) -> usize {
-            ::capnp::capability::Rc::as_ptr(&self.server) as usize
-        }
-    }
-    impl<_T: Server> ServerDispatch<_T> {
-        pub fn dispatch_call_internal(
-            this: ::capnp::capability::Rc<_T>,
-            method_id: u16,
-            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
-            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
-        ) -> ::capnp::capability::DispatchCallResult {
-            match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::challenge(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                1 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::login(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                _ => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
-                        "Method not implemented.".to_string(),
-                    )),
-                    false,
-                ),
-            }
-        }
-    }
-    pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xea89_7d98_f05b_4b88;
-    }
-
-    pub mod challenge_params {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned {
-            fn introspect() -> ::capnp::introspect::Type {
-                ::capnp::introspect::TypeVariant::Struct(
-                    ::capnp::introspect::RawBrandedStructSchema {
-                        generic: &_private::RAW_SCHEMA,
-                        field_types: _private::get_field_types,
-                        annotation_types: _private::get_annotation_types,
-                        type_id: ::core::any::TypeId::of::<Owned>(),
-                    },
-                )
-                .into()
-            }
-        }
-        impl ::capnp::traits::Owned for Owned {
-            type Reader<'a> = Reader<'a>;
-            type Builder<'a> = Builder<'a>;
-        }
-        impl ::capnp::traits::OwnedStruct for Owned {
-            type Reader<'a> = Reader<'a>;
-            type Builder<'a> = Builder<'a>;
-        }
-        impl ::capnp::traits::Pipelined for Owned {
-            type Pipeline = Pipeline;
-        }
-
-        pub struct Reader<'a> {
-            reader: ::capnp::private::layout::StructReader<'a>,
-        }
-        impl ::core::marker::Copy for Reader<'_> {}
-        impl ::core::clone::Clone for Reader<'_> {
-            fn clone(&self) -> Self {
-                *self
-            }
-        }
-
-        impl ::capnp::traits::HasTypeId for Reader<'_> {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader }
-            }
-        }
-
-        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
-            fn from(reader: Reader<'a>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(
-                    reader.reader,
-                    ::capnp::schema::StructSchema::new(
-                        ::capnp::introspect::RawBrandedStructSchema {
-                            generic: &_private::RAW_SCHEMA,
-                            field_types: _private::get_field_types,
-                            annotation_types: _private::get_annotation_types,
-                            type_id: ::core::any::TypeId::of::<Owned>(),
-                        },
-                    ),
-                ))
-            }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
         }
 
         impl ::core::fmt::Debug for Reader<'_> {
@@ -2813,6 +3192,10 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_rumour_bundle(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> {
@@ -2820,7 +3203,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2896,6 +3279,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_rumour_bundle(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_rumour_bundle(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline {
@@ -2908,27 +3299,46 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(169, 191, 223, 92, 5, 9, 200, 182),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(114, 143, 243, 14, 235, 182, 214, 141),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
+                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
+                ::capnp::word(114, 97, 109, 46, 114, 117, 109, 111),
+                ::capnp::word(117, 114, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 117, 109, 111, 117, 114, 66, 117),
+                ::capnp::word(110, 100, 108, 101, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 71, 97, 116, 101, 46),
-                ::capnp::word(99, 104, 97, 108, 108, 101, 110, 103),
-                ::capnp::word(101, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -2945,14 +3355,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xb6c8_0905_5cdf_bfa9;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x8dd6_b6eb_0ef3_8f72;
         }
     }
 
-    pub mod challenge_results {
+    pub mod report {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -3057,14 +3467,22 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_nonce(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_report_service(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_items(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Reader<'a, crate::peer_capnp::datagram::item::Owned>,
+            > {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_nonce(&self) -> bool {
+            pub fn has_items(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -3074,7 +3492,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3151,22 +3569,48 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_nonce(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
+            pub fn get_report_service(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn set_nonce(&mut self, value: ::capnp::data::Reader<'_>) {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            pub fn set_report_service(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
             }
             #[inline]
-            pub fn init_nonce(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
+            pub fn get_items(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::item::Owned>,
+            > {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn has_nonce(&self) -> bool {
+            pub fn set_items(
+                &mut self,
+                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::datagram::item::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_items(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::item::Owned>
+            {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_items(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -3181,44 +3625,64 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(239, 141, 221, 194, 58, 192, 121, 176),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(85, 167, 38, 27, 177, 122, 234, 238),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
+                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 71, 97, 116, 101, 46),
-                ::capnp::word(99, 104, 97, 108, 108, 101, 110, 103),
-                ::capnp::word(101, 36, 82, 101, 115, 117, 108, 116),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
+                ::capnp::word(114, 97, 109, 46, 114, 101, 112, 111),
+                ::capnp::word(114, 116, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 114, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(110, 111, 110, 99, 101, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 112, 111, 114, 116, 83, 101),
+                ::capnp::word(114, 118, 105, 99, 101, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 116, 101, 109, 115, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(122, 109, 127, 128, 4, 244, 18, 192),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::struct_list::Owned<crate::peer_capnp::datagram::item::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3237,14 +3701,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xb079_c03a_c2dd_8def;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xeeea_7ab1_1b26_a755;
         }
     }
 
-    pub mod login_params {
+    pub mod verdict {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -3340,7 +3804,7 @@
             }
         }
 
-        impl<'a> Reader<'a> {
+        impl Reader<'_> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -3349,15 +3813,27 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_proof(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
+            pub fn get_verdict_service(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn has_proof(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
+            pub fn get_upstream(self) -> u64 {
+                self.reader.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn get_judgement(
+                self,
+            ) -> ::core::result::Result<crate::peer_capnp::datagram::Judgement, ::capnp::NotInSchema>
+            {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(10))
+            }
+            #[inline]
+            pub fn get_hold_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(8)
+            }
+            #[inline]
+            pub fn get_witnesses(self) -> u16 {
+                self.reader.get_data_field::<u16>(11)
             }
         }
 
@@ -3366,7 +3842,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3443,23 +3919,47 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_proof(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
+            pub fn get_verdict_service(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn set_proof(&mut self, value: ::capnp::data::Reader<'_>) {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            pub fn set_verdict_service(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
             }
             #[inline]
-            pub fn init_proof(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
+            pub fn get_upstream(self) -> u64 {
+                self.builder.get_data_field::<u64>(3)
             }
             #[inline]
-            pub fn has_proof(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_upstream(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(3, value);
+            }
+            #[inline]
+            pub fn get_judgement(
+                self,
+            ) -> ::core::result::Result<crate::peer_capnp::datagram::Judgement, ::capnp::NotInSchema>
+            {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(10))
+            }
+            #[inline]
+            pub fn set_judgement(&mut self, value: crate::peer_capnp::datagram::Judgement) {
+                self.builder.set_data_field::<u16>(10, value as u16);
+            }
+            #[inline]
+            pub fn get_hold_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(8)
+            }
+            #[inline]
+            pub fn set_hold_ms(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(8, value);
+            }
+            #[inline]
+            pub fn get_witnesses(self) -> u16 {
+                self.builder.get_data_field::<u16>(11)
+            }
+            #[inline]
+            pub fn set_witnesses(&mut self, value: u16) {
+                self.builder.set_data_field::<u16>(11, value);
             }
         }
 
