+            pub fn has_json(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(117, 160, 39, 225, 117, 126, 115, 221),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(104, 101, 97, 100, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xdd73_7e75_e127_a075;
+        }
+    }
+
+    pub mod manifest_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_have(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_have(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_have(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_have(&mut self, value: ::capnp::data::Reader<'_>) {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_have(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_have(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(249, 95, 171, 138, 23, 172, 20, 174),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(109, 97, 110, 105, 102, 101, 115, 116),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 97, 118, 101, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xae14_ac17_8aab_5ff9;
+        }
     }
-    pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0x86c6_9c36_eb55_babb;
-    }
 
-    pub mod change {
+    pub mod manifest_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -4256,20 +8759,31 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_bucket(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_full(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_full(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_changes(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Reader<'a, crate::peer_capnp::peer::change::Owned>,
+            > {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_changes(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -4277,7 +8791,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4354,32 +8868,61 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_bucket(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn set_bucket(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(0, value);
-            }
-            #[inline]
-            pub fn get_digest(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_full(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_digest(&mut self, value: ::capnp::data::Reader<'_>) {
+            pub fn set_full(&mut self, value: ::capnp::data::Reader<'_>) {
                 self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_digest(self, size: u32) -> ::capnp::data::Builder<'a> {
+            pub fn init_full(self, size: u32) -> ::capnp::data::Builder<'a> {
                 self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_digest(&self) -> bool {
+            pub fn has_full(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_changes(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::peer_capnp::peer::change::Owned>,
+            > {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_changes(
+                &mut self,
+                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::peer::change::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_changes(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::peer::change::Owned>
+            {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(1),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_changes(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline {
@@ -4392,59 +8935,64 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(32, 93, 207, 140, 53, 228, 250, 251),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(187, 186, 85, 235, 54, 156, 198, 134),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(190, 168, 217, 162, 233, 148, 76, 249),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(67, 104, 97, 110, 103, 101, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(109, 97, 110, 105, 102, 101, 115, 116),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(98, 117, 99, 107, 101, 116, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(102, 117, 108, 108, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(32, 93, 207, 140, 53, 228, 250, 251),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::struct_list::Owned<crate::peer_capnp::peer::change::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4465,12 +9013,12 @@
                 );
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
-            pub(crate) const TYPE_ID: u64 = 0xfbfa_e435_8ccf_5d20;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xf94c_94e9_a2d9_a8be;
         }
     }
 
-    pub mod head_params {
+    pub mod parts_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -4566,7 +9114,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -4574,6 +9122,17 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_digests(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_digests(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -4581,7 +9140,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4657,6 +9216,35 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_digests(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_digests(
+                &mut self,
+                value: ::capnp::data_list::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_digests(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_digests(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline {
@@ -4669,26 +9257,51 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(216, 22, 141, 76, 124, 6, 170, 242),
+                ::capnp::word(198, 21, 103, 196, 50, 30, 14, 188),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(104, 101, 97, 100, 36, 80, 97, 114),
-                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 97, 114, 116, 115, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 105, 103, 101, 115, 116, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => {
+                        <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect()
+                    }
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -4705,14 +9318,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xf2aa_067c_4c8d_16d8;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xbc0e_1e32_c467_15c6;
         }
     }
 
-    pub mod head_results {
+    pub mod parts_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -4817,14 +9430,14 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_json(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_parts(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_json(&self) -> bool {
+            pub fn has_parts(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -4911,22 +9524,32 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_json(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+            pub fn get_parts(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_parts(
+                &mut self,
+                value: ::capnp::data_list::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_parts(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
+                    size,
                 )
             }
             #[inline]
-            pub fn set_json(&mut self, value: ::capnp::data::Reader<'_>) {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
-            }
-            #[inline]
-            pub fn init_json(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
-            }
-            #[inline]
-            pub fn has_json(&self) -> bool {
+            pub fn has_parts(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -4941,14 +9564,14 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(117, 160, 39, 225, 117, 126, 115, 221),
+                ::capnp::word(220, 97, 195, 26, 87, 218, 73, 207),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
@@ -4956,28 +9579,34 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(104, 101, 97, 100, 36, 82, 101, 115),
-                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+                ::capnp::word(112, 97, 114, 116, 115, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => {
+                        <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect()
+                    }
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4999,11 +9628,11 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xdd73_7e75_e127_a075;
+            pub(crate) const TYPE_ID: u64 = 0xcf49_da57_1ac3_61dc;
         }
     }
 
-    pub mod manifest_params {
+    pub mod permits_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -5099,7 +9728,7 @@
             }
         }
 
-        impl<'a> Reader<'a> {
+        impl Reader<'_> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -5107,17 +9736,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_have(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_have(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> {
@@ -5125,7 +9743,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5201,25 +9819,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_have(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_have(&mut self, value: ::capnp::data::Reader<'_>) {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
-            }
-            #[inline]
-            pub fn init_have(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
-            }
-            #[inline]
-            pub fn has_have(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline {
@@ -5232,45 +9831,26 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(249, 95, 171, 138, 23, 172, 20, 174),
+                ::capnp::word(23, 65, 75, 82, 13, 210, 92, 233),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(109, 97, 110, 105, 102, 101, 115, 116),
-                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(104, 97, 118, 101, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -5287,14 +9867,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xae14_ac17_8aab_5ff9;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xe95c_d20d_524b_4117;
         }
     }
 
-    pub mod manifest_results {
+    pub mod permits_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -5399,30 +9979,27 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_full(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
+            pub fn get_version(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn has_full(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
+            pub fn get_confirmed(self) -> bool {
+                self.reader.get_bool_field(64)
             }
             #[inline]
-            pub fn get_changes(
-                self,
-            ) -> ::capnp::Result<
-                ::capnp::struct_list::Reader<'a, crate::peer_capnp::peer::change::Owned>,
-            > {
+            pub fn get_age_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(3)
+            }
+            #[inline]
+            pub fn get_json(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(1),
+                    &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_changes(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
+            pub fn has_json(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
@@ -5431,7 +10008,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+                ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5508,60 +10085,47 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_full(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
+            pub fn get_version(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_full(&mut self, value: ::capnp::data::Reader<'_>) {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            pub fn set_version(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn init_full(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
+            pub fn get_confirmed(self) -> bool {
+                self.builder.get_bool_field(64)
             }
             #[inline]
-            pub fn has_full(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_confirmed(&mut self, value: bool) {
+                self.builder.set_bool_field(64, value);
             }
             #[inline]
-            pub fn get_changes(
-                self,
-            ) -> ::capnp::Result<
-                ::capnp::struct_list::Builder<'a, crate::peer_capnp::peer::change::Owned>,
-            > {
+            pub fn get_age_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(3)
+            }
+            #[inline]
+            pub fn set_age_ms(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(3, value);
+            }
+            #[inline]
+            pub fn get_json(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(1),
+                    self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_changes(
-                &mut self,
-                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::peer::change::Owned>,
-            ) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(1),
-                    value,
-                    false,
-                )
+            pub fn set_json(&mut self, value: ::capnp::data::Reader<'_>) {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_changes(
-                self,
-                size: u32,
-            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::peer::change::Owned>
-            {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(1),
-                    size,
-                )
+            pub fn init_json(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_changes(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
+            pub fn has_json(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -5575,64 +10139,92 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(190, 168, 217, 162, 233, 148, 76, 249),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(19, 103, 179, 144, 164, 72, 100, 199),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(109, 97, 110, 105, 102, 101, 115, 116),
-                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 102, 105, 114, 109, 101),
+                ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(102, 117, 108, 108, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(32, 93, 207, 140, 53, 228, 250, 251),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::struct_list::Owned<crate::peer_capnp::peer::change::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5651,14 +10243,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
-            pub(crate) const TYPE_ID: u64 = 0xf94c_94e9_a2d9_a8be;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 3, 0];
+            pub(crate) const TYPE_ID: u64 = 0xc764_48a4_90b3_6713;
         }
     }
 
-    pub mod parts_params {
+    pub mod status_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -5754,7 +10346,7 @@
             }
         }
 
-        impl<'a> Reader<'a> {
+        impl Reader<'_> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -5762,17 +10354,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_digests(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_digests(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> {
@@ -5780,7 +10361,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5856,35 +10437,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_digests(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_digests(
-                &mut self,
-                value: ::capnp::data_list::Reader<'_>,
-            ) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
-            }
-            #[inline]
-            pub fn init_digests(self, size: u32) -> ::capnp::data_list::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
-                    size,
-                )
-            }
-            #[inline]
-            pub fn has_digests(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline {
@@ -5897,51 +10449,26 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(198, 21, 103, 196, 50, 30, 14, 188),
+                ::capnp::word(164, 82, 183, 8, 86, 190, 134, 156),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(112, 97, 114, 116, 115, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(100, 105, 103, 101, 115, 116, 115, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 116, 117, 115, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => {
-                        <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect()
-                    }
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -5958,14 +10485,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xbc0e_1e32_c467_15c6;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x9c86_be56_08b7_52a4;
         }
     }
 
-    pub mod parts_results {
+    pub mod status_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -6070,14 +10597,14 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_parts(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+            pub fn get_json(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_parts(&self) -> bool {
+            pub fn has_json(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -6164,32 +10691,22 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_parts(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+            pub fn get_json(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_parts(
-                &mut self,
-                value: ::capnp::data_list::Reader<'_>,
-            ) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
+            pub fn set_json(&mut self, value: ::capnp::data::Reader<'_>) {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_parts(self, size: u32) -> ::capnp::data_list::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
-                    size,
-                )
+            pub fn init_json(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_parts(&self) -> bool {
+            pub fn has_json(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -6204,14 +10721,14 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(220, 97, 195, 26, 87, 218, 73, 207),
+                ::capnp::word(6, 207, 240, 20, 125, 71, 90, 172),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
@@ -6219,34 +10736,28 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(112, 97, 114, 116, 115, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 116, 117, 115, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => {
-                        <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect()
-                    }
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6268,11 +10779,11 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xcf49_da57_1ac3_61dc;
+            pub(crate) const TYPE_ID: u64 = 0xac5a_477d_14f0_cf06;
         }
     }
 
-    pub mod permits_params {
+    pub mod roster_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -6473,12 +10984,12 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(23, 65, 75, 82, 13, 210, 92, 233),
+                ::capnp::word(1, 59, 241, 221, 143, 50, 30, 130),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6486,8 +10997,8 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 36),
-                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(114, 111, 115, 116, 101, 114, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
@@ -6510,11 +11021,11 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xe95c_d20d_524b_4117;
+            pub(crate) const TYPE_ID: u64 = 0x821e_328f_ddf1_3b01;
         }
     }
 
-    pub mod permits_results {
+    pub mod roster_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -6619,18 +11130,6 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_version(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_confirmed(self) -> bool {
-                self.reader.get_bool_field(64)
-            }
-            #[inline]
-            pub fn get_age_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(3)
-            }
-            #[inline]
             pub fn get_json(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
@@ -6648,7 +11147,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6721,32 +11220,8 @@
                 self.builder.as_reader().into()
             }
 
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_version(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_version(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_confirmed(self) -> bool {
-                self.builder.get_bool_field(64)
-            }
-            #[inline]
-            pub fn set_confirmed(&mut self, value: bool) {
-                self.builder.set_bool_field(64, value);
-            }
-            #[inline]
-            pub fn get_age_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(3)
-            }
-            #[inline]
-            pub fn set_age_ms(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(3, value);
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
             }
             #[inline]
             pub fn get_json(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
@@ -6779,77 +11254,31 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(19, 103, 179, 144, 164, 72, 100, 199),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(90, 238, 168, 113, 196, 38, 209, 237),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 36),
-                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(114, 111, 115, 116, 101, 114, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 82, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 111, 110, 102, 105, 114, 109, 101),
-                ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6861,10 +11290,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6883,14 +11309,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 3, 0];
-            pub(crate) const TYPE_ID: u64 = 0xc764_48a4_90b3_6713;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xedd1_26c4_71a8_ee5a;
         }
     }
 
-    pub mod status_params {
+    pub mod table_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -7091,12 +11517,12 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(164, 82, 183, 8, 86, 190, 134, 156),
+                ::capnp::word(205, 127, 0, 174, 5, 98, 164, 139),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7104,8 +11530,8 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(115, 116, 97, 116, 117, 115, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(116, 97, 98, 108, 101, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
@@ -7128,11 +11554,11 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0x9c86_be56_08b7_52a4;
+            pub(crate) const TYPE_ID: u64 = 0x8ba4_6205_ae00_7fcd;
         }
     }
 
-    pub mod status_results {
+    pub mod table_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -7237,14 +11663,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_json(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_version(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_value(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_json(&self) -> bool {
+            pub fn has_value(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -7254,7 +11684,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7331,22 +11761,30 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_json(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_version(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_version(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_value(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_json(&mut self, value: ::capnp::data::Reader<'_>) {
+            pub fn set_value(&mut self, value: ::capnp::data::Reader<'_>) {
                 self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_json(self, size: u32) -> ::capnp::data::Builder<'a> {
+            pub fn init_value(self, size: u32) -> ::capnp::data::Builder<'a> {
                 self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_json(&self) -> bool {
+            pub fn has_value(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -7361,32 +11799,47 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(6, 207, 240, 20, 125, 71, 90, 172),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(191, 180, 66, 199, 118, 151, 13, 244),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(115, 116, 97, 116, 117, 115, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(116, 97, 98, 108, 101, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 97, 108, 117, 101, 0, 0, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7397,7 +11850,8 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7416,14 +11870,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xac5a_477d_14f0_cf06;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xf40d_9776_c742_b4bf;
         }
     }
 
-    pub mod roster_params {
+    pub mod upstreams_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -7622,14 +12076,14 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(1, 59, 241, 221, 143, 50, 30, 130),
+                ::capnp::word(13, 251, 187, 27, 181, 125, 212, 231),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7637,8 +12091,9 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(114, 111, 115, 116, 101, 114, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+                ::capnp::word(115, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
@@ -7661,11 +12116,11 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0x821e_328f_ddf1_3b01;
+            pub(crate) const TYPE_ID: u64 = 0xe7d4_7db5_1bbb_fb0d;
         }
     }
 
-    pub mod roster_results {
+    pub mod upstreams_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -7770,14 +12225,22 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_json(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_version(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_entries(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Reader<'a, crate::peer_capnp::datagram::entry::Owned>,
+            > {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_json(&self) -> bool {
+            pub fn has_entries(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -7787,7 +12250,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7864,22 +12327,48 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_json(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_version(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_version(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_entries(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::entry::Owned>,
+            > {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_json(&mut self, value: ::capnp::data::Reader<'_>) {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            pub fn set_entries(
+                &mut self,
+                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::datagram::entry::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
             }
             #[inline]
-            pub fn init_json(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
+            pub fn init_entries(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::entry::Owned>
+            {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    size,
+                )
             }
             #[inline]
-            pub fn has_json(&self) -> bool {
+            pub fn has_entries(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -7894,43 +12383,64 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(90, 238, 168, 113, 196, 38, 209, 237),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(142, 252, 97, 26, 117, 75, 14, 252),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(114, 111, 115, 116, 101, 114, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+                ::capnp::word(115, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(106, 115, 111, 110, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(34, 120, 191, 243, 108, 243, 251, 228),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::struct_list::Owned<crate::peer_capnp::datagram::entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7949,10 +12459,10 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xedd1_26c4_71a8_ee5a;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xfc0e_4b75_1a61_fc8e;
         }
     }
 }
--- a/crates/honeypulley_peer/src/server.rs
+++ b/crates/honeypulley_peer/src/server.rs
@@ -1,6 +1,7 @@
 //! The side that answers pulls.
 
 use crate::key::FleetKey;
+use crate::listing::{Entry, write_entries};
 use crate::peer_capnp::{gate, peer};
 use bytes::Bytes;
 use capnp::Error;
@@ -28,22 +29,55 @@
     pub json: Bytes,
 }
 
+/// Something of the platform's, as a box holds it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Held<T> {
+    /// Version of the platform, zero if it holds nothing.
+    pub version: u64,
+    /// What is held.
+    pub value: T,
+}
+
 /// What a box shows to its peers and operators.
+///
+/// What a box does not have, it shows as empty, which is the default.
 pub trait PeerView: Debug {
     /// Returns the head in force as JSON, empty if there is none.
-    fn head(&self) -> Bytes;
+    fn head(&self) -> Bytes {
+        Bytes::new()
+    }
     /// Returns the manifest in force.
-    fn manifest(&self) -> Option<Manifest>;
+    fn manifest(&self) -> Option<Manifest> {
+        None
+    }
     /// Returns an earlier manifest that is still remembered.
-    fn remembered(&self, d: &Digest) -> Option<Manifest>;
+    fn remembered(&self, _: &Digest) -> Option<Manifest> {
+        None
+    }
     /// Returns a part.
-    fn part(&self, d: &Digest) -> Option<Bytes>;
+    fn part(&self, _: &Digest) -> Option<Bytes> {
+        None
+    }
     /// Returns the permits held.
-    fn permits(&self) -> HeldPermits;
+    fn permits(&self) -> HeldPermits {
+        HeldPermits::default()
+    }
     /// Returns the box's status as JSON.
-    fn status(&self) -> Bytes;
+    fn status(&self) -> Bytes {
+        Bytes::new()
+    }
     /// Returns the platform's list as last seen, as JSON, empty if it never was.
-    fn roster(&self) -> Bytes;
+    fn roster(&self) -> Bytes {
+        Bytes::new()
+    }
+    /// Returns the routing table as the platform holds it.
+    fn table(&self) -> Held<Bytes> {
+        Held::default()
+    }
+    /// Returns every entry of the list of upstreams.
+    fn upstreams(&self) -> Held<Vec<Entry>> {
+        Held::default()
+    }
 }
 
 /// Serves one connection to its end.
@@ -177,4 +211,28 @@
         r.get().set_json(&self.view.roster());
         Ok(())
     }
+
+    async fn table(
+        self: Rc<Self>,
+        _: peer::TableParams,
+        mut results: peer::TableResults,
+    ) -> Result<(), Error> {
+        let held = self.view.table();
+        let mut r = results.get();
+        r.set_version(held.version);
+        r.set_value(&held.value);
+        Ok(())
+    }
+
+    async fn upstreams(
+        self: Rc<Self>,
+        _: peer::UpstreamsParams,
+        mut results: peer::UpstreamsResults,
+    ) -> Result<(), Error> {
+        let held = self.view.upstreams();
+        let mut r = results.get();
+        r.set_version(held.version);
+        write_entries(r.init_entries(held.value.len() as u32), &held.value);
+        Ok(())
+    }
 }
--- a/crates/honeypulley_platform/src/accept.rs
+++ b/crates/honeypulley_platform/src/accept.rs
@@ -153,7 +153,7 @@
             return Ok(Accepted { version: head.version, resolved: unsure });
         };
         match error {
-            PlatformError::Unavailable { .. } => {}
+            PlatformError::Unavailable { .. } | PlatformError::Compacted { .. } => {}
             // The condition makes a second write safe, but only reading back
             // tells whether the first took effect.
             PlatformError::Unknown { .. } => unsure = true,
--- a/crates/honeypulley_platform/src/api.rs
+++ b/crates/honeypulley_platform/src/api.rs
@@ -28,6 +28,15 @@
     Version(u64),
 }
 
+/// An object that is gone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Removed {
+    /// Its key.
+    pub key: String,
+    /// Version of the platform at which it went.
+    pub version: u64,
+}
+
 /// Changes under a prefix.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
@@ -35,6 +44,17 @@
     pub version: u64,
     /// Objects written since the version asked for.
     pub objects: Vec<Object>,
+    /// Objects gone since the version asked for, where the platform tells.
+    pub removed: Vec<Removed>,
+}
+
+/// How fresh a list must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// As of the call.
+    Latest,
+    /// May be seconds old, and costs less.
+    Stale,
 }
 
 /// Why a call to the platform failed.
@@ -58,6 +78,14 @@
         /// What went wrong.
         cause: String,
     },
+    /// The platform forgot the changes since the version asked for.
+    #[error("platform at {peer}: the history since version {after} is gone")]
+    Compacted {
+        /// Address asked.
+        peer: String,
+        /// Version asked for.
+        after: u64,
+    },
     /// No answer came: a write may or may not have taken effect.
     #[error("platform at {peer}: {step}: no answer, outcome unknown: {cause}")]
     Unknown {
@@ -101,6 +129,14 @@
         wait: Duration,
     ) -> Result<Changes, PlatformError>;
 
+    /// Returns every object under `prefix`.
+    ///
+    /// # Errors
+    /// Any [`PlatformError`] but a conflict.
+    async fn list(&self, prefix: &str, _: Freshness) -> Result<Changes, PlatformError> {
+        self.watch(prefix, 0, Duration::ZERO).await
+    }
+
     /// Returns the lagging list of boxes and upstreams, as JSON.
     ///
     /// # Errors
--- a/crates/honeypulley_platform/src/http.rs
+++ b/crates/honeypulley_platform/src/http.rs
@@ -131,8 +131,12 @@
         let ms = wait.as_millis();
         let url = format!("{}/watch?prefix={prefix}&after={after}&wait_ms={ms}", self.base);
         let answer = self.read("watch", url, wait + CALL_TIME).await?;
-        if answer.status() != StatusCode::OK {
-            return Err(self.refused("watch", answer.status()));
+        match answer.status() {
+            StatusCode::OK => {}
+            StatusCode::GONE => {
+                return Err(PlatformError::Compacted { peer: self.base.clone(), after });
+            }
+            other => return Err(self.refused("watch", other)),
         }
         let wire: WireChanges = answer.json().await.map_err(|e| self.lost("watch", &e))?;
         let decode = |o: WireObject| {
@@ -140,7 +144,7 @@
             Some(Object { key: o.key, value, version: o.version })
         };
         let objects = wire.objects.into_iter().filter_map(decode).collect();
-        Ok(Changes { version: wire.version, objects })
+        Ok(Changes { version: wire.version, objects, removed: Vec::new() })
     }
 
     async fn members(&self) -> Result<Bytes, PlatformError> {
--- a/crates/honeypulley_platform/src/lib.rs
+++ b/crates/honeypulley_platform/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod prelude {
     pub use crate::{
         accept::{AcceptError, Accepted},
-        api::{Expect, Object, Platform, PlatformError},
+        api::{Changes, Expect, Freshness, Object, Platform, PlatformError, Removed},
         http::HttpPlatform,
         roster::Roster,
     };
--- a/crates/honeypulley_platform/src/memory.rs
+++ b/crates/honeypulley_platform/src/memory.rs
@@ -2,7 +2,7 @@
 //!
 //! It is the fake behind tests and the store behind the stand-in platform.
 
-use crate::api::{Changes, Expect, Object, Platform, PlatformError};
+use crate::api::{Changes, Expect, Freshness, Object, Platform, PlatformError, Removed};
 use async_trait::async_trait;
 use bytes::Bytes;
 use parking_lot::Mutex;
@@ -19,11 +19,16 @@
     pub lost: u32,
     /// The next so many writes are dropped and lose their answer.
     pub dropped: u32,
+    /// Lists that may be stale show the objects as of this version, if not zero.
+    pub stale_at: u64,
 }
 
 #[derive(Debug, Default)]
 struct State {
     objects: BTreeMap<String, Object>,
+    removed: Vec<Removed>,
+    /// Version up to which the history of removals is gone.
+    forgotten: u64,
     version: u64,
     members: Bytes,
     faults: Faults,
@@ -55,6 +60,27 @@
         self.state.lock().members = json;
     }
 
+    /// Removes an object, as its owner or the platform would.
+    pub fn remove(&self, key: &str) {
+        let mut s = self.state.lock();
+        if s.objects.remove(key).is_some() {
+            s.version += 1;
+            let version = s.version;
+            s.removed.push(Removed { key: key.to_owned(), version });
+        }
+        drop(s);
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets the history up to now; watches from before it are told so.
+    pub fn compact(&self) {
+        let mut s = self.state.lock();
+        s.forgotten = s.version;
+        s.removed.clear();
+        drop(s);
+        self.changed.notify_waiters();
+    }
+
     /// Returns how many reads and writes were asked for.
     pub fn calls(&self) -> (u64, u64) {
         let s = self.state.lock();
@@ -64,6 +90,11 @@
     fn changes(&self, prefix: &str, after: u64) -> Result<Changes, PlatformError> {
         let s = self.state.lock();
         s.check("watch")?;
+        if after > 0 && after < s.forgotten {
+            return Err(PlatformError::Compacted { peer: "memory".to_owned(), after });
+        }
+        let gone = |r: &&Removed| r.key.starts_with(prefix) && r.version > after;
+        let removed = s.removed.iter().filter(gone).cloned().collect();
         let objects = s
             .objects
             .range(prefix.to_owned()..)
@@ -71,7 +102,7 @@
             .filter(|(_, o)| o.version > after)
             .map(|(_, o)| o.clone())
             .collect();
-        Ok(Changes { version: s.version, objects })
+        Ok(Changes { version: s.version, objects, removed })
     }
 }
 
@@ -137,7 +168,7 @@
         loop {
             let woken = self.changed.notified();
             let changes = self.changes(prefix, after)?;
-            if !changes.objects.is_empty() {
+            if !changes.objects.is_empty() || !changes.removed.is_empty() {
                 return Ok(changes);
             }
             if tokio::time::timeout_at(until, woken).await.is_err() {
@@ -146,6 +177,18 @@
         }
     }
 
+    async fn list(&self, prefix: &str, f: Freshness) -> Result<Changes, PlatformError> {
+        self.state.lock().reads += 1;
+        let mut all = self.changes(prefix, 0)?;
+        all.removed.clear();
+        let stale_at = self.state.lock().faults.stale_at;
+        if f == Freshness::Stale && stale_at > 0 {
+            all.objects.retain(|o| o.version <= stale_at);
+            all.version = stale_at;
+        }
+        Ok(all)
+    }
+
     async fn members(&self) -> Result<Bytes, PlatformError> {
         let mut s = self.state.lock();
         s.reads += 1;
--- /dev/null
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -0,0 +1,301 @@
+//! Choice by the loss to expect, for fleets whose boxes each see little traffic.
+//!
+//! Every box holds a [`Belief`] about each upstream, fed by what it sees itself
+//! and by what the other boxes say at once. Each request goes where the chance of
+//! failure, the wait and the distance cost least together. Nothing is ejected, so
+//! no floor can be broken by it: an upstream that is thought sick is still taken
+//! when the others would cost more.
+
+mod choice;
+mod learn;
+mod retry;
+
+use crate::belief::{Belief, Observation};
+use crate::collector::NameId;
+use crate::router::{AttemptKey, ServiceKey, UpstreamKey};
+use crate::spec::{Member, MemberState, ServiceSpec};
+use crate::spread::Spread;
+use crate::time::Time;
+pub use retry::RetryRule;
+use retry::RetryWindow;
+use slotmap::SlotMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// One upstream with what the list says of its size and age.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Name, service, address, data hall and state.
+    pub member: Member,
+    /// Requests it runs at one time.
+    pub slots: usize,
+    /// How much longer it is slow from its start.
+    pub cold: Duration,
+}
+
+/// What this box tells the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    /// Something was seen of an upstream.
+    Seen {
+        /// The upstream.
+        upstream: NameId,
+        /// What was seen.
+        what: Observation,
+    },
+    /// This box has so many attempts open there; for its own data hall.
+    Open {
+        /// The upstream.
+        upstream: NameId,
+        /// Attempts open.
+        count: u16,
+    },
+    /// A request was sent to one more upstream.
+    Retry {
+        /// Its service.
+        service: NameId,
+    },
+}
+
+/// Attempts that another box of this data hall has open.
+#[derive(Clone, Copy, Debug)]
+struct PeerOpen {
+    count: u16,
+    at: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Upstream {
+    name: String,
+    addr: String,
+    id: NameId,
+    service: ServiceKey,
+    near: bool,
+    leaving: bool,
+    /// Its own word that it is leaving, or another instance at its address.
+    closed: bool,
+    slots: f64,
+    cold_until: Time,
+    open: usize,
+    peers: BTreeMap<NameId, PeerOpen>,
+    load: Option<(f64, Time)>,
+    /// What all boxes saw of it.
+    shared: Belief,
+    /// What only the path from this box shows.
+    path: Belief,
+    /// The last other box that could not reach it.
+    unreached: Option<(NameId, Time)>,
+    told_success: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Service {
+    spec: ServiceSpec,
+    id: NameId,
+    spread: Spread,
+    retries: RetryWindow,
+    upstreams: Vec<UpstreamKey>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    upstream: UpstreamKey,
+    service: ServiceKey,
+    started: Time,
+    aim: Option<Duration>,
+    /// Whether something was already observed of it.
+    judged: bool,
+}
+
+/// State of one upstream as an operator sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BalanceStatus {
+    /// Service name.
+    pub service: String,
+    /// Upstream name.
+    pub upstream: String,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Chance that it is sick, by what all boxes saw.
+    pub sick: f64,
+    /// Chance that this box's path to it is bad.
+    pub path: f64,
+    /// Attempts of this box that are open.
+    pub open: usize,
+}
+
+/// One box's routing state.
+#[derive(Debug)]
+pub struct Balancer {
+    hall: String,
+    boxes: usize,
+    rule: RetryRule,
+    services: SlotMap<ServiceKey, Service>,
+    by_name: BTreeMap<String, ServiceKey>,
+    by_id: BTreeMap<NameId, UpstreamKey>,
+    upstreams: SlotMap<UpstreamKey, Upstream>,
+    attempts: SlotMap<AttemptKey, Attempt>,
+    listed: BTreeMap<String, Listed>,
+    news: Vec<News>,
+    rng: fastrand::Rng,
+}
+
+impl Balancer {
+    /// Builds the state of a box in data hall `hall`.
+    #[must_use]
+    pub fn new(hall: &str, rule: RetryRule, seed: u64) -> Self {
+        Self {
+            hall: hall.to_owned(),
+            boxes: 1,
+            rule,
+            services: SlotMap::with_key(),
+            by_name: BTreeMap::new(),
+            by_id: BTreeMap::new(),
+            upstreams: SlotMap::with_key(),
+            attempts: SlotMap::with_key(),
+            listed: BTreeMap::new(),
+            news: Vec::new(),
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Takes the number of boxes, among which the retry budget is shared.
+    pub fn set_boxes(&mut self, boxes: usize) {
+        self.boxes = boxes.max(1);
+    }
+
+    /// Takes the services of a table; what was learnt of kept ones stays.
+    pub fn set_services(&mut self, specs: &[ServiceSpec], now: Time) {
+        let mut gone: BTreeSet<String> = self.by_name.keys().cloned().collect();
+        for spec in specs {
+            gone.remove(&spec.name);
+            if let Some(&k) = self.by_name.get(&spec.name) {
+                self.services[k].spec = spec.clone();
+                continue;
+            }
+            let k = self.services.insert(Service::new(spec.clone()));
+            self.by_name.insert(spec.name.clone(), k);
+            let waiting: Vec<Listed> =
+                self.listed.values().filter(|l| l.member.service == spec.name).cloned().collect();
+            for l in waiting {
+                self.add(k, &l, now);
+            }
+        }
+        for name in gone {
+            let Some(k) = self.by_name.remove(&name) else { continue };
+            let Some(s) = self.services.remove(k) else { continue };
+            for u in s.upstreams {
+                self.forget(u);
+            }
+        }
+    }
+
+    /// Takes one entry of the list, new or changed.
+    pub fn set_upstream(&mut self, l: Listed, now: Time) {
+        let name = l.member.name.clone();
+        if let Some(&k) = self.by_name.get(&l.member.service) {
+            self.add(k, &l, now);
+        }
+        self.listed.insert(name, l);
+    }
+
+    /// Takes that an entry is gone from the list: its upstream gets no new work.
+    pub fn remove_upstream(&mut self, name: &str) {
+        self.listed.remove(name);
+        let Some(k) = self.by_id.get(&NameId::of(name)).copied() else { return };
+        if let Some(u) = self.upstreams.get(k)
+            && let Some(s) = self.services.get_mut(u.service)
+        {
+            s.upstreams.retain(|&x| x != k);
+        }
+        self.forget(k);
+    }
+
+    fn add(&mut self, service: ServiceKey, l: &Listed, now: Time) {
+        let id = NameId::of(&l.member.name);
+        let leaving = l.member.state == MemberState::Leaving;
+        if let Some(u) = self.by_id.get(&id).and_then(|&k| self.upstreams.get_mut(k)) {
+            u.leaving = leaving;
+            u.addr.clone_from(&l.member.addr);
+            u.slots = l.slots.max(1) as f64;
+            return;
+        }
+        let up = Upstream {
+            name: l.member.name.clone(),
+            addr: l.member.addr.clone(),
+            id,
+            service,
+            near: l.member.hall == self.hall,
+            leaving,
+            closed: false,
+            slots: l.slots.max(1) as f64,
+            cold_until: now + l.cold,
+            open: 0,
+            peers: BTreeMap::new(),
+            load: None,
+            shared: Belief::new(now),
+            path: Belief::new(now),
+            unreached: None,
+            told_success: Time::ZERO,
+        };
+        let k = self.upstreams.insert(up);
+        self.by_id.insert(id, k);
+        self.services[service].upstreams.push(k);
+    }
+
+    fn forget(&mut self, k: UpstreamKey) {
+        if let Some(u) = self.upstreams.remove(k) {
+            self.by_id.remove(&u.id);
+        }
+    }
+
+    /// Returns the key of a service by name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<ServiceKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Counts one request for a service, from which its retry budget grows.
+    pub fn arrived(&mut self, k: ServiceKey, now: Time) {
+        if let Some(s) = self.services.get_mut(k) {
+            s.retries.arrived(&self.rule, now);
+        }
+    }
+
+    /// Takes what there is to tell the other boxes.
+    pub fn take_news(&mut self) -> Vec<News> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Returns the state of every upstream, for operators.
+    #[must_use]
+    pub fn status(&self, now: Time) -> Vec<BalanceStatus> {
+        let row = |u: &Upstream| BalanceStatus {
+            service: self.services.get(u.service).map_or_else(String::new, |s| s.spec.name.clone()),
+            upstream: u.name.clone(),
+            leaving: u.is_leaving(),
+            sick: u.shared.chance(now),
+            path: u.path.chance(now),
+            open: u.open,
+        };
+        self.upstreams.values().map(row).collect()
+    }
+}
+
+impl Upstream {
+    const fn is_leaving(&self) -> bool {
+        self.leaving || self.closed
+    }
+}
+
+impl Service {
+    fn new(spec: ServiceSpec) -> Self {
+        Self {
+            id: NameId::of(&spec.name),
+            spread: Spread::default(),
+            retries: RetryWindow::default(),
+            upstreams: Vec::new(),
+            spec,
+        }
+    }
+}
--- /dev/null
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -0,0 +1,145 @@
+//! What attempts, and other boxes, tell of the upstreams.
+
+use super::{Balancer, News, PeerOpen};
+use crate::belief::Observation;
+use crate::collector::NameId;
+use crate::router::{AttemptKey, Outcome, ServiceKey, UpstreamKey};
+use crate::time::Time;
+use std::time::Duration;
+
+/// Chance of sickness above which a success is worth telling the others.
+const TELL_SUCCESS: f64 = 0.2;
+/// Shortest time between two such tellings of one upstream.
+const TELL_GAP: Duration = Duration::from_millis(300);
+/// Time within which two boxes that can't reach an upstream bear each other out.
+const UNREACHED_SPAN: Duration = Duration::from_millis(1_500);
+/// Part of the aim above which an answer is a late one.
+const LATE_SHARE: f64 = 1.0;
+
+impl Balancer {
+    /// Takes news of another box.
+    pub fn heard(&mut self, from: NameId, news: News, now: Time) {
+        match news {
+            News::Seen { upstream, what } => self.heard_seen(from, upstream, what, now),
+            News::Open { upstream, count } => {
+                let Some(u) = self.known(upstream) else { return };
+                if count == 0 {
+                    u.peers.remove(&from);
+                } else {
+                    u.peers.insert(from, PeerOpen { count, at: now });
+                }
+            }
+            News::Retry { service } => {
+                let rule = self.rule;
+                if let Some(s) = self.services.values_mut().find(|s| s.id == service) {
+                    s.retries.heard(&rule, now);
+                }
+            }
+        }
+    }
+
+    fn heard_seen(&mut self, from: NameId, upstream: NameId, what: Observation, now: Time) {
+        let Some(u) = self.known(upstream) else { return };
+        if what != Observation::Unreachable {
+            u.shared.observe(what, now);
+            return;
+        }
+        // One box may have lost its own path; two see the upstream's.
+        let other = u.unreached.replace((from, now));
+        if other.is_some_and(|(who, at)| who != from && now.since(at) < UNREACHED_SPAN) {
+            u.shared.observe(what, now);
+        }
+    }
+
+    fn known(&mut self, id: NameId) -> Option<&mut super::Upstream> {
+        let k = *self.by_id.get(&id)?;
+        self.upstreams.get_mut(k)
+    }
+
+    /// Counts attempts of this box and tells its data hall.
+    pub(super) fn opened(&mut self, k: UpstreamKey, by: isize) {
+        let Some(u) = self.upstreams.get_mut(k) else { return };
+        u.open = u.open.saturating_add_signed(by);
+        let count = u16::try_from(u.open).unwrap_or(u16::MAX);
+        self.news.push(News::Open { upstream: u.id, count });
+    }
+
+    pub(super) fn spend(&mut self, k: ServiceKey, now: Time) -> bool {
+        let (rule, boxes) = (self.rule, self.boxes);
+        let Some(s) = self.services.get_mut(k) else { return false };
+        if !s.retries.spend(&rule, boxes, now) {
+            return false;
+        }
+        self.news.push(News::Retry { service: s.id });
+        true
+    }
+
+    pub(super) fn observed_overdue(&mut self, k: AttemptKey, now: Time) {
+        let Some(a) = self.attempts.get_mut(k) else { return };
+        if !std::mem::replace(&mut a.judged, true) {
+            let upstream = a.upstream;
+            self.saw(upstream, Observation::Overdue, now);
+        }
+    }
+
+    pub(super) fn observed_head(&mut self, k: AttemptKey, ok: bool, now: Time) {
+        let Some(a) = self.attempts.get_mut(k) else { return };
+        let (took, upstream) = (now.since(a.started), a.upstream);
+        let late = a.aim.is_some_and(|aim| took > aim.mul_f64(LATE_SHARE));
+        let judged = std::mem::replace(&mut a.judged, true);
+        if ok && let Some(s) = self.services.get_mut(a.service) {
+            s.spread.add(took);
+        }
+        match (ok, late) {
+            (false, _) => self.saw(upstream, Observation::Failure, now),
+            // An attempt that was overdue has said so already.
+            (true, true) if !judged => self.saw(upstream, Observation::Overdue, now),
+            (true, false) => self.saw(upstream, Observation::Success, now),
+            _ => {}
+        }
+    }
+
+    pub(super) fn observed_end(&mut self, k: AttemptKey, outcome: Outcome, now: Time) {
+        let Some(a) = self.attempts.remove(k) else { return };
+        self.opened(a.upstream, -1);
+        let what = match outcome {
+            Outcome::Whole | Outcome::Abandoned => return,
+            Outcome::NotRun => Observation::Shed,
+            Outcome::Failed | Outcome::Wrong => Observation::Failure,
+            Outcome::Refused => Observation::Refused,
+            Outcome::Unreachable => Observation::Unreachable,
+            Outcome::Late => Observation::Overdue,
+            Outcome::Misdirected => {
+                if let Some(u) = self.upstreams.get_mut(a.upstream) {
+                    u.closed = true;
+                }
+                return;
+            }
+        };
+        self.saw(a.upstream, what, now);
+    }
+
+    /// Takes what this box saw itself, and tells the others what they need.
+    fn saw(&mut self, k: UpstreamKey, what: Observation, now: Time) {
+        let Some(u) = self.upstreams.get_mut(k) else { return };
+        let doubted = u.shared.chance(now) > TELL_SUCCESS;
+        let tell = match what {
+            Observation::Success => doubted && now.since(u.told_success) > TELL_GAP,
+            _ => true,
+        };
+        match what {
+            Observation::Unreachable => u.path.observe(what, now),
+            Observation::Success => {
+                u.path.observe(what, now);
+                u.shared.observe(what, now);
+            }
+            _ => u.shared.observe(what, now),
+        }
+        if tell {
+            if what == Observation::Success {
+                u.told_success = now;
+            }
+            self.news.push(News::Seen { upstream: u.id, what });
+        }
+    }
+}
--- /dev/null
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -0,0 +1,99 @@
+//! What the serving path asks of a policy, whichever that is.
+
+use crate::router::{AttemptKey, Outcome, Pick, Refusal, Router, ServiceKey, UpstreamKey};
+use crate::time::Time;
+use std::fmt::Debug;
+use std::time::Duration;
+
+/// One request as a policy sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Service asked for.
+    pub service: ServiceKey,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether its answer is large.
+    pub bulky: bool,
+    /// Time within which an answer is wanted, if the route says.
+    pub aim: Option<Duration>,
+}
+
+/// Load that an upstream reported with an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadReport {
+    /// Requests running and waiting there.
+    pub busy: f64,
+    /// Requests it runs at one time.
+    pub slots: f64,
+}
+
+/// Where an upstream is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place<'a> {
+    /// Name, which no other instance ever had.
+    pub name: &'a str,
+    /// Address and port by IP number.
+    pub addr: &'a str,
+}
+
+/// A policy: chooses upstreams and learns from how attempts went.
+pub trait Chooser: Debug + Send {
+    /// Picks an upstream for one attempt and opens it; `tried` ones are left out.
+    ///
+    /// # Errors
+    /// A [`Refusal`] if there is none; nothing was sent then.
+    fn pick(&mut self, ask: &Ask, tried: &[UpstreamKey], now: Time) -> Result<Pick, Refusal>;
+    /// Returns where an upstream is, if it is still known.
+    fn place(&self, k: UpstreamKey) -> Option<Place<'_>>;
+    /// Returns the age at which an attempt is overdue.
+    fn overdue_after(&self, ask: &Ask) -> Duration;
+    /// Takes that an attempt is overdue.
+    fn overdue(&mut self, k: AttemptKey, now: Time);
+    /// Spends one send beyond the first of a request; tells whether there was one.
+    fn spend_retry(&mut self, k: ServiceKey, now: Time) -> bool;
+    /// Takes the head of an answer; `ok` is false for a failure answer.
+    fn answered(&mut self, k: AttemptKey, ok: bool, now: Time);
+    /// Takes the load that an upstream reported.
+    fn reported_load(&mut self, k: UpstreamKey, load: LoadReport, now: Time);
+    /// Takes an upstream's own word that it is leaving.
+    fn drained(&mut self, k: UpstreamKey, now: Time);
+    /// Closes an attempt.
+    fn finish(&mut self, k: AttemptKey, outcome: Outcome, now: Time);
+}
+
+impl Chooser for Router {
+    fn pick(&mut self, ask: &Ask, tried: &[UpstreamKey], now: Time) -> Result<Pick, Refusal> {
+        Self::pick(self, ask.service, ask.repeatable, tried, now)
+    }
+
+    fn place(&self, k: UpstreamKey) -> Option<Place<'_>> {
+        self.upstream(k).map(|(name, addr)| Place { name, addr })
+    }
+
+    fn overdue_after(&self, ask: &Ask) -> Duration {
+        self.stall_limit(ask.service)
+    }
+
+    // A router finds overdue attempts itself, in its tick.
+    fn overdue(&mut self, _: AttemptKey, _: Time) {}
+
+    fn spend_retry(&mut self, k: ServiceKey, _: Time) -> bool {
+        Self::spend_retry(self, k)
+    }
+
+    fn answered(&mut self, k: AttemptKey, ok: bool, now: Time) {
+        Self::answered(self, k, ok, now);
+    }
+
+    fn reported_load(&mut self, k: UpstreamKey, load: LoadReport, now: Time) {
+        Self::reported_load(self, k, load.busy / load.slots.max(1.0), now);
+    }
+
+    fn drained(&mut self, k: UpstreamKey, now: Time) {
+        Self::drained(self, k, now);
+    }
+
+    fn finish(&mut self, k: AttemptKey, outcome: Outcome, now: Time) {
+        Self::finish(self, k, outcome, now);
+    }
+}
--- a/crates/honeypulley_policy/src/lib.rs
+++ b/crates/honeypulley_policy/src/lib.rs
@@ -4,10 +4,15 @@
 //! seed and a list of events always give the same decisions. Nothing here does
 //! I/O, starts a thread or keeps global state.
 //!
-//! Read in this order: [`router`] (one box's choice of upstream), [`ledger`]
-//! (evidence against an upstream), [`collector`] (evidence of many boxes) and
-//! [`permits`] (the fleet-wide bound on ejections).
+//! Two ways to choose stand behind [`chooser::Chooser`]. The first is [`router`]
+//! (one box's choice), [`ledger`] (evidence against an upstream), [`collector`]
+//! (evidence of many boxes) and [`permits`] (the fleet-wide bound on ejections).
+//! The second, for services with few requests a box, is [`balance`] over
+//! [`belief`]: it ejects nothing and weighs the loss to expect of each upstream.
 
+pub mod balance;
+pub mod belief;
+pub mod chooser;
 pub mod collector;
 pub mod join;
 pub mod ledger;
@@ -16,6 +21,7 @@
 pub mod permits;
 pub mod placement;
 pub mod router;
+pub mod routes;
 pub mod spec;
 pub mod spread;
 pub mod time;
--- a/crates/honeypulley_policy/src/router.rs
+++ b/crates/honeypulley_policy/src/router.rs
@@ -41,6 +41,8 @@
     Canary,
     /// Every preferred upstream is full, so one that is avoided gets the work.
     LastResort,
+    /// The least loss is to be expected of it.
+    LeastLoss,
 }
 
 /// A picked upstream; give the attempt back with [`Router::finish`].
@@ -91,8 +93,14 @@
     Whole,
     /// The upstream refused before running it.
     NotRun,
-    /// Refused connection, reset, or a failure answer.
+    /// A reset or a failure answer.
     Failed,
+    /// The connection was refused; nothing was sent.
+    Refused,
+    /// No connection came up in time; nothing was sent.
+    Unreachable,
+    /// Another instance has the address and refused to run it.
+    Misdirected,
     /// Malformed, cut or mislabelled answer.
     Wrong,
     /// The deadline passed first.
--- a/crates/honeypulley_policy/src/router/evidence.rs
+++ b/crates/honeypulley_policy/src/router/evidence.rs
@@ -82,7 +82,9 @@
             Outcome::Whole | Outcome::Abandoned => {}
             // An upstream that sheds may be busy; if it alone sheds, it is sick.
             Outcome::NotRun => self.witness(k, Evidence::Slow, now),
-            Outcome::Failed => self.witness(k, Evidence::Failure, now),
+            Outcome::Failed | Outcome::Refused | Outcome::Unreachable | Outcome::Misdirected => {
+                self.witness(k, Evidence::Failure, now)
+            }
             Outcome::Late => self.witness(k, Evidence::Stall, now),
             Outcome::Wrong => {
                 if let Some(a) = self.attempts.get_mut(k) {
--- a/crates/honeypulley_proxy/src/answer.rs
+++ b/crates/honeypulley_proxy/src/answer.rs
@@ -1,5 +1,6 @@
 //! Answers of our own: refusals and failures, given at once.
 
+use crate::dialect::Dialect;
 use crate::headers;
 use honeypulley_policy::router::{Refusal, RefusalKind};
 use http::{HeaderValue, StatusCode, header};
@@ -55,20 +56,21 @@
     }
 
     /// Writes the answer out.
-    pub fn write(&self, res: &mut Response) {
+    pub fn write(&self, dialect: &Dialect, res: &mut Response) {
         res.status_code(self.status);
         let outcome = match self.ran {
             Ran::NotRun => "not-run",
             Ran::Unknown => "unknown",
         };
         let h = res.headers_mut();
-        h.insert(headers::OUTCOME, HeaderValue::from_static(outcome));
-        if self.ran == Ran::NotRun {
-            h.insert(headers::NOT_RUN, HeaderValue::from_static("1"));
+        if dialect.tells_outcome {
+            h.insert(headers::OUTCOME, HeaderValue::from_static(outcome));
+            if self.ran == Ran::NotRun {
+                h.insert(dialect.not_run.clone(), HeaderValue::from_static("1"));
+            }
         }
         if let Some(d) = self.retry_after {
-            h.insert(header::RETRY_AFTER, HeaderValue::from(d.as_millis().div_ceil(1_000) as u64));
-            h.insert(headers::RETRY_AFTER_MS, HeaderValue::from(d.as_millis() as u64));
+            dialect.set_retry_after(d, h);
         }
         h.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
         let text = format!("honeypulley: {} ({outcome})\n", self.why);
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -1,12 +1,18 @@
 //! One exchange with one upstream.
 
-use crate::headers;
-use crate::shared::Shared;
+use crate::dialect::Dialect;
+use crate::gate::Gate;
+use bytes::{Bytes, BytesMut};
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, UpstreamKey};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Longest answer that is taken whole before any of it is passed on, in bytes.
+///
+/// Above the longest download of the deployments' sheets, 540,000 bytes.
+const MAX_COLLECTED: usize = 1_024 * 1_024;
+
 /// What is sent, the same for each attempt.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
@@ -18,13 +24,16 @@
     pub headers: HeaderMap,
     /// Whether the caller asks to upgrade the connection.
     pub upgrade: bool,
+    /// Whether a short answer is taken whole before any of it is passed on.
+    pub collect: bool,
 }
 
 /// Closes an attempt with the policy when it is done with, whatever the way.
 #[derive(Debug)]
 pub struct AttemptGuard {
-    shared: Arc<Shared>,
-    key: AttemptKey,
+    gate: Arc<Gate>,
+    /// The attempt with the policy.
+    pub key: AttemptKey,
     /// The upstream asked.
     pub upstream: UpstreamKey,
     outcome: Outcome,
@@ -33,9 +42,9 @@
 impl AttemptGuard {
     /// Guards an attempt that was just opened.
     #[must_use]
-    pub fn new(shared: &Arc<Shared>, pick: Pick) -> Self {
+    pub fn new(gate: &Arc<Gate>, pick: Pick) -> Self {
         let (key, upstream) = (pick.attempt, pick.upstream);
-        Self { shared: Arc::clone(shared), key, upstream, outcome: Outcome::Abandoned }
+        Self { gate: Arc::clone(gate), key, upstream, outcome: Outcome::Abandoned }
     }
 
     /// Says how the attempt ended; the guard's drop tells the policy.
@@ -46,15 +55,20 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        let now = self.shared.now();
-        self.shared.router.lock().finish(self.key, self.outcome, now);
+        let now = self.gate.now();
+        self.gate.chooser.lock().finish(self.key, self.outcome, now);
     }
 }
 
 /// How an attempt failed, as far as repeating it goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
-    /// Proven not to have been run; when the upstream said to come back.
+    /// Nothing was sent, since no connection came up.
+    NotSent {
+        /// What happened.
+        why: String,
+    },
+    /// The upstream proved that it did not run it.
     NotRun {
         /// What happened.
         why: String,
@@ -68,104 +82,184 @@
     },
 }
 
+/// Body of an answer that is fit to pass on.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// Still coming.
+    Open(reqwest::Response),
+    /// Taken whole.
+    Whole(Bytes),
+    /// Longer than what is taken whole: its beginning, and the rest.
+    Begun(Bytes, reqwest::Response),
+}
+
+/// Head of an answer.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+}
+
 /// An answer whose head is fit to pass on.
 #[derive(Debug)]
 pub struct Answer {
-    /// The answer.
-    pub response: reqwest::Response,
+    /// Head.
+    pub head: AnswerHead,
+    /// Body.
+    pub body: AnswerBody,
     /// Guard of the attempt, to be held until the body has passed.
     pub guard: AttemptGuard,
 }
 
+/// Where one attempt goes.
+#[derive(Clone, Debug)]
+pub struct Destination {
+    /// Name of the upstream, which no other instance ever had.
+    pub name: String,
+    /// Its address.
+    pub addr: String,
+}
+
 /// Sends one attempt and judges the head of its answer.
 ///
 /// # Errors
 /// Returns a [`Failure`], already told to the policy.
 pub async fn send(
-    shared: Arc<Shared>,
+    gate: Arc<Gate>,
     mut guard: AttemptGuard,
-    addr: String,
+    to: Destination,
     out: Arc<Outgoing>,
     body: reqwest::Body,
-    left: Duration,
+    left: Option<Duration>,
 ) -> Result<Answer, (UpstreamKey, Failure)> {
     let upstream = guard.upstream;
-    let number = format!("{:016x}", fastrand::u64(..));
-    let request = build(&shared, &addr, &out, body, left, &number);
+    let id = attempt_id(&gate.dialect, &out);
+    let request = build(&gate, &to, &out, body, left, id.as_ref());
     let response = match request.send().await {
         Ok(r) => r,
         Err(e) => {
-            guard.ended(Outcome::Failed);
-            return Err((upstream, failed(&e)));
+            let (outcome, failure) = failed(&e);
+            guard.ended(outcome);
+            return Err((upstream, failure));
         }
     };
-    match judge(&shared, &mut guard, &out, &response, &number) {
-        None => Ok(Answer { response, guard }),
-        Some(f) => Err((upstream, f)),
+    if let Err(f) = judge(&gate, &mut guard, &out, &response, id.as_ref()) {
+        return Err((upstream, f));
+    }
+    let head = AnswerHead { status: response.status(), headers: response.headers().clone() };
+    let body = if out.collect { collect(response).await } else { Ok(AnswerBody::Open(response)) };
+    match body {
+        Ok(body) => {
+            if matches!(body, AnswerBody::Whole(_)) {
+                guard.ended(Outcome::Whole);
+            }
+            Ok(Answer { head, body, guard })
+        }
+        Err(why) => {
+            guard.ended(Outcome::Wrong);
+            Err((upstream, Failure::Unknown { why: format!("the answer was cut: {why}") }))
+        }
+    }
+}
+
+/// Returns the identity of an attempt: the caller's, or one of our own.
+fn attempt_id(dialect: &Dialect, out: &Outgoing) -> Option<HeaderValue> {
+    if dialect.caller_attempt {
+        return out.headers.get(&dialect.attempt).cloned();
     }
+    let number = format!("{:016x}", fastrand::u64(..));
+    Some(HeaderValue::from_str(&number).expect("hexadecimal fits a header"))
 }
 
 fn build(
-    shared: &Shared,
-    addr: &str,
+    gate: &Gate,
+    to: &Destination,
     out: &Outgoing,
     body: reqwest::Body,
-    left: Duration,
-    number: &str,
+    left: Option<Duration>,
+    id: Option<&HeaderValue>,
 ) -> reqwest::RequestBuilder {
-    let url = format!("http://{addr}{}", out.path);
+    let url = format!("http://{}{}", to.addr, out.path);
     let mut h = out.headers.clone();
-    h.insert(headers::ATTEMPT, HeaderValue::from_str(number).expect("hexadecimal fits a header"));
-    h.insert(headers::DEADLINE, HeaderValue::from(left.as_millis() as u64));
-    shared.client.request(out.method.clone(), url).headers(h).body(body)
+    if let Some(id) = id {
+        h.insert(gate.dialect.attempt.clone(), id.clone());
+    }
+    if let Some(left) = left {
+        h.insert(gate.dialect.deadline.clone(), HeaderValue::from(left.as_millis() as u64));
+    }
+    if let Some(expect) = &gate.dialect.expect
+        && let Ok(name) = HeaderValue::from_str(&to.name)
+    {
+        h.insert(expect.clone(), name);
+    }
+    gate.client.request(out.method.clone(), url).headers(h).body(body)
 }
 
-fn failed(e: &reqwest::Error) -> Failure {
+fn failed(e: &reqwest::Error) -> (Outcome, Failure) {
     let why = innermost(e);
     // Only a connection that was never made proves that nothing was run.
     if e.is_connect() {
-        return Failure::NotRun { why: format!("connect: {why}"), retry_after: None };
+        let refused = io_kind(e) == Some(std::io::ErrorKind::ConnectionRefused);
+        let outcome = if refused { Outcome::Refused } else { Outcome::Unreachable };
+        return (outcome, Failure::NotSent { why: format!("connect: {why}") });
     }
-    Failure::Unknown { why: format!("exchange: {why}") }
+    (Outcome::Failed, Failure::Unknown { why: format!("exchange: {why}") })
 }
 
-/// Judges the head of an answer; `None` if it is fit to pass on.
+/// Judges the head of an answer.
 fn judge(
-    shared: &Shared,
+    gate: &Gate,
     guard: &mut AttemptGuard,
     out: &Outgoing,
     r: &reqwest::Response,
-    number: &str,
-) -> Option<Failure> {
-    let (now, h) = (shared.now(), r.headers());
-    let mut router = shared.router.lock();
-    if h.contains_key(headers::DRAIN) {
-        router.drained(guard.upstream, now);
+    id: Option<&HeaderValue>,
+) -> Result<(), Failure> {
+    let (now, h, d) = (gate.now(), r.headers(), &gate.dialect);
+    let mut policy = gate.chooser.lock();
+    if h.contains_key(&d.drain) {
+        policy.drained(guard.upstream, now);
     }
-    if let Some(load) = headers::number::<f64>(h, &headers::LOAD).filter(|l| l.is_finite()) {
-        router.reported_load(guard.upstream, load, now);
+    if let Some(load) = d.load(h) {
+        policy.reported_load(guard.upstream, load, now);
     }
-    if headers::text(h, &headers::ATTEMPT).is_some_and(|echo| echo != number) {
+    if h.get(&d.attempt).is_some_and(|echo| Some(echo) != id) {
         guard.ended(Outcome::Wrong);
-        return Some(Failure::Unknown { why: "the answer belongs to another request".to_owned() });
-    }
-    if r.status() == StatusCode::SERVICE_UNAVAILABLE && h.contains_key(headers::NOT_RUN) {
-        guard.ended(Outcome::NotRun);
-        let ms = headers::number(h, &headers::RETRY_AFTER_MS).map(Duration::from_millis);
-        let secs = headers::number(h, &header::RETRY_AFTER).map(Duration::from_secs);
-        return Some(Failure::NotRun {
-            why: "the upstream sheds load".to_owned(),
-            retry_after: ms.or(secs),
-        });
+        return Err(Failure::Unknown { why: "the answer belongs to another request".to_owned() });
+    }
+    if d.is_not_run(r.status(), h) {
+        let moved = d.is_misdirected(r.status());
+        guard.ended(if moved { Outcome::Misdirected } else { Outcome::NotRun });
+        let why =
+            if moved { "another instance has the address" } else { "the upstream sheds load" };
+        return Err(Failure::NotRun { why: why.to_owned(), retry_after: d.retry_after(h) });
     }
-    if !out.upgrade && !is_bounded(r, &out.method) {
+    if !out.upgrade && !d.unbounded && !is_bounded(r, &out.method) {
         guard.ended(Outcome::Wrong);
-        return Some(Failure::Unknown {
+        return Err(Failure::Unknown {
             why: "the answer has no length, so a cut could not be told".to_owned(),
         });
     }
-    router.answered(guard.key, !r.status().is_server_error(), now);
-    None
+    let unproven = d.proof.as_ref().is_some_and(|p| !h.contains_key(p));
+    if r.status().is_success() && unproven {
+        guard.ended(Outcome::Wrong);
+        return Err(Failure::Unknown { why: "the answer lacks its proof".to_owned() });
+    }
+    policy.answered(guard.key, !r.status().is_server_error(), now);
+    Ok(())
+}
+
+/// Takes a body whole, or its beginning if it is long.
+async fn collect(mut r: reqwest::Response) -> Result<AnswerBody, String> {
+    let mut taken = BytesMut::new();
+    while let Some(chunk) = r.chunk().await.map_err(|e| innermost(&e))? {
+        taken.extend_from_slice(&chunk);
+        if taken.len() > MAX_COLLECTED {
+            return Ok(AnswerBody::Begun(taken.freeze(), r));
+        }
+    }
+    Ok(AnswerBody::Whole(taken.freeze()))
 }
 
 /// Tells whether the end of an answer can be told from a cut.
@@ -188,3 +282,15 @@
     }
     e.to_string()
 }
+
+/// Returns the kind of the system's error behind an HTTP error.
+fn io_kind(e: &reqwest::Error) -> Option<std::io::ErrorKind> {
+    let mut at: Option<&dyn std::error::Error> = Some(e);
+    while let Some(e) = at {
+        if let Some(io) = e.downcast_ref::<std::io::Error>() {
+            return Some(io.kind());
+        }
+        at = e.source();
+    }
+    None
+}
--- a/crates/honeypulley_proxy/src/body.rs
+++ b/crates/honeypulley_proxy/src/body.rs
@@ -1,7 +1,7 @@
 //! Bodies on their way through.
 
 use crate::attempt::AttemptGuard;
-use crate::shared::OpenGuard;
+use crate::gate::OpenGuard;
 use bytes::Bytes;
 use honeypulley_policy::router::Outcome;
 use http_body::{Body, Frame, SizeHint};
@@ -57,6 +57,8 @@
 /// An answer's body that tells the policy how it ended.
 #[derive(Debug)]
 pub struct Watched {
+    /// What was taken already, to be passed on first.
+    begun: Option<Bytes>,
     inner: reqwest::Body,
     guard: Option<AttemptGuard>,
     _open: OpenGuard,
@@ -65,8 +67,13 @@
 impl Watched {
     /// Watches a body until it ends.
     #[must_use]
-    pub const fn new(inner: reqwest::Body, guard: AttemptGuard, open: OpenGuard) -> Self {
-        Self { inner, guard: Some(guard), _open: open }
+    pub const fn new(
+        begun: Option<Bytes>,
+        inner: reqwest::Body,
+        guard: AttemptGuard,
+        open: OpenGuard,
+    ) -> Self {
+        Self { begun, inner, guard: Some(guard), _open: open }
     }
 
     fn end(&mut self, outcome: Outcome) {
@@ -84,6 +91,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        if let Some(begun) = self.begun.take() {
+            return Poll::Ready(Some(Ok(Frame::data(begun))));
+        }
         let polled = Pin::new(&mut self.inner).poll_frame(cx);
         match &polled {
             // An error passes on, so that a cut reaches the caller as a cut.
@@ -96,10 +106,10 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+        self.begun.is_none() && self.inner.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+        if self.begun.is_some() { SizeHint::default() } else { self.inner.size_hint() }
     }
 }
--- /dev/null
+++ b/crates/honeypulley_proxy/src/dialect.rs
@@ -0,0 +1,138 @@
+//! Names and forms of the headers that callers and upstreams speak.
+//!
+//! The product has its own; a platform with others gives them by the builder.
+
+use crate::headers;
+use honeypulley_policy::chooser::LoadReport;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use std::time::Duration;
+
+/// Form of a load report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LoadForm {
+    /// Busy slots over all slots, as a decimal.
+    #[default]
+    Share,
+    /// Running, waiting and slots, with commas between.
+    Counts,
+}
+
+/// Form of the time after which a caller may come back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RetryForm {
+    /// Whole seconds, with milliseconds in a header beside it.
+    #[default]
+    WholeSeconds,
+    /// Seconds with a fraction.
+    Fraction,
+}
+
+/// Header names and forms.
+#[derive(Clone, Debug, bon::Builder)]
+pub struct Dialect {
+    /// Identity of a request, as its caller gives it.
+    #[builder(default = headers::REQUEST_ID)]
+    pub request: HeaderName,
+    /// Identity of an attempt, which an upstream's answer repeats.
+    #[builder(default = headers::ATTEMPT)]
+    pub attempt: HeaderName,
+    /// Whether the caller's own value is the attempt's identity.
+    #[builder(default)]
+    pub caller_attempt: bool,
+    /// Milliseconds left.
+    #[builder(default = headers::DEADLINE)]
+    pub deadline: HeaderName,
+    /// On an answer: the request was not run.
+    #[builder(default = headers::NOT_RUN)]
+    pub not_run: HeaderName,
+    /// On an upstream's answer: its load.
+    #[builder(default = headers::LOAD)]
+    pub load: HeaderName,
+    /// Form of the load.
+    #[builder(default)]
+    pub load_form: LoadForm,
+    /// On an upstream's answer: it is leaving.
+    #[builder(default = headers::DRAIN)]
+    pub drain: HeaderName,
+    /// On a request: the only instance that may run it, if the dialect knows that.
+    pub expect: Option<HeaderName>,
+    /// On an upstream's success: must be there.
+    pub proof: Option<HeaderName>,
+    /// Who asks, for limits.
+    #[builder(default = headers::CALLER)]
+    pub caller: HeaderName,
+    /// Form of the time to come back.
+    #[builder(default)]
+    pub retry_form: RetryForm,
+    /// Whether own answers say what is known of the request's run.
+    #[builder(default = true)]
+    pub tells_outcome: bool,
+    /// Whether the load and identity headers of upstreams reach the caller.
+    #[builder(default)]
+    pub keeps_headers: bool,
+    /// Whether an answer without a length may be passed on.
+    #[builder(default)]
+    pub unbounded: bool,
+}
+
+impl Default for Dialect {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
+
+impl Dialect {
+    /// Reads an upstream's load report.
+    #[must_use]
+    pub fn load(&self, h: &HeaderMap) -> Option<LoadReport> {
+        match self.load_form {
+            LoadForm::Share => {
+                let busy = headers::number::<f64>(h, &self.load).filter(|l| l.is_finite())?;
+                Some(LoadReport { busy, slots: 1.0 })
+            }
+            LoadForm::Counts => {
+                let text = headers::text(h, &self.load)?;
+                let mut parts = text.split(',').map(|p| p.trim().parse::<f64>().ok());
+                let (running, waiting, slots) = (parts.next()??, parts.next()??, parts.next()??);
+                let report = LoadReport { busy: running + waiting, slots };
+                (report.busy.is_finite() && slots.is_finite()).then_some(report)
+            }
+        }
+    }
+
+    /// Tells whether an answer proves that the request did not run.
+    #[must_use]
+    pub fn is_not_run(&self, status: StatusCode, h: &HeaderMap) -> bool {
+        h.contains_key(&self.not_run) || self.is_misdirected(status)
+    }
+
+    /// Tells whether another instance than the expected one has the address.
+    #[must_use]
+    pub fn is_misdirected(&self, status: StatusCode) -> bool {
+        self.expect.is_some() && status == StatusCode::MISDIRECTED_REQUEST
+    }
+
+    /// Reads when an upstream said to come back.
+    #[must_use]
+    pub fn retry_after(&self, h: &HeaderMap) -> Option<Duration> {
+        let ms = headers::number(h, &headers::RETRY_AFTER_MS).map(Duration::from_millis);
+        let secs = headers::number::<f64>(h, &header::RETRY_AFTER);
+        ms.or_else(|| secs.and_then(|s| Duration::try_from_secs_f64(s).ok()))
+    }
+
+    /// Writes when a caller may come back.
+    pub fn set_retry_after(&self, d: Duration, h: &mut HeaderMap) {
+        match self.retry_form {
+            RetryForm::WholeSeconds => {
+                let secs = d.as_millis().div_ceil(1_000) as u64;
+                h.insert(header::RETRY_AFTER, HeaderValue::from(secs));
+                h.insert(headers::RETRY_AFTER_MS, HeaderValue::from(d.as_millis() as u64));
+            }
+            RetryForm::Fraction => {
+                let text = format!("{:.3}", d.as_secs_f64());
+                let value = HeaderValue::from_str(&text).expect("digits fit a header");
+                h.insert(header::RETRY_AFTER, value);
+            }
+        }
+    }
+}
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -1,16 +1,15 @@
 //! Takes a caller's request: checks, routes, limits, runs and passes back.
 
 use crate::answer::OwnAnswer;
-use crate::attempt::{Answer, Outgoing};
+use crate::attempt::{Answer, AnswerBody, Outgoing};
 use crate::body::{Source, Watched};
+use crate::gate::{Gate, OpenGuard, Wanted};
 use crate::headers;
 use crate::race::Race;
-use crate::shared::{OpenGuard, Shared};
 use crate::upgrade;
 use async_trait::async_trait;
-use honeypulley_bundle::keeper::InForce;
-use honeypulley_policy::router::{Refusal, RefusalKind, ServiceKey};
-use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
+use http::{HeaderValue, Method, StatusCode, Version, header};
+use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::upgrade::OnUpgrade;
 use salvo::http::ResBody;
@@ -26,133 +25,162 @@
 /// The handler of every caller's request.
 #[derive(Clone, Debug)]
 pub struct ProxyHandler {
-    shared: Arc<Shared>,
-}
-
-/// Where a request goes.
-struct Routed {
-    service: ServiceKey,
-    name: String,
-    repeatable: bool,
-    deadline: Duration,
+    gate: Arc<Gate>,
 }
 
 impl ProxyHandler {
-    /// Builds the handler over the serving thread's state.
+    /// Builds the handler over the serving path's state.
     #[must_use]
-    pub const fn new(shared: Arc<Shared>) -> Self {
-        Self { shared }
+    pub const fn new(gate: Arc<Gate>) -> Self {
+        Self { gate }
     }
 
     async fn run(&self, req: &mut Request, res: &mut Response) -> Result<(), OwnAnswer> {
-        let open = OpenGuard::new(&self.shared);
+        let open = OpenGuard::new(&self.gate);
         let began = Instant::now();
-        let id = request_id(req);
+        let dialect = &self.gate.dialect;
+        let id = self.request_id(req);
         check_framing(req)?;
-        let routed = self.route(req)?;
-        let switch = req.extensions_mut().remove::<OnUpgrade>();
-        let out = outgoing(req, &id);
-        let source = Source::read(req.take_body());
-        let source = match tokio::time::timeout(BODY_TIME, source).await {
-            Ok(Ok(s)) => s,
-            Ok(Err(e)) => return Err(bad_request(&e)),
-            Err(_) => {
-                return Err(OwnAnswer::not_run(
-                    StatusCode::REQUEST_TIMEOUT,
-                    None,
-                    "the body came too slowly".to_owned(),
-                ));
-            }
+        let host = host_of(req)?;
+        let wanted = Wanted {
+            host: &host,
+            path: req.uri().path(),
+            method: req.method(),
+            headers: req.headers(),
         };
+        let mut routed = self.gate.routes.route(&wanted, self.gate.now())?;
+        let asked = headers::number(req.headers(), &dialect.deadline).map(Duration::from_millis);
+        let most = [asked, routed.timeout].into_iter().flatten().min();
+        let deadline = most.map(|d| began + d);
+        let switch = req.extensions_mut().remove::<OnUpgrade>();
+        let mut out = self.outgoing(req, &id);
+        out.collect = routed.collect && !out.upgrade;
+        routed.ask.repeatable &= !out.upgrade;
+        let source = take_body(req, routed.body_bytes).await?;
         let race = Race {
-            shared: Arc::clone(&self.shared),
-            service: routed.service,
-            name: routed.name.clone(),
+            gate: Arc::clone(&self.gate),
+            routed,
             id: id.clone(),
-            repeatable: routed.repeatable && !out.upgrade,
             out: Arc::new(out),
             source,
-            deadline: began + routed.deadline,
+            deadline,
         };
         let answer = race.run().await?;
-        self.shared.time("requests.head_ms", began.elapsed());
+        self.gate.time("requests.head_ms", began.elapsed());
         match switch {
-            Some(caller) if answer.response.status() == StatusCode::SWITCHING_PROTOCOLS => {
-                upgrade::carry(&self.shared, caller, answer, id, res);
+            Some(caller) if answer.head.status == StatusCode::SWITCHING_PROTOCOLS => {
+                upgrade::carry(&self.gate, caller, answer, id, res);
             }
-            _ => pass(answer, open, res),
+            _ => self.pass(answer, open, res),
         }
         Ok(())
     }
 
-    /// Finds the service and takes what the limits allow.
-    fn route(&self, req: &Request) -> Result<Routed, OwnAnswer> {
-        let in_force = self.shared.in_force.load_full();
-        let Some(f) = in_force else {
-            let why = "no bundle is in force on this box yet".to_owned();
-            return Err(OwnAnswer::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                Some(Duration::from_secs(1)),
-                why,
-            ));
-        };
-        let host = host_of(req);
-        let Some(name) = f.bundle.route(&host, req.uri().path()) else {
-            let why = format!("no route for {host}{}", req.uri().path());
-            log::info!(host = host.as_str(), bundle = f.head.version.0; "route: refused, no route");
-            return Err(OwnAnswer::not_run(StatusCode::NOT_FOUND, None, why));
-        };
-        self.limit_caller(req.headers(), &f)?;
-        let mut router = self.shared.router.lock();
-        let now = self.shared.now();
-        let Some(service) = router.service(name) else {
-            let why = format!("service {name} is not set up on this box yet");
-            return Err(OwnAnswer::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                Some(Duration::from_secs(1)),
-                why,
-            ));
-        };
-        if let Err(r) = router.admit(service, now) {
-            log::info!(service = name, bundle = f.head.version.0; "route: refused, {}", r.kind);
-            return Err(OwnAnswer::refusal(r));
+    /// Returns the caller's id of a request, or one of our own for the logs.
+    fn request_id(&self, req: &Request) -> String {
+        let named = headers::text(req.headers(), &self.gate.dialect.request);
+        let given = named.filter(|t| t.len() <= 128);
+        given.map_or_else(|| format!("{:016x}", fastrand::u64(..)), str::to_owned)
+    }
+
+    /// Builds what is sent on from what came in.
+    fn outgoing(&self, req: &Request, id: &str) -> Outgoing {
+        let dialect = &self.gate.dialect;
+        let mut h = req.headers().clone();
+        let upgrade = h.get(header::UPGRADE).cloned();
+        headers::strip_hop_by_hop(&mut h);
+        h.remove(header::CONTENT_LENGTH);
+        h.remove(header::EXPECT);
+        if !dialect.caller_attempt {
+            h.remove(&dialect.attempt);
+            if let Ok(v) = HeaderValue::from_str(id) {
+                h.insert(dialect.request.clone(), v);
+            }
+        }
+        if let Some(expect) = &dialect.expect {
+            h.remove(expect);
+        }
+        if let Some(authority) = req.uri().authority()
+            && (line_rules(req) || !h.contains_key(header::HOST))
+            && let Ok(host) = authority.as_str().parse()
+        {
+            h.insert(header::HOST, host);
+        }
+        let is_upgrade = upgrade.is_some() && req.version() == Version::HTTP_11;
+        if let (true, Some(protocol)) = (is_upgrade, upgrade) {
+            h.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
+            h.insert(header::UPGRADE, protocol);
+        }
+        let path = req.uri().path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
+        Outgoing {
+            method: req.method().clone(),
+            path: path.to_owned(),
+            headers: h,
+            upgrade: is_upgrade,
+            collect: false,
         }
-        let spec = router.spec(service).expect("found above");
-        let asked = headers::number(req.headers(), &headers::DEADLINE).map(Duration::from_millis);
-        let deadline = asked.map_or(spec.deadline, |d| d.min(spec.deadline));
-        let repeatable = spec.repeat.allows(is_safe(req.method()));
-        Ok(Routed { service, name: name.to_owned(), repeatable, deadline })
     }
 
-    fn limit_caller(&self, h: &HeaderMap, f: &InForce) -> Result<(), OwnAnswer> {
-        let Some(caller) = headers::text(h, &headers::CALLER) else { return Ok(()) };
-        let Some(rate) = f.bundle.caller_rate(caller) else { return Ok(()) };
-        let share = rate / self.shared.boxes.load(Ordering::Relaxed) as f64;
-        let taken = self.shared.callers.lock().take(caller, share, self.shared.now());
-        taken.map_err(|wait| {
-            log::info!(caller = caller, bundle = f.head.version.0; "route: refused, the caller's rate is used up");
-            let retry_after = wait.mul_f64(1.0 + fastrand::f64() / 2.0);
-            OwnAnswer::refusal(Refusal { kind: RefusalKind::CallerRate, retry_after })
-        })
+    /// Passes an upstream's answer back, body and all.
+    fn pass(&self, answer: Answer, open: OpenGuard, res: &mut Response) {
+        let Answer { head, body, guard } = answer;
+        let dialect = &self.gate.dialect;
+        let mut h = head.headers;
+        headers::strip_hop_by_hop(&mut h);
+        h.remove(&dialect.drain);
+        if !dialect.keeps_headers {
+            h.remove(&dialect.attempt);
+            h.remove(&dialect.load);
+        }
+        res.status_code(head.status);
+        *res.headers_mut() = h;
+        let (begun, rest) = match body {
+            AnswerBody::Whole(all) => {
+                res.replace_body(ResBody::Once(all));
+                return;
+            }
+            AnswerBody::Open(rest) => (None, rest),
+            AnswerBody::Begun(begun, rest) => (Some(begun), rest),
+        };
+        let rest: http::Response<reqwest::Body> = rest.into();
+        let body = Watched::new(begun, rest.into_body(), guard, open);
+        res.replace_body(ResBody::Boxed(Box::pin(body.map_err(salvo::BoxedError::from))));
     }
 }
 
 #[async_trait]
 impl Handler for ProxyHandler {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        self.shared.count("requests");
+        self.gate.count("requests");
         if let Err(own) = self.run(req, res).await {
-            self.shared.count("requests.refused");
-            own.write(res);
+            self.gate.count("requests.refused");
+            own.write(&self.gate.dialect, res);
         }
         let switched = res.status_code == Some(StatusCode::SWITCHING_PROTOCOLS);
-        let leaving = self.shared.leaving.load(Ordering::Relaxed);
+        let leaving = self.gate.leaving.load(Ordering::Relaxed);
         if leaving && !switched && req.version() <= Version::HTTP_11 {
             res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
     }
 }
 
+/// Takes a caller's body, whole if it is small.
+async fn take_body(req: &mut Request, most: u64) -> Result<Source, OwnAnswer> {
+    let body = req.take_body();
+    if body.size_hint().lower() > most {
+        let why = format!("the body is longer than {most} bytes");
+        return Err(OwnAnswer::not_run(StatusCode::PAYLOAD_TOO_LARGE, None, why));
+    }
+    match tokio::time::timeout(BODY_TIME, Source::read(body)).await {
+        Ok(Ok(s)) => Ok(s),
+        Ok(Err(e)) => Err(bad_request(&e)),
+        Err(_) => {
+            let why = "the body came too slowly".to_owned();
+            Err(OwnAnswer::not_run(StatusCode::REQUEST_TIMEOUT, None, why))
+        }
+    }
+}
+
 /// Refuses what two readers could frame differently (RFC 9112 section 6.3).
 fn check_framing(req: &Request) -> Result<(), OwnAnswer> {
     let h = req.headers();
@@ -174,65 +202,21 @@
     OwnAnswer::not_run(StatusCode::BAD_REQUEST, None, why.to_owned())
 }
 
-fn request_id(req: &Request) -> String {
-    let given = headers::text(req.headers(), &headers::REQUEST_ID).filter(|t| t.len() <= 128);
-    given.map_or_else(|| format!("{:016x}", fastrand::u64(..)), str::to_owned)
-}
-
 /// Returns the host without its port, in lower case.
-fn host_of(req: &Request) -> String {
+///
+/// In HTTP/1 the request line goes before the header (RFC 9112 section 3.2.2).
+/// HTTP/2 names an authority with every request; a host beside it is the caller's
+/// express wish.
+fn host_of(req: &Request) -> Result<String, OwnAnswer> {
     let named = headers::text(req.headers(), &header::HOST);
-    let host = named.or_else(|| req.uri().host()).unwrap_or_default();
+    let line = req.uri().host();
+    let host = if line_rules(req) { line.or(named) } else { named.or(line) };
+    let host = host.ok_or_else(|| bad_request("no host is named"))?;
     let bare = if host.starts_with('[') { host } else { host.split(':').next().unwrap_or(host) };
-    bare.to_ascii_lowercase()
+    Ok(bare.to_ascii_lowercase())
 }
 
-const fn is_safe(m: &Method) -> bool {
-    matches!(*m, Method::GET | Method::HEAD | Method::OPTIONS)
-}
-
-/// Builds what is sent on from what came in.
-fn outgoing(req: &Request, id: &str) -> Outgoing {
-    let mut h = req.headers().clone();
-    let upgrade = h.get(header::UPGRADE).cloned();
-    headers::strip_hop_by_hop(&mut h);
-    h.remove(header::CONTENT_LENGTH);
-    h.remove(header::EXPECT);
-    h.remove(headers::ATTEMPT);
-    if !h.contains_key(header::HOST)
-        && let Some(host) = req.uri().authority().and_then(|a| a.as_str().parse().ok())
-    {
-        h.insert(header::HOST, host);
-    }
-    if let Ok(v) = HeaderValue::from_str(id) {
-        h.insert(headers::REQUEST_ID, v);
-    }
-    let is_upgrade = upgrade.is_some() && req.version() == Version::HTTP_11;
-    if let (true, Some(protocol)) = (is_upgrade, upgrade) {
-        h.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
-        h.insert(header::UPGRADE, protocol);
-    }
-    let path = req.uri().path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
-    Outgoing {
-        method: req.method().clone(),
-        path: path.to_owned(),
-        headers: h,
-        upgrade: is_upgrade,
-    }
-}
-
-/// Passes an upstream's answer back, body and all.
-fn pass(answer: Answer, open: OpenGuard, res: &mut Response) {
-    let Answer { response, guard } = answer;
-    let response: http::Response<reqwest::Body> = response.into();
-    let (parts, body) = response.into_parts();
-    let mut h = parts.headers;
-    headers::strip_hop_by_hop(&mut h);
-    for own in [headers::ATTEMPT, headers::LOAD, headers::DRAIN] {
-        h.remove(own);
-    }
-    res.status_code(parts.status);
-    *res.headers_mut() = h;
-    let body = Watched::new(body, guard, open).map_err(salvo::BoxedError::from);
-    res.replace_body(ResBody::Boxed(Box::pin(body)));
+/// Tells whether a host in the request line goes before the header.
+fn line_rules(req: &Request) -> bool {
+    req.version() <= Version::HTTP_11
 }
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -1,41 +1,39 @@
 //! The attempts of one request: first, retry, hedge, and the deadline over all.
 
 use crate::answer::OwnAnswer;
-use crate::attempt::{Answer, AttemptGuard, Failure, Outgoing, send};
+use crate::attempt::{Answer, AttemptGuard, Destination, Failure, Outgoing, send};
 use crate::body::Source;
-use crate::shared::Shared;
+use crate::gate::{Gate, Routed};
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
-use honeypulley_policy::router::{Refusal, ServiceKey, UpstreamKey};
+use honeypulley_policy::router::{AttemptKey, Refusal, UpstreamKey};
 use http::StatusCode;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Most attempts for one request.
-const MAX_ATTEMPTS: usize = 3;
+/// Most sends of one request beyond those that may have run.
+const MAX_UNRUN: usize = 3;
 /// When to come back after an outcome that isn't known.
 const UNKNOWN_WAIT: Duration = Duration::from_secs(1);
+/// When to come back after every upstream tried was proven not to have run it.
+const UNRUN_WAIT: Duration = Duration::from_millis(250);
 
 /// One request on its way.
 #[derive(Debug)]
 pub struct Race {
-    /// State of the serving thread.
-    pub shared: Arc<Shared>,
-    /// Service asked for.
-    pub service: ServiceKey,
-    /// Its name, for logs.
-    pub name: String,
+    /// State of the serving path.
+    pub gate: Arc<Gate>,
+    /// Where it goes and how it may be treated.
+    pub routed: Routed,
     /// The request's id, for logs.
     pub id: String,
     /// What is sent.
     pub out: Arc<Outgoing>,
     /// Body.
     pub source: Source,
-    /// Whether it may be sent more than once.
-    pub repeatable: bool,
-    /// When it must be answered.
-    pub deadline: Instant,
+    /// When it must be answered, if route or caller say.
+    pub deadline: Option<Instant>,
 }
 
 type Running = FuturesUnordered<BoxFuture<'static, Result<Answer, (UpstreamKey, Failure)>>>;
@@ -44,11 +42,21 @@
 #[derive(Debug, Default)]
 struct Tally {
     tried: Vec<UpstreamKey>,
+    /// Sends that were proven not to have run.
+    unrun: usize,
+    newest: Option<AttemptKey>,
     unknown: Option<String>,
     last: String,
     retry_after: Option<Duration>,
 }
 
+impl Tally {
+    /// Returns how many upstreams may have run the request.
+    const fn ran(&self) -> usize {
+        self.tried.len() - self.unrun
+    }
+}
+
 impl Race {
     /// Runs attempts until one answers, none is left, or the deadline passes.
     ///
@@ -57,21 +65,22 @@
     pub async fn run(mut self) -> Result<Answer, OwnAnswer> {
         let (mut running, mut tally) = (Running::new(), Tally::default());
         self.start(&mut running, &mut tally, "first").map_err(OwnAnswer::refusal)?;
-        let mut hedge_at = Instant::now() + self.shared.router.lock().stall_limit(self.service);
+        let overdue = self.gate.chooser.lock().overdue_after(&self.routed.ask);
+        let mut overdue_at = Some(Instant::now() + overdue);
         loop {
-            let may_hedge = self.repeatable && tally.tried.len() < MAX_ATTEMPTS;
             let ended = tokio::select! {
                 biased;
                 Some(ended) = running.next() => ended,
-                () = tokio::time::sleep_until(self.deadline) => return Err(self.late(&tally)),
-                () = tokio::time::sleep_until(hedge_at), if may_hedge => {
+                () = at(self.deadline) => return Err(self.late(&tally)),
+                () = at(overdue_at) => {
+                    overdue_at = None;
                     self.hedge(&mut running, &mut tally);
-                    hedge_at = self.deadline;
                     continue;
                 }
             };
             let (upstream, failure) = match ended {
                 Ok(answer) if self.should_retry(&answer, &tally) => {
+                    self.log_failure_answer(&answer);
                     // The upstream's own failure answer; it is passed on if no
                     // other attempt can be made.
                     if self.start(&mut running, &mut tally, "retry").is_err() {
@@ -101,40 +110,45 @@
         tally: &mut Tally,
         kind: &str,
     ) -> Result<(), Refusal> {
-        let bundle = self.shared.version().0;
-        let mut router = self.shared.router.lock();
-        let now = self.shared.now();
-        let pick = match router.pick(self.service, self.repeatable, &tally.tried, now) {
+        let (version, service) = (self.routed.version, self.routed.service.as_str());
+        let mut policy = self.gate.chooser.lock();
+        let now = self.gate.now();
+        let pick = match policy.pick(&self.routed.ask, &tally.tried, now) {
             Ok(p) => p,
             Err(r) => {
                 log::info!(
-                    request = self.id.as_str(), service = self.name.as_str(), bundle;
+                    request = self.id.as_str(), service, version;
                     "route: {kind} not sent, {}", r.kind
                 );
                 return Err(r);
             }
         };
-        let (name, addr) = router.upstream(pick.upstream).expect("just picked");
+        let place = policy.place(pick.upstream).expect("just picked");
+        let to = Destination { name: place.name.to_owned(), addr: place.addr.to_owned() };
+        drop(policy);
         log::info!(
-            request = self.id.as_str(), service = self.name.as_str(), upstream = name,
-            reason:debug = pick.reason, bundle;
-            "route: {kind} sent to {name}"
+            request = self.id.as_str(), service, upstream = to.name.as_str(),
+            reason:debug = pick.reason, version;
+            "route: {kind} sent to {}", to.name
         );
-        let addr = addr.to_owned();
-        drop(router);
-        let guard = AttemptGuard::new(&self.shared, pick);
+        let guard = AttemptGuard::new(&self.gate, pick);
         tally.tried.push(pick.upstream);
+        tally.newest = Some(pick.attempt);
         let body = self.source.take().expect("checked before each attempt");
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let attempt =
-            send(Arc::clone(&self.shared), guard, addr, Arc::clone(&self.out), body, left);
+        let left = self.deadline.map(|d| d.saturating_duration_since(Instant::now()));
+        let attempt = send(Arc::clone(&self.gate), guard, to, Arc::clone(&self.out), body, left);
         running.push(Box::pin(attempt));
         Ok(())
     }
 
+    /// Tells the policy of an overdue attempt and sends another if that is allowed.
     fn hedge(&mut self, running: &mut Running, tally: &mut Tally) {
-        if self.source.is_there() && self.shared.router.lock().spend_retry(self.service) {
-            self.shared.count("attempts.hedged");
+        if let Some(k) = tally.newest {
+            let now = self.gate.now();
+            self.gate.chooser.lock().overdue(k, now);
+        }
+        if self.routed.ask.repeatable && self.has_retry(tally) && self.spend() {
+            self.gate.count("attempts.hedged");
             // Finding no other upstream is no loss: the first attempt still runs.
             let _ = self.start(running, tally, "hedge");
         }
@@ -142,30 +156,57 @@
 
     /// Tells whether a failure answer of an upstream should be tried elsewhere.
     fn should_retry(&self, answer: &Answer, tally: &Tally) -> bool {
-        answer.response.status().is_server_error() && self.repeatable && self.has_retry(tally)
+        answer.head.status.is_server_error()
+            && self.routed.ask.repeatable
+            && self.has_retry(tally)
+            && self.spend()
     }
 
     fn may_repeat(&self, failure: &Failure, tally: &Tally) -> bool {
-        let safe = match failure {
-            Failure::NotRun { .. } => tally.unknown.is_none(),
-            Failure::Unknown { .. } => false,
-        };
-        (safe || self.repeatable) && self.has_retry(tally)
+        if !self.has_retry(tally) {
+            return false;
+        }
+        let safe = self.routed.ask.repeatable || tally.unknown.is_none();
+        match failure {
+            // Nothing reached an upstream, so this is no retry to it.
+            Failure::NotSent { .. } => safe,
+            Failure::NotRun { .. } => safe && self.spend(),
+            Failure::Unknown { .. } => self.routed.ask.repeatable && self.spend(),
+        }
     }
 
     fn has_retry(&self, tally: &Tally) -> bool {
-        tally.tried.len() < MAX_ATTEMPTS
-            && self.source.is_there()
-            && self.shared.router.lock().spend_retry(self.service)
+        tally.ran() < self.routed.attempts && tally.unrun <= MAX_UNRUN && self.source.is_there()
+    }
+
+    fn spend(&self) -> bool {
+        let now = self.gate.now();
+        self.gate.chooser.lock().spend_retry(self.routed.ask.service, now)
+    }
+
+    fn log_failure_answer(&self, answer: &Answer) {
+        let policy = self.gate.chooser.lock();
+        let upstream = policy.place(answer.guard.upstream).map_or("gone", |p| p.name);
+        log::info!(
+            request = self.id.as_str(), service = self.routed.service.as_str(), upstream,
+            status = answer.head.status.as_u16();
+            "attempt: {upstream} answered with a failure"
+        );
     }
 
     fn book(&self, upstream: UpstreamKey, failure: &Failure, tally: &mut Tally) {
-        let router = self.shared.router.lock();
-        let name = router.upstream(upstream).map_or("gone", |(n, _)| n);
-        let (request, service) = (self.id.as_str(), self.name.as_str());
+        let policy = self.gate.chooser.lock();
+        let name = policy.place(upstream).map_or("gone", |p| p.name);
+        let (request, service) = (self.id.as_str(), self.routed.service.as_str());
         match failure {
+            Failure::NotSent { why } => {
+                log::info!(request, service, upstream = name; "attempt: not sent to {name}: {why}");
+                tally.unrun += 1;
+                tally.last.clone_from(why);
+            }
             Failure::NotRun { why, retry_after } => {
                 log::info!(request, service, upstream = name; "attempt: {name} did not run it: {why}");
+                tally.unrun += 1;
                 tally.last.clone_from(why);
                 tally.retry_after = retry_after.or(tally.retry_after);
             }
@@ -184,15 +225,27 @@
         if let Some(why) = &tally.unknown {
             return OwnAnswer::unknown(StatusCode::BAD_GATEWAY, UNKNOWN_WAIT, why.clone());
         }
-        let wait = tally.retry_after.unwrap_or(UNKNOWN_WAIT).mul_f64(1.0 + fastrand::f64() / 2.0);
+        let wait = tally.retry_after.unwrap_or(UNRUN_WAIT).mul_f64(1.0 + fastrand::f64() / 2.0);
         OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, Some(wait), tally.last.clone())
     }
 
     fn late(&self, tally: &Tally) -> OwnAnswer {
         // Whatever still runs is cancelled by the drop of its future.
-        self.shared.count("requests.late");
+        self.gate.count("requests.late");
         let n = tally.tried.len();
         let why = format!("the deadline passed with {n} attempt(s) open");
+        log::info!(
+            request = self.id.as_str(), service = self.routed.service.as_str(), attempts = n;
+            "route: given up at its deadline"
+        );
         OwnAnswer::unknown(StatusCode::GATEWAY_TIMEOUT, UNKNOWN_WAIT, why)
     }
 }
+
+/// Waits until a point, or forever if there is none.
+async fn at(t: Option<Instant>) {
+    match t {
+        Some(t) => tokio::time::sleep_until(t).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -1,17 +1,24 @@
 //! What the serving thread owns, and how other duties feed it.
 
+use crate::answer::OwnAnswer;
 use crate::callers::CallerLimits;
+use crate::dialect::Dialect;
+use crate::gate::{Gate, Reuse, Routed, Routes, Wanted, client};
+use crate::headers;
 use arc_swap::{ArcSwap, ArcSwapOption};
-use cadence::{Counted, CountedExt, Gauged, StatsdClient, Timed};
+use async_trait::async_trait;
+use cadence::{Gauged, StatsdClient};
 use honeypulley_bundle::head::Version;
 use honeypulley_bundle::keeper::InForce;
+use honeypulley_policy::chooser::Ask;
 use honeypulley_policy::collector::{Report, Verdict};
 use honeypulley_policy::permits::PermitView;
-use honeypulley_policy::router::{Router, UpstreamStatus};
+use honeypulley_policy::router::{Refusal, RefusalKind, Router, UpstreamStatus};
 use honeypulley_policy::spec::Member;
 use honeypulley_policy::time::Time;
 use honeypulley_supervisor::clock::Clock;
 use honeypulley_supervisor::ring::{Full, Ring};
+use http::{HeaderMap, Method, StatusCode};
 use parking_lot::Mutex;
 use std::fmt;
 use std::net::IpAddr;
@@ -22,6 +29,10 @@
 /// Time between two looks for stalls and news.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Most attempts for one request.
+const MAX_ATTEMPTS: usize = 3;
+/// When to come back before this box is set up.
+const NOT_YET_WAIT: Duration = Duration::from_secs(1);
 /// Ticks between two renewals of what operators see.
 const STATUS_TURNS: u64 = 25;
 
@@ -64,40 +75,42 @@
     }
 }
 
-/// State of the serving thread.
-///
-/// The locks are taken by that thread alone, so they are never waited for; they
-/// are there since the HTTP library asks for `Send`.
+/// Keeps the serving path's state up to date, on the serving thread.
+#[async_trait]
+pub trait Feeder: fmt::Debug + Send + Sync {
+    /// Takes news from the other duties, forever.
+    async fn feed(&self);
+}
+
+/// Routes of the bundle in force.
+#[derive(Debug)]
+struct BundleRoutes {
+    in_force: ArcSwapOption<InForce>,
+    router: Arc<Mutex<Router>>,
+    callers: Mutex<CallerLimits>,
+    /// Live boxes, among which limits are shared.
+    boxes: AtomicUsize,
+    dialect: Dialect,
+}
+
+/// State of the serving thread, by the product's own bundles and lists.
 pub struct Shared {
-    /// Routing state.
-    pub router: Mutex<Router>,
-    /// Limits per caller.
-    pub callers: Mutex<CallerLimits>,
-    /// Bundle in force.
-    pub in_force: ArcSwapOption<InForce>,
+    /// The serving path.
+    pub gate: Arc<Gate>,
+    /// Routing state; the serving path holds it as its policy.
+    pub router: Arc<Mutex<Router>>,
     /// Rings to the other duties.
     pub feed: Feed,
-    /// The process's clock.
-    pub clock: Clock,
-    /// Client towards upstreams.
-    pub client: reqwest::Client,
-    /// Metrics.
-    pub metrics: Arc<StatsdClient>,
-    /// Upgraded sessions and requests that are open.
-    pub open: AtomicUsize,
-    /// Set during a planned stop.
-    pub leaving: AtomicBool,
     /// Set once upstreams were taken from the list.
     pub listed: AtomicBool,
-    /// Live boxes, among which limits are shared.
-    pub boxes: AtomicUsize,
     /// State of every upstream, renewed four times a second for operators.
     pub rows: ArcSwap<Vec<UpstreamStatus>>,
+    routes: Arc<BundleRoutes>,
 }
 
 impl fmt::Debug for Shared {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Shared").field("open", &self.open).finish_non_exhaustive()
+        f.debug_struct("Shared").field("gate", &self.gate).finish_non_exhaustive()
     }
 }
 
@@ -114,43 +127,51 @@
         metrics: Arc<StatsdClient>,
         source: Option<IpAddr>,
     ) -> Result<Self, reqwest::Error> {
-        // The library must not act on its own: no redirects, no proxy from the
-        // environment, no retries. Answers stay encoded as they came.
-        let client = reqwest::Client::builder()
-            .no_proxy()
-            .redirect(reqwest::redirect::Policy::none())
-            .retry(reqwest::retry::never())
-            .connect_timeout(Duration::from_millis(500))
-            .pool_idle_timeout(Duration::from_secs(20))
-            .http1_only()
-            .local_address(source)
-            .build()?;
-        Ok(Self {
-            router: Mutex::new(router),
-            callers: Mutex::new(CallerLimits::default()),
+        let router = Arc::new(Mutex::new(router));
+        let dialect = Dialect::default();
+        let routes = Arc::new(BundleRoutes {
             in_force: ArcSwapOption::empty(),
-            feed,
+            router: Arc::clone(&router),
+            callers: Mutex::new(CallerLimits::default()),
+            boxes: AtomicUsize::new(1),
+            dialect: dialect.clone(),
+        });
+        let gate = Gate {
+            chooser: Arc::<Mutex<Router>>::clone(&router),
+            routes: Arc::<BundleRoutes>::clone(&routes),
+            dialect,
+            client: client(source, Reuse::Pooled)?,
             clock,
-            client,
             metrics,
             open: AtomicUsize::new(0),
-            leaving: AtomicBool::new(false),
+            leaving: Arc::new(AtomicBool::new(false)),
+        };
+        Ok(Self {
+            gate: Arc::new(gate),
+            router,
+            feed,
             listed: AtomicBool::new(false),
-            boxes: AtomicUsize::new(1),
             rows: ArcSwap::default(),
+            routes,
         })
     }
 
     /// Returns the time now.
     #[must_use]
     pub fn now(&self) -> Time {
-        self.clock.now()
+        self.gate.now()
+    }
+
+    /// Returns the bundle in force.
+    #[must_use]
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.routes.in_force.load_full()
     }
 
     /// Returns the version in force, zero if there is none.
     #[must_use]
     pub fn version(&self) -> Version {
-        self.in_force.load().as_ref().map_or(Version(0), |f| f.head.version)
+        self.routes.in_force.load().as_ref().map_or(Version(0), |f| f.head.version)
     }
 
     /// Takes news and looks for stalls, forever.
@@ -185,7 +206,7 @@
             router.set_services(f.bundle.services().cloned());
             let signer = f.head.signature.signer.as_str();
             log::info!(bundle = f.head.version.0, signer; "proxy: {} is in force", f.head.version);
-            self.in_force.store(Some(f));
+            self.routes.in_force.store(Some(f));
             listed = true;
         }
         while let Some(m) = self.feed.members.pop() {
@@ -194,7 +215,7 @@
         }
         if let (true, Some(m)) = (listed, last.as_ref()) {
             router.set_members(&m.upstreams, m.boxes, now);
-            self.boxes.store(m.boxes.max(1), Ordering::Relaxed);
+            self.routes.boxes.store(m.boxes.max(1), Ordering::Relaxed);
             // A list that lags behind a start may be empty yet.
             if !m.upstreams.is_empty() {
                 self.listed.store(true, Ordering::Relaxed);
@@ -220,42 +241,72 @@
     }
 
     fn emit_gauges(&self) {
-        let _ = self.metrics.gauge("requests.open", self.open.load(Ordering::Relaxed) as u64);
-        let _ = self.metrics.gauge("bundle.version", self.version().0);
-        let _ = self.metrics.gauge("reports.dropped", self.feed.reports.dropped());
+        let gate = &self.gate;
+        let _ = gate.metrics.gauge("requests.open", gate.open.load(Ordering::Relaxed) as u64);
+        let _ = gate.metrics.gauge("bundle.version", self.version().0);
+        let _ = gate.metrics.gauge("reports.dropped", self.feed.reports.dropped());
     }
+}
 
-    /// Counts one event.
-    pub fn count(&self, name: &str) {
-        let _ = self.metrics.incr(name);
+#[async_trait]
+impl Feeder for Shared {
+    async fn feed(&self) {
+        self.keep_ticking().await;
     }
+}
 
-    /// Counts `n` of something.
-    pub fn count_by(&self, name: &str, n: usize) {
-        let _ = self.metrics.count(name, n as u64);
+impl Routes for BundleRoutes {
+    fn route(&self, wanted: &Wanted<'_>, now: Time) -> Result<Routed, OwnAnswer> {
+        let Some(f) = self.in_force.load_full() else {
+            return Err(not_yet("no bundle is in force on this box yet".to_owned()));
+        };
+        let (host, path, bundle) = (wanted.host, wanted.path, f.head.version.0);
+        let Some(name) = f.bundle.route(host, path) else {
+            log::info!(host = host, bundle; "route: refused, no route");
+            let why = format!("no route for {host}{path}");
+            return Err(OwnAnswer::not_run(StatusCode::NOT_FOUND, None, why));
+        };
+        self.limit_caller(wanted.headers, &f, now)?;
+        let mut router = self.router.lock();
+        let Some(service) = router.service(name) else {
+            return Err(not_yet(format!("service {name} is not set up on this box yet")));
+        };
+        if let Err(r) = router.admit(service, now) {
+            log::info!(service = name, bundle; "route: refused, {}", r.kind);
+            return Err(OwnAnswer::refusal(r));
+        }
+        let spec = router.spec(service).expect("found above");
+        let repeatable = spec.repeat.allows(is_safe(wanted.method));
+        Ok(Routed {
+            ask: Ask { service, repeatable, bulky: false, aim: None },
+            service: name.to_owned(),
+            timeout: Some(spec.deadline),
+            attempts: MAX_ATTEMPTS,
+            version: bundle,
+            collect: false,
+            body_bytes: u64::MAX,
+        })
     }
+}
 
-    /// Books how long a request took.
-    pub fn time(&self, name: &str, d: Duration) {
-        let _ = self.metrics.time(name, d.as_millis() as u64);
+impl BundleRoutes {
+    fn limit_caller(&self, h: &HeaderMap, f: &InForce, now: Time) -> Result<(), OwnAnswer> {
+        let Some(caller) = headers::text(h, &self.dialect.caller) else { return Ok(()) };
+        let Some(rate) = f.bundle.caller_rate(caller) else { return Ok(()) };
+        let share = rate / self.boxes.load(Ordering::Relaxed) as f64;
+        let taken = self.callers.lock().take(caller, share, now);
+        taken.map_err(|wait| {
+            log::info!(caller = caller, bundle = f.head.version.0; "route: refused, the caller's rate is used up");
+            let retry_after = wait.mul_f64(1.0 + fastrand::f64() / 2.0);
+            OwnAnswer::refusal(Refusal { kind: RefusalKind::CallerRate, retry_after })
+        })
     }
 }
 
-/// Counts one open request or session while it lives.
-#[derive(Debug)]
-pub struct OpenGuard(Arc<Shared>);
-
-impl OpenGuard {
-    /// Counts one more.
-    #[must_use]
-    pub fn new(shared: &Arc<Shared>) -> Self {
-        shared.open.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(shared))
-    }
+fn not_yet(why: String) -> OwnAnswer {
+    OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, Some(NOT_YET_WAIT), why)
 }
 
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
-    }
+const fn is_safe(m: &Method) -> bool {
+    matches!(*m, Method::GET | Method::HEAD | Method::OPTIONS)
 }
--- a/crates/honeypulley_proxy/src/upgrade.rs
+++ b/crates/honeypulley_proxy/src/upgrade.rs
@@ -1,7 +1,7 @@
 //! Sessions that leave HTTP behind, such as WebSocket.
 
-use crate::attempt::Answer;
-use crate::shared::{OpenGuard, Shared};
+use crate::attempt::{Answer, AnswerBody};
+use crate::gate::{Gate, OpenGuard};
 use honeypulley_policy::router::Outcome;
 use http::{HeaderValue, StatusCode, header};
 use hyper::upgrade::OnUpgrade;
@@ -13,16 +13,11 @@
 ///
 /// The session is counted as open until then, since it has left the HTTP
 /// server's own graceful stop.
-pub fn carry(
-    shared: &Arc<Shared>,
-    caller: OnUpgrade,
-    answer: Answer,
-    id: String,
-    res: &mut Response,
-) {
-    let Answer { response, mut guard } = answer;
-    let protocol = response.headers().get(header::UPGRADE).cloned();
-    for (k, v) in response.headers() {
+pub fn carry(gate: &Arc<Gate>, caller: OnUpgrade, answer: Answer, id: String, res: &mut Response) {
+    let Answer { head, body, mut guard } = answer;
+    let AnswerBody::Open(response) = body else { return };
+    let protocol = head.headers.get(header::UPGRADE).cloned();
+    for (k, v) in &head.headers {
         res.headers_mut().append(k.clone(), v.clone());
     }
     res.status_code(StatusCode::SWITCHING_PROTOCOLS);
@@ -30,7 +25,7 @@
     if let Some(p) = protocol {
         res.headers_mut().insert(header::UPGRADE, p);
     }
-    let open = OpenGuard::new(shared);
+    let open = OpenGuard::new(gate);
     tokio::spawn(async move {
         let _open = open;
         let (Ok(caller), Ok(mut upstream)) = (caller.await, response.upgrade().await) else {
--- a/crates/honeypulley_standin/src/platform.rs
+++ b/crates/honeypulley_standin/src/platform.rs
@@ -103,7 +103,12 @@
 
     fn set_switches(&self, s: Switches) {
         *self.switches.lock() = s;
-        self.store.set_faults(Faults { outage: s.outage, lost: s.lost, dropped: s.dropped });
+        self.store.set_faults(Faults {
+            outage: s.outage,
+            lost: s.lost,
+            dropped: s.dropped,
+            ..Faults::default()
+        });
     }
 }
 
@@ -248,6 +253,9 @@
         PlatformError::Unavailable { .. } => {
             res.status_code(StatusCode::SERVICE_UNAVAILABLE);
         }
+        PlatformError::Compacted { .. } => {
+            res.status_code(StatusCode::GONE);
+        }
         // A lost answer: a gateway's error tells the writer nothing.
         PlatformError::Unknown { .. } => {
             res.status_code(StatusCode::GATEWAY_TIMEOUT);
