--- a/crates/honeypulley_mesh/src/list.rs
+++ b/crates/honeypulley_mesh/src/list.rs
@@ -44,20 +44,27 @@
 /// The list of upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamList {
+    known: bool,
     version: u64,
     rows: BTreeMap<String, Row>,
 }
 
 impl UpstreamList {
-    /// Returns the version up to which the list is complete, zero if it is not.
+    /// Returns the version of the newest change that the list is complete with.
     #[must_use]
     pub const fn version(&self) -> u64 {
         self.version
     }
 
-    /// Takes changes after `since` up to `upto`.
+    /// Tells whether the whole list was taken once.
+    #[must_use]
+    pub const fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// Takes the changes that follow the one at `since`, up to the one at `upto`.
     ///
-    /// The list is complete up to `upto` then if it was up to `since` before.
+    /// The list is complete with `upto` then if it was with `since` before.
     pub fn apply(
         &mut self,
         since: u64,
@@ -66,7 +73,7 @@
         now: Time,
     ) -> Vec<ListChange> {
         let changes = entries.into_iter().filter_map(|e| self.take(e, now)).collect();
-        if self.version > 0 && since <= self.version {
+        if self.known && since <= self.version {
             self.version = self.version.max(upto);
         }
         changes
@@ -83,7 +90,7 @@
         hold: Duration,
         now: Time,
     ) -> Vec<ListChange> {
-        if version < self.version {
+        if self.known && version < self.version {
             return Vec::new();
         }
         let is_missing = |(name, row): (&String, &Row)| {
@@ -91,14 +98,17 @@
             (there && !entries.iter().any(|e| e.name == *name)).then(|| name.clone())
         };
         let missing: Vec<String> = self.rows.iter().filter_map(is_missing).collect();
+        // What went shows no version of its own, so it counts as of this list.
         let gone = missing.into_iter().map(|name| Entry {
             name,
             version,
             state: EntryState::Gone { hold },
         });
         let all: Vec<Entry> = entries.into_iter().chain(gone).collect();
+        let newest = all.iter().map(|e| e.version).max().unwrap_or(0);
         let changes = all.into_iter().filter_map(|e| self.take(e, now)).collect();
-        self.version = version;
+        self.version = self.version.max(newest);
+        self.known = true;
         changes
     }
 
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -3,7 +3,7 @@
 use crate::list::ListChange;
 use crate::state::Mesh;
 use async_trait::async_trait;
-use honeypulley_policy::balance::{Balancer, News};
+use honeypulley_policy::balance::{Balancer, News, Reach, Resend};
 use honeypulley_policy::chooser::{Ask, Chooser, LoadReport, Place};
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, Refusal, ServiceKey, UpstreamKey};
 use honeypulley_policy::routes::RequestKind;
@@ -64,8 +64,8 @@
         self.announce();
     }
 
-    fn spend_retry(&mut self, k: ServiceKey, now: Time) -> bool {
-        let spent = self.balancer.spend_retry(k, now);
+    fn spend_retry(&mut self, k: ServiceKey, why: Resend, now: Time) -> bool {
+        let spent = self.balancer.spend_retry(k, why, now);
         self.announce();
         spent
     }
@@ -112,6 +112,8 @@
         let Some(service) = policy.balancer().service(name) else {
             return Err(not_yet(format!("service {name} is not set up on this box yet")));
         };
+        let in_touch = self.mesh.readers().in_touch(now);
+        policy.balancer().set_reach(Reach { boxes: self.mesh.book().count(), in_touch });
         policy.balancer().arrived(service, now);
         Ok(Routed {
             ask: Ask {
@@ -186,7 +188,6 @@
     fn take_lists(&self) {
         let mut policy = self.policy.lock();
         let now = self.mesh.now();
-        policy.balancer().set_boxes(self.mesh.book().count());
         // Services first, so that no route leads to one that is not set up.
         if let Some(table) = self.mesh.next_table() {
             policy.balancer().set_services(&table.services, now);
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -252,15 +252,15 @@
         std::mem::take(&mut *self.next_list.lock()).into_values().collect()
     }
 
-    /// Takes changes that the platform told.
-    pub fn take_changes(&self, since: u64, c: &Changes, from: &str) {
+    /// Takes changes that the platform told this box, which is complete before them.
+    pub fn take_changes(&self, c: &Changes, from: &str) {
         let hold = self.readers.lock().hold(self.now());
         let entries = self.entries(c, hold);
-        self.apply(since, c.version, entries.clone(), from);
-        if !entries.is_empty() {
-            self.untold.lock().push((since, c.version, entries));
-            self.telling.notify_one();
-        }
+        let Some(upto) = entries.iter().map(|e| e.version).max() else { return };
+        let since = self.list.lock().version();
+        self.apply(since, upto, entries.clone(), from);
+        self.untold.lock().push((since, upto, entries));
+        self.telling.notify_one();
     }
 
     /// Takes changes that another box told.
@@ -387,10 +387,10 @@
         Held { version: list.version(), value: list.entries(self.now()) }
     }
 
-    /// Returns the version up to which the list is complete.
+    /// Tells whether the whole list was taken once.
     #[must_use]
-    pub fn list_version(&self) -> u64 {
-        self.list.lock().version()
+    pub fn knows_list(&self) -> bool {
+        self.list.lock().is_known()
     }
 
     /// Returns the version of the platform's object that holds the table.
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -68,7 +68,9 @@
     async fn first_table(&self) {
         let mut wait = FIRST_WAIT;
         while self.mesh.table_number() == 0 {
-            if self.read_table().await.is_err() {
+            let read = self.read_table().await;
+            // The operator may not have written one yet.
+            if read.is_err() || self.mesh.table_number() == 0 {
                 pause(&mut wait).await;
             }
         }
@@ -76,30 +78,32 @@
 
     async fn first_list(&self) {
         let mut wait = FIRST_WAIT;
-        while self.mesh.list_version() == 0 {
+        while !self.mesh.knows_list() {
             if self.read_list().await.is_err() {
                 pause(&mut wait).await;
             }
         }
     }
 
-    /// Reads the routing table.
-    async fn read_table(&self) -> Result<(), PlatformError> {
-        let key = &self.mesh.decoder.keys().table;
-        let found = self.noted("table", self.platform.get(key).await)?;
-        if let Some(o) = found {
-            self.mesh.take_table(&o, "platform");
+    /// Reads the routing table; returns the version from which to watch.
+    async fn read_table(&self) -> Result<u64, PlatformError> {
+        let keys = self.mesh.decoder.keys();
+        // A list, since it tells the platform's version beside the table's own.
+        let all = self.platform.list(&keys.tables, Freshness::Latest).await;
+        let all = self.noted("table", all)?;
+        if let Some(o) = all.objects.iter().find(|o| o.key == keys.table) {
+            self.mesh.take_table(o, "platform");
         }
-        Ok(())
+        Ok(all.version)
     }
 
-    /// Reads the whole list of upstreams.
-    async fn read_list(&self) -> Result<(), PlatformError> {
+    /// Reads the whole list of upstreams; returns the version from which to watch.
+    async fn read_list(&self) -> Result<u64, PlatformError> {
         let prefix = &self.mesh.decoder.keys().upstreams;
         let all = self.platform.list(prefix, Freshness::Latest).await;
         let all = self.noted("list", all)?;
         self.mesh.take_list(&all, "platform");
-        Ok(())
+        Ok(all.version)
     }
 
     /// Writes this box's address if it is not there, and reads the others'.
@@ -177,9 +181,11 @@
 
     async fn watch_tables(&self) {
         let mut wait = FIRST_WAIT;
+        // The version of the last answer, which may be far beyond the table's own.
+        let mut seen = 0;
         loop {
             self.until_reading().await;
-            let since = self.mesh.table_object();
+            let since = self.mesh.table_object().max(seen);
             let keys = self.mesh.decoder.keys();
             if since == 0 {
                 pause(&mut wait).await;
@@ -189,16 +195,16 @@
             match self.noted("watch of tables", got) {
                 Ok(c) => {
                     wait = FIRST_WAIT;
+                    seen = seen.max(c.version);
                     let newest = c.objects.iter().filter(|o| o.key == keys.table);
                     if let Some(o) = newest.max_by_key(|o| o.version) {
                         self.mesh.take_table(o, "platform");
                     }
                 }
-                Err(PlatformError::Compacted { .. }) => {
-                    if self.read_table().await.is_err() {
-                        pause(&mut wait).await;
-                    }
-                }
+                Err(PlatformError::Compacted { .. }) => match self.read_table().await {
+                    Ok(version) => seen = seen.max(version),
+                    Err(_) => pause(&mut wait).await,
+                },
                 Err(_) => pause(&mut wait).await,
             }
         }
@@ -206,25 +212,29 @@
 
     async fn watch_upstreams(&self) {
         let mut wait = FIRST_WAIT;
+        // The version of the last answer; none while the changes since are unknown.
+        let mut seen: Option<u64> = None;
         loop {
+            if !self.mesh.readers().is_reading() {
+                seen = None;
+            }
             self.until_reading().await;
-            let since = self.mesh.list_version();
-            if since == 0 {
-                pause(&mut wait).await;
+            let Some(since) = seen else {
+                match self.read_list().await {
+                    Ok(version) => seen = Some(version),
+                    Err(_) => pause(&mut wait).await,
+                }
                 continue;
-            }
+            };
             let prefix = &self.mesh.decoder.keys().upstreams;
             let got = self.platform.watch(prefix, since, WATCH_WAIT).await;
             match self.noted("watch of upstreams", got) {
                 Ok(c) => {
                     wait = FIRST_WAIT;
-                    self.mesh.take_changes(since, &c, "platform");
-                }
-                Err(PlatformError::Compacted { .. }) => {
-                    if self.read_list().await.is_err() {
-                        pause(&mut wait).await;
-                    }
+                    seen = Some(c.version);
+                    self.mesh.take_changes(&c, "platform");
                 }
+                Err(PlatformError::Compacted { .. }) => seen = None,
                 Err(_) => pause(&mut wait).await,
             }
         }
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -16,8 +16,8 @@
 use crate::spec::{Member, MemberState, ServiceSpec};
 use crate::spread::Spread;
 use crate::time::Time;
-pub use retry::RetryRule;
 use retry::RetryWindow;
+pub use retry::{Reach, Resend, RetryRule};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -128,7 +128,7 @@
 #[derive(Debug)]
 pub struct Balancer {
     hall: String,
-    boxes: usize,
+    reach: Reach,
     rule: RetryRule,
     services: SlotMap<ServiceKey, Service>,
     by_name: BTreeMap<String, ServiceKey>,
@@ -146,7 +146,7 @@
     pub fn new(hall: &str, rule: RetryRule, seed: u64) -> Self {
         Self {
             hall: hall.to_owned(),
-            boxes: 1,
+            reach: Reach { boxes: 1, in_touch: true },
             rule,
             services: SlotMap::with_key(),
             by_name: BTreeMap::new(),
@@ -159,9 +159,9 @@
         }
     }
 
-    /// Takes the number of boxes, among which the retry budget is shared.
-    pub fn set_boxes(&mut self, boxes: usize) {
-        self.boxes = boxes.max(1);
+    /// Takes the boxes among which the retry budget is shared.
+    pub const fn set_reach(&mut self, reach: Reach) {
+        self.reach = reach;
     }
 
     /// Takes the services of a table; what was learnt of kept ones stays.
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -1,6 +1,6 @@
 //! Choice among a service's upstreams.
 
-use super::{Attempt, Balancer, Upstream};
+use super::{Attempt, Balancer, Resend, Upstream};
 use crate::belief::FAILS_SICK;
 use crate::chooser::{Ask, Chooser, LoadReport, Place};
 use crate::router::{
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Loss of a failed attempt, in requests, if the request may be sent again.
-const REPEATABLE_LOSS: f64 = 0.35;
+const REPEATABLE_LOSS: f64 = 0.5;
 /// Loss of a failed attempt if it may not.
 const UNSAFE_LOSS: f64 = 1.0;
 /// Loss of a wait as long as the aim.
@@ -88,8 +88,8 @@
         self.observed_overdue(k, now);
     }
 
-    fn spend_retry(&mut self, k: ServiceKey, now: Time) -> bool {
-        self.spend(k, now)
+    fn spend_retry(&mut self, k: ServiceKey, why: Resend, now: Time) -> bool {
+        self.spend(k, why, now)
     }
 
     fn answered(&mut self, k: AttemptKey, ok: bool, now: Time) {
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -1,6 +1,6 @@
 //! What attempts, and other boxes, tell of the upstreams.
 
-use super::{Balancer, News, PeerOpen};
+use super::{Balancer, News, PeerOpen, Resend};
 use crate::belief::Observation;
 use crate::collector::NameId;
 use crate::router::{AttemptKey, Outcome, ServiceKey, UpstreamKey};
@@ -64,10 +64,10 @@
         self.news.push(News::Open { upstream: u.id, count });
     }
 
-    pub(super) fn spend(&mut self, k: ServiceKey, now: Time) -> bool {
-        let (rule, boxes) = (self.rule, self.boxes);
+    pub(super) fn spend(&mut self, k: ServiceKey, why: Resend, now: Time) -> bool {
+        let (rule, reach) = (self.rule, self.reach);
         let Some(s) = self.services.get_mut(k) else { return false };
-        if !s.retries.spend(&rule, boxes, now) {
+        if !s.retries.spend(&rule, reach, why, now) {
             return false;
         }
         self.news.push(News::Retry { service: s.id });
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -6,6 +6,10 @@
 
 /// Part of the fleet's budget that is spent, since boxes hear of each other late.
 const SPENT_SHARE: f64 = 0.7;
+/// Part of it that hedges may use, so that failures always find some left.
+const HEDGE_SHARE: f64 = 0.35;
+/// Part of it that one box may spend while it hears the others.
+const OWN_SHARE: f64 = 0.4;
 /// Part of its own traffic, times the boxes, that a box trusts the fleet to see.
 const FLEET_SHARE: f64 = 0.5;
 
@@ -27,6 +31,24 @@
     }
 }
 
+/// Why a request is sent to one more upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resend {
+    /// The attempt before it failed.
+    Failed,
+    /// The attempt before it is overdue.
+    Overdue,
+}
+
+/// Which boxes this one shares the budget with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reach {
+    /// Boxes of the fleet, this one included.
+    pub boxes: usize,
+    /// Whether this box hears the others.
+    pub in_touch: bool,
+}
+
 /// Requests and extra sends of one service within the window.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RetryWindow {
@@ -48,18 +70,24 @@
 
     /// Spends one extra send; tells whether there was one.
     ///
-    /// Two bounds hold: the fleet's, by what this box has heard, and this box's
-    /// own share, which also holds when it hears nobody.
-    pub(super) fn spend(&mut self, rule: &RetryRule, boxes: usize, now: Time) -> bool {
+    /// The fleet's bound goes by what this box has heard. One that hears nobody
+    /// can't know, and keeps to an equal share of the slack and its own traffic.
+    pub(super) fn spend(&mut self, rule: &RetryRule, reach: Reach, why: Resend, now: Time) -> bool {
         for q in [&mut self.arrivals, &mut self.own, &mut self.others] {
             drop_old(q, rule.window, now);
         }
-        let boxes = boxes as f64;
+        let boxes = reach.boxes.max(1) as f64;
         let (seen, own) = (self.arrivals.len() as f64, self.own.len() as f64);
         let fleet_seen = seen.max(seen * boxes * FLEET_SHARE);
-        let fleet_limit = SPENT_SHARE * rule.ratio.mul_add(fleet_seen, rule.slack);
-        let own_limit = rule.ratio.mul_add(seen, rule.slack / boxes) + 1.0;
-        if own + self.others.len() as f64 + 1.0 > fleet_limit || own + 1.0 > own_limit {
+        let budget = rule.ratio.mul_add(fleet_seen, rule.slack);
+        let share = match why {
+            Resend::Failed => SPENT_SHARE,
+            Resend::Overdue => HEDGE_SHARE,
+        };
+        let alone = rule.ratio.mul_add(seen, rule.slack / boxes) + 1.0;
+        let own_limit = if reach.in_touch { alone.max(OWN_SHARE * budget) } else { alone };
+        let spent = own + self.others.len() as f64;
+        if spent + 1.0 > share * budget || own + 1.0 > own_limit {
             return false;
         }
         self.own.push_back(now);
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -1,5 +1,6 @@
 //! What the serving path asks of a policy, whichever that is.
 
+use crate::balance::Resend;
 use crate::router::{AttemptKey, Outcome, Pick, Refusal, Router, ServiceKey, UpstreamKey};
 use crate::time::Time;
 use std::fmt::Debug;
@@ -50,7 +51,7 @@
     /// Takes that an attempt is overdue.
     fn overdue(&mut self, k: AttemptKey, now: Time);
     /// Spends one send beyond the first of a request; tells whether there was one.
-    fn spend_retry(&mut self, k: ServiceKey, now: Time) -> bool;
+    fn spend_retry(&mut self, k: ServiceKey, why: Resend, now: Time) -> bool;
     /// Takes the head of an answer; `ok` is false for a failure answer.
     fn answered(&mut self, k: AttemptKey, ok: bool, now: Time);
     /// Takes the load that an upstream reported.
@@ -77,7 +78,7 @@
     // A router finds overdue attempts itself, in its tick.
     fn overdue(&mut self, _: AttemptKey, _: Time) {}
 
-    fn spend_retry(&mut self, k: ServiceKey, _: Time) -> bool {
+    fn spend_retry(&mut self, k: ServiceKey, _: Resend, _: Time) -> bool {
         Self::spend_retry(self, k)
     }
 
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -66,7 +66,13 @@
             deadline,
         };
         let answer = race.run().await?;
-        self.gate.time("requests.head_ms", began.elapsed());
+        let took = began.elapsed();
+        self.gate.time("requests.head_ms", took);
+        log::info!(
+            request = id.as_str(), status = answer.head.status.as_u16(),
+            took_ms = took.as_millis() as u64;
+            "route: answered"
+        );
         match switch {
             Some(caller) if answer.head.status == StatusCode::SWITCHING_PROTOCOLS => {
                 upgrade::carry(&self.gate, caller, answer, id, res);
@@ -154,6 +160,12 @@
         self.gate.count("requests");
         if let Err(own) = self.run(req, res).await {
             self.gate.count("requests.refused");
+            let request = self.request_id(req);
+            log::info!(
+                request = request.as_str(), status = own.status.as_u16(), outcome:debug = own.ran,
+                retry_after_ms = own.retry_after.map(|d| d.as_millis() as u64);
+                "route: own answer, {}", own.why
+            );
             own.write(&self.gate.dialect, res);
         }
         let switched = res.status_code == Some(StatusCode::SWITCHING_PROTOCOLS);
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -6,6 +6,7 @@
 use crate::gate::{Gate, Routed};
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
+use honeypulley_policy::balance::Resend;
 use honeypulley_policy::router::{AttemptKey, Refusal, UpstreamKey};
 use http::StatusCode;
 use std::sync::Arc;
@@ -147,7 +148,7 @@
             let now = self.gate.now();
             self.gate.chooser.lock().overdue(k, now);
         }
-        if self.routed.ask.repeatable && self.has_retry(tally) && self.spend() {
+        if self.routed.ask.repeatable && self.has_retry(tally) && self.spend(Resend::Overdue) {
             self.gate.count("attempts.hedged");
             // Finding no other upstream is no loss: the first attempt still runs.
             let _ = self.start(running, tally, "hedge");
@@ -159,7 +160,7 @@
         answer.head.status.is_server_error()
             && self.routed.ask.repeatable
             && self.has_retry(tally)
-            && self.spend()
+            && self.spend(Resend::Failed)
     }
 
     fn may_repeat(&self, failure: &Failure, tally: &Tally) -> bool {
@@ -170,8 +171,8 @@
         match failure {
             // Nothing reached an upstream, so this is no retry to it.
             Failure::NotSent { .. } => safe,
-            Failure::NotRun { .. } => safe && self.spend(),
-            Failure::Unknown { .. } => self.routed.ask.repeatable && self.spend(),
+            Failure::NotRun { .. } => safe && self.spend(Resend::Failed),
+            Failure::Unknown { .. } => self.routed.ask.repeatable && self.spend(Resend::Failed),
         }
     }
 
@@ -179,9 +180,9 @@
         tally.ran() < self.routed.attempts && tally.unrun <= MAX_UNRUN && self.source.is_there()
     }
 
-    fn spend(&self) -> bool {
+    fn spend(&self, why: Resend) -> bool {
         let now = self.gate.now();
-        self.gate.chooser.lock().spend_retry(self.routed.ask.service, now)
+        self.gate.chooser.lock().spend_retry(self.routed.ask.service, why, now)
     }
 
     fn log_failure_answer(&self, answer: &Answer) {
