--- a/crates/honeypulley_daemon/src/start.rs
+++ b/crates/honeypulley_daemon/src/start.rs
@@ -74,7 +74,7 @@
     };
     let ctx = Arc::new(Context::new(settings, shared));
     Tree::new(Stop::default())
-        .duty(SignalDuty)
+        .duty(SignalDuty::default())
         .duty(AdminDuty { view: Arc::<Context>::clone(&ctx), listener: operators })
         .duty(PlatformDuty { ctx: Arc::clone(&ctx), platform: platform.clone() })
         .duty(PermitDuty { ctx: Arc::clone(&ctx), platform })
@@ -116,9 +116,35 @@
     Ok(StatsdClient::from_sink(METRICS_PREFIX, QueuingMetricSink::from(sink)))
 }
 
-/// Turns SIGTERM and SIGINT into a planned stop.
-#[derive(Debug)]
-pub struct SignalDuty;
+/// Turns SIGTERM and SIGINT into a planned stop, and SIGHUP into a reload.
+#[derive(Debug, Default)]
+pub struct SignalDuty {
+    /// Called on SIGHUP; without one, the signal is logged and changes nothing.
+    pub reload: Option<Reload>,
+}
+
+/// What is done on SIGHUP.
+#[derive(Clone)]
+pub struct Reload(pub Arc<dyn Fn() -> Result<()> + Send + Sync>);
+
+impl std::fmt::Debug for Reload {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Reload(..)")
+    }
+}
+
+impl SignalDuty {
+    fn hung_up(&self) {
+        let Some(Reload(reload)) = &self.reload else {
+            log::info!("reload: SIGHUP came, and nothing can be reloaded");
+            return;
+        };
+        match reload() {
+            Ok(()) => log::info!("reload: the settings were read again"),
+            Err(e) => log::warn!("reload: the settings stay as they were: {e:#}"),
+        }
+    }
+}
 
 impl Duty for SignalDuty {
     fn name(&self) -> &'static str {
@@ -129,10 +155,12 @@
         block_on(async {
             let mut term = signal(SignalKind::terminate()).wrap_err("signal: listen")?;
             let mut int = signal(SignalKind::interrupt()).wrap_err("signal: listen")?;
+            let mut hup = signal(SignalKind::hangup()).wrap_err("signal: listen")?;
             loop {
                 tokio::select! {
                     _ = term.recv() => stop.leave.cancel(),
                     _ = int.recv() => stop.leave.cancel(),
+                    _ = hup.recv() => self.hung_up(),
                     () = stop.halt.cancelled() => return Ok(()),
                 }
             }
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -160,7 +160,7 @@
         loop {
             let known: Vec<SocketAddr> = self.mesh.book().all().collect();
             if known.is_empty() {
-                for &to in &self.mesh.settings.seeds {
+                for to in self.mesh.seeds() {
                     self.hello(to, true).await;
                 }
             } else if known.len() > greeted {
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -122,6 +122,7 @@
     pub listed: AtomicBool,
     /// Set during a planned stop.
     pub leaving: Arc<AtomicBool>,
+    seeds: Mutex<Vec<SocketAddr>>,
     book: Mutex<Book>,
     list: Mutex<UpstreamList>,
     readers: Mutex<Readers>,
@@ -164,6 +165,7 @@
             reading: Notify::new(),
             listed: AtomicBool::new(false),
             leaving,
+            seeds: Mutex::new(settings.seeds.clone()),
             book: Mutex::new(Book::new(id, &settings.hall)),
             list: Mutex::new(UpstreamList::default()),
             readers: Mutex::new(Readers::new(id)),
@@ -192,6 +194,17 @@
         self.readers.lock()
     }
 
+    /// Returns peers' ports of some boxes, perhaps stale.
+    #[must_use]
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.lock().clone()
+    }
+
+    /// Takes other seeds, from settings that changed.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.lock() = seeds;
+    }
+
     /// Takes an address; returns whether it was new.
     pub fn learn(&self, b: BoxAddress) -> bool {
         self.book.lock().learn(b)
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -8,6 +8,7 @@
 
 mod choice;
 mod learn;
+mod pulse;
 mod retry;
 
 use crate::belief::{Belief, Observation};
@@ -16,12 +17,18 @@
 use crate::spec::{Member, MemberState, ServiceSpec};
 use crate::spread::Spread;
 use crate::time::Time;
+use pulse::Pulse;
 use retry::RetryWindow;
 pub use retry::{Reach, Resend, RetryRule};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// Time in which a service's first upstreams become known to a box.
+///
+/// A platform's store lists those of a fleet that starts within three seconds.
+const FIRST_TIME: Duration = Duration::from_secs(5);
+
 /// One upstream with what the list says of its size and age.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
@@ -86,6 +93,13 @@
     /// The last other box that could not reach it.
     unreached: Option<(NameId, Time)>,
     told_success: Time,
+    joined: Time,
+    /// Whether it joined after the service's first upstreams.
+    late: bool,
+    /// When a box of this data hall last sent it something, as far as is known.
+    worked: Option<Time>,
+    /// When something last failed there.
+    failed: Option<Time>,
 }
 
 #[derive(Clone, Debug)]
@@ -94,6 +108,9 @@
     id: NameId,
     spread: Spread,
     retries: RetryWindow,
+    pulse: Pulse,
+    /// When this box first heard of it.
+    began: Time,
     upstreams: Vec<UpstreamKey>,
 }
 
@@ -146,7 +163,7 @@
     pub fn new(hall: &str, rule: RetryRule, seed: u64) -> Self {
         Self {
             hall: hall.to_owned(),
-            reach: Reach { boxes: 1, in_touch: true },
+            reach: Reach { boxes: 1, near: 1, in_touch: true },
             rule,
             services: SlotMap::with_key(),
             by_name: BTreeMap::new(),
@@ -173,7 +190,7 @@
                 self.services[k].spec = spec.clone();
                 continue;
             }
-            let k = self.services.insert(Service::new(spec.clone()));
+            let k = self.services.insert(Service::new(spec.clone(), now));
             self.by_name.insert(spec.name.clone(), k);
             let waiting: Vec<Listed> =
                 self.listed.values().filter(|l| l.member.service == spec.name).cloned().collect();
@@ -237,6 +254,10 @@
             path: Belief::new(now),
             unreached: None,
             told_success: Time::ZERO,
+            joined: now,
+            late: now.since(self.services[service].began) > FIRST_TIME,
+            worked: None,
+            failed: None,
         };
         let k = self.upstreams.insert(up);
         self.by_id.insert(id, k);
@@ -289,11 +310,13 @@
 }
 
 impl Service {
-    fn new(spec: ServiceSpec) -> Self {
+    fn new(spec: ServiceSpec, began: Time) -> Self {
         Self {
             id: NameId::of(&spec.name),
             spread: Spread::default(),
             retries: RetryWindow::default(),
+            pulse: Pulse::default(),
+            began,
             upstreams: Vec::new(),
             spec,
         }
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -6,6 +6,7 @@
 use crate::router::{
     AttemptKey, Outcome, Pick, Reason, Refusal, RefusalKind, ServiceKey, UpstreamKey, jitter,
 };
+use crate::spec::Floor;
 use crate::time::Time;
 use std::time::Duration;
 
@@ -37,9 +38,38 @@
 const OVERDUE_AT: f64 = 2.0;
 /// Bounds of the same, as parts of the aim.
 const OVERDUE_BOUNDS: (f64, f64) = (0.35, 0.6);
+/// Longest time that an upstream which the floor keeps at work gets nothing.
+///
+/// The floor is counted over two seconds; this leaves room for a late datagram.
+const STARVED_AFTER: Duration = Duration::from_millis(1_400);
+/// Time after a failure in which the floor does not ask for more work there.
+///
+/// Two seconds by the floor's rule, and one for a datagram that was lost.
+const FAILED_REST: Duration = Duration::from_secs(3);
+/// Longest time that any upstream which is doubted little gets no repeatable work.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(12);
+/// Chance of trouble up to which that holds.
+const DOUBTED_LITTLE: f64 = 0.2;
+/// Time within which an upstream that joined the others gets its first work.
+const FIRST_AFTER: Duration = Duration::from_secs(2);
+/// Share of a service's requests that fail, above which the floor is kept.
+///
+/// The floor binds from a tenth on; below, the healthiest may have all the work.
+const FAILING: f64 = 0.1;
+/// Chance that this box's path is bad, above which the other boxes keep it at work.
+const PATH_BAD: f64 = 0.4;
 /// Wait told to callers when no upstream is listed.
 const EMPTY_WAIT: Duration = Duration::from_millis(500);
 
+/// Why an upstream may be given work beside the least loss.
+#[derive(Clone, Copy, Debug)]
+struct Keeping {
+    floor: Floor,
+    /// Whether so much of the service's work fails that the floor binds.
+    failing: bool,
+    repeatable: bool,
+}
+
 impl Chooser for Balancer {
     fn pick(&mut self, ask: &Ask, tried: &[UpstreamKey], now: Time) -> Result<Pick, Refusal> {
         let Some(s) = self.services.get(ask.service) else {
@@ -52,21 +82,22 @@
             !tried.contains(k) && self.upstreams.get(**k).is_some_and(|u| !u.is_leaving())
         };
         let open: Vec<UpstreamKey> = s.upstreams.iter().filter(usable).copied().collect();
-        let mut best: Option<(f64, UpstreamKey)> = None;
-        for k in open {
-            let loss = self.upstreams[k].loss(ask, aim, work, now) + self.rng.f64() * NOISE;
-            if best.is_none_or(|(l, _)| loss < l) {
-                best = Some((loss, k));
-            }
-        }
-        let Some((_, upstream)) = best else {
+        let floor = s.spec.floor;
+        let failing = s.pulse.failing(self.reach, now) > FAILING;
+        let kept = Keeping { floor, failing, repeatable: ask.repeatable };
+        let starved = self.starved(&open, kept, now).map(|u| (u, Reason::Canary));
+        let chosen = starved.or_else(|| {
+            let least = self.least_loss(&open, ask, aim, work, now)?;
+            Some((least, Reason::LeastLoss))
+        });
+        let Some((upstream, reason)) = chosen else {
             return Err(self.refuse(RefusalKind::NoUpstream));
         };
         let attempt =
             Attempt { upstream, service: ask.service, started: now, aim: ask.aim, judged: false };
         let attempt = self.attempts.insert(attempt);
-        self.opened(upstream, 1);
-        Ok(Pick { attempt, upstream, reason: Reason::LeastLoss })
+        self.opened(upstream, 1, now);
+        Ok(Pick { attempt, upstream, reason })
     }
 
     fn place(&self, k: UpstreamKey) -> Option<Place<'_>> {
@@ -114,6 +145,46 @@
 }
 
 impl Balancer {
+    fn least_loss(
+        &mut self,
+        open: &[UpstreamKey],
+        ask: &Ask,
+        aim: f64,
+        work: f64,
+        now: Time,
+    ) -> Option<UpstreamKey> {
+        let mut best: Option<(f64, UpstreamKey)> = None;
+        for &k in open {
+            let loss = self.upstreams[k].loss(ask, aim, work, now) + self.rng.f64() * NOISE;
+            if best.is_none_or(|(l, _)| loss < l) {
+                best = Some((loss, k));
+            }
+        }
+        best.map(|(_, k)| k)
+    }
+
+    /// Returns an upstream of this data hall that got no work for too long.
+    ///
+    /// While the service is failing, the worst may be left out up to what the floor
+    /// spares; each other one gets some work, however it is doubted, since the doubt
+    /// may be wrong. At other times one that is doubted little is tried now and then.
+    fn starved(&self, open: &[UpstreamKey], keeping: Keeping, now: Time) -> Option<UpstreamKey> {
+        let mut all: Vec<(f64, UpstreamKey)> =
+            open.iter().map(|&k| (self.upstreams[k].shared.chance(now), k)).collect();
+        all.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
+        let spare = all.len().saturating_sub(keeping.floor.count(all.len()));
+        let waits = |(i, &(chance, k)): (usize, &(f64, UpstreamKey))| {
+            let u = &self.upstreams[k];
+            if !u.near || u.path.chance(now) > PATH_BAD {
+                return None;
+            }
+            let kept = keeping.failing && i >= spare;
+            let rest = u.rest(chance, kept, keeping.repeatable, now)?;
+            Some((rest, k))
+        };
+        all.iter().enumerate().filter_map(waits).max().map(|(_, k)| k)
+    }
+
     fn refuse(&mut self, kind: RefusalKind) -> Refusal {
         Refusal { kind, retry_after: jitter(EMPTY_WAIT, &mut self.rng) }
     }
@@ -138,6 +209,16 @@
         loss
     }
 
+    /// Returns how long it has had no work, if that is too long.
+    fn rest(&self, chance: f64, kept: bool, repeatable: bool, now: Time) -> Option<Duration> {
+        let rest = now.since(self.worked.unwrap_or(self.joined));
+        let new = self.worked.is_none() && self.late && rest > FIRST_AFTER;
+        let failed = self.failed.is_some_and(|at| now.since(at) < FAILED_REST);
+        let starved = kept && !failed && rest > STARVED_AFTER;
+        let forgotten = repeatable && chance < DOUBTED_LITTLE && rest > FORGOTTEN_AFTER;
+        (new || starved || forgotten).then_some(rest)
+    }
+
     /// Returns the chance that an attempt of this box meets trouble there.
     pub(super) fn chance(&self, now: Time) -> f64 {
         1.0 - (1.0 - self.shared.chance(now)) * (1.0 - self.path.chance(now))
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -21,14 +21,7 @@
     pub fn heard(&mut self, from: NameId, news: News, now: Time) {
         match news {
             News::Seen { upstream, what } => self.heard_seen(from, upstream, what, now),
-            News::Open { upstream, count } => {
-                let Some(u) = self.known(upstream) else { return };
-                if count == 0 {
-                    u.peers.remove(&from);
-                } else {
-                    u.peers.insert(from, PeerOpen { count, at: now });
-                }
-            }
+            News::Open { upstream, count } => self.heard_open(from, upstream, count, now),
             News::Retry { service } => {
                 let rule = self.rule;
                 if let Some(s) = self.services.values_mut().find(|s| s.id == service) {
@@ -38,7 +31,24 @@
         }
     }
 
+    fn heard_open(&mut self, from: NameId, upstream: NameId, count: u16, now: Time) {
+        let Some(u) = self.known(upstream) else { return };
+        let before = match count {
+            0 => u.peers.remove(&from),
+            _ => u.peers.insert(from, PeerOpen { count, at: now }),
+        };
+        let more = count.saturating_sub(before.map_or(0, |p| p.count));
+        let service = u.service;
+        if more > 0 {
+            u.worked = Some(now);
+            if let Some(s) = self.services.get_mut(service) {
+                s.pulse.sent(more.into(), now);
+            }
+        }
+    }
+
     fn heard_seen(&mut self, from: NameId, upstream: NameId, what: Observation, now: Time) {
+        self.count_failure(upstream, what, now);
         let Some(u) = self.known(upstream) else { return };
         if what != Observation::Unreachable {
             u.shared.observe(what, now);
@@ -51,15 +61,34 @@
         }
     }
 
+    /// Counts what was lost for the share of a service's work that fails.
+    fn count_failure(&mut self, upstream: NameId, what: Observation, now: Time) {
+        if matches!(what, Observation::Success | Observation::Overdue) {
+            return;
+        }
+        let Some(u) = self.known(upstream) else { return };
+        u.failed = Some(now);
+        let service = u.service;
+        if let Some(s) = self.services.get_mut(service) {
+            s.pulse.failed(now);
+        }
+    }
+
     fn known(&mut self, id: NameId) -> Option<&mut super::Upstream> {
         let k = *self.by_id.get(&id)?;
         self.upstreams.get_mut(k)
     }
 
     /// Counts attempts of this box and tells its data hall.
-    pub(super) fn opened(&mut self, k: UpstreamKey, by: isize) {
+    pub(super) fn opened(&mut self, k: UpstreamKey, by: isize, now: Time) {
         let Some(u) = self.upstreams.get_mut(k) else { return };
         u.open = u.open.saturating_add_signed(by);
+        if by > 0 {
+            u.worked = Some(now);
+            if let Some(s) = self.services.get_mut(u.service) {
+                s.pulse.sent(1.0, now);
+            }
+        }
         let count = u16::try_from(u.open).unwrap_or(u16::MAX);
         self.news.push(News::Open { upstream: u.id, count });
     }
@@ -101,7 +130,7 @@
 
     pub(super) fn observed_end(&mut self, k: AttemptKey, outcome: Outcome, now: Time) {
         let Some(a) = self.attempts.remove(k) else { return };
-        self.opened(a.upstream, -1);
+        self.opened(a.upstream, -1, now);
         let what = match outcome {
             Outcome::Whole | Outcome::Abandoned => return,
             Outcome::NotRun => Observation::Shed,
@@ -121,6 +150,8 @@
 
     /// Takes what this box saw itself, and tells the others what they need.
     fn saw(&mut self, k: UpstreamKey, what: Observation, now: Time) {
+        let Some(id) = self.upstreams.get(k).map(|u| u.id) else { return };
+        self.count_failure(id, what, now);
         let Some(u) = self.upstreams.get_mut(k) else { return };
         let doubted = u.shared.chance(now) > TELL_SUCCESS;
         let tell = match what {
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -45,6 +45,8 @@
 pub struct Reach {
     /// Boxes of the fleet, this one included.
     pub boxes: usize,
+    /// Boxes of this data hall, this one included.
+    pub near: usize,
     /// Whether this box hears the others.
     pub in_touch: bool,
 }
@@ -84,7 +86,7 @@
             Resend::Failed => SPENT_SHARE,
             Resend::Overdue => HEDGE_SHARE,
         };
-        let alone = rule.ratio.mul_add(seen, rule.slack / boxes) + 1.0;
+        let alone = rule.ratio.mul_add(seen, rule.slack / boxes);
         let own_limit = if reach.in_touch { alone.max(OWN_SHARE * budget) } else { alone };
         let spent = own + self.others.len() as f64;
         if spent + 1.0 > share * budget || own + 1.0 > own_limit {
--- /dev/null
+++ b/crates/honeypulley_policy/tests/balance.rs
@@ -0,0 +1,277 @@
+//! Choice by expected loss: what one box picks, learns and tells.
+
+use honeypulley_policy::balance::{Balancer, Listed, News, Reach, Resend, RetryRule};
+use honeypulley_policy::belief::{Belief, Observation};
+use honeypulley_policy::chooser::{Ask, Chooser, LoadReport};
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::router::{Outcome, RefusalKind};
+use honeypulley_policy::spec::{Member, MemberState, ServiceSpec};
+use honeypulley_policy::time::Time;
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const RULE: RetryRule = RetryRule { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
+
+fn listed(name: &str, hall: &str, state: MemberState) -> Listed {
+    let member = Member {
+        name: name.to_owned(),
+        service: "s".to_owned(),
+        addr: format!("10.0.0.1:{}", name.len()),
+        hall: hall.to_owned(),
+        state,
+    };
+    Listed { member, slots: 3, cold: Duration::ZERO }
+}
+
+/// A box in hall `h` before `n` upstreams of its hall, called `u0` and so on.
+fn balancer(n: usize) -> Balancer {
+    let mut b = Balancer::new("h", RULE, 7);
+    b.set_services(&[ServiceSpec::builder().name("s").build()], Time::ZERO);
+    for i in 0..n {
+        b.set_upstream(listed(&format!("u{i}"), "h", MemberState::Live), Time::ZERO);
+    }
+    b
+}
+
+fn ask(b: &Balancer, repeatable: bool) -> Ask {
+    let service = b.service("s").expect("set up");
+    Ask { service, repeatable, bulky: false, aim: Some(Duration::from_secs(1)) }
+}
+
+/// Sends `n` requests, one each 10 ms from `from` ms on, and counts the picks.
+fn send(b: &mut Balancer, n: u64, from: u64, repeatable: bool) -> BTreeMap<String, usize> {
+    let ask = ask(b, repeatable);
+    let mut picks = BTreeMap::new();
+    for i in 0..n {
+        let now = Time::from_millis(from + i * 10);
+        let pick = b.pick(&ask, &[], now).expect("there are upstreams");
+        *picks.entry(b.place(pick.upstream).expect("known").name.to_owned()).or_default() += 1;
+        b.answered(pick.attempt, true, now);
+        b.finish(pick.attempt, Outcome::Whole, now);
+    }
+    picks
+}
+
+fn failure(name: &str) -> News {
+    News::Seen { upstream: NameId::of(name), what: Observation::Failure }
+}
+
+#[test]
+fn one_failure_elsewhere_turns_the_next_request_away() {
+    let mut b = balancer(4);
+    b.heard(NameId::of("other"), failure("u1"), Time::from_millis(5));
+    let picks = send(&mut b, 100, 10, false);
+    assert_eq!(picks.get("u1"), None, "{picks:?}");
+}
+
+#[test]
+fn a_failed_upstream_gets_its_work_back() {
+    let mut b = balancer(4);
+    b.heard(NameId::of("other"), failure("u1"), Time::from_millis(5));
+    let picks = send(&mut b, 400, 30_000, true);
+    assert!(picks.contains_key("u1"), "{picks:?}");
+}
+
+#[test]
+fn failures_raise_the_chance_and_successes_lower_it() {
+    let at = Time::from_millis(1_000);
+    let mut belief = Belief::new(Time::ZERO);
+    let prior = belief.chance(at);
+    belief.observe(Observation::Failure, at);
+    let failed = belief.chance(at);
+    assert!(failed > 0.5, "one failure at a base rate of 1.2 in 100: {failed}");
+    belief.observe(Observation::Success, at);
+    belief.observe(Observation::Success, at);
+    let better = belief.chance(at);
+    assert!(better < failed / 1.5, "{better}");
+    assert!(belief.chance(Time::from_millis(30_000)) < 0.3);
+    assert!(prior < 0.1, "{prior}");
+}
+
+#[test]
+fn an_upstream_that_fails_again_and_again_is_trusted_less() {
+    let (mut once, mut often) = (Belief::new(Time::ZERO), Belief::new(Time::ZERO));
+    for i in 0..5 {
+        often.observe(Observation::Failure, Time::from_millis(i * 8_000));
+    }
+    once.observe(Observation::Failure, Time::from_millis(32_000));
+    let later = Time::from_millis(50_000);
+    assert!(often.chance(later) > 1.5 * once.chance(later));
+}
+
+#[test]
+fn a_box_alone_that_reaches_no_upstream_holds_it_against_its_path_alone() {
+    let mut b = balancer(3);
+    let unreachable = News::Seen { upstream: NameId::of("u1"), what: Observation::Unreachable };
+    for i in 0..5 {
+        b.heard(NameId::of("cut-off"), unreachable, Time::from_millis(i * 100));
+    }
+    let picks = send(&mut b, 300, 600, false);
+    assert!(picks.get("u1").is_some_and(|n| *n > 50), "{picks:?}");
+    b.heard(NameId::of("cut-off"), unreachable, Time::from_millis(4_000));
+    b.heard(NameId::of("another"), unreachable, Time::from_millis(4_100));
+    let picks = send(&mut b, 30, 4_200, false);
+    assert_eq!(picks.get("u1"), None, "two boxes bear each other out: {picks:?}");
+}
+
+#[rstest]
+#[case::leaving(MemberState::Leaving)]
+#[case::live(MemberState::Live)]
+fn a_leaving_upstream_gets_no_new_work(#[case] state: MemberState) {
+    let mut b = balancer(2);
+    b.set_upstream(listed("u0", "h", state), Time::from_millis(1));
+    let picks = send(&mut b, 1_500, 10, true);
+    assert_eq!(picks.contains_key("u0"), state == MemberState::Live, "{picks:?}");
+}
+
+#[test]
+fn an_upstream_gone_from_the_list_gets_no_new_work() {
+    let mut b = balancer(1);
+    b.remove_upstream("u0");
+    let refused = b.pick(&ask(&b, true), &[], Time::ZERO).expect_err("none is left");
+    assert_eq!(refused.kind, RefusalKind::NoUpstream);
+}
+
+#[test]
+fn an_address_that_another_instance_has_is_not_asked_again() {
+    let mut b = balancer(2);
+    let ask = ask(&b, true);
+    let pick = b.pick(&ask, &[], Time::ZERO).expect("there are two");
+    let name = b.place(pick.upstream).expect("known").name.to_owned();
+    b.finish(pick.attempt, Outcome::Misdirected, Time::from_millis(1));
+    let picks = send(&mut b, 50, 10, true);
+    assert!(!picks.contains_key(&name), "{picks:?}");
+}
+
+#[test]
+fn entries_that_came_before_their_service_are_kept_for_it() {
+    let mut b = Balancer::new("h", RULE, 7);
+    b.set_upstream(listed("u0", "h", MemberState::Live), Time::ZERO);
+    b.set_services(&[ServiceSpec::builder().name("s").build()], Time::ZERO);
+    assert_eq!(send(&mut b, 1, 0, true).len(), 1);
+}
+
+#[test]
+fn own_data_hall_goes_first_until_it_is_full() {
+    let mut b = balancer(1);
+    b.set_upstream(listed("far", "elsewhere", MemberState::Live), Time::ZERO);
+    let ask = ask(&b, true);
+    let mut near = 0;
+    for _ in 0..8 {
+        let pick = b.pick(&ask, &[], Time::ZERO).expect("there are two");
+        near += usize::from(b.place(pick.upstream).expect("known").name == "u0");
+    }
+    assert!((3..=5).contains(&near), "{near} of 8 open ones stayed near its three slots");
+}
+
+#[test]
+fn a_peer_of_the_hall_that_fills_an_upstream_is_counted() {
+    let mut b = balancer(2);
+    let open = News::Open { upstream: NameId::of("u0"), count: 6 };
+    b.heard(NameId::of("peer"), open, Time::ZERO);
+    let picks = send(&mut b, 50, 1, true);
+    assert_eq!(picks.get("u0"), None, "{picks:?}");
+}
+
+#[test]
+fn a_full_load_report_is_believed_for_a_moment_only() {
+    let mut b = balancer(2);
+    let ask = ask(&b, true);
+    let pick = b.pick(&ask, &[], Time::ZERO).expect("there are two");
+    let name = b.place(pick.upstream).expect("known").name.to_owned();
+    b.reported_load(pick.upstream, LoadReport { busy: 15.0, slots: 3.0 }, Time::ZERO);
+    b.finish(pick.attempt, Outcome::Whole, Time::ZERO);
+    assert_eq!(send(&mut b, 20, 1, true).get(&name), None);
+    assert!(send(&mut b, 50, 15_000, true).contains_key(&name));
+}
+
+#[test]
+fn most_upstreams_get_work_however_many_are_thought_sick() {
+    let mut b = balancer(10);
+    for i in 0..8 {
+        b.heard(NameId::of("other"), failure(&format!("u{i}")), Time::from_millis(5));
+        b.heard(NameId::of("other"), failure(&format!("u{i}")), Time::from_millis(6));
+    }
+    // The box must have seen some sends to know that a tenth of them fail.
+    send(&mut b, 40, 10, false);
+    // Failures go on elsewhere, and the others stay quiet for three seconds.
+    for i in 0..300 {
+        let now = Time::from_millis(410 + i * 10);
+        b.heard(NameId::of("other"), failure("u0"), now);
+    }
+    let picks = send(&mut b, 200, 3_400, false);
+    assert!(picks.len() >= 7, "{} of 10 got work in two seconds: {picks:?}", picks.len());
+}
+
+#[test]
+fn a_new_upstream_gets_work_however_well_the_others_are_proven() {
+    let mut b = balancer(3);
+    send(&mut b, 1_000, 10, false);
+    b.set_upstream(listed("new", "h", MemberState::Live), Time::from_millis(10_010));
+    let picks = send(&mut b, 300, 10_020, false);
+    assert!(picks.contains_key("new"), "{picks:?}");
+}
+
+#[test]
+fn the_retry_budget_counts_what_other_boxes_spent() {
+    let mut b = balancer(3);
+    b.set_reach(Reach { boxes: 5, near: 5, in_touch: true });
+    let service = b.service("s").expect("set up");
+    let now = Time::from_millis(100);
+    assert!(b.spend_retry(service, Resend::Failed, now));
+    for _ in 0..10 {
+        b.heard(NameId::of("other"), News::Retry { service: NameId::of("s") }, now);
+    }
+    assert!(!b.spend_retry(service, Resend::Failed, now), "the fleet has spent its slack");
+    let later = Time::from_millis(11_000);
+    assert!(b.spend_retry(service, Resend::Failed, later), "the window has moved on");
+}
+
+#[test]
+fn boxes_that_hear_nobody_keep_the_budget_together() {
+    let boxes = 40;
+    let rule = RetryRule { slack: 58.0, ..RULE };
+    let mut spent = 0;
+    for seed in 0..boxes {
+        let mut b = Balancer::new("h", rule, seed);
+        b.set_services(&[ServiceSpec::builder().name("s").build()], Time::ZERO);
+        b.set_reach(Reach { boxes: boxes as usize, near: 10, in_touch: false });
+        let service = b.service("s").expect("set up");
+        for i in 0..10 {
+            let now = Time::from_millis(i * 100);
+            b.arrived(service, now);
+            spent += usize::from(b.spend_retry(service, Resend::Failed, now));
+        }
+    }
+    // A fifth of 400 requests and the slack.
+    assert!(spent <= 80 + 58, "{spent}");
+}
+
+#[test]
+fn hedges_leave_budget_to_failures() {
+    let mut b = balancer(3);
+    b.set_reach(Reach { boxes: 3, near: 3, in_touch: true });
+    let service = b.service("s").expect("set up");
+    let now = Time::from_millis(100);
+    while b.spend_retry(service, Resend::Overdue, now) {}
+    assert!(b.spend_retry(service, Resend::Failed, now));
+}
+
+#[test]
+fn every_attempt_is_told_to_the_hall_and_every_failure_to_all() {
+    let mut b = balancer(1);
+    let ask = ask(&b, true);
+    let pick = b.pick(&ask, &[], Time::ZERO).expect("there is one");
+    b.finish(pick.attempt, Outcome::Failed, Time::from_millis(1));
+    let upstream = NameId::of("u0");
+    let told = b.take_news();
+    assert_eq!(
+        told,
+        [
+            News::Open { upstream, count: 1 },
+            News::Open { upstream, count: 0 },
+            News::Seen { upstream, what: Observation::Failure },
+        ]
+    );
+}
--- /dev/null
+++ b/crates/honeypulley_policy/tests/routes.rs
@@ -0,0 +1,96 @@
+//! The routing table: longest prefix by whole segments, and what it refuses.
+
+use honeypulley_policy::routes::{
+    CallerLimits, RequestKind, Route, RouteError, RouteTable, Target,
+};
+use honeypulley_policy::spec::ServiceSpec;
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    let targets = vec![Target { service: "s".to_owned(), weight: 1 }];
+    Route::builder()
+        .name(name)
+        .host(host)
+        .prefix(prefix)
+        .kind(RequestKind::Safe)
+        .targets(targets)
+        .build()
+}
+
+fn table(routes: Vec<Route>) -> Result<RouteTable, RouteError> {
+    let services = vec![ServiceSpec::builder().name("s").build()];
+    RouteTable::new(1, services, routes, CallerLimits::default())
+}
+
+#[rstest]
+#[case("a.example", "/x/1", Some("x"))]
+#[case("a.example", "/x/y/1", Some("xy"))]
+#[case("a.example", "/x/y/", Some("xy"))]
+#[case("a.example", "/x/yy/1", Some("x"))]
+#[case("a.example", "/x/y", Some("x"))]
+#[case("a.example", "/x", None)]
+#[case("a.example", "/z/x/1", None)]
+#[case("b.example", "/x/1", None)]
+#[case("b.example", "/1", Some("b"))]
+#[case("a.example", "", None)]
+fn the_longest_prefix_by_whole_segments_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] want: Option<&str>,
+) {
+    let t = table(vec![
+        route("x", "a.example", "/x/"),
+        route("xy", "a.example", "/x/y/"),
+        route("b", "b.example", "/"),
+    ])
+    .expect("fine");
+    let found = t.find(host, path).map(|r| r.name.as_str());
+    // `b.example` serves everything of its host.
+    let want = if host == "b.example" { Some("b") } else { want };
+    assert_eq!(found, want);
+}
+
+#[rstest]
+#[case("x/")]
+#[case("/x")]
+fn prefixes_without_their_slashes_are_refused(#[case] prefix: &str) {
+    let refused = table(vec![route("r", "a", prefix)]);
+    assert!(matches!(refused, Err(RouteError::Prefix { .. })));
+}
+
+#[test]
+fn routes_to_services_that_are_not_there_are_refused() {
+    let mut r = route("r", "a", "/x/");
+    r.targets[0].service = "other".to_owned();
+    assert!(matches!(table(vec![r]), Err(RouteError::UnknownService { .. })));
+    let mut r = route("r", "a", "/x/");
+    r.targets.clear();
+    assert!(matches!(table(vec![r]), Err(RouteError::NoTarget { .. })));
+}
+
+#[test]
+fn a_split_holds_its_weights() {
+    let mut r = route("r", "a", "/x/");
+    r.targets = vec![
+        Target { service: "s".to_owned(), weight: 90 },
+        Target { service: "t".to_owned(), weight: 10 },
+    ];
+    let mut rng = fastrand::Rng::with_seed(7);
+    let to_t = (0..10_000).filter(|_| r.target(rng.f64()) == "t").count();
+    assert!((900..1_100).contains(&to_t), "{to_t}");
+}
+
+proptest! {
+    /// Agrees with a search over all routes.
+    #[test]
+    fn finds_what_a_naive_search_finds(
+        prefixes in prop::collection::btree_set("(/[ab]{1,2}){0,3}/", 1..8),
+        path in "(/[ab]{1,2}){0,5}/?",
+    ) {
+        let routes: Vec<Route> = prefixes.iter().map(|p| route(p, "h", p)).collect();
+        let t = table(routes).expect("fine");
+        let naive = prefixes.iter().filter(|p| path.starts_with(p.as_str())).max_by_key(|p| p.len());
+        prop_assert_eq!(t.find("h", &path).map(|r| &r.name), naive);
+    }
+}
