Tests of the platform's rules against stand-ins of the wire; faults they found

Found by tests that failed first: a malformed chunk of a caller's got 502 where it is the caller's fault (400); a request without an attempt's id was answered 502, its echo being empty; a box whose writes lose their answers never joined; a box that had just started heard of no evidence for up to 0.5 s.

--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -169,7 +169,7 @@
                 }
                 greeted = known.len();
             }
-            tokio::time::sleep(HELLO_GAP).await;
+            let _ = tokio::time::timeout(HELLO_GAP, self.mesh.greeting.notified()).await;
         }
     }
 
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -116,6 +116,8 @@
     pub telling: Notify,
     /// Wakes the peers' duty to pull what this box misses.
     pub pulling: Notify,
+    /// Wakes the peers' duty when the store has named other boxes.
+    pub greeting: Notify,
     /// Wakes the store's duty when this box begins to read.
     pub reading: Notify,
     /// Set when the list was taken once.
@@ -162,6 +164,7 @@
             serving: Notify::new(),
             telling: Notify::new(),
             pulling: Notify::new(),
+            greeting: Notify::new(),
             reading: Notify::new(),
             listed: AtomicBool::new(false),
             leaving,
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -113,7 +113,7 @@
             log::info!("join: {e}");
             pause(&mut wait).await;
         }
-        self.mesh.telling.notify_one();
+        self.mesh.greeting.notify_one();
     }
 
     async fn try_register(&self) -> Result<(), PlatformError> {
@@ -122,6 +122,7 @@
         let key = format!("{prefix}{}", settings.name);
         let record = BoxRecord { peer: settings.peer, hall: settings.hall.clone() };
         let value = Bytes::from(serde_json::to_vec(&record).expect("a record is plain data"));
+        let mut unsure = false;
         match self.platform.put(&key, value.clone(), Expect::Absent).await {
             Ok(_) => {}
             Err(PlatformError::Conflict { current, .. }) => {
@@ -131,9 +132,16 @@
                     again?;
                 }
             }
+            // It may have been done; the list below tells.
+            Err(PlatformError::Unknown { .. }) => unsure = true,
             Err(e) => return Err(e),
         }
         let all = self.platform.list(prefix, Freshness::Latest).await?;
+        if unsure && !all.objects.iter().any(|o| o.key == key) {
+            let (peer, step) = ("store".to_owned(), "register");
+            let cause = "the write was lost".to_owned();
+            return Err(PlatformError::Unavailable { peer, step, cause });
+        }
         for o in &all.objects {
             let name = o.key.strip_prefix(prefix.as_str()).unwrap_or(&o.key);
             match serde_json::from_slice::<BoxRecord>(&o.value) {
--- /dev/null
+++ b/crates/honeypulley_mesh/tests/list.rs
@@ -0,0 +1,124 @@
+//! The list of upstreams takes news in any order, and old news change nothing.
+
+use honeypulley_mesh::list::{ListChange, UpstreamList};
+use honeypulley_peer::listing::{Entry, EntryState};
+use honeypulley_policy::balance::Listed;
+use honeypulley_policy::spec::{Member, MemberState};
+use honeypulley_policy::time::Time;
+use std::time::Duration;
+
+const NOW: Time = Time::from_millis(1_000);
+
+fn listed(name: &str, state: MemberState) -> Listed {
+    let member = Member {
+        name: name.to_owned(),
+        service: "s".to_owned(),
+        addr: "10.0.0.1:80".to_owned(),
+        hall: "h".to_owned(),
+        state,
+    };
+    Listed { member, slots: 3, cold: Duration::ZERO }
+}
+
+fn live(name: &str, version: u64) -> Entry {
+    let state = EntryState::Present(listed(name, MemberState::Live));
+    Entry { name: name.to_owned(), version, state }
+}
+
+fn gone(name: &str, version: u64, hold_ms: u64) -> Entry {
+    let state = EntryState::Gone { hold: Duration::from_millis(hold_ms) };
+    Entry { name: name.to_owned(), version, state }
+}
+
+/// A list with `a` at version 3 and `b` at 5.
+fn two() -> UpstreamList {
+    let mut l = UpstreamList::default();
+    let changes = l.replace(7, vec![live("a", 3), live("b", 5)], Duration::ZERO, NOW);
+    assert_eq!(changes.len(), 2);
+    l
+}
+
+#[test]
+fn a_list_is_as_new_as_its_newest_change() {
+    let l = two();
+    assert!(l.is_known());
+    assert_eq!(l.version(), 5, "not 7, which other objects raised");
+}
+
+#[test]
+fn an_entry_that_goes_in_calm_is_gone_at_once() {
+    let mut l = two();
+    let changes = l.apply(5, 8, vec![gone("a", 8, 0)], NOW);
+    assert_eq!(changes, [ListChange::Gone("a".to_owned())]);
+    assert_eq!(l.version(), 8);
+}
+
+#[test]
+fn an_entry_that_goes_while_the_platform_is_away_may_come_back() {
+    let mut l = two();
+    assert_eq!(l.apply(5, 8, vec![gone("a", 8, 2_000), gone("b", 7, 2_000)], NOW), []);
+    assert!(l.has_missing());
+    assert_eq!(l.apply(8, 9, vec![live("a", 9)], Time::from_millis(2_000)).len(), 1);
+    assert_eq!(l.expire(Time::from_millis(2_900)), []);
+    assert_eq!(l.expire(Time::from_millis(3_100)), [ListChange::Gone("b".to_owned())]);
+    assert_eq!(l.present().count(), 1);
+}
+
+#[test]
+fn an_older_entry_never_replaces_a_newer_one() {
+    let mut l = two();
+    l.apply(5, 8, vec![gone("a", 8, 0)], NOW);
+    assert_eq!(l.apply(2, 3, vec![live("a", 3)], NOW), []);
+    assert_eq!(l.apply(2, 4, vec![gone("b", 4, 0)], NOW), []);
+    assert_eq!(l.version(), 8);
+}
+
+#[test]
+fn the_same_news_twice_changes_nothing() {
+    let mut l = two();
+    assert_eq!(l.apply(5, 5, vec![live("b", 5)], NOW), []);
+    l.apply(5, 8, vec![gone("a", 8, 0)], NOW);
+    assert_eq!(l.apply(5, 8, vec![gone("a", 8, 0)], NOW), []);
+}
+
+#[test]
+fn changes_behind_a_gap_are_taken_and_the_gap_remembered() {
+    let mut l = two();
+    assert_eq!(l.apply(9, 11, vec![gone("a", 11, 0)], NOW).len(), 1);
+    assert_eq!(l.version(), 5, "what came between is still missing");
+}
+
+#[test]
+fn what_a_whole_list_lacks_has_gone() {
+    let mut l = two();
+    let changes = l.replace(12, vec![live("b", 5)], Duration::ZERO, NOW);
+    assert_eq!(changes, [ListChange::Gone("a".to_owned())]);
+    assert_eq!(l.version(), 12);
+}
+
+#[test]
+fn a_whole_list_older_than_a_change_undoes_nothing() {
+    let mut l = two();
+    l.apply(5, 9, vec![live("new", 9)], NOW);
+    assert_eq!(l.replace(8, vec![live("a", 3), live("b", 5)], Duration::ZERO, NOW), []);
+    assert_eq!(l.present().count(), 3);
+}
+
+#[test]
+fn another_box_takes_the_list_with_what_went() {
+    let mut l = two();
+    l.apply(5, 8, vec![gone("a", 8, 0)], NOW);
+    let mut other = two();
+    let changes = other.replace(l.version(), l.entries(NOW), Duration::ZERO, NOW);
+    assert_eq!(changes, [ListChange::Gone("a".to_owned())]);
+    assert_eq!(other.version(), 8);
+}
+
+#[test]
+fn a_leaving_entry_is_a_change() {
+    let mut l = two();
+    let state = EntryState::Present(listed("a", MemberState::Leaving));
+    let entry = Entry { name: "a".to_owned(), version: 9, state };
+    let changes = l.apply(5, 9, vec![entry], NOW);
+    assert!(matches!(&changes[..], [ListChange::Set(l)] if l.member.state == MemberState::Leaving));
+}
--- a/crates/honeypulley_policy/src/router/evidence.rs
+++ b/crates/honeypulley_policy/src/router/evidence.rs
@@ -83,7 +83,7 @@
             // An upstream that sheds may be busy; if it alone sheds, it is sick.
             Outcome::NotRun => self.witness(k, Evidence::Slow, now),
             Outcome::Failed | Outcome::Refused | Outcome::Unreachable | Outcome::Misdirected => {
-                self.witness(k, Evidence::Failure, now)
+                self.witness(k, Evidence::Failure, now);
             }
             Outcome::Late => self.witness(k, Evidence::Stall, now),
             Outcome::Wrong => {
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -224,7 +224,7 @@
     if let Some(load) = d.load(h) {
         policy.reported_load(guard.upstream, load, now);
     }
-    if h.get(&d.attempt).is_some_and(|echo| Some(echo) != id) {
+    if id.is_some() && h.get(&d.attempt).is_some_and(|echo| Some(echo) != id) {
         guard.ended(Outcome::Wrong);
         return Err(Failure::Unknown { why: "the answer belongs to another request".to_owned() });
     }
--- a/crates/honeypulley_proxy/src/body.rs
+++ b/crates/honeypulley_proxy/src/body.rs
@@ -2,12 +2,14 @@
 
 use crate::attempt::AttemptGuard;
 use crate::gate::OpenGuard;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use honeypulley_policy::router::Outcome;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use salvo::http::ReqBody;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 /// Longest body kept for a second attempt, in bytes.
@@ -19,24 +21,37 @@
     /// Small enough to be sent again.
     Kept(Bytes),
     /// Sent once; `None` once it is gone.
-    Streamed(Option<ReqBody>),
+    Streamed(Option<CallerBody>),
+}
+
+/// A long body on its way from the caller to an upstream.
+#[derive(Debug)]
+pub struct CallerBody {
+    /// What was read already.
+    begun: Option<Bytes>,
+    rest: ReqBody,
+    /// Set when the caller's bytes can't be read.
+    broken: Arc<AtomicBool>,
 }
 
 impl Source {
-    /// Keeps a body whose announced length is small; the others are streamed.
+    /// Keeps a body that is small; a longer one is streamed, its beginning read.
     ///
     /// # Errors
     /// Returns what went wrong while reading from the caller.
-    pub async fn read(body: ReqBody) -> Result<Self, String> {
-        if body.is_end_stream() {
-            return Ok(Self::Kept(Bytes::new()));
+    pub async fn read(mut body: ReqBody) -> Result<Self, String> {
+        let mut taken = BytesMut::new();
+        while taken.len() <= MAX_KEPT {
+            let Some(frame) = body.frame().await else {
+                return Ok(Self::Kept(taken.freeze()));
+            };
+            let frame = frame.map_err(|e| e.to_string())?;
+            if let Ok(data) = frame.into_data() {
+                taken.extend_from_slice(&data);
+            }
         }
-        let small = body.size_hint().upper().is_some_and(|n| n <= MAX_KEPT as u64);
-        if !small {
-            return Ok(Self::Streamed(Some(body)));
-        }
-        let whole = body.collect().await.map_err(|e| e.to_string())?;
-        Ok(Self::Kept(whole.to_bytes()))
+        let (begun, broken) = (Some(taken.freeze()), Arc::default());
+        Ok(Self::Streamed(Some(CallerBody { begun, rest: body, broken })))
     }
 
     /// Returns a body for one more attempt, if there is one.
@@ -52,6 +67,49 @@
     pub const fn is_there(&self) -> bool {
         matches!(self, Self::Kept(_) | Self::Streamed(Some(_)))
     }
+
+    /// Returns what tells later whether the caller's bytes could be read.
+    #[must_use]
+    pub fn broken(&self) -> Option<Arc<AtomicBool>> {
+        match self {
+            Self::Streamed(Some(b)) => Some(Arc::clone(&b.broken)),
+            _ => None,
+        }
+    }
+}
+
+impl Body for CallerBody {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        if let Some(begun) = self.begun.take() {
+            return Poll::Ready(Some(Ok(Frame::data(begun))));
+        }
+        let polled = Pin::new(&mut self.rest).poll_frame(cx);
+        if matches!(polled, Poll::Ready(Some(Err(_)))) {
+            self.broken.store(true, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.begun.is_none() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let read = self.begun.as_ref().map_or(0, |b| b.len() as u64);
+        let rest = self.rest.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + read);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + read);
+        }
+        hint
+    }
 }
 
 /// An answer's body that tells the policy how it ended.
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -57,6 +57,7 @@
         out.collect = routed.collect && !out.upgrade;
         routed.ask.repeatable &= !out.upgrade;
         let source = take_body(req, routed.body_bytes).await?;
+        let broken = source.broken();
         let race = Race {
             gate: Arc::clone(&self.gate),
             routed,
@@ -65,7 +66,11 @@
             source,
             deadline,
         };
-        let answer = race.run().await?;
+        let answer = race.run().await.map_err(|own| {
+            // A body that can't be read is the caller's fault, whatever followed.
+            let fault = broken.is_some_and(|b| b.load(Ordering::Relaxed));
+            if fault { bad_request("the body can't be read") } else { own }
+        })?;
         let took = began.elapsed();
         self.gate.time("requests.head_ms", took);
         log::info!(
