--- a/crates/honeypulley_daemon/src/peer.rs
+++ b/crates/honeypulley_daemon/src/peer.rs
@@ -142,7 +142,8 @@
             Body::Hello { .. }
             | Body::Book(_)
             | Body::Beacon(_)
-            | Body::News(_)
+            | Body::News { .. }
+            | Body::Forward(_)
             | Body::Changes { .. } => self.ctx.shared.gate.count("peer.refused"),
         }
     }
--- a/crates/honeypulley_mesh/src/book.rs
+++ b/crates/honeypulley_mesh/src/book.rs
@@ -5,8 +5,13 @@
 
 use honeypulley_peer::listing::BoxAddress;
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::time::Time;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time for which a box that was heard is taken to be there.
+const HEARD_LIFE: Duration = Duration::from_secs(5);
 
 /// Boxes known to one box, without itself.
 #[derive(Clone, Debug)]
@@ -14,13 +19,14 @@
     me: NameId,
     hall: String,
     boxes: BTreeMap<NameId, BoxAddress>,
+    heard: BTreeMap<NameId, Time>,
 }
 
 impl Book {
     /// Builds the empty book of box `me` in data hall `hall`.
     #[must_use]
     pub fn new(me: NameId, hall: &str) -> Self {
-        Self { me, hall: hall.to_owned(), boxes: BTreeMap::new() }
+        Self { me, hall: hall.to_owned(), boxes: BTreeMap::new(), heard: BTreeMap::new() }
     }
 
     /// Takes an address; tells whether the box or its data hall is new.
@@ -44,6 +50,29 @@
         }
     }
 
+    /// Takes that a box was heard, by whatever way.
+    pub fn heard(&mut self, id: NameId, now: Time) {
+        self.heard.insert(id, now);
+    }
+
+    /// Returns up to `k` boxes of each other data hall, those heard lately first.
+    #[must_use]
+    pub fn delegates(&self, k: usize, now: Time, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
+        let mut halls: BTreeMap<&str, Vec<(bool, u64, SocketAddr)>> = BTreeMap::new();
+        for b in self.boxes.values().filter(|b| b.hall != self.hall) {
+            let silent = self.heard.get(&b.id).is_none_or(|t| now.since(*t) > HEARD_LIFE);
+            halls.entry(&b.hall).or_default().push((silent, rng.u64(..), b.addr));
+        }
+        let mut chosen = Vec::new();
+        for (hall, mut all) in halls {
+            // One whose data hall is not known could not send anything on.
+            let most = if hall.is_empty() { all.len() } else { k };
+            all.sort_unstable();
+            chosen.extend(all.into_iter().take(most).map(|(_, _, addr)| addr));
+        }
+        chosen
+    }
+
     /// Tells whether the data hall of a box is known.
     #[must_use]
     pub fn knows(&self, id: NameId) -> bool {
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -11,8 +11,10 @@
 use honeypulley_peer::server::{self, Held, PeerView};
 use honeypulley_platform::api::{Object, Platform};
 use honeypulley_policy::balance::News;
+use honeypulley_policy::collector::NameId;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -25,6 +27,16 @@
 const PULL_GAP: Duration = Duration::from_millis(150);
 /// Most of the random wait before a table is fetched, so that boxes spread.
 const FETCH_SPREAD_MS: u64 = 60;
+/// Boxes of each other data hall that send on what concerns tables and lists.
+///
+/// With a third of the boxes gone unnoticed, all three are gone in 4 of 100.
+const NEWS_OF_LISTS: usize = 3;
+/// Boxes of each other data hall that send on what was seen of upstreams.
+const NEWS_OF_UPSTREAMS: usize = 2;
+/// News of one box that are remembered, to know them when they come again.
+const SEEN_NEWS: usize = 64;
+/// Longest wait for room to send one datagram.
+const SEND_TIME: Duration = Duration::from_millis(5);
 /// Time between two hellos to the seeds while no other box is known.
 const HELLO_GAP: Duration = Duration::from_millis(500);
 
@@ -48,6 +60,10 @@
     socket: tokio::net::UdpSocket,
     /// Highest version up to which another reader told changes.
     told: Cell<u64>,
+    /// Number of the last news of this box.
+    seq: Cell<u32>,
+    /// Numbers of the last news of each other box.
+    seen: RefCell<HashMap<NameId, VecDeque<u32>>>,
 }
 
 impl Duty for PeerDuty {
@@ -64,6 +80,8 @@
                 platform: Arc::clone(&self.platform),
                 socket,
                 told: Cell::new(0),
+                seq: Cell::new(0),
+                seen: RefCell::default(),
             });
             tokio::select! {
                 r = node.receive() => r,
@@ -96,13 +114,21 @@
     }
 
     async fn take(&self, d: Datagram, from: SocketAddr) {
-        let hall = match &d.body {
-            Body::Hello { hall, .. } => hall.clone(),
-            _ => String::new(),
+        if d.sender == self.mesh.id {
+            return;
+        }
+        // Only a hello comes from its sender's own address for sure; the others may
+        // have been sent on by a box of this data hall.
+        if let Body::Hello { hall, .. } = &d.body {
+            let hall = hall.clone();
+            self.mesh.learn(BoxAddress { id: d.sender, addr: from, hall });
+        }
+        let known = {
+            let mut book = self.mesh.book();
+            book.heard(d.sender, self.mesh.now());
+            book.knows(d.sender)
         };
-        let known = self.mesh.book().knows(d.sender);
-        self.mesh.learn(BoxAddress { id: d.sender, addr: from, hall });
-        if !known && !matches!(d.body, Body::Hello { .. }) {
+        if !known {
             self.hello(from, true).await;
         }
         match d.body {
@@ -121,11 +147,12 @@
                 }
             }
             Body::Beacon(b) => self.mesh.take_beacon(d.sender, from, b),
-            Body::News(news) => {
-                for n in news {
-                    self.mesh.news_in.push((d.sender, n));
+            Body::News { seq, items } => {
+                if self.is_new(d.sender, seq) {
+                    items.into_iter().for_each(|n| self.mesh.news_in.push((d.sender, n)));
                 }
             }
+            Body::Forward(sealed) => self.forward(&sealed, from).await,
             Body::Changes { since, upto, entries } => {
                 self.told.set(self.told.get().max(upto));
                 self.mesh.apply(since, upto, entries, &from.to_string());
@@ -141,6 +168,32 @@
         }
     }
 
+    /// Sends a datagram on to this data hall, and takes it.
+    async fn forward(&self, sealed: &Bytes, from: SocketAddr) {
+        let inner = Datagram::open(sealed, &self.mesh.settings.key);
+        let Some(inner) = inner.filter(|d| !matches!(d.body, Body::Forward(_))) else {
+            log::warn!(peer:display = from; "peer: {from} sends on what is not ours");
+            return;
+        };
+        let to: Vec<SocketAddr> = self.mesh.book().near().collect();
+        self.send_bytes(&to, sealed).await;
+        Box::pin(self.take(inner, from)).await;
+    }
+
+    /// Tells whether news was not taken before, by another way.
+    fn is_new(&self, sender: NameId, seq: u32) -> bool {
+        let mut seen = self.seen.borrow_mut();
+        let last = seen.entry(sender).or_default();
+        if last.contains(&seq) {
+            return false;
+        }
+        last.push_back(seq);
+        if last.len() > SEEN_NEWS {
+            last.pop_front();
+        }
+        true
+    }
+
     async fn accept(&self, listener: &tokio::net::TcpListener) -> Result<()> {
         let view: Rc<dyn PeerView> = Rc::new(View(Arc::clone(&self.mesh)));
         loop {
@@ -175,22 +228,25 @@
 
     /// Tells the others what this box has, while it is a reader.
     async fn beacon_on(&self) {
-        let mut was_reader = false;
+        let (mut was_reader, mut was_able) = (false, false);
         let mut number = 0;
         loop {
             self.tell_changes().await;
             let b = self.mesh.beacon();
             if b.reader || was_reader {
                 was_reader = b.reader;
+                was_able = b.read_age < Duration::from_secs(60);
                 number = b.table;
-                self.send_all(&Body::Beacon(b)).await;
+                self.spread(Body::Beacon(b), NEWS_OF_LISTS).await;
             }
             let until = tokio::time::Instant::now() + BEACON_GAP;
             // A new table or a change is told at once, other wakes wait.
             loop {
                 let woken = tokio::time::timeout_at(until, self.mesh.telling.notified()).await;
                 let b = self.mesh.beacon();
-                let news = b.reader != was_reader || (b.reader && b.table > number);
+                let able = b.read_age < Duration::from_secs(60);
+                let news =
+                    b.reader != was_reader || (b.reader && (b.table > number || able != was_able));
                 if woken.is_err() || news {
                     break;
                 }
@@ -222,7 +278,7 @@
                 // Only the last part completes the version.
                 let upto = if i == last { upto } else { since };
                 let entries = part.to_vec();
-                self.send_all(&Body::Changes { since, upto, entries }).await;
+                self.spread(Body::Changes { since, upto, entries }, NEWS_OF_LISTS).await;
             }
         }
     }
@@ -240,15 +296,22 @@
             let (near, all): (Vec<News>, Vec<News>) =
                 batch.into_iter().partition(|n| matches!(n, News::Open { .. }));
             if !all.is_empty() {
-                self.send_all(&Body::News(all)).await;
+                let body = self.number(all);
+                self.spread(body, NEWS_OF_UPSTREAMS).await;
             }
             if !near.is_empty() {
                 let to: Vec<SocketAddr> = self.mesh.book().near().collect();
-                self.send_each(&to, &Body::News(near)).await;
+                let body = self.number(near);
+                self.send_each(&to, body).await;
             }
         }
     }
 
+    fn number(&self, items: Vec<News>) -> Body {
+        self.seq.set(self.seq.get().wrapping_add(1));
+        Body::News { seq: self.seq.get(), items }
+    }
+
     /// Pulls tables and lists that others have and this box misses.
     async fn pull_on(&self) {
         loop {
@@ -314,28 +377,54 @@
 
     async fn hello(&self, to: SocketAddr, wants_reply: bool) {
         let hall = self.mesh.settings.hall.clone();
-        self.send_each(&[to], &Body::Hello { hall, wants_reply }).await;
+        self.send_each(&[to], Body::Hello { hall, wants_reply }).await;
     }
 
     async fn send_book(&self, to: SocketAddr) {
         let boxes: Vec<BoxAddress> = self.mesh.book().entries().cloned().collect();
         for part in boxes.chunks(MAX_BOXES) {
-            self.send_each(&[to], &Body::Book(part.to_vec())).await;
+            self.send_each(&[to], Body::Book(part.to_vec())).await;
         }
     }
 
-    async fn send_all(&self, body: &Body) {
-        let to: Vec<SocketAddr> = self.mesh.book().all().collect();
-        self.send_each(&to, body).await;
+    /// Sends to every box: to this data hall itself, and to each other one through
+    /// `delegates` of its boxes, which send it on.
+    ///
+    /// So a box sends to as many as its own data hall has, whatever the fleet's
+    /// size, and each other data hall is reached by few datagrams.
+    async fn spread(&self, body: Body, delegates: usize) {
+        let sealed = self.seal(body);
+        let (near, far) = {
+            let book = self.mesh.book();
+            let near: Vec<SocketAddr> = book.near().collect();
+            let mut rng = fastrand::Rng::new();
+            (near, book.delegates(delegates, self.mesh.now(), &mut rng))
+        };
+        self.send_bytes(&near, &sealed).await;
+        let forward = self.seal(Body::Forward(sealed));
+        self.send_bytes(&far, &forward).await;
+    }
+
+    async fn send_each(&self, to: &[SocketAddr], body: Body) {
+        let sealed = self.seal(body);
+        self.send_bytes(to, &sealed).await;
     }
 
-    async fn send_each(&self, to: &[SocketAddr], body: &Body) {
-        let datagram = Datagram { sender: self.mesh.id, body: body.clone() };
-        let bytes = datagram.seal(&self.mesh.settings.key);
+    fn seal(&self, body: Body) -> Bytes {
+        Datagram { sender: self.mesh.id, body }.seal(&self.mesh.settings.key).into()
+    }
+
+    async fn send_bytes(&self, to: &[SocketAddr], bytes: &[u8]) {
         for addr in to {
-            // A datagram that is lost is made good by the next beacon.
-            if let Err(e) = self.socket.send_to(&bytes, addr).await {
-                log::debug!(peer:display = addr; "peer: not sent to {addr}: {e}");
+            // A datagram that is lost is made good by the next beacon; waiting for a
+            // full link would keep this box from hearing the others.
+            let sent = tokio::time::timeout(SEND_TIME, self.socket.send_to(bytes, addr)).await;
+            match sent {
+                Ok(Ok(_)) => {}
+                Ok(Err(e)) => log::debug!(peer:display = addr; "peer: not sent to {addr}: {e}"),
+                Err(_) => {
+                    log::warn!(peer:display = addr; "peer: not sent to {addr}: the link is full")
+                }
             }
         }
     }
--- a/crates/honeypulley_mesh/src/readers.rs
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -18,18 +18,26 @@
 /// Time between two beacons of a reader.
 pub const BEACON_GAP: Duration = Duration::from_millis(500);
 /// Time that a watch waits at the platform, so that its silence is noticed soon.
-pub const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+pub const WATCH_WAIT: Duration = Duration::from_millis(600);
 /// Silence after which a reader counts as lost: three beacons.
 const HEARD_LIFE: Duration = Duration::from_millis(1_500);
 /// Age of the platform's last answer up to which a reader is fresh: a whole
 /// watch, a slow answer and a beacon.
-const FRESH_AGE: Duration = Duration::from_millis(2_200);
+const FRESH_AGE: Duration = Duration::from_millis(1_700);
 /// Time without a fresh reader after which the platform counts as having been away.
 const AWAY_GAP: Duration = Duration::from_millis(2_400);
 /// Time after its return within which the platform shows lost entries again.
 ///
 /// The platform's owners say about two seconds.
 const RETURN_TIME: Duration = Duration::from_millis(2_300);
+/// Age told while the platform does not answer this box.
+const NEVER: Duration = Duration::from_secs(3_600);
+/// Failed calls in a row after which a reader says that it can't read.
+const FAILURES: u32 = 2;
+/// Part of the usual chance at which a box with a narrow link begins to read.
+const RELUCTANCE: f64 = 0.1;
+/// Chance at one look that such a box stops when others suffice without it.
+const YIELD_CHANCE: f64 = 0.3;
 /// Chance of beginning to read at one look if no reader is heard at all.
 const ALONE_CHANCE: f64 = 0.4;
 
@@ -47,6 +55,9 @@
     reading: Option<Time>,
     heard: BTreeMap<NameId, Heard>,
     own_read: Option<Time>,
+    /// Failed calls since the last answer.
+    failures: u32,
+    reluctant: bool,
     /// Latest point at which the platform answered anyone.
     contact: Option<Time>,
     returned: Option<Time>,
@@ -61,11 +72,29 @@
             reading: None,
             heard: BTreeMap::new(),
             own_read: None,
+            failures: 0,
+            reluctant: false,
             contact: None,
             returned: None,
         }
     }
 
+    /// Leaves reading to others where they suffice, since this box's link is narrow.
+    #[must_use]
+    pub const fn reluctant(mut self, yes: bool) -> Self {
+        self.reluctant = yes;
+        self
+    }
+
+    /// Takes that a call of this box to the platform failed; `lost` if it timed out.
+    ///
+    /// Returns whether this box has become unable to read by that.
+    pub fn failed(&mut self, lost: bool) -> bool {
+        let before = self.failures;
+        self.failures += if lost { FAILURES } else { 1 };
+        before < FAILURES && self.failures >= FAILURES
+    }
+
     /// Takes a reader's beacon.
     pub fn heard(&mut self, id: NameId, reader: bool, read_age: Duration, now: Time) {
         if !reader {
@@ -82,6 +111,7 @@
     /// Takes that the platform answered this box.
     pub fn answered(&mut self, now: Time) {
         self.own_read = Some(now);
+        self.failures = 0;
         self.touch(now);
     }
 
@@ -114,7 +144,8 @@
     /// Returns the age of the platform's last answer to this box.
     #[must_use]
     pub fn read_age(&self, now: Time) -> Duration {
-        self.own_read.map_or(Duration::from_secs(3_600), |t| now.since(t))
+        let known = self.own_read.filter(|_| self.failures < FAILURES);
+        known.map_or(NEVER, |t| now.since(t))
     }
 
     /// Tells whether this box reads.
@@ -144,15 +175,18 @@
         let fresh = self.fresh(now).count();
         let live = self.heard.values().filter(|h| now.since(h.at) < HEARD_LIFE).count();
         if let Some(since) = self.reading {
-            let trusted = now.since(since) < FRESH_AGE || self.read_age(now) < FRESH_AGE;
+            let new = now.since(since) < FRESH_AGE && self.failures < FAILURES;
+            let trusted = new || self.read_age(now) < FRESH_AGE;
             let spare = if trusted { self.rank(now) >= WANTED } else { fresh >= WANTED };
-            if spare {
+            let yields = self.reluctant && fresh >= WANTED && draw < YIELD_CHANCE;
+            if spare || yields {
                 self.reading = None;
             }
         } else if fresh < WANTED {
             let missing = (WANTED - fresh) as f64;
             let chance = if live == 0 { ALONE_CHANCE } else { 1.5 * missing / boxes.max(1) as f64 };
-            if draw < chance {
+            let eager = if self.reluctant && live > 0 { RELUCTANCE } else { 1.0 };
+            if draw < chance * eager {
                 self.reading = Some(now);
             }
         }
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -26,6 +26,12 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
+/// Link below which a box leaves reading to others, in megabits a second.
+///
+/// A reader tells a change to its whole data hall at once; at 10 Mbit/s that held
+/// the link for a quarter of a second before 88 boxes, and datagrams were lost.
+const NARROW_MBPS: f64 = 50.0;
+
 /// Where the platform keeps what a fleet needs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreKeys {
@@ -83,6 +89,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The fleet's shared key.
     pub key: FleetKey,
+    /// Megabits a second of the box's link, if known.
+    pub link_mbps: Option<f64>,
 }
 
 /// The routing table as this box holds it.
@@ -154,6 +162,7 @@
         leaving: Arc<AtomicBool>,
     ) -> Self {
         let id = NameId::of(&settings.name);
+        let narrow = settings.link_mbps.is_some_and(|l| l < NARROW_MBPS);
         Self {
             id,
             clock,
@@ -171,7 +180,7 @@
             seeds: Mutex::new(settings.seeds.clone()),
             book: Mutex::new(Book::new(id, &settings.hall)),
             list: Mutex::new(UpstreamList::default()),
-            readers: Mutex::new(Readers::new(id)),
+            readers: Mutex::new(Readers::new(id).reluctant(narrow)),
             table: Mutex::new(HeldTable::default()),
             next_table: Mutex::new(None),
             next_list: Mutex::new(BTreeMap::new()),
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -261,7 +261,14 @@
             Ok(_) | Err(PlatformError::Compacted { .. }) => {
                 self.mesh.readers().answered(self.mesh.now());
             }
-            Err(e) => log::info!("store: {what} failed: {e}"),
+            Err(e) => {
+                log::info!("store: {what} failed: {e}");
+                let lost = matches!(e, PlatformError::Unknown { .. });
+                if self.mesh.readers().failed(lost) {
+                    log::warn!("readers: the platform does not answer this box any more");
+                    self.mesh.telling.notify_one();
+                }
+            }
         }
         r
     }
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -47,6 +47,8 @@
     }
     news :group {
       seen @22 :List(NewsItem);
+      # Number of this news at its sender, since it may come by several ways.
+      seq @26 :UInt32;
     }
     # Changes of the list of upstreams.
     changes :group {
@@ -54,6 +56,8 @@
       upto @24 :UInt64;
       entries @25 :List(Entry);
     }
+    # A sealed datagram to be sent on to the receiver's data hall, as it is.
+    forward @27 :Data;
   }
 
   struct BoxAddress {
--- a/crates/honeypulley_peer/src/codec.rs
+++ b/crates/honeypulley_peer/src/codec.rs
@@ -5,6 +5,7 @@
     BoxAddress, Entry, read_boxes, read_entries, read_news, write_boxes, write_entries, write_news,
 };
 use crate::peer_capnp::datagram as wire;
+use bytes::Bytes;
 use honeypulley_bundle::head::Version;
 use honeypulley_policy::balance::News;
 use honeypulley_policy::collector::{Judgement, NameId, Report, ReportItem, Verdict};
@@ -60,7 +61,14 @@
     /// What the sender has, and whether it reads the platform itself.
     Beacon(Beacon),
     /// What the sender saw of upstreams.
-    News(Vec<News>),
+    News {
+        /// Number of this news at its sender, since it may come by several ways.
+        seq: u32,
+        /// What was seen.
+        items: Vec<News>,
+    },
+    /// A sealed datagram to be sent on to the receiver's data hall, as it is.
+    Forward(Bytes),
     /// Changes of the list of upstreams.
     Changes {
         /// Version after which they begin.
@@ -160,8 +168,14 @@
                 b.set_reader(x.reader);
                 b.set_read_age_ms(millis(x.read_age));
             }
-            Self::News(news) => {
-                write_news(root.init_news().init_seen(news.len() as u32), news);
+            Self::News { seq, items } => {
+                let mut b = root.init_news();
+                b.set_seq(*seq);
+                write_news(b.init_seen(items.len() as u32), items);
+            }
+            Self::Forward(sealed) => {
+                let mut root = root;
+                root.set_forward(sealed);
             }
             Self::Changes { since, upto, entries } => {
                 let mut b = root.init_changes();
@@ -209,7 +223,8 @@
                 reader: r.get_reader(),
                 read_age: Duration::from_millis(r.get_read_age_ms().into()),
             }),
-            Ok(wire::News(r)) => Self::News(read_news(r.get_seen()?)?),
+            Ok(wire::News(r)) => Self::News { seq: r.get_seq(), items: read_news(r.get_seen()?)? },
+            Ok(wire::Forward(r)) => Self::Forward(Bytes::copy_from_slice(r?)),
             Ok(wire::Changes(r)) => Self::Changes {
                 since: r.get_since(),
                 upto: r.get_upto(),
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Entries that fit one datagram; each takes up to 150 bytes.
-pub const MAX_ENTRIES: usize = 7;
+pub const MAX_ENTRIES: usize = 6;
 /// Addresses that fit one datagram; each takes up to 40 bytes.
 pub const MAX_BOXES: usize = 30;
 
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -5,7 +5,9 @@
 // capnpc crate version: 0.27.0
 
 pub mod datagram {
-    pub use self::Which::{Ask, Beacon, Book, Changes, Hello, News, Report, Rumour, Tell, Verdict};
+    pub use self::Which::{
+        Ask, Beacon, Book, Changes, Forward, Hello, News, Report, Rumour, Tell, Verdict,
+    };
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -111,6 +113,13 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
+        pub fn has_forward(&self) -> bool {
+            if self.reader.get_data_field::<u16>(8) != 10 {
+                return false;
+            }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(8) {
                 0 => ::core::result::Result::Ok(Ask(self.reader.into())),
@@ -123,6 +132,12 @@
                 7 => ::core::result::Result::Ok(Beacon(self.reader.into())),
                 8 => ::core::result::Result::Ok(News(self.reader.into())),
                 9 => ::core::result::Result::Ok(Changes(self.reader.into())),
+                10 => ::core::result::Result::Ok(Forward(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -277,6 +292,7 @@
         pub fn init_news(mut self) -> crate::peer_capnp::datagram::news::Builder<'a> {
             self.builder.set_data_field::<u16>(8, 8);
             self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.set_data_field::<u32>(5, 0u32);
             self.builder.into()
         }
         #[inline]
@@ -288,6 +304,23 @@
             self.builder.into()
         }
         #[inline]
+        pub fn set_forward(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.set_data_field::<u16>(8, 10);
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_forward(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.set_data_field::<u16>(8, 10);
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_forward(&self) -> bool {
+            if self.builder.get_data_field::<u16>(8) != 10 {
+                return false;
+            }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(8) {
                 0 => ::core::result::Result::Ok(Ask(self.builder.into())),
@@ -300,6 +333,12 @@
                 7 => ::core::result::Result::Ok(Beacon(self.builder.into())),
                 8 => ::core::result::Result::Ok(News(self.builder.into())),
                 9 => ::core::result::Result::Ok(Changes(self.builder.into())),
+                10 => ::core::result::Result::Ok(Forward(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(0),
+                        ::core::option::Option::None,
+                    ),
+                )),
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
             }
         }
@@ -315,17 +354,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 134] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 149] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
             ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(51, 44, 126, 155, 192, 164, 245, 209),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 10, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 11, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 103, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -354,84 +393,91 @@
             ::capnp::word(73, 116, 101, 109, 0, 0, 0, 0),
             ::capnp::word(74, 117, 100, 103, 101, 109, 101, 110),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(87, 15, 211, 65, 248, 155, 90, 164),
-            ::capnp::word(41, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(2, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(170, 36, 39, 139, 64, 153, 158, 131),
-            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 143, 243, 14, 235, 182, 214, 141),
-            ::capnp::word(249, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(85, 167, 38, 27, 177, 122, 234, 238),
-            ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(176, 13, 1, 187, 49, 80, 183, 144),
-            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 65, 103, 156, 55, 162, 104, 248),
-            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(123, 194, 208, 108, 29, 83, 76, 252),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(218, 152, 204, 188, 33, 10, 37, 207),
-            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(49, 91, 171, 245, 96, 79, 22, 243),
-            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(10, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(67, 212, 255, 237, 249, 185, 160, 245),
-            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 245, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 27, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -450,6 +496,14 @@
             ::capnp::word(98, 101, 97, 99, 111, 110, 0, 0),
             ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
             ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
+            ::capnp::word(102, 111, 114, 119, 97, 114, 100, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -464,6 +518,7 @@
                 8 => <crate::peer_capnp::datagram::beacon::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <crate::peer_capnp::datagram::news::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <crate::peer_capnp::datagram::changes::Owned as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -483,11 +538,11 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 8, 7, 10, 6, 9, 4, 3, 0, 2, 5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 8, 7, 10, 11, 6, 9, 4, 3, 0, 2, 5];
         pub(crate) const TYPE_ID: u64 = 0x9106_69fa_69ce_674c;
     }
-    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7, A8, A9> {
+    pub enum Which<A0, A1, A2, A3, A4, A5, A6, A7, A8, A9, A10> {
         Ask(A0),
         Tell(A1),
         Rumour(A2),
@@ -498,6 +553,7 @@
         Beacon(A7),
         News(A8),
         Changes(A9),
+        Forward(A10),
     }
     pub type WhichReader<'a> = Which<
         crate::peer_capnp::datagram::ask::Reader<'a>,
@@ -510,6 +566,7 @@
         crate::peer_capnp::datagram::beacon::Reader<'a>,
         crate::peer_capnp::datagram::news::Reader<'a>,
         crate::peer_capnp::datagram::changes::Reader<'a>,
+        ::capnp::Result<::capnp::data::Reader<'a>>,
     >;
     pub type WhichBuilder<'a> = Which<
         crate::peer_capnp::datagram::ask::Builder<'a>,
@@ -522,6 +579,7 @@
         crate::peer_capnp::datagram::beacon::Builder<'a>,
         crate::peer_capnp::datagram::news::Builder<'a>,
         crate::peer_capnp::datagram::changes::Builder<'a>,
+        ::capnp::Result<::capnp::data::Builder<'a>>,
     >;
 
     pub mod box_address {
@@ -5233,6 +5291,10 @@
             pub fn has_seen(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_seq(self) -> u32 {
+                self.reader.get_data_field::<u32>(5)
+            }
         }
 
         pub struct Builder<'a> {
@@ -5356,6 +5418,14 @@
             pub fn has_seen(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_seq(self) -> u32 {
+                self.builder.get_data_field::<u32>(5)
+            }
+            #[inline]
+            pub fn set_seq(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(5, value);
+            }
         }
 
         pub struct Pipeline {
@@ -5368,7 +5438,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(49, 91, 171, 245, 96, 79, 22, 243),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
@@ -5378,21 +5448,28 @@
                 ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
                 ::capnp::word(114, 97, 109, 46, 110, 101, 119, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 26, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(61, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 101, 101, 110, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5405,10 +5482,19 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 113, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::struct_list::Owned<crate::peer_capnp::datagram::news_item::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5427,9 +5513,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
             pub(crate) const TYPE_ID: u64 = 0xf316_4f60_f5ab_5b31;
         }
     }
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -251,7 +251,7 @@
             peers: BTreeMap::new(),
             load: None,
             shared: Belief::new(now),
-            path: Belief::new(now),
+            path: Belief::sound(now),
             unreached: None,
             told_success: Time::ZERO,
             joined: now,
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -42,6 +42,12 @@
 ///
 /// The floor is counted over two seconds; this leaves room for a late datagram.
 const STARVED_AFTER: Duration = Duration::from_millis(1_400);
+/// The same on a box that has just started and knows nothing of any upstream.
+///
+/// Its work is spread until something is known, also while the fleet comes back.
+const STARVED_YOUNG: Duration = Duration::from_millis(400);
+/// Time for which a box counts as having just started.
+const YOUNG: Duration = Duration::from_secs(5);
 /// Time after a failure in which the floor does not ask for more work there.
 ///
 /// Two seconds by the floor's rule, and one for a datagram that was lost.
@@ -55,7 +61,7 @@
 /// Share of a service's requests that fail, above which the floor is kept.
 ///
 /// The floor binds from a tenth on; below, the healthiest may have all the work.
-const FAILING: f64 = 0.1;
+const FAILING: f64 = 0.09;
 /// Chance that this box's path is bad, above which the other boxes keep it at work.
 const PATH_BAD: f64 = 0.4;
 /// Wait told to callers when no upstream is listed.
@@ -65,8 +71,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Keeping {
     floor: Floor,
-    /// Whether so much of the service's work fails that the floor binds.
-    failing: bool,
+    /// Longest time that the others get nothing, while the floor binds.
+    after: Option<Duration>,
     repeatable: bool,
 }
 
@@ -84,7 +90,13 @@
         let open: Vec<UpstreamKey> = s.upstreams.iter().filter(usable).copied().collect();
         let floor = s.spec.floor;
         let failing = s.pulse.failing(self.reach, now) > FAILING;
-        let kept = Keeping { floor, failing, repeatable: ask.repeatable };
+        let young = now.since(s.began) < YOUNG;
+        let after = if young { STARVED_YOUNG } else { STARVED_AFTER };
+        let kept = Keeping {
+            floor,
+            after: (failing || young).then_some(after),
+            repeatable: ask.repeatable,
+        };
         let starved = self.starved(&open, kept, now).map(|u| (u, Reason::Canary));
         let chosen = starved.or_else(|| {
             let least = self.least_loss(&open, ask, aim, work, now)?;
@@ -175,11 +187,12 @@
         let spare = all.len().saturating_sub(keeping.floor.count(all.len()));
         let waits = |(i, &(chance, k)): (usize, &(f64, UpstreamKey))| {
             let u = &self.upstreams[k];
-            if !u.near || u.path.chance(now) > PATH_BAD {
+            let full = u.busy(now) >= u.slots;
+            if !u.near || full || u.path.chance(now) > PATH_BAD {
                 return None;
             }
-            let kept = keeping.failing && i >= spare;
-            let rest = u.rest(chance, kept, keeping.repeatable, now)?;
+            let after = keeping.after.filter(|_| i >= spare);
+            let rest = u.rest(chance, after, keeping.repeatable, now)?;
             Some((rest, k))
         };
         all.iter().enumerate().filter_map(waits).max().map(|(_, k)| k)
@@ -210,11 +223,17 @@
     }
 
     /// Returns how long it has had no work, if that is too long.
-    fn rest(&self, chance: f64, kept: bool, repeatable: bool, now: Time) -> Option<Duration> {
+    fn rest(
+        &self,
+        chance: f64,
+        after: Option<Duration>,
+        repeatable: bool,
+        now: Time,
+    ) -> Option<Duration> {
         let rest = now.since(self.worked.unwrap_or(self.joined));
         let new = self.worked.is_none() && self.late && rest > FIRST_AFTER;
         let failed = self.failed.is_some_and(|at| now.since(at) < FAILED_REST);
-        let starved = kept && !failed && rest > STARVED_AFTER;
+        let starved = !failed && after.is_some_and(|a| rest > a);
         let forgotten = repeatable && chance < DOUBTED_LITTLE && rest > FORGOTTEN_AFTER;
         (new || starved || forgotten).then_some(rest)
     }
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -13,6 +13,10 @@
 const TELL_GAP: Duration = Duration::from_millis(300);
 /// Time within which two boxes that can't reach an upstream bear each other out.
 const UNREACHED_SPAN: Duration = Duration::from_millis(1_500);
+/// Part of the overdue and shed attempts that are taken to be lost.
+const PARTLY_LOST: f64 = 0.3;
+/// Chance of sickness, above the usual one, from which on a failure is no news.
+const DOUBTED: f64 = 0.15;
 /// Part of the aim above which an answer is a late one.
 const LATE_SHARE: f64 = 1.0;
 
@@ -62,16 +66,36 @@
     }
 
     /// Counts what was lost for the share of a service's work that fails.
+    ///
+    /// A trial of an upstream that is doubted anyway says nothing of the service.
     fn count_failure(&mut self, upstream: NameId, what: Observation, now: Time) {
-        if matches!(what, Observation::Success | Observation::Overdue) {
-            return;
-        }
+        let lost = match what {
+            // What was not sent or not run goes elsewhere.
+            Observation::Success | Observation::Unreachable | Observation::Refused => 0.0,
+            Observation::Overdue | Observation::Shed => PARTLY_LOST,
+            Observation::Failure => 1.0,
+        };
         let Some(u) = self.known(upstream) else { return };
-        u.failed = Some(now);
-        let service = u.service;
-        if let Some(s) = self.services.get_mut(service) {
-            s.pulse.failed(now);
+        if !matches!(what, Observation::Success | Observation::Overdue) {
+            u.failed = Some(now);
+        }
+        let (service, chance) = (u.service, u.shared.chance(now));
+        let usual = self.usual_chance(service, now);
+        if let Some(s) = self.services.get_mut(service).filter(|_| chance <= usual + DOUBTED) {
+            s.pulse.failed(lost, now);
+        }
+    }
+
+    /// Returns the median chance of sickness of a service's upstreams.
+    fn usual_chance(&self, service: ServiceKey, now: Time) -> f64 {
+        let Some(s) = self.services.get(service) else { return 0.0 };
+        let known = s.upstreams.iter().filter_map(|&k| self.upstreams.get(k));
+        let mut all: Vec<f64> = known.map(|u| u.shared.chance(now)).collect();
+        let middle = all.len() / 2;
+        if all.is_empty() {
+            return 0.0;
         }
+        *all.select_nth_unstable_by(middle, f64::total_cmp).1
     }
 
     fn known(&mut self, id: NameId) -> Option<&mut super::Upstream> {
--- a/crates/honeypulley_policy/src/balance/pulse.rs
+++ b/crates/honeypulley_policy/src/balance/pulse.rs
@@ -40,8 +40,8 @@
     }
 
     /// Takes that something failed anywhere in the fleet.
-    pub(super) fn failed(&mut self, now: Time) {
-        self.failures.add(1.0, now);
+    pub(super) fn failed(&mut self, n: f64, now: Time) {
+        self.failures.add(n, now);
     }
 
     /// Returns the share of the fleet's sends that fail.
--- a/crates/honeypulley_policy/src/belief.rs
+++ b/crates/honeypulley_policy/src/belief.rs
@@ -1,26 +1,31 @@
-//! Chance that an upstream is sick, by a hidden Markov model of two states.
+//! Chance that an upstream is sick, by a hidden Markov model of three states.
 //!
-//! An upstream is healthy or sick. Sickness begins at a rate that is learnt for
-//! each upstream and ends at a fixed one. Each observation moves the chance by
-//! Bayes' rule, so that at a low base rate of failures a single one says most of
-//! it. Source: Rabiner, 1989, for the filter.
+//! Most upstreams are solid. Some are prone: they fall sick for some seconds, again
+//! and again, and are well in between. Each observation moves the chances by Bayes'
+//! rule, so that at a low base rate of failures a single one says most of it; a
+//! prone upstream is not trusted as soon as one answer is good. Source: Rabiner,
+//! 1989, for the filter.
 
 use crate::time::Time;
 
-/// Share of requests that fail on a sick upstream.
+/// Share of requests that fail on a sick upstream, as on the deployments' sheets.
+pub const FAILS_SICK: f64 = 0.75;
+/// Rate at which a prone upstream falls sick, per second.
 ///
-/// Assumption: between the 0.45 and the 0.75 of the deployments' sheets.
-pub const FAILS_SICK: f64 = 0.65;
-/// Rate at which sickness ends, per second: spells last some three seconds.
-const RECOVERY: f64 = 1.0 / 3.0;
-/// Onsets assumed before anything was seen.
-const PRIOR_ONSETS: f64 = 0.25;
-/// Seconds in which those came.
-const PRIOR_SECS: f64 = 12.0;
-/// Seconds after which an onset counts half.
-const ONSET_LIFE: f64 = 60.0;
-/// Bounds that keep the chance movable.
-const BOUNDS: (f64, f64) = (1e-4, 0.9999);
+/// Spells were seen each 5 to 9 s on the deployments, and lasted up to 4 s.
+const ONSET: f64 = 1.0 / 5.0;
+/// Rate at which sickness ends, per second.
+const RECOVERY: f64 = 1.0 / 4.0;
+/// Rate at which a solid upstream falls sick, per second: crashes and the like.
+const TROUBLE: f64 = 1.0 / 150.0;
+/// Rate at which a prone upstream becomes solid, per second.
+const HEALING: f64 = 1.0 / 60.0;
+/// Share of prone upstreams before anything was seen, as on the sheets.
+const PRIOR_PRONE: f64 = 0.3;
+/// Share of the time for which a prone upstream is sick.
+const SICK_SHARE: f64 = ONSET / (ONSET + RECOVERY);
+/// Least chance of any state, which keeps all of them movable.
+const LEAST: f64 = 1e-4;
 
 /// What was seen of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,7 +45,7 @@
 }
 
 impl Observation {
-    /// Returns how likely this is of a healthy and of a sick upstream.
+    /// Returns how likely this is of a well and of a sick upstream.
     ///
     /// The base rate of failures, 1.2 in 100, is that of the deployments' sheets;
     /// the others are estimates.
@@ -59,52 +64,53 @@
 /// Belief about one upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Belief {
+    /// Chance that it is prone.
+    prone: f64,
+    /// Chance that it is sick, which only a prone one is.
     sick: f64,
     at: Time,
-    onsets: f64,
-    watched: f64,
 }
 
 impl Belief {
     /// Starts from the prior.
     #[must_use]
-    pub fn new(now: Time) -> Self {
-        let mut b = Self { sick: 0.0, at: now, onsets: 0.0, watched: 0.0 };
-        b.sick = b.onset_rate(now) / (b.onset_rate(now) + RECOVERY);
-        b
+    pub const fn new(now: Time) -> Self {
+        Self { prone: PRIOR_PRONE, sick: PRIOR_PRONE * SICK_SHARE, at: now }
+    }
+
+    /// Starts for something that is seldom bad, such as a path.
+    #[must_use]
+    pub const fn sound(now: Time) -> Self {
+        Self { prone: LEAST, sick: LEAST * SICK_SHARE, at: now }
     }
 
     /// Returns the chance that the upstream is sick at `now`.
     #[must_use]
     pub fn chance(&self, now: Time) -> f64 {
-        let (rate, secs) = (self.onset_rate(now), now.since(self.at).as_secs_f64());
-        let rest = rate / (rate + RECOVERY);
-        rest + (self.sick - rest) * (-(rate + RECOVERY) * secs).exp()
+        self.aged(now).sick
     }
 
     /// Takes one observation.
     pub fn observe(&mut self, o: Observation, now: Time) {
-        let before = self.chance(now);
-        let (healthy, sick) = o.likelihood();
-        let joint = before * sick;
-        let after = joint / (joint + (1.0 - before) * healthy);
-        self.age(now);
-        // The part of an onset that this observation revealed.
-        self.onsets += (after - before).max(0.0);
-        self.sick = after.clamp(BOUNDS.0, BOUNDS.1);
+        *self = self.aged(now);
+        let (well, sick) = o.likelihood();
+        let (solid, between) = (1.0 - self.prone, self.prone - self.sick);
+        let joint = [solid * well, between * well, self.sick * sick];
+        let total: f64 = joint.iter().sum();
+        let bounded = |x: f64| (x / total).clamp(LEAST, 1.0 - 2.0 * LEAST);
+        let (between, sick) = (bounded(joint[1]), bounded(joint[2]));
+        self.prone = (between + sick).min(1.0 - LEAST);
+        self.sick = sick.min(self.prone);
     }
 
-    fn age(&mut self, now: Time) {
+    /// Returns the belief as time alone has moved it.
+    fn aged(&self, now: Time) -> Self {
         let secs = now.since(self.at).as_secs_f64();
-        let kept = 0.5f64.powf(secs / ONSET_LIFE);
-        self.onsets *= kept;
-        self.watched = self.watched * kept + secs;
-        self.at = self.at.max(now);
-    }
-
-    /// Returns onsets per second, as learnt so far.
-    fn onset_rate(&self, now: Time) -> f64 {
-        let watched = self.watched + now.since(self.at).as_secs_f64();
-        (PRIOR_ONSETS + self.onsets) / (PRIOR_SECS + watched)
+        let healed = (-HEALING * secs).exp();
+        let fell = (1.0 - self.prone) * (1.0 - (-TROUBLE * secs).exp());
+        let share = if self.prone > 0.0 { self.sick / self.prone } else { SICK_SHARE };
+        let share = SICK_SHARE + (share - SICK_SHARE) * (-(ONSET + RECOVERY) * secs).exp();
+        let kept = self.prone * healed;
+        Self { prone: kept + fell, sick: kept * share + fell * SICK_SHARE, at: now.max(self.at) }
     }
 }
