Logs through a ring, metrics as text, and why: from a request's id to its cause

Metrics went to StatsD alone, and nothing read the lines of a request together. A choice's line tells the chances, the load and its age; doubts heard from other boxes are told.

--- a/crates/honeypulley_daemon/src/start.rs
+++ b/crates/honeypulley_daemon/src/start.rs
@@ -10,13 +10,12 @@
 use crate::settings::Settings;
 use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 use eyre::{Result, WrapErr};
+use honeypulley_observe::logs::{self, LogGuard};
 use honeypulley_platform::http::HttpPlatform;
 use honeypulley_policy::router::Router;
 use honeypulley_proxy::shared::{Feed, Shared};
 use honeypulley_supervisor::clock::Clock;
 use honeypulley_supervisor::tree::{Duty, Stop, Tree, block_on};
-use logforth::append::Stdout;
-use logforth::layout::LogfmtLayout;
 use logforth::record::LevelFilter;
 use parking_lot::Mutex;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -42,7 +41,7 @@
 /// # Errors
 /// Returns an error if a port is in use or a thread can't be started.
 pub fn run(settings: Settings) -> Result<()> {
-    start_logs(settings.log);
+    let _logs = start_logs(&settings.name, settings.log)?;
     let (listen, admin, peer) = (settings.listen, settings.admin, settings.peer);
     let callers = bind(listen, "listen")?;
     let operators = bind(admin, "admin")?;
@@ -94,8 +93,14 @@
     Ok(listener)
 }
 
-/// Sends log lines of at least `level` to standard output.
-pub fn start_logs(level: log::LevelFilter) {
+/// Sends log lines of at least `level` to standard output, through a ring.
+///
+/// The guard writes what is left when it is dropped. A second call in one process
+/// changes nothing.
+///
+/// # Errors
+/// Returns an error if the writer's thread can't be started.
+pub fn start_logs(name: &str, level: log::LevelFilter) -> Result<LogGuard> {
     let least = match level {
         log::LevelFilter::Off => LevelFilter::Off,
         log::LevelFilter::Error => LevelFilter::MoreSevereEqual(logforth::record::Level::Error),
@@ -104,8 +109,9 @@
         log::LevelFilter::Debug => LevelFilter::MoreSevereEqual(logforth::record::Level::Debug),
         log::LevelFilter::Trace => LevelFilter::All,
     };
-    let stdout = Stdout::default().with_layout(LogfmtLayout::default());
-    logforth::starter_log::builder().dispatch(|d| d.filter(least).append(stdout)).apply();
+    let (append, guard) = logs::ring(name, std::io::stdout()).wrap_err("start the log's thread")?;
+    logforth::starter_log::builder().dispatch(|d| d.filter(least).append(append)).apply();
+    Ok(guard)
 }
 
 fn metrics(to: Option<SocketAddr>) -> Result<StatsdClient> {
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -4,7 +4,8 @@
 use crate::state::Mesh;
 use async_trait::async_trait;
 use honeypulley_policy::balance::{Balancer, News, Reach, Resend};
-use honeypulley_policy::chooser::{Ask, Chooser, LoadReport, Place};
+use honeypulley_policy::chooser::{Ask, Chooser, Inputs, LoadReport, Place};
+use honeypulley_policy::collector::NameId;
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, Refusal, ServiceKey, UpstreamKey};
 use honeypulley_policy::routes::RequestKind;
 use honeypulley_policy::time::Time;
@@ -55,6 +56,10 @@
         self.balancer.place(k)
     }
 
+    fn inputs(&self, k: UpstreamKey, now: Time) -> Inputs {
+        self.balancer.inputs(k, now)
+    }
+
     fn overdue_after(&self, ask: &Ask) -> Duration {
         self.balancer.overdue_after(ask)
     }
@@ -149,6 +154,11 @@
     }
 }
 
+/// Rounds a chance for the log.
+fn round(x: f64) -> f64 {
+    (x * 1e3).round() / 1e3
+}
+
 fn not_yet(why: String) -> OwnAnswer {
     let wait = NOT_YET_WAIT.mul_f64(1.0 + fastrand::f64() / 2.0);
     OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, Some(wait), why)
@@ -177,12 +187,19 @@
 }
 
 impl Pump {
-    fn take_news(&self, from: honeypulley_policy::collector::NameId, first: News) {
+    fn take_news(&self, from: NameId, first: News) {
         let mut policy = self.policy.lock();
         let now = self.mesh.now();
-        policy.balancer().heard(from, first, now);
-        while let Some((from, news)) = self.mesh.news_in.pop() {
-            policy.balancer().heard(from, news, now);
+        let mut next = Some((from, first));
+        while let Some((from, news)) = next {
+            if let Some(h) = policy.balancer().heard(from, news, now) {
+                log::info!(
+                    upstream = h.upstream.as_str(), what:debug = h.what, from = from.0,
+                    before = round(h.before), sick = round(h.after);
+                    "news: {} is in doubt", h.upstream
+                );
+            }
+            next = self.mesh.news_in.pop();
         }
     }
 
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use honeypulley_daemon::admin::AdminView;
+use honeypulley_observe::metrics::Registry;
 use honeypulley_peer::codec::Beacon;
 use honeypulley_peer::key::FleetKey;
 use honeypulley_peer::listing::{BoxAddress, Entry, EntryState};
@@ -133,6 +134,7 @@
     /// Set during a planned stop.
     pub leaving: Arc<AtomicBool>,
     seeds: Mutex<Vec<SocketAddr>>,
+    registry: Registry,
     book: Mutex<Book>,
     list: Mutex<UpstreamList>,
     readers: Mutex<Readers>,
@@ -178,6 +180,7 @@
             listed: AtomicBool::new(false),
             leaving,
             seeds: Mutex::new(settings.seeds.clone()),
+            registry: Registry::default(),
             book: Mutex::new(Book::new(id, &settings.hall)),
             list: Mutex::new(UpstreamList::default()),
             readers: Mutex::new(Readers::new(id).reluctant(narrow)),
@@ -190,6 +193,13 @@
         }
     }
 
+    /// Shows these metrics beside its own.
+    #[must_use]
+    pub fn with_metrics(mut self, registry: Registry) -> Self {
+        self.registry = registry;
+        self
+    }
+
     /// Returns the time now.
     #[must_use]
     pub fn now(&self) -> Time {
@@ -461,6 +471,20 @@
     }
 
     fn metrics(&self) -> String {
-        String::new()
+        let b = self.beacon();
+        let boxes = self.book().count();
+        let upstreams = self.list.lock().present().count();
+        format!(
+            "{}honeypulley_boxes {boxes}\nhoneypulley_upstreams {upstreams}\n\
+             honeypulley_table_version {}\nhoneypulley_list_version {}\n\
+             honeypulley_reader {}\nhoneypulley_read_age_ms {}\n\
+             honeypulley_news_dropped_total {}\n",
+            self.registry.text(),
+            b.table,
+            b.list,
+            u8::from(b.reader),
+            b.read_age.as_millis(),
+            self.news_in.dropped() + self.news_out.dropped(),
+        )
     }
 }
--- /dev/null
+++ b/crates/honeypulley_observe/src/explain.rs
@@ -0,0 +1,159 @@
+//! What the log lines of many boxes say of one request or one upstream.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// One log line.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Line {
+    /// Time of day, as written.
+    pub at: String,
+    /// Box that wrote it, empty if it does not say.
+    pub origin: String,
+    /// Message.
+    pub message: String,
+    /// The other fields.
+    pub fields: BTreeMap<String, String>,
+}
+
+/// Lines in order, and what decided.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Explanation {
+    /// One sentence.
+    pub verdict: String,
+    /// Lines, the oldest first.
+    pub lines: Vec<Line>,
+}
+
+impl Line {
+    /// Reads a line in logfmt; `None` if it has no message.
+    ///
+    /// What stands before the first field, such as a collector's own mark, is left
+    /// out.
+    #[must_use]
+    pub fn read(text: &str) -> Option<Self> {
+        let mut fields = pairs(text);
+        let message = fields.remove("message")?;
+        let at = fields.remove("timestamp").unwrap_or_default();
+        let origin = fields.remove("box").unwrap_or_default();
+        for noise in ["level", "module", "position"] {
+            fields.remove(noise);
+        }
+        Some(Self { at, origin, message, fields })
+    }
+
+    fn field(&self, name: &str) -> &str {
+        self.fields.get(name).map_or("", String::as_str)
+    }
+
+    /// Returns the line for a person.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut s = format!("{} {} {}", self.at, self.origin, self.message);
+        for (k, v) in self.fields.iter().filter(|(k, _)| *k != "request") {
+            s.push_str(&format!(" {k}={v}"));
+        }
+        s
+    }
+}
+
+/// Splits `key=value` pairs; a value may stand in quotes.
+fn pairs(text: &str) -> BTreeMap<String, String> {
+    let mut found = BTreeMap::new();
+    let mut rest = text.trim();
+    while let Some((before, after)) = rest.split_once('=') {
+        let key = before.rsplit(char::is_whitespace).next().unwrap_or(before).to_owned();
+        let (value, left) = match after.strip_prefix('"') {
+            Some(quoted) => unquote(quoted),
+            None => {
+                let (v, left) = after.split_once(char::is_whitespace).unwrap_or((after, ""));
+                (v.to_owned(), left)
+            }
+        };
+        found.insert(key, value);
+        rest = left;
+    }
+    found
+}
+
+fn unquote(text: &str) -> (String, &str) {
+    let mut value = String::new();
+    let mut chars = text.char_indices();
+    while let Some((i, c)) = chars.next() {
+        match c {
+            '"' => return (value, &text[i + 1..]),
+            '\\' => value.extend(chars.next().map(|(_, c)| c)),
+            other => value.push(other),
+        }
+    }
+    (value, "")
+}
+
+/// Explains a request by its id; `None` if no line names it.
+#[must_use]
+pub fn request<'a>(id: &str, text: impl Iterator<Item = &'a str>) -> Option<Explanation> {
+    let mine = text.filter(|l| l.contains(id)).filter_map(Line::read);
+    let mut lines: Vec<Line> = mine.filter(|l| l.field("request") == id).collect();
+    lines.sort_by(|a, b| a.at.cmp(&b.at));
+    let verdict = request_verdict(&lines)?;
+    Some(Explanation { verdict, lines })
+}
+
+/// Explains what was believed of an upstream, and when; `None` if no line names it.
+#[must_use]
+pub fn upstream<'a>(name: &str, text: impl Iterator<Item = &'a str>) -> Option<Explanation> {
+    let mine = text.filter(|l| l.contains(name)).filter_map(Line::read);
+    let about = |l: &Line| ["list:", "news:", "attempt:"].iter().any(|p| l.message.starts_with(p));
+    let mut lines: Vec<Line> = mine.filter(|l| l.field("upstream") == name && about(l)).collect();
+    lines.sort_by(|a, b| a.at.cmp(&b.at));
+    let last = lines.last()?;
+    let listed = lines.iter().rev().find(|l| l.message.starts_with("list:"));
+    let state = listed.map_or("not listed", |l| l.field("state"));
+    let failed = lines.iter().filter(|l| l.message.starts_with("attempt:")).count();
+    let doubted = lines.iter().filter(|l| l.message.starts_with("news:")).count();
+    let verdict = format!(
+        "{name} was last listed as {state}; {failed} attempts failed on it and boxes heard {doubted} times of trouble; the last line is of {}",
+        last.at
+    );
+    Some(Explanation { verdict, lines })
+}
+
+fn request_verdict(lines: &[Line]) -> Option<String> {
+    lines.first()?;
+    let sent = lines.iter().filter(|l| l.message.contains(" sent to ")).count();
+    let failed: Vec<&Line> = lines.iter().filter(|l| l.message.starts_with("attempt:")).collect();
+    let asked = last_upstream(lines);
+    let end = lines.iter().rev().find(|l| {
+        l.message.starts_with("route: answered") || l.message.starts_with("route: own answer")
+    });
+    let Some(end) = end else {
+        return Some(format!(
+            "sent {sent} times, last to {asked}; no end is on record: the caller left, the box ended, or the line was left out"
+        ));
+    };
+    let status = end.field("status");
+    if end.message.starts_with("route: answered") {
+        let took = end.field("took_ms");
+        let retried = if failed.is_empty() { "" } else { ", after another attempt failed" };
+        let whose = if status.starts_with('2') { "answered" } else { "failed it:" };
+        return Some(format!("{asked} {whose} with {status} after {took} ms{retried}"));
+    }
+    let why = end.message.trim_start_matches("route: own answer, ");
+    let ran = match end.field("outcome") {
+        "NotRun" => "it was not run",
+        _ => "it may have been run, and is not sent again",
+    };
+    let wait = end.field("retry_after_ms");
+    let back = if wait.is_empty() {
+        String::new()
+    } else {
+        format!("; the caller was told to come back after {wait} ms")
+    };
+    let cause = failed.last().map_or_else(String::new, |l| format!(" ({})", l.message));
+    Some(format!("answered {status} by the box: {why}{cause}; {ran}{back}"))
+}
+
+fn last_upstream(lines: &[Line]) -> &str {
+    let named = lines.iter().rev().find(|l| l.message.contains(" sent to "));
+    named.map_or("no upstream", |l| l.field("upstream"))
+}
--- /dev/null
+++ b/crates/honeypulley_observe/tests/explain.rs
@@ -0,0 +1,59 @@
+//! The command finds what decided from the lines alone.
+
+use honeypulley_observe::explain;
+use rstest::rstest;
+
+const RAN: &str = r#"
+   4.0001 box-a timestamp=2026-12-02T10:00:00.100Z level=INFO module=x position=y:1 message="route: first sent to i-7" request=r1 service=s upstream=i-7 sick=0.02 box=a
+   4.2001 box-a timestamp=2026-12-02T10:00:00.300Z level=WARN message="attempt: i-7 failed, outcome unknown: exchange: reset" request=r1 service=s upstream=i-7 box=a
+   4.2002 box-a timestamp=2026-12-02T10:00:00.301Z level=WARN message="route: own answer, exchange: \"reset\"" request=r1 status=502 outcome=Unknown retry_after_ms=1000 box=a
+timestamp=2026-12-02T10:00:00.302Z level=INFO message="news: i-7 is in doubt" upstream=i-7 what=Failure from=9 before=0.02 sick=0.6 box=b
+timestamp=2026-12-02T10:00:00.400Z level=WARN message="route: own answer, no live upstream" request=r2 status=503 outcome=NotRun retry_after_ms=600 box=b
+timestamp=2026-12-02T09:59:59.000Z level=INFO message="list: i-7 is Live" upstream=i-7 state=Live from=platform box=b
+timestamp=2026-12-02T10:00:01.000Z level=INFO message="route: first sent to i-8" request=r3 upstream=i-8 box=a
+timestamp=2026-12-02T10:00:01.200Z level=WARN message="attempt: i-8 answered with a failure" request=r3 upstream=i-8 status=500 box=a
+timestamp=2026-12-02T10:00:01.201Z level=INFO message="route: retry sent to i-9" request=r3 upstream=i-9 box=a
+timestamp=2026-12-02T10:00:01.500Z level=INFO message="route: answered" request=r3 service=s status=200 took_ms=500 box=a
+timestamp=2026-12-02T10:00:02.000Z level=INFO message="route: first sent to i-9" request=r4 upstream=i-9 box=a
+"#;
+
+#[rstest]
+#[case(
+    "r1",
+    "answered 502 by the box: exchange: \"reset\" (attempt: i-7 failed, outcome unknown: exchange: reset); it may have been run, and is not sent again; the caller was told to come back after 1000 ms"
+)]
+#[case(
+    "r2",
+    "answered 503 by the box: no live upstream; it was not run; the caller was told to come back after 600 ms"
+)]
+#[case("r3", "i-9 answered with 200 after 500 ms, after another attempt failed")]
+#[case(
+    "r4",
+    "sent 1 times, last to i-9; no end is on record: the caller left, the box ended, or the line was left out"
+)]
+fn a_request_is_explained_in_a_sentence(#[case] id: &str, #[case] want: &str) {
+    let found = explain::request(id, RAN.lines()).expect("it is there");
+    assert_eq!(found.verdict, want);
+}
+
+#[test]
+fn the_lines_of_many_boxes_stand_in_order() {
+    let found = explain::upstream("i-7", RAN.lines()).expect("it is there");
+    let order: Vec<(&str, &str)> =
+        found.lines.iter().map(|l| (l.origin.as_str(), l.message.as_str())).collect();
+    assert_eq!(
+        order,
+        [
+            ("b", "list: i-7 is Live"),
+            ("a", "attempt: i-7 failed, outcome unknown: exchange: reset"),
+            ("b", "news: i-7 is in doubt"),
+        ]
+    );
+    assert!(found.verdict.contains("last listed as Live; 1 attempts failed"), "{}", found.verdict);
+}
+
+#[test]
+fn what_no_line_names_is_not_explained() {
+    assert_eq!(explain::request("r", RAN.lines()), None, "an id is compared whole");
+    assert_eq!(explain::upstream("i-99", RAN.lines()), None);
+}
--- a/crates/honeypulley_operator/src/cli.rs
+++ b/crates/honeypulley_operator/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::report::FleetPage;
 use crate::settings::Settings;
-use crate::{fleet, keys, rollout};
+use crate::{fleet, keys, rollout, why};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use eyre::{Result, WrapErr, bail};
 use honeypulley_ini::parse;
@@ -34,13 +34,7 @@
                 .arg(settings())
                 .arg(flag("json", "Prints JSON")),
         )
-        .subcommand(
-            Command::new("why")
-                .about("Shows why boxes treat an upstream as they do")
-                .arg(Arg::new("service").required(true))
-                .arg(Arg::new("upstream").required(true))
-                .arg(settings()),
-        )
+        .subcommand(why_command())
         .subcommand(Command::new("completions").about("Prints completions").arg(
             Arg::new("shell").required(true).value_parser(value_parser!(clap_complete::Shell)),
         ))
@@ -63,6 +57,31 @@
         )
 }
 
+fn why_command() -> Command {
+    let logs = Arg::new("log")
+        .long("log")
+        .value_name("FILE")
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(PathBuf))
+        .help("Log of a box; may be given again; without any, standard input is read");
+    Command::new("why")
+        .about("Says from the boxes' logs what decided a request, or a belief about an upstream")
+        .after_help(
+            "With --settings, the boxes are asked instead: honeypulley why SERVICE UPSTREAM -s FILE",
+        )
+        .arg(
+            Arg::new("subject")
+                .num_args(1..=2)
+                .value_name("REQUEST-ID")
+                .required_unless_present("upstream")
+                .help("Id of a request"),
+        )
+        .arg(Arg::new("upstream").long("upstream").value_name("NAME").help("Name of an upstream"))
+        .arg(logs)
+        .arg(flag("json", "Prints JSON"))
+        .arg(settings().required(false))
+}
+
 fn roll_out_command() -> Command {
     let timeout = Arg::new("timeout")
         .long("timeout")
@@ -102,6 +121,7 @@
   honeypulley roll-out fleet.ini --settings operator.ini --wait
   honeypulley status --settings operator.ini --json
   honeypulley why guestlist u3 --settings operator.ini
+  honeypulley why 9c41d07be2a35f68 --log box1.log --log box2.log
 
 Exit codes: 0 done, 1 not done (the reason is on standard error), 2 usage.";
 
@@ -123,6 +143,7 @@
             clap_complete::generate(shell, &mut command(), "honeypulley", &mut std::io::stdout());
             Ok(())
         }
+        "why" if sub.get_one::<PathBuf>("settings").is_none() => why::run(sub),
         _ => {
             let settings = Settings::load(path(sub, "settings"))?;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -159,7 +180,13 @@
     let accepted = read_head(&platform).await.ok().flatten().map(|h| h.head.version.0);
     let page = FleetPage::new(accepted, fleet::ask_all(s, &roster).await);
     match name {
-        "why" => print!("{}", page.why(text(args, "service"), text(args, "upstream"))),
+        "why" => {
+            let named: Vec<&String> = args.get_many("subject").into_iter().flatten().collect();
+            let [service, upstream] = named[..] else {
+                bail!("why: name a service and one of its upstreams");
+            };
+            print!("{}", page.why(service, upstream));
+        }
         _ if args.get_flag("json") => println!("{}", serde_json::to_string_pretty(&page)?),
         _ => print!("{}", page.text()),
     }
--- a/crates/honeypulley_operator/src/lib.rs
+++ b/crates/honeypulley_operator/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod report;
 pub mod rollout;
 pub mod settings;
+pub mod why;
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -17,6 +17,7 @@
 use crate::spec::{Member, MemberState, ServiceSpec};
 use crate::spread::Spread;
 use crate::time::Time;
+pub use learn::Doubt;
 use pulse::Pulse;
 use retry::RetryWindow;
 pub use retry::{Reach, Resend, RetryRule};
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -2,7 +2,7 @@
 
 use super::{Attempt, Balancer, Resend, Upstream};
 use crate::belief::FAILS_SICK;
-use crate::chooser::{Ask, Chooser, LoadReport, Place};
+use crate::chooser::{Ask, Chooser, Inputs, LoadReport, Place};
 use crate::router::{
     AttemptKey, Outcome, Pick, Reason, Refusal, RefusalKind, ServiceKey, UpstreamKey, jitter,
 };
@@ -116,6 +116,15 @@
         self.upstreams.get(k).map(|u| Place { name: &u.name, addr: &u.addr })
     }
 
+    fn inputs(&self, k: UpstreamKey, now: Time) -> Inputs {
+        self.upstreams.get(k).map_or_else(Inputs::default, |u| Inputs {
+            sick: u.shared.chance(now),
+            path: u.path.chance(now),
+            busy: u.busy(now),
+            load_age: u.load.map(|(_, at)| now.since(at)),
+        })
+    }
+
     fn overdue_after(&self, ask: &Ask) -> Duration {
         let aim = ask.aim.unwrap_or(DEFAULT_AIM);
         let most = aim.mul_f64(OVERDUE_BOUNDS.1);
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -20,11 +20,24 @@
 /// Part of the aim above which an answer is a late one.
 const LATE_SHARE: f64 = 1.0;
 
+/// A doubt that another box's news raised.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Doubt {
+    /// Name of the upstream.
+    pub upstream: String,
+    /// What was seen.
+    pub what: Observation,
+    /// Chance of sickness before.
+    pub before: f64,
+    /// Chance of sickness after.
+    pub after: f64,
+}
+
 impl Balancer {
-    /// Takes news of another box.
-    pub fn heard(&mut self, from: NameId, news: News, now: Time) {
+    /// Takes news of another box; returns a doubt that it raised.
+    pub fn heard(&mut self, from: NameId, news: News, now: Time) -> Option<Doubt> {
         match news {
-            News::Seen { upstream, what } => self.heard_seen(from, upstream, what, now),
+            News::Seen { upstream, what } => return self.heard_seen(from, upstream, what, now),
             News::Open { upstream, count } => self.heard_open(from, upstream, count, now),
             News::Retry { service } => {
                 let rule = self.rule;
@@ -33,6 +46,7 @@
                 }
             }
         }
+        None
     }
 
     fn heard_open(&mut self, from: NameId, upstream: NameId, count: u16, now: Time) {
@@ -51,18 +65,26 @@
         }
     }
 
-    fn heard_seen(&mut self, from: NameId, upstream: NameId, what: Observation, now: Time) {
+    fn heard_seen(
+        &mut self,
+        from: NameId,
+        upstream: NameId,
+        what: Observation,
+        now: Time,
+    ) -> Option<Doubt> {
         self.count_failure(upstream, what, now);
-        let Some(u) = self.known(upstream) else { return };
-        if what != Observation::Unreachable {
-            u.shared.observe(what, now);
-            return;
-        }
+        let u = self.known(upstream)?;
+        let before = u.shared.chance(now);
         // One box may have lost its own path; two see the upstream's.
-        let other = u.unreached.replace((from, now));
-        if other.is_some_and(|(who, at)| who != from && now.since(at) < UNREACHED_SPAN) {
+        let borne_out = what != Observation::Unreachable || {
+            let other = u.unreached.replace((from, now));
+            other.is_some_and(|(who, at)| who != from && now.since(at) < UNREACHED_SPAN)
+        };
+        if borne_out {
             u.shared.observe(what, now);
         }
+        let after = u.shared.chance(now);
+        (after > before).then(|| Doubt { upstream: u.name.clone(), what, before, after })
     }
 
     /// Counts what was lost for the share of a service's work that fails.
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -37,6 +37,19 @@
     pub addr: &'a str,
 }
 
+/// What a policy knew of an upstream when it chose it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Inputs {
+    /// Chance that it is sick, by what all boxes saw.
+    pub sick: f64,
+    /// Chance that this box's path to it is bad.
+    pub path: f64,
+    /// Requests running and waiting there, as far as this box knows.
+    pub busy: f64,
+    /// Age of the upstream's last load report, if there was one.
+    pub load_age: Option<Duration>,
+}
+
 /// A policy: chooses upstreams and learns from how attempts went.
 pub trait Chooser: Debug + Send {
     /// Picks an upstream for one attempt and opens it; `tried` ones are left out.
@@ -46,6 +59,10 @@
     fn pick(&mut self, ask: &Ask, tried: &[UpstreamKey], now: Time) -> Result<Pick, Refusal>;
     /// Returns where an upstream is, if it is still known.
     fn place(&self, k: UpstreamKey) -> Option<Place<'_>>;
+    /// Returns what is known of an upstream, for the log.
+    fn inputs(&self, _: UpstreamKey, _: Time) -> Inputs {
+        Inputs::default()
+    }
     /// Returns the age at which an attempt is overdue.
     fn overdue_after(&self, ask: &Ask) -> Duration;
     /// Takes that an attempt is overdue.
--- a/crates/honeypulley_proxy/src/gate.rs
+++ b/crates/honeypulley_proxy/src/gate.rs
@@ -139,14 +139,20 @@
         let _ = self.metrics.incr(name);
     }
 
+    /// Counts one event with its tags.
+    pub fn count_for(&self, name: &str, tags: &[(&str, &str)]) {
+        let one = self.metrics.count_with_tags(name, 1);
+        tags.iter().fold(one, |m, (k, v)| m.with_tag(k, v)).send();
+    }
+
     /// Counts `n` of something.
     pub fn count_by(&self, name: &str, n: usize) {
         let _ = self.metrics.count(name, n as u64);
     }
 
-    /// Books how long something took.
-    pub fn time(&self, name: &str, d: Duration) {
-        let _ = self.metrics.time(name, d.as_millis() as u64);
+    /// Books how long something of a service took.
+    pub fn time(&self, name: &str, service: &str, d: Duration) {
+        self.metrics.time_with_tags(name, d.as_millis() as u64).with_tag("service", service).send();
     }
 }
 
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -1,6 +1,6 @@
 //! Takes a caller's request: checks, routes, limits, runs and passes back.
 
-use crate::answer::OwnAnswer;
+use crate::answer::{OwnAnswer, Ran};
 use crate::attempt::{Answer, AnswerBody, Outgoing};
 use crate::body::{Source, Watched};
 use crate::gate::{Gate, OpenGuard, Wanted};
@@ -58,6 +58,7 @@
         routed.ask.repeatable &= !out.upgrade;
         let source = take_body(req, routed.body_bytes).await?;
         let broken = source.broken();
+        let service = routed.service.clone();
         let race = Race {
             gate: Arc::clone(&self.gate),
             routed,
@@ -72,12 +73,7 @@
             if fault { bad_request("the body can't be read") } else { own }
         })?;
         let took = began.elapsed();
-        self.gate.time("requests.head_ms", took);
-        log::info!(
-            request = id.as_str(), status = answer.head.status.as_u16(),
-            took_ms = took.as_millis() as u64;
-            "route: answered"
-        );
+        self.ended(&id, &service, answer.head.status, took);
         match switch {
             Some(caller) if answer.head.status == StatusCode::SWITCHING_PROTOCOLS => {
                 upgrade::carry(&self.gate, caller, answer, id, res);
@@ -87,6 +83,19 @@
         Ok(())
     }
 
+    /// Books an upstream's answer that is passed on.
+    fn ended(&self, id: &str, service: &str, status: StatusCode, took: Duration) {
+        let outcome = if status.is_server_error() { "failed" } else { "served" };
+        self.gate.count_for("requests.answered", &[("service", service), ("outcome", outcome)]);
+        self.gate.time("requests.duration_ms", service, took);
+        let level = if status.is_server_error() { log::Level::Warn } else { log::Level::Info };
+        log::log!(
+            level,
+            request = id, service, status = status.as_u16(), took_ms = took.as_millis() as u64;
+            "route: answered"
+        );
+    }
+
     /// Returns the caller's id of a request, or one of our own for the logs.
     fn request_id(&self, req: &Request) -> String {
         let named = headers::text(req.headers(), &self.gate.dialect.request);
@@ -166,7 +175,12 @@
         if let Err(own) = self.run(req, res).await {
             self.gate.count("requests.refused");
             let request = self.request_id(req);
-            log::info!(
+            let outcome = if own.ran == Ran::NotRun { "refused" } else { "unknown" };
+            self.gate.count_for(
+                "requests.own",
+                &[("outcome", outcome), ("status", own.status.as_str())],
+            );
+            log::warn!(
                 request = request.as_str(), status = own.status.as_u16(), outcome:debug = own.ran,
                 retry_after_ms = own.retry_after.map(|d| d.as_millis() as u64);
                 "route: own answer, {}", own.why
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -126,10 +126,14 @@
         };
         let place = policy.place(pick.upstream).expect("just picked");
         let to = Destination { name: place.name.to_owned(), addr: place.addr.to_owned() };
+        let known = policy.inputs(pick.upstream, now);
         drop(policy);
+        self.gate.count_for("attempts", &[("service", service), ("kind", kind)]);
         log::info!(
             request = self.id.as_str(), service, upstream = to.name.as_str(),
-            reason:debug = pick.reason, version;
+            reason:debug = pick.reason, version,
+            sick = known.sick as f32, path = known.path as f32, busy = known.busy as f32,
+            load_age_ms = known.load_age.map(|d| d.as_millis() as u64);
             "route: {kind} sent to {}", to.name
         );
         let guard = AttemptGuard::new(&self.gate, pick);
@@ -188,7 +192,7 @@
     fn log_failure_answer(&self, answer: &Answer) {
         let policy = self.gate.chooser.lock();
         let upstream = policy.place(answer.guard.upstream).map_or("gone", |p| p.name);
-        log::info!(
+        log::warn!(
             request = self.id.as_str(), service = self.routed.service.as_str(), upstream,
             status = answer.head.status.as_u16();
             "attempt: {upstream} answered with a failure"
@@ -199,20 +203,26 @@
         let policy = self.gate.chooser.lock();
         let name = policy.place(upstream).map_or("gone", |p| p.name);
         let (request, service) = (self.id.as_str(), self.routed.service.as_str());
+        let reason = match failure {
+            Failure::NotSent { .. } => "not_sent",
+            Failure::NotRun { .. } => "not_run",
+            Failure::Unknown { .. } => "unknown",
+        };
+        self.gate.count_for("attempts.failed", &[("service", service), ("reason", reason)]);
         match failure {
             Failure::NotSent { why } => {
-                log::info!(request, service, upstream = name; "attempt: not sent to {name}: {why}");
+                log::warn!(request, service, upstream = name; "attempt: not sent to {name}: {why}");
                 tally.unrun += 1;
                 tally.last.clone_from(why);
             }
             Failure::NotRun { why, retry_after } => {
-                log::info!(request, service, upstream = name; "attempt: {name} did not run it: {why}");
+                log::warn!(request, service, upstream = name; "attempt: {name} did not run it: {why}");
                 tally.unrun += 1;
                 tally.last.clone_from(why);
                 tally.retry_after = retry_after.or(tally.retry_after);
             }
             Failure::Unknown { why } => {
-                log::info!(
+                log::warn!(
                     request, service, upstream = name;
                     "attempt: {name} failed, outcome unknown: {why}"
                 );
