The floor is kept at all times; the last send of a request is no trial

What fails next can't be known, so waiting for failures is too late. Ruled out: the measure of failures (it was right, and of no use). Change: each upstream without a failure for two seconds gets a request each second (repeatable ones) or 1.65 s (any other), but for half of what the floor spares. The estimate of a service's failing share is gone. A last send counts in full, and hedges are asked for again.

--- a/crates/honeypulley_mesh/src/book.rs
+++ b/crates/honeypulley_mesh/src/book.rs
@@ -94,12 +94,6 @@
         self.boxes.values()
     }
 
-    /// Returns the numbers of all boxes and of those in this data hall.
-    #[must_use]
-    pub fn counts(&self) -> (usize, usize) {
-        (self.count(), self.near().count() + 1)
-    }
-
     /// Returns the number of boxes, this one included.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -423,7 +423,7 @@
                 Ok(Ok(_)) => {}
                 Ok(Err(e)) => log::debug!(peer:display = addr; "peer: not sent to {addr}: {e}"),
                 Err(_) => {
-                    log::warn!(peer:display = addr; "peer: not sent to {addr}: the link is full")
+                    log::warn!(peer:display = addr; "peer: not sent to {addr}: the link is full");
                 }
             }
         }
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -118,8 +118,7 @@
             return Err(not_yet(format!("service {name} is not set up on this box yet")));
         };
         let in_touch = self.mesh.readers().in_touch(now);
-        let (boxes, near) = self.mesh.book().counts();
-        policy.balancer().set_reach(Reach { boxes, near, in_touch });
+        policy.balancer().set_reach(Reach { boxes: self.mesh.book().count(), in_touch });
         policy.balancer().arrived(service, now);
         Ok(Routed {
             ask: Ask {
--- a/crates/honeypulley_observe/src/metrics.rs
+++ b/crates/honeypulley_observe/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters, gauges and latency histograms as text.
 //!
 //! [`Registry`] is a sink for cadence's client, so that the code counts in one way
-//! whether a StatsD server or a page of text takes it. The page has the format that
+//! whether a `StatsD` server or a page of text takes it. The page has the format that
 //! Prometheus reads.
 
 use cadence::MetricSink;
@@ -52,7 +52,7 @@
         self.series.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes one metric in StatsD's form, `NAME:VALUE|TYPE|#TAGS`.
+    /// Takes one metric in the form of `StatsD`, `NAME:VALUE|TYPE|#TAGS`.
     fn take(&self, line: &str) {
         let Some((name, rest)) = line.split_once(':') else { return };
         let mut parts = rest.split('|');
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -8,7 +8,6 @@
 
 mod choice;
 mod learn;
-mod pulse;
 mod retry;
 
 use crate::belief::{Belief, Observation};
@@ -18,18 +17,12 @@
 use crate::spread::Spread;
 use crate::time::Time;
 pub use learn::Doubt;
-use pulse::Pulse;
 use retry::RetryWindow;
 pub use retry::{Reach, Resend, RetryRule};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Time in which a service's first upstreams become known to a box.
-///
-/// A platform's store lists those of a fleet that starts within three seconds.
-const FIRST_TIME: Duration = Duration::from_secs(5);
-
 /// One upstream with what the list says of its size and age.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
@@ -95,8 +88,6 @@
     unreached: Option<(NameId, Time)>,
     told_success: Time,
     joined: Time,
-    /// Whether it joined after the service's first upstreams.
-    late: bool,
     /// When a box of this data hall last sent it something, as far as is known.
     worked: Option<Time>,
     /// When something last failed there.
@@ -109,7 +100,6 @@
     id: NameId,
     spread: Spread,
     retries: RetryWindow,
-    pulse: Pulse,
     /// When this box first heard of it.
     began: Time,
     upstreams: Vec<UpstreamKey>,
@@ -164,7 +154,7 @@
     pub fn new(hall: &str, rule: RetryRule, seed: u64) -> Self {
         Self {
             hall: hall.to_owned(),
-            reach: Reach { boxes: 1, near: 1, in_touch: true },
+            reach: Reach { boxes: 1, in_touch: true },
             rule,
             services: SlotMap::with_key(),
             by_name: BTreeMap::new(),
@@ -256,7 +246,6 @@
             unreached: None,
             told_success: Time::ZERO,
             joined: now,
-            late: now.since(self.services[service].began) > FIRST_TIME,
             worked: None,
             failed: None,
         };
@@ -316,7 +305,6 @@
             id: NameId::of(&spec.name),
             spread: Spread::default(),
             retries: RetryWindow::default(),
-            pulse: Pulse::default(),
             began,
             upstreams: Vec::new(),
             spec,
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -38,44 +38,33 @@
 const OVERDUE_AT: f64 = 2.0;
 /// Bounds of the same, as parts of the aim.
 const OVERDUE_BOUNDS: (f64, f64) = (0.35, 0.6);
-/// Longest time that an upstream which the floor keeps at work gets nothing.
+/// Longest time that an upstream gets nothing, before a repeatable request goes there.
 ///
-/// The floor is counted over two seconds; this leaves room for a late datagram.
-const STARVED_AFTER: Duration = Duration::from_millis(1_400);
+/// The floor is counted over two seconds, in which most upstreams that are well must
+/// get some work whenever much fails. What fails next can't be known, so it is kept
+/// at all times, by repeatable requests as far as there are any.
+const REST_REPEATABLE: Duration = Duration::from_millis(1_000);
+/// The same before any other request goes there; a late datagram has some room.
+const REST_UNSAFE: Duration = Duration::from_millis(1_650);
 /// The same on a box that has just started and knows nothing of any upstream.
 ///
 /// Its work is spread until something is known, also while the fleet comes back.
-const STARVED_YOUNG: Duration = Duration::from_millis(400);
+const REST_YOUNG: Duration = Duration::from_millis(400);
 /// Time for which a box counts as having just started.
 const YOUNG: Duration = Duration::from_secs(5);
-/// Time after a failure in which the floor does not ask for more work there.
+/// Time after a failure in which an upstream does not count as well.
+const FAILED_REST: Duration = Duration::from_secs(2);
+/// Longest time that one left out gets no repeatable work.
+const LEFT_OUT_REST: Duration = Duration::from_secs(6);
+/// Part of the upstreams that the floor spares which may be left out.
 ///
-/// Two seconds by the floor's rule, and one for a datagram that was lost.
-const FAILED_REST: Duration = Duration::from_secs(3);
-/// Longest time that any upstream which is doubted little gets no repeatable work.
-const FORGOTTEN_AFTER: Duration = Duration::from_secs(12);
-/// Chance of trouble up to which that holds.
-const DOUBTED_LITTLE: f64 = 0.2;
-/// Time within which an upstream that joined the others gets its first work.
-const FIRST_AFTER: Duration = Duration::from_secs(2);
-/// Share of a service's requests that fail, above which the floor is kept.
-///
-/// The floor binds from a tenth on; below, the healthiest may have all the work.
-const FAILING: f64 = 0.09;
+/// Not all of it, since some of the others may be in trouble that no box has seen.
+const LEFT_OUT_SHARE: f64 = 0.5;
 /// Chance that this box's path is bad, above which the other boxes keep it at work.
 const PATH_BAD: f64 = 0.4;
 /// Wait told to callers when no upstream is listed.
 const EMPTY_WAIT: Duration = Duration::from_millis(500);
 
-/// Why an upstream may be given work beside the least loss.
-#[derive(Clone, Copy, Debug)]
-struct Keeping {
-    floor: Floor,
-    /// Longest time that the others get nothing, while the floor binds.
-    after: Option<Duration>,
-    repeatable: bool,
-}
-
 impl Chooser for Balancer {
     fn pick(&mut self, ask: &Ask, tried: &[UpstreamKey], now: Time) -> Result<Pick, Refusal> {
         let Some(s) = self.services.get(ask.service) else {
@@ -88,16 +77,17 @@
             !tried.contains(k) && self.upstreams.get(**k).is_some_and(|u| !u.is_leaving())
         };
         let open: Vec<UpstreamKey> = s.upstreams.iter().filter(usable).copied().collect();
-        let floor = s.spec.floor;
-        let failing = s.pulse.failing(self.reach, now) > FAILING;
         let young = now.since(s.began) < YOUNG;
-        let after = if young { STARVED_YOUNG } else { STARVED_AFTER };
-        let kept = Keeping {
-            floor,
-            after: (failing || young).then_some(after),
-            repeatable: ask.repeatable,
+        let limit = match (young, ask.repeatable) {
+            (true, _) => REST_YOUNG,
+            (false, true) => REST_REPEATABLE,
+            (false, false) => REST_UNSAFE,
         };
-        let starved = self.starved(&open, kept, now).map(|u| (u, Reason::Canary));
+        let floor = s.spec.floor;
+        // A request that failed once is no trial.
+        let first = tried.is_empty();
+        let starved = first.then(|| self.starved(&open, floor, limit, now)).flatten();
+        let starved = starved.map(|u| (u, Reason::Canary));
         let chosen = starved.or_else(|| {
             let least = self.least_loss(&open, ask, aim, work, now)?;
             Some((least, Reason::LeastLoss))
@@ -184,27 +174,31 @@
         best.map(|(_, k)| k)
     }
 
-    /// Returns an upstream of this data hall that got no work for too long.
+    /// Returns the upstream of this data hall that got no work for the longest time,
+    /// if that is over `limit`.
     ///
-    /// While the service is failing, the worst may be left out up to what the floor
-    /// spares; each other one gets some work, however it is doubted, since the doubt
-    /// may be wrong. At other times one that is doubted little is tried now and then.
-    fn starved(&self, open: &[UpstreamKey], keeping: Keeping, now: Time) -> Option<UpstreamKey> {
-        let mut all: Vec<(f64, UpstreamKey)> =
-            open.iter().map(|&k| (self.upstreams[k].shared.chance(now), k)).collect();
-        all.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
-        let spare = all.len().saturating_sub(keeping.floor.count(all.len()));
-        let waits = |(i, &(chance, k)): (usize, &(f64, UpstreamKey))| {
+    /// The most doubted ones are left out, up to a part of what the floor spares.
+    fn starved(
+        &self,
+        open: &[UpstreamKey],
+        floor: Floor,
+        limit: Duration,
+        now: Time,
+    ) -> Option<UpstreamKey> {
+        let well = open.iter().filter(|&&k| !self.upstreams[k].failed_lately(now));
+        let mut well: Vec<(f64, UpstreamKey)> =
+            well.map(|&k| (self.upstreams[k].shared.chance(now), k)).collect();
+        well.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
+        let spare = well.len().saturating_sub(floor.count(well.len()));
+        let left_out = (spare as f64 * LEFT_OUT_SHARE) as usize;
+        let due = |(i, &(_, k)): (usize, &(f64, UpstreamKey))| {
             let u = &self.upstreams[k];
-            let full = u.busy(now) >= u.slots;
-            if !u.near || full || u.path.chance(now) > PATH_BAD {
-                return None;
-            }
-            let after = keeping.after.filter(|_| i >= spare);
-            let rest = u.rest(chance, after, keeping.repeatable, now)?;
-            Some((rest, k))
+            let limit = if i < left_out { LEFT_OUT_REST } else { limit };
+            let rest = u.rest(now);
+            let free = u.near && u.busy(now) < u.slots && u.path.chance(now) < PATH_BAD;
+            (free && rest > limit).then_some((rest, k))
         };
-        all.iter().enumerate().filter_map(waits).max().map(|(_, k)| k)
+        well.iter().enumerate().filter_map(due).max().map(|(_, k)| k)
     }
 
     fn refuse(&mut self, kind: RefusalKind) -> Refusal {
@@ -231,20 +225,15 @@
         loss
     }
 
-    /// Returns how long it has had no work, if that is too long.
-    fn rest(
-        &self,
-        chance: f64,
-        after: Option<Duration>,
-        repeatable: bool,
-        now: Time,
-    ) -> Option<Duration> {
-        let rest = now.since(self.worked.unwrap_or(self.joined));
-        let new = self.worked.is_none() && self.late && rest > FIRST_AFTER;
-        let failed = self.failed.is_some_and(|at| now.since(at) < FAILED_REST);
-        let starved = !failed && after.is_some_and(|a| rest > a);
-        let forgotten = repeatable && chance < DOUBTED_LITTLE && rest > FORGOTTEN_AFTER;
-        (new || starved || forgotten).then_some(rest)
+    /// Tells whether something failed there a moment ago.
+    fn failed_lately(&self, now: Time) -> bool {
+        self.failed.is_some_and(|at| now.since(at) < FAILED_REST)
+    }
+
+    /// Returns how long it has been well and had no work.
+    fn rest(&self, now: Time) -> Duration {
+        let well = self.failed.map_or(self.joined, |at| at + FAILED_REST);
+        now.since(self.worked.unwrap_or(self.joined).max(well))
     }
 
     /// Returns the chance that an attempt of this box meets trouble there.
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -1,6 +1,6 @@
 //! What attempts, and other boxes, tell of the upstreams.
 
-use super::{Balancer, News, PeerOpen, Resend};
+use super::{Balancer, News, PeerOpen, Resend, Upstream};
 use crate::belief::Observation;
 use crate::collector::NameId;
 use crate::router::{AttemptKey, Outcome, ServiceKey, UpstreamKey};
@@ -13,10 +13,6 @@
 const TELL_GAP: Duration = Duration::from_millis(300);
 /// Time within which two boxes that can't reach an upstream bear each other out.
 const UNREACHED_SPAN: Duration = Duration::from_millis(1_500);
-/// Part of the overdue and shed attempts that are taken to be lost.
-const PARTLY_LOST: f64 = 0.3;
-/// Chance of sickness, above the usual one, from which on a failure is no news.
-const DOUBTED: f64 = 0.15;
 /// Part of the aim above which an answer is a late one.
 const LATE_SHARE: f64 = 1.0;
 
@@ -55,13 +51,8 @@
             0 => u.peers.remove(&from),
             _ => u.peers.insert(from, PeerOpen { count, at: now }),
         };
-        let more = count.saturating_sub(before.map_or(0, |p| p.count));
-        let service = u.service;
-        if more > 0 {
+        if count > before.map_or(0, |p| p.count) {
             u.worked = Some(now);
-            if let Some(s) = self.services.get_mut(service) {
-                s.pulse.sent(more.into(), now);
-            }
         }
     }
 
@@ -72,8 +63,8 @@
         what: Observation,
         now: Time,
     ) -> Option<Doubt> {
-        self.count_failure(upstream, what, now);
         let u = self.known(upstream)?;
+        u.note_failure(what, now);
         let before = u.shared.chance(now);
         // One box may have lost its own path; two see the upstream's.
         let borne_out = what != Observation::Unreachable || {
@@ -87,40 +78,7 @@
         (after > before).then(|| Doubt { upstream: u.name.clone(), what, before, after })
     }
 
-    /// Counts what was lost for the share of a service's work that fails.
-    ///
-    /// A trial of an upstream that is doubted anyway says nothing of the service.
-    fn count_failure(&mut self, upstream: NameId, what: Observation, now: Time) {
-        let lost = match what {
-            // What was not sent or not run goes elsewhere.
-            Observation::Success | Observation::Unreachable | Observation::Refused => 0.0,
-            Observation::Overdue | Observation::Shed => PARTLY_LOST,
-            Observation::Failure => 1.0,
-        };
-        let Some(u) = self.known(upstream) else { return };
-        if !matches!(what, Observation::Success | Observation::Overdue) {
-            u.failed = Some(now);
-        }
-        let (service, chance) = (u.service, u.shared.chance(now));
-        let usual = self.usual_chance(service, now);
-        if let Some(s) = self.services.get_mut(service).filter(|_| chance <= usual + DOUBTED) {
-            s.pulse.failed(lost, now);
-        }
-    }
-
-    /// Returns the median chance of sickness of a service's upstreams.
-    fn usual_chance(&self, service: ServiceKey, now: Time) -> f64 {
-        let Some(s) = self.services.get(service) else { return 0.0 };
-        let known = s.upstreams.iter().filter_map(|&k| self.upstreams.get(k));
-        let mut all: Vec<f64> = known.map(|u| u.shared.chance(now)).collect();
-        let middle = all.len() / 2;
-        if all.is_empty() {
-            return 0.0;
-        }
-        *all.select_nth_unstable_by(middle, f64::total_cmp).1
-    }
-
-    fn known(&mut self, id: NameId) -> Option<&mut super::Upstream> {
+    fn known(&mut self, id: NameId) -> Option<&mut Upstream> {
         let k = *self.by_id.get(&id)?;
         self.upstreams.get_mut(k)
     }
@@ -131,9 +89,6 @@
         u.open = u.open.saturating_add_signed(by);
         if by > 0 {
             u.worked = Some(now);
-            if let Some(s) = self.services.get_mut(u.service) {
-                s.pulse.sent(1.0, now);
-            }
         }
         let count = u16::try_from(u.open).unwrap_or(u16::MAX);
         self.news.push(News::Open { upstream: u.id, count });
@@ -196,9 +151,8 @@
 
     /// Takes what this box saw itself, and tells the others what they need.
     fn saw(&mut self, k: UpstreamKey, what: Observation, now: Time) {
-        let Some(id) = self.upstreams.get(k).map(|u| u.id) else { return };
-        self.count_failure(id, what, now);
         let Some(u) = self.upstreams.get_mut(k) else { return };
+        u.note_failure(what, now);
         let doubted = u.shared.chance(now) > TELL_SUCCESS;
         let tell = match what {
             Observation::Success => doubted && now.since(u.told_success) > TELL_GAP,
@@ -220,3 +174,12 @@
         }
     }
 }
+
+impl Upstream {
+    /// Notes when something last failed there.
+    fn note_failure(&mut self, what: Observation, now: Time) {
+        if !matches!(what, Observation::Success | Observation::Overdue) {
+            self.failed = Some(now);
+        }
+    }
+}
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -7,6 +7,7 @@
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use honeypulley_policy::balance::Resend;
+use honeypulley_policy::chooser::Ask;
 use honeypulley_policy::router::{AttemptKey, Refusal, UpstreamKey};
 use http::StatusCode;
 use std::sync::Arc;
@@ -74,7 +75,8 @@
                 Some(ended) = running.next() => ended,
                 () = at(self.deadline) => return Err(self.late(&tally)),
                 () = at(overdue_at) => {
-                    overdue_at = None;
+                    // Again later, since the budget may have been spent just now.
+                    overdue_at = Some(Instant::now() + overdue);
                     self.hedge(&mut running, &mut tally);
                     continue;
                 }
@@ -114,7 +116,10 @@
         let (version, service) = (self.routed.version, self.routed.service.as_str());
         let mut policy = self.gate.chooser.lock();
         let now = self.gate.now();
-        let pick = match policy.pick(&self.routed.ask, &tally.tried, now) {
+        // The last send allowed can't be made good by another.
+        let is_last = tally.ran() + 1 >= self.routed.attempts;
+        let ask = Ask { repeatable: self.routed.ask.repeatable && !is_last, ..self.routed.ask };
+        let pick = match policy.pick(&ask, &tally.tried, now) {
             Ok(p) => p,
             Err(r) => {
                 log::info!(
