--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -122,25 +122,23 @@
         let key = format!("{prefix}{}", settings.name);
         let record = BoxRecord { peer: settings.peer, hall: settings.hall.clone() };
         let value = Bytes::from(serde_json::to_vec(&record).expect("a record is plain data"));
-        let mut unsure = false;
         match self.platform.put(&key, value.clone(), Expect::Absent).await {
-            Ok(_) => {}
-            Err(PlatformError::Conflict { current, .. }) => {
-                // It stands from an earlier life; the same value changes nothing.
-                let again = self.platform.put(&key, value, Expect::Version(current)).await;
-                if !matches!(again, Err(PlatformError::Conflict { .. })) {
-                    again?;
-                }
-            }
-            // It may have been done; the list below tells.
-            Err(PlatformError::Unknown { .. }) => unsure = true,
+            // It stands from an earlier life, or the write may have been done; the
+            // list below tells.
+            Ok(_) | Err(PlatformError::Conflict { .. } | PlatformError::Unknown { .. }) => {}
             Err(e) => return Err(e),
         }
         let all = self.platform.list(prefix, Freshness::Latest).await?;
-        if unsure && !all.objects.iter().any(|o| o.key == key) {
-            let (peer, step) = ("store".to_owned(), "register");
-            let cause = "the write was lost".to_owned();
-            return Err(PlatformError::Unavailable { peer, step, cause });
+        match all.objects.iter().find(|o| o.key == key) {
+            None => {
+                let (peer, step) = ("store".to_owned(), "register");
+                let cause = "the write was lost".to_owned();
+                return Err(PlatformError::Unavailable { peer, step, cause });
+            }
+            Some(o) if !is_same(&o.value, &record) => {
+                self.platform.put(&key, value, Expect::Version(o.version)).await?;
+            }
+            Some(_) => {}
         }
         for o in &all.objects {
             let name = o.key.strip_prefix(prefix.as_str()).unwrap_or(&o.key);
@@ -274,6 +272,11 @@
     }
 }
 
+/// Tells whether the store's record of this box is as it should be.
+fn is_same(stands: &[u8], record: &BoxRecord) -> bool {
+    serde_json::from_slice::<BoxRecord>(stands).is_ok_and(|r| r == *record)
+}
+
 /// Reads the routing table for a box that has heard of a newer one.
 ///
 /// # Errors
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -19,9 +19,9 @@
 /// Loss of running beside others, at full slots; some upstreams slow down then.
 const CROWD_LOSS: f64 = 0.03;
 /// Loss of leaving the data hall with a small answer.
-const HALL_LOSS: f64 = 0.02;
+const HALL_LOSS: f64 = 0.035;
 /// Loss of leaving it with a large one.
-const BULKY_HALL_LOSS: f64 = 0.25;
+const BULKY_HALL_LOSS: f64 = 0.4;
 /// Loss of an upstream that is still slow from its start.
 const COLD_LOSS: f64 = 0.06;
 /// Random part, so that boxes with the same belief do not all pick the same.
