--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -94,6 +94,8 @@
     worked: Option<Time>,
     /// When something last failed there.
     failed: Option<Time>,
+    /// Failures one after the other, with no success between.
+    streak: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -250,6 +252,7 @@
             joined: now,
             worked: None,
             failed: None,
+            streak: 0,
         };
         let k = self.upstreams.insert(up);
         self.by_id.insert(id, k);
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -53,7 +53,12 @@
 /// Time for which a box counts as having just started.
 const YOUNG: Duration = Duration::from_secs(5);
 /// Time after a failure in which an upstream does not count as well.
+///
+/// It doubles with each further failure: a spell of its own lasts four seconds, so
+/// one that fails for longer is in a trouble that the floor does not ask about.
 const FAILED_REST: Duration = Duration::from_secs(2);
+/// Doublings of that time at the most.
+const MAX_DOUBLINGS: u32 = 2;
 /// Longest time that one left out gets no repeatable work.
 const LEFT_OUT_REST: Duration = Duration::from_secs(6);
 /// Part of the upstreams that the floor spares which may be left out.
@@ -227,12 +232,16 @@
 
     /// Tells whether something failed there a moment ago.
     fn failed_lately(&self, now: Time) -> bool {
-        self.failed.is_some_and(|at| now.since(at) < FAILED_REST)
+        self.failed.is_some_and(|at| now.since(at) < self.failed_rest())
+    }
+
+    fn failed_rest(&self) -> Duration {
+        FAILED_REST * 2u32.pow(self.streak.saturating_sub(1).min(MAX_DOUBLINGS))
     }
 
     /// Returns how long it has been well and had no work.
     fn rest(&self, now: Time) -> Duration {
-        let well = self.failed.map_or(self.joined, |at| at + FAILED_REST);
+        let well = self.failed.map_or(self.joined, |at| at + self.failed_rest());
         now.since(self.worked.unwrap_or(self.joined).max(well))
     }
 
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -13,6 +13,8 @@
 const TELL_GAP: Duration = Duration::from_millis(300);
 /// Time within which two boxes that can't reach an upstream bear each other out.
 const UNREACHED_SPAN: Duration = Duration::from_millis(1_500);
+/// Time within which several failures are one.
+const ONE_FAILURE: Duration = Duration::from_millis(500);
 /// Part of the aim above which an answer is a late one.
 const LATE_SHARE: f64 = 1.0;
 
@@ -61,6 +63,7 @@
         }
         if !trouble {
             (count..had).for_each(|_| u.shared.observe(Observation::Success, now));
+            u.streak = if count < had { 0 } else { u.streak };
         }
     }
 
@@ -194,8 +197,15 @@
 impl Upstream {
     /// Notes when something last failed there.
     fn note_failure(&mut self, what: Observation, now: Time) {
-        if !matches!(what, Observation::Success | Observation::Overdue) {
-            self.failed = Some(now);
+        match what {
+            Observation::Success => self.streak = 0,
+            Observation::Overdue => {}
+            _ => {
+                // Several at once are one.
+                let apart = self.failed.is_none_or(|at| now.since(at) > ONE_FAILURE);
+                self.streak += u32::from(apart);
+                self.failed = Some(now);
+            }
         }
     }
 }
