Other halls are told when an upstream is well again

Change: a hall says once that an upstream of its own is well again; single successes are not told any more.

--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -82,6 +82,7 @@
     shed @5;
     open @6;
     retry @7;
+    well @8;
   }
 
   struct Entry {
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -134,6 +134,7 @@
         let (subject, kind, count) = match *n {
             News::Seen { upstream, what } => (upstream, observation_kind(what), 0),
             News::Open { upstream, count } => (upstream, wire::NewsKind::Open, count),
+            News::Well { upstream } => (upstream, wire::NewsKind::Well, 0),
             News::Retry { service } => (service, wire::NewsKind::Retry, 0),
         };
         row.set_subject(subject.0);
@@ -156,6 +157,7 @@
             wire::NewsKind::Overdue => seen(Observation::Overdue),
             wire::NewsKind::Shed => seen(Observation::Shed),
             wire::NewsKind::Open => News::Open { upstream: id, count: r.get_count() },
+            wire::NewsKind::Well => News::Well { upstream: id },
             wire::NewsKind::Retry => News::Retry { service: id },
         })
     };
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -1313,6 +1313,7 @@
         Shed = 5,
         Open = 6,
         Retry = 7,
+        Well = 8,
     }
 
     impl ::capnp::introspect::Introspect for NewsKind {
@@ -1352,6 +1353,7 @@
                 5 => ::core::result::Result::Ok(Self::Shed),
                 6 => ::core::result::Result::Ok(Self::Open),
                 7 => ::core::result::Result::Ok(Self::Retry),
+                8 => ::core::result::Result::Ok(Self::Well),
                 n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
             }
         }
@@ -1366,7 +1368,7 @@
         const TYPE_ID: u64 = 0xc99a_765c_1a31_51cbu64;
     }
     mod news_kind {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 55] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(203, 81, 49, 26, 92, 118, 154, 201),
             ::capnp::word(20, 0, 0, 0, 2, 0, 0, 0),
@@ -1376,7 +1378,7 @@
             ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 199, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 223, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -1384,30 +1386,33 @@
             ::capnp::word(114, 97, 109, 46, 78, 101, 119, 115),
             ::capnp::word(75, 105, 110, 100, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(36, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(85, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(65, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(57, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 117, 99, 99, 101, 115, 115, 0),
             ::capnp::word(102, 97, 105, 108, 117, 114, 101, 0),
@@ -1418,6 +1423,7 @@
             ::capnp::word(115, 104, 101, 100, 0, 0, 0, 0),
             ::capnp::word(111, 112, 101, 110, 0, 0, 0, 0),
             ::capnp::word(114, 101, 116, 114, 121, 0, 0, 0),
+            ::capnp::word(119, 101, 108, 108, 0, 0, 0, 0),
         ];
         pub(crate) fn get_annotation_types(
             child_index: Option<u16>,
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -51,6 +51,11 @@
         /// Attempts open.
         count: u16,
     },
+    /// An upstream of this box's data hall answers well again.
+    Well {
+        /// The upstream.
+        upstream: NameId,
+    },
     /// A request was sent to one more upstream.
     Retry {
         /// Its service.
@@ -88,7 +93,8 @@
     path: Belief,
     /// The last other box that could not reach it.
     unreached: Option<(NameId, Time)>,
-    told_success: Time,
+    /// Whether the other halls know that it is well since its last failure.
+    told_well: bool,
     joined: Time,
     /// When a box of this data hall last sent it something, as far as is known.
     worked: Option<Time>,
@@ -248,7 +254,7 @@
             shared: Belief::new(now),
             path: Belief::sound(now),
             unreached: None,
-            told_success: Time::ZERO,
+            told_well: true,
             joined: now,
             worked: None,
             failed: None,
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -7,10 +7,8 @@
 use crate::time::Time;
 use std::time::Duration;
 
-/// Chance of sickness above which a success is worth telling the others.
-const TELL_SUCCESS: f64 = 0.2;
-/// Shortest time between two such tellings of one upstream.
-const TELL_GAP: Duration = Duration::from_millis(300);
+/// Chance of sickness below which an upstream that failed is well again.
+const WELL: f64 = 0.2;
 /// Time within which two boxes that can't reach an upstream bear each other out.
 const UNREACHED_SPAN: Duration = Duration::from_millis(1_500);
 /// Time within which several failures are one.
@@ -37,6 +35,14 @@
         match news {
             News::Seen { upstream, what } => return self.heard_seen(from, upstream, what, now),
             News::Open { upstream, count } => self.heard_open(from, upstream, count, now),
+            News::Well { upstream } => {
+                let u = self.known(upstream)?;
+                u.told_well = true;
+                // This data hall knows its own upstreams by its own attempts.
+                if !u.near {
+                    u.shared.calm(now);
+                }
+            }
             News::Retry { service } => {
                 let rule = self.rule;
                 if let Some(s) = self.services.values_mut().find(|s| s.id == service) {
@@ -172,11 +178,6 @@
     fn saw(&mut self, k: UpstreamKey, what: Observation, now: Time) {
         let Some(u) = self.upstreams.get_mut(k) else { return };
         u.note_failure(what, now);
-        let doubted = u.shared.chance(now) > TELL_SUCCESS;
-        let tell = match what {
-            Observation::Success => doubted && now.since(u.told_success) > TELL_GAP,
-            _ => true,
-        };
         match what {
             Observation::Unreachable => u.path.observe(what, now),
             Observation::Success => {
@@ -185,11 +186,11 @@
             }
             _ => u.shared.observe(what, now),
         }
-        if tell {
-            if what == Observation::Success {
-                u.told_success = now;
-            }
+        if what != Observation::Success {
             self.news.push(News::Seen { upstream: u.id, what });
+        } else if u.near && !u.told_well && u.shared.chance(now) < WELL {
+            u.told_well = true;
+            self.news.push(News::Well { upstream: u.id });
         }
     }
 }
@@ -205,6 +206,7 @@
                 let apart = self.failed.is_none_or(|at| now.since(at) > ONE_FAILURE);
                 self.streak += u32::from(apart);
                 self.failed = Some(now);
+                self.told_well = false;
             }
         }
     }
--- a/crates/honeypulley_policy/src/belief.rs
+++ b/crates/honeypulley_policy/src/belief.rs
@@ -24,6 +24,10 @@
 const PRIOR_PRONE: f64 = 0.3;
 /// Share of the time for which a prone upstream is sick.
 const SICK_SHARE: f64 = ONSET / (ONSET + RECOVERY);
+/// Most that is believed of an upstream that was said to be well.
+const CALM_SICK: f64 = 0.1;
+/// Most that is believed of its being prone.
+const CALM_PRONE: f64 = 0.4;
 /// Least chance of any state, which keeps all of them movable.
 const LEAST: f64 = 1e-4;
 
@@ -105,6 +109,13 @@
         self.sick = sick.min(self.prone);
     }
 
+    /// Takes the word of a box that knows better that it is well now.
+    pub fn calm(&mut self, now: Time) {
+        *self = self.aged(now);
+        self.sick = self.sick.min(CALM_SICK);
+        self.prone = self.prone.min(CALM_PRONE).max(self.sick);
+    }
+
     /// Returns the belief as time alone has moved it.
     fn aged(&self, now: Time) -> Self {
         let secs = now.since(self.at).as_secs_f64();
--- a/crates/honeypulley_policy/tests/balance.rs
+++ b/crates/honeypulley_policy/tests/balance.rs
@@ -319,3 +319,31 @@
     b.heard(peer, News::Open { upstream, count: 0 }, Time::from_millis(100));
     assert_eq!(sick(&b, 100) < before, trusted_more);
 }
+
+#[test]
+fn another_hall_that_says_an_upstream_is_well_is_believed() {
+    let mut b = balancer(1);
+    b.set_upstream(listed("far", "elsewhere", MemberState::Live), Time::ZERO);
+    for name in ["far", "u0"] {
+        b.heard(NameId::of("other"), failure(name), Time::from_millis(10));
+        b.heard(
+            NameId::of("other"),
+            News::Well { upstream: NameId::of(name) },
+            Time::from_millis(20),
+        );
+    }
+    let rows = b.status(Time::from_millis(30));
+    let sick = |name: &str| rows.iter().find(|r| r.upstream == name).expect("listed").sick;
+    assert!(sick("far") < 0.2, "{}", sick("far"));
+    assert!(sick("u0") > 0.5, "the own hall goes by its own attempts: {}", sick("u0"));
+}
+
+#[test]
+fn a_hall_says_once_that_its_upstream_is_well_again() {
+    let mut b = balancer(1);
+    b.heard(NameId::of("other"), failure("u0"), Time::from_millis(10));
+    send(&mut b, 50, 3_000, true);
+    let upstream = NameId::of("u0");
+    let told = b.take_news().into_iter().filter(|n| *n == News::Well { upstream }).count();
+    assert_eq!(told, 1);
+}
