--- a/crates/honeypulley_daemon/src/lib.rs
+++ b/crates/honeypulley_daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod peer;
 pub mod permit;
 pub mod platform;
+pub mod program;
 pub mod pull;
 pub mod serve;
 pub mod settings;
--- a/crates/honeypulley_daemon/src/peer.rs
+++ b/crates/honeypulley_daemon/src/peer.rs
@@ -7,8 +7,9 @@
 use honeypulley_bundle::head::Version;
 use honeypulley_bundle::parts::{Digest, Manifest};
 use honeypulley_peer::client::PeerClient;
-use honeypulley_peer::codec::{Body, Datagram, MAX_DATAGRAM, report_bodies};
+use honeypulley_peer::codec::{Body, Datagram, report_bodies};
 use honeypulley_peer::server::{self, HeldPermits, PeerView};
+use honeypulley_peer::socket::receive;
 use honeypulley_platform::roster::Roster;
 use honeypulley_policy::collector::{NameId, Report};
 use honeypulley_policy::permits::PermitView;
@@ -98,15 +99,10 @@
 
 impl Node {
     async fn receive(self: &Rc<Self>) -> Result<()> {
-        let mut buffer = [0; MAX_DATAGRAM + 1];
         loop {
-            let (n, from) = match self.socket.recv_from(&mut buffer).await {
-                Ok(x) => x,
-                // An ICMP refusal of an earlier datagram shows up here.
-                Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => continue,
-                Err(e) => return Err(e).wrap_err("peer: receive"),
-            };
-            match Datagram::open(&buffer[..n], &self.ctx.settings.key) {
+            let received = receive(&self.socket, &self.ctx.settings.key).await;
+            let (datagram, from) = received.wrap_err("peer: receive")?;
+            match datagram {
                 Some(d) => self.take(d, from).await,
                 None => self.ctx.shared.gate.count("peer.refused"),
             }
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -6,9 +6,10 @@
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use honeypulley_peer::client::{PeerClient, PeerError};
-use honeypulley_peer::codec::{Body, Datagram, MAX_DATAGRAM, MAX_ITEMS};
+use honeypulley_peer::codec::{Body, Datagram, MAX_ITEMS};
 use honeypulley_peer::listing::{BoxAddress, Entry, MAX_BOXES, MAX_ENTRIES};
 use honeypulley_peer::server::{self, Held, PeerView};
+use honeypulley_peer::socket::receive;
 use honeypulley_platform::api::{Object, Platform};
 use honeypulley_policy::balance::News;
 use honeypulley_policy::collector::NameId;
@@ -98,15 +99,10 @@
 
 impl Node {
     async fn receive(self: &Rc<Self>) -> Result<()> {
-        let mut buffer = [0; MAX_DATAGRAM + 1];
         loop {
-            let (n, from) = match self.socket.recv_from(&mut buffer).await {
-                Ok(x) => x,
-                // An ICMP refusal of an earlier datagram shows up here.
-                Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => continue,
-                Err(e) => return Err(e).wrap_err("peer: receive"),
-            };
-            match Datagram::open(&buffer[..n], &self.mesh.settings.key) {
+            let received = receive(&self.socket, &self.mesh.settings.key).await;
+            let (datagram, from) = received.wrap_err("peer: receive")?;
+            match datagram {
                 Some(d) => self.take(d, from).await,
                 None => log::warn!(peer:display = from; "peer: a datagram of {from} is not ours"),
             }
--- a/crates/honeypulley_peer/src/lib.rs
+++ b/crates/honeypulley_peer/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod key;
 pub mod listing;
 pub mod server;
+pub mod socket;
 
 #[expect(
     clippy::semicolon_if_nothing_returned,
