--- a/crates/honeypulley_mesh/src/readers.rs
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -109,10 +109,14 @@
     }
 
     /// Takes that the platform answered this box.
-    pub fn answered(&mut self, now: Time) {
+    ///
+    /// Returns whether it did not before.
+    pub fn answered(&mut self, now: Time) -> bool {
+        let again = self.failures >= FAILURES;
         self.own_read = Some(now);
         self.failures = 0;
         self.touch(now);
+        again
     }
 
     fn touch(&mut self, at: Time) {
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -157,7 +157,14 @@
     /// Decides again and again whether this box reads.
     async fn look_on(&self) {
         tokio::time::sleep(SETTLE_TIME).await;
+        let mut was_in_touch = true;
         loop {
+            let in_touch = self.mesh.readers().in_touch(self.mesh.now());
+            if in_touch != was_in_touch {
+                was_in_touch = in_touch;
+                let word = if in_touch { "is known again" } else { "is not known any more" };
+                log::warn!(in_touch; "readers: what the platform holds {word} to this box");
+            }
             let (changed, reading) = {
                 let boxes = self.mesh.book().count();
                 let mut readers = self.mesh.readers();
@@ -257,7 +264,9 @@
     fn noted<T>(&self, what: &str, r: Result<T, PlatformError>) -> Result<T, PlatformError> {
         match &r {
             Ok(_) | Err(PlatformError::Compacted { .. }) => {
-                self.mesh.readers().answered(self.mesh.now());
+                if self.mesh.readers().answered(self.mesh.now()) {
+                    log::info!("readers: the platform answers this box again");
+                }
             }
             Err(e) => {
                 log::info!("store: {what} failed: {e}");
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -250,7 +250,7 @@
         self.gate.count("requests.late");
         let n = tally.tried.len();
         let why = format!("the deadline passed with {n} attempt(s) open");
-        log::info!(
+        log::warn!(
             request = self.id.as_str(), service = self.routed.service.as_str(), attempts = n;
             "route: given up at its deadline"
         );
