--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -27,11 +27,39 @@
     if let Some(name) = only {
         ensure!(STEPS.iter().any(|(s, _)| s == name), "no step is called {name}");
     }
+    let red = known_red();
     for (name, step) in STEPS.iter().filter(|(s, _)| only.is_none_or(|o| o == s)) {
-        eprintln!("ci: {name}: cargo {}", step.join(" "));
+        let args = with_skips(step, &red);
+        eprintln!("ci: {name}: cargo {}", args.join(" "));
         let status =
-            Command::new("cargo").args(*step).env("RUSTDOCFLAGS", "-D warnings").status()?;
+            Command::new("cargo").args(&args).env("RUSTDOCFLAGS", "-D warnings").status()?;
         ensure!(status.success(), "ci: {name} failed: {status}");
     }
     Ok(())
 }
+
+/// Returns the tests that are known to fail, and prints each with its cause.
+///
+/// A line of the file names a test, its cause and its issue, with commas between.
+fn known_red() -> Vec<String> {
+    let text = std::fs::read_to_string("KNOWN-RED.txt").unwrap_or_default();
+    let lines = text.lines().filter(|l| !l.trim().is_empty());
+    lines
+        .map(|l| {
+            eprintln!("ci: known red: {l}");
+            l.split(',').next().unwrap_or(l).trim().to_owned()
+        })
+        .collect()
+}
+
+/// Returns a step's arguments, passing over the tests known to fail.
+fn with_skips(step: &[&str], red: &[String]) -> Vec<String> {
+    let mut args: Vec<String> = step.iter().map(|a| (*a).to_owned()).collect();
+    if step.first() == Some(&"test") && !red.is_empty() {
+        if !step.contains(&"--") {
+            args.push("--".to_owned());
+        }
+        args.extend(red.iter().flat_map(|t| ["--skip".to_owned(), t.clone()]));
+    }
+    args
+}
