--- a/crates/honeypulley_daemon/src/peer.rs
+++ b/crates/honeypulley_daemon/src/peer.rs
@@ -203,15 +203,8 @@
 
     async fn accept(self: &Rc<Self>, listener: &tokio::net::TcpListener) -> Result<()> {
         let view: Rc<dyn PeerView> = Rc::new(View(Arc::clone(&self.ctx)));
-        loop {
-            let (stream, from) = listener.accept().await.wrap_err("peer: accept")?;
-            let (key, view) = (self.ctx.settings.key.clone(), Rc::clone(&view));
-            spawn_local(async move {
-                if let Err(e) = server::serve(stream, key, view).await {
-                    log::debug!(peer:display = from; "peer: {from}: {e}");
-                }
-            });
-        }
+        let accepted = server::accept_on(listener, &self.ctx.settings.key, &view).await;
+        accepted.wrap_err("peer: accept")
     }
 
     /// Asks relays of this hall and any box in turn for their versions.
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -20,7 +20,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::task::spawn_local;
 
 /// Time that a reader leaves to one of a lower id to tell changes first.
 const TELL_STEP: Duration = Duration::from_millis(60);
@@ -36,6 +35,10 @@
 const NEWS_OF_UPSTREAMS: usize = 2;
 /// News of one box that are remembered, to know them when they come again.
 const SEEN_NEWS: usize = 64;
+/// Age of the platform's last answer above which a box says that it can't read.
+///
+/// Far above a fresh one, and below what is told when there was none.
+const ABLE_AGE: Duration = Duration::from_secs(60);
 /// Longest wait for room to send one datagram.
 const SEND_TIME: Duration = Duration::from_millis(5);
 /// Time between two hellos to the seeds while no other box is known.
@@ -192,15 +195,8 @@
 
     async fn accept(&self, listener: &tokio::net::TcpListener) -> Result<()> {
         let view: Rc<dyn PeerView> = Rc::new(View(Arc::clone(&self.mesh)));
-        loop {
-            let (stream, from) = listener.accept().await.wrap_err("peer: accept")?;
-            let (key, view) = (self.mesh.settings.key.clone(), Rc::clone(&view));
-            spawn_local(async move {
-                if let Err(e) = server::serve(stream, key, view).await {
-                    log::debug!(peer:display = from; "peer: {from}: {e}");
-                }
-            });
-        }
+        let accepted = server::accept_on(listener, &self.mesh.settings.key, &view).await;
+        accepted.wrap_err("peer: accept")
     }
 
     /// Makes this box known to the seeds, and then to every box in the store.
@@ -231,7 +227,7 @@
             let b = self.mesh.beacon();
             if b.reader || was_reader {
                 was_reader = b.reader;
-                was_able = b.read_age < Duration::from_secs(60);
+                was_able = b.read_age < ABLE_AGE;
                 number = b.table;
                 self.spread(Body::Beacon(b), NEWS_OF_LISTS).await;
             }
@@ -240,7 +236,7 @@
             loop {
                 let woken = tokio::time::timeout_at(until, self.mesh.telling.notified()).await;
                 let b = self.mesh.beacon();
-                let able = b.read_age < Duration::from_secs(60);
+                let able = b.read_age < ABLE_AGE;
                 let news =
                     b.reader != was_reader || (b.reader && (b.table > number || able != was_able));
                 if woken.is_err() || news {
--- a/crates/honeypulley_peer/src/server.rs
+++ b/crates/honeypulley_peer/src/server.rs
@@ -12,7 +12,8 @@
 use std::cell::RefCell;
 use std::fmt::Debug;
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 /// Parts given out in one call.
@@ -94,6 +95,26 @@
     RpcSystem::new(Box::new(network), Some(client.client)).await
 }
 
+/// Serves every connection that comes, each to its end.
+///
+/// # Errors
+/// Returns the system's error if no more connections can be taken.
+pub async fn accept_on(
+    listener: &TcpListener,
+    key: &FleetKey,
+    view: &Rc<dyn PeerView>,
+) -> std::io::Result<()> {
+    loop {
+        let (stream, from) = listener.accept().await?;
+        let (key, view) = (key.clone(), Rc::clone(view));
+        spawn_local(async move {
+            if let Err(e) = serve(stream, key, view).await {
+                log::debug!(peer:display = from; "peer: {from}: {e}");
+            }
+        });
+    }
+}
+
 struct GateServer {
     key: FleetKey,
     view: Rc<dyn PeerView>,
