--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -3,6 +3,8 @@
 use honeypulley_bundle::head::Version;
 use honeypulley_peer::codec::{Body, Datagram, MAX_DATAGRAM, MAX_ITEMS, report_bodies};
 use honeypulley_peer::key::FleetKey;
+use honeypulley_policy::balance::News;
+use honeypulley_policy::belief::Observation;
 use honeypulley_policy::collector::{Judgement, NameId, Report, ReportItem, Verdict};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -16,7 +18,30 @@
     });
     let judgement =
         prop_oneof![Just(Judgement::Suspect), Just(Judgement::Probation), Just(Judgement::Clear)];
+    // Chances are told in 255ths.
+    let chance = || any::<u8>().prop_map(|n| f64::from(n) / 255.0);
+    let seen = prop_oneof![
+        Just(Observation::Success),
+        Just(Observation::Failure),
+        Just(Observation::FailedWork),
+        Just(Observation::Refused),
+        Just(Observation::Unreachable),
+        Just(Observation::Overdue),
+        Just(Observation::Shed),
+    ];
+    let news = (any::<u64>(), seen, chance(), chance(), 0u8..5).prop_map(|(id, what, a, b, kind)| {
+        let upstream = NameId(id);
+        match kind {
+            0 => News::Seen { upstream, what },
+            1 => News::Open { upstream, count: id as u16 },
+            2 => News::Well { upstream },
+            3 => News::Belief { upstream, phases: [a, b] },
+            _ => News::Retry { service: upstream },
+        }
+    });
     prop_oneof![
+        (any::<u32>(), prop::collection::vec(news, 0..MAX_ITEMS))
+            .prop_map(|(seq, items)| Body::News { seq, items }),
         any::<u64>().prop_map(|nonce| Body::Ask { nonce }),
         (any::<u64>(), any::<u64>(), any::<u64>(), prop::option::of(0u64..4_000_000)).prop_map(
             |(nonce, b, permits, age)| Body::Tell {
