--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -3,7 +3,7 @@
 use crate::list::ListChange;
 use crate::state::Mesh;
 use async_trait::async_trait;
-use honeypulley_policy::balance::{Balancer, News, Reach, Resend};
+use honeypulley_policy::balance::{Balancer, BudgetUse, News, Reach, Resend};
 use honeypulley_policy::chooser::{Ask, Chooser, Inputs, LoadReport, Place};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, Refusal, ServiceKey, UpstreamKey};
@@ -75,6 +75,10 @@
         spent
     }
 
+    fn budget_use(&self, k: ServiceKey) -> BudgetUse {
+        self.balancer.budget_use(k)
+    }
+
     fn answered(&mut self, k: AttemptKey, ok: bool, now: Time) {
         self.balancer.answered(k, ok, now);
         self.announce();
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -18,7 +18,7 @@
 use crate::time::Time;
 pub use learn::Doubt;
 use retry::RetryWindow;
-pub use retry::{Reach, Resend, RetryRule};
+pub use retry::{BudgetUse, Reach, Resend, RetryRule};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -1,6 +1,6 @@
 //! Choice among a service's upstreams.
 
-use super::{Attempt, Balancer, Resend, Upstream};
+use super::{Attempt, Balancer, BudgetUse, Resend, Service, Upstream};
 use crate::belief::FAILS_SICK;
 use crate::chooser::{Ask, Chooser, Inputs, LoadReport, Place};
 use crate::router::{
@@ -139,6 +139,11 @@
         self.spend(k, why, now)
     }
 
+    fn budget_use(&self, k: ServiceKey) -> BudgetUse {
+        let usage = |s: &Service| s.retries.usage(&self.rule, self.reach);
+        self.services.get(k).map_or_else(BudgetUse::default, usage)
+    }
+
     fn answered(&mut self, k: AttemptKey, ok: bool, now: Time) {
         self.observed_head(k, ok, now);
     }
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -49,6 +49,19 @@
     pub in_touch: bool,
 }
 
+/// What a box knew of a service's retry budget, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BudgetUse {
+    /// Requests of this box within the window.
+    pub seen: usize,
+    /// Extra sends of this box.
+    pub own: usize,
+    /// Extra sends that other boxes told of.
+    pub others: usize,
+    /// Extra sends that the fleet may make, as this box reckons.
+    pub budget: f64,
+}
+
 /// Requests and extra sends of one service within the window.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RetryWindow {
@@ -78,8 +91,7 @@
         }
         let boxes = reach.boxes.max(1) as f64;
         let (seen, own) = (self.arrivals.len() as f64, self.own.len() as f64);
-        let fleet_seen = seen.max(seen * boxes * FLEET_SHARE);
-        let budget = rule.ratio.mul_add(fleet_seen, rule.slack);
+        let budget = self.budget(rule, reach);
         let share = match why {
             Resend::Failed => SPENT_SHARE,
             Resend::Overdue => HEDGE_SHARE,
@@ -93,6 +105,22 @@
         self.own.push_back(now);
         true
     }
+
+    fn budget(&self, rule: &RetryRule, reach: Reach) -> f64 {
+        let seen = self.arrivals.len() as f64;
+        let fleet_seen = seen.max(seen * reach.boxes as f64 * FLEET_SHARE);
+        rule.ratio.mul_add(fleet_seen, rule.slack)
+    }
+
+    /// Returns what is known of the budget.
+    pub(super) fn usage(&self, rule: &RetryRule, reach: Reach) -> BudgetUse {
+        BudgetUse {
+            seen: self.arrivals.len(),
+            own: self.own.len(),
+            others: self.others.len(),
+            budget: self.budget(rule, reach),
+        }
+    }
 }
 
 fn drop_old(q: &mut VecDeque<Time>, window: Duration, now: Time) {
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -1,6 +1,6 @@
 //! What the serving path asks of a policy, whichever that is.
 
-use crate::balance::Resend;
+use crate::balance::{BudgetUse, Resend};
 use crate::router::{AttemptKey, Outcome, Pick, Refusal, Router, ServiceKey, UpstreamKey};
 use crate::time::Time;
 use std::fmt::Debug;
@@ -69,6 +69,10 @@
     fn overdue(&mut self, k: AttemptKey, now: Time);
     /// Spends one send beyond the first of a request; tells whether there was one.
     fn spend_retry(&mut self, k: ServiceKey, why: Resend, now: Time) -> bool;
+    /// Returns what is known of a service's retry budget, for the log.
+    fn budget_use(&self, _: ServiceKey) -> BudgetUse {
+        BudgetUse::default()
+    }
     /// Takes the head of an answer; `ok` is false for a failure answer.
     fn answered(&mut self, k: AttemptKey, ok: bool, now: Time);
     /// Takes the load that an upstream reported.
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -82,11 +82,13 @@
                 }
             };
             let (upstream, failure) = match ended {
-                Ok(answer) if self.should_retry(&answer, &tally) => {
+                Ok(answer) if answer.head.status.is_server_error() => {
                     self.log_failure_answer(&answer);
                     // The upstream's own failure answer; it is passed on if no
                     // other attempt can be made.
-                    if self.start(&mut running, &mut tally, "retry").is_err() {
+                    if !self.should_retry(&tally)
+                        || self.start(&mut running, &mut tally, "retry").is_err()
+                    {
                         return Ok(answer);
                     }
                     continue;
@@ -137,6 +139,7 @@
         log::info!(
             request = self.id.as_str(), service, upstream = to.name.as_str(),
             reason:debug = pick.reason, version,
+            attempts = self.routed.attempts, repeatable = self.routed.ask.repeatable,
             sick = known.sick as f32, path = known.path as f32, busy = known.busy as f32,
             load_age_ms = known.load_age.map(|d| d.as_millis() as u64);
             "route: {kind} sent to {}", to.name
@@ -164,12 +167,9 @@
         }
     }
 
-    /// Tells whether a failure answer of an upstream should be tried elsewhere.
-    fn should_retry(&self, answer: &Answer, tally: &Tally) -> bool {
-        answer.head.status.is_server_error()
-            && self.routed.ask.repeatable
-            && self.has_retry(tally)
-            && self.spend(Resend::Failed)
+    /// Tells whether a request that got a failure answer should be tried elsewhere.
+    fn should_retry(&self, tally: &Tally) -> bool {
+        self.routed.ask.repeatable && self.has_retry(tally) && self.spend(Resend::Failed)
     }
 
     fn may_repeat(&self, failure: &Failure, tally: &Tally) -> bool {
@@ -191,7 +191,19 @@
 
     fn spend(&self, why: Resend) -> bool {
         let now = self.gate.now();
-        self.gate.chooser.lock().spend_retry(self.routed.ask.service, why, now)
+        let mut policy = self.gate.chooser.lock();
+        let spent = policy.spend_retry(self.routed.ask.service, why, now);
+        let known = policy.budget_use(self.routed.ask.service);
+        drop(policy);
+        if !spent {
+            self.gate.count_for("retries.denied", &[("service", self.routed.service.as_str())]);
+            log::info!(
+                request = self.id.as_str(), service = self.routed.service.as_str(), why:debug = why,
+                seen = known.seen, own = known.own, others = known.others, budget = known.budget as f32;
+                "route: not sent again, the retry budget is spent"
+            );
+        }
+        spent
     }
 
     fn log_failure_answer(&self, answer: &Answer) {
