--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -20,7 +20,7 @@
 use retry::RetryWindow;
 pub use retry::{BudgetUse, Reach, Resend, RetryRule};
 use slotmap::SlotMap;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Aim taken where a route names none.
@@ -122,6 +122,8 @@
     id: NameId,
     spread: Spread,
     retries: RetryWindow,
+    /// Failures of the last moments, whichever box met them.
+    failures: VecDeque<Time>,
     /// When this box first heard of it.
     began: Time,
     upstreams: Vec<UpstreamKey>,
@@ -326,12 +328,39 @@
     }
 }
 
+/// Time over which failures of a service are counted: as the floor is.
+const FAILING_SPAN: Duration = Duration::from_secs(2);
+/// Share of a service's requests that fail from which on it counts as failing.
+///
+/// The floor is counted from a tenth on; in calm two to three in 100 fail.
+const FAILING_SHARE: f64 = 0.06;
+/// Failures of the span below which a service does not count as failing.
+const FAILING_LEAST: usize = 4;
+
 impl Service {
+    /// Takes a failure that some box met.
+    fn failed(&mut self, now: Time) {
+        self.failures.push_back(now);
+        while self.failures.front().is_some_and(|&t| now.since(t) > FAILING_SPAN) {
+            self.failures.pop_front();
+        }
+    }
+
+    /// Tells whether much of the service fails, by what `boxes` boxes told.
+    ///
+    /// The fleet's requests are reckoned from this box's own.
+    fn is_failing(&self, boxes: usize, now: Time) -> bool {
+        let fails = self.failures.iter().filter(|&&t| now.since(t) <= FAILING_SPAN).count();
+        let requests = self.retries.rate(now) * boxes as f64 * FAILING_SPAN.as_secs_f64();
+        fails >= FAILING_LEAST && fails as f64 > FAILING_SHARE * requests
+    }
+
     fn new(spec: ServiceSpec, began: Time) -> Self {
         Self {
             id: NameId::of(&spec.name),
             spread: Spread::default(),
             retries: RetryWindow::default(),
+            failures: VecDeque::new(),
             began,
             upstreams: Vec::new(),
             spec,
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -57,31 +57,51 @@
 const REST_YOUNG: Duration = Duration::from_millis(400);
 /// Time for which a box counts as having just started.
 const YOUNG: Duration = Duration::from_secs(5);
-/// Time after a failure in which an upstream does not count as well.
+/// How failed upstreams are spared trials while a service is mostly well.
 ///
 /// Measured on the deployments: of trials 3, 4, 5 and 6 s after a failure 63, 41, 29
 /// and 12 in 100 failed. With a loss of all boxes at any moment, 6 s broke no floor
 /// in 96 of them and 15 s broke three, since the users leave out those that failed too.
-const FAILED_REST: Duration = Duration::from_secs(6);
-/// Doublings of that time with each further failure, at the most.
+const USUAL_SPARING: Sparing =
+    Sparing { rest: Duration::from_secs(6), doublings: 1, left_out: 0.75 };
+/// The same while much of a service fails: the floor is counted then.
 ///
-/// A spell lasts about four seconds, so one that fails for longer is in a trouble
-/// that the floor does not ask about.
-const MAX_DOUBLINGS: u32 = 1;
+/// With the usual one, 10 of 18 sound upstreams among 80 others in trouble got nothing
+/// for two seconds. These kept the floor on 80 days of other luck.
+const FAILING_SPARING: Sparing =
+    Sparing { rest: Duration::from_secs(2), doublings: 2, left_out: 0.5 };
+/// Time after its last failure for which an upstream may be left out.
+const MAY_BE_LEFT_OUT: Duration = Duration::from_secs(30);
 /// Longest time that one left out gets no repeatable work.
 const LEFT_OUT_REST: Duration = Duration::from_secs(6);
 /// The same for work that may not be repeated: four in ten such trials failed.
 const LEFT_OUT_REST_UNSAFE: Duration = Duration::from_secs(20);
-/// Part of the upstreams that the floor spares which may be left out.
-///
-/// Not all of it, since some of the others may be in trouble that no box has seen,
-/// and since those that failed some moments ago are left out besides.
-const LEFT_OUT_SHARE: f64 = 0.75;
 /// Chance that this box's path is bad, above which the other boxes keep it at work.
 const PATH_BAD: f64 = 0.4;
 /// Wait told to callers when no upstream is listed.
 const EMPTY_WAIT: Duration = Duration::from_millis(500);
 
+/// How upstreams that failed are spared trials.
+#[derive(Clone, Copy, Debug)]
+struct Sparing {
+    /// Time after a failure in which an upstream does not count as well.
+    rest: Duration,
+    /// Doublings of that time with each further failure, at the most: a spell lasts
+    /// about four seconds, so one that fails for longer is in a trouble of which the
+    /// floor does not ask.
+    doublings: u32,
+    /// Part of the upstreams that the floor spares which may be left out; not all,
+    /// since some of the others may be in trouble that no box has seen.
+    left_out: f64,
+}
+
+impl Sparing {
+    /// Returns the time for which an upstream with so many failures in a row rests.
+    fn rest_after(self, streak: u32) -> Duration {
+        self.rest * 2u32.pow(streak.saturating_sub(1).min(self.doublings))
+    }
+}
+
 impl Chooser for Balancer {
     fn pick(&mut self, ask: &Ask, tried: &[UpstreamKey], now: Time) -> Result<Pick, Refusal> {
         let Some(s) = self.services.get(ask.service) else {
@@ -101,10 +121,13 @@
             (false, false) => (REST_UNSAFE, LEFT_OUT_REST_UNSAFE),
         };
         let floor = s.spec.floor;
+        let is_failing = s.is_failing(self.reach.boxes, now);
+        let sparing = if is_failing { FAILING_SPARING } else { USUAL_SPARING };
         // A request that failed once is no trial.
         let first = tried.is_empty();
-        let starved =
-            first.then(|| self.starved(&open, floor, [limit, left_out_limit], now)).flatten();
+        let starved = first
+            .then(|| self.starved(&open, floor, sparing, [limit, left_out_limit], now))
+            .flatten();
         let starved = starved.map(|u| (u, Reason::Canary));
         let chosen = starved.or_else(|| {
             let least = self.least_loss(&open, ask, aim, work, now)?;
@@ -205,24 +228,26 @@
         &self,
         open: &[UpstreamKey],
         floor: Floor,
+        sparing: Sparing,
         [limit, left_out_limit]: [Duration; 2],
         now: Time,
     ) -> Option<UpstreamKey> {
-        let well = open.iter().filter(|&&k| !self.upstreams[k].failed_lately(now));
+        let well = open.iter().filter(|&&k| !self.upstreams[k].failed_lately(sparing, now));
         let mut well: Vec<(f64, UpstreamKey)> =
             well.map(|&k| (self.upstreams[k].shared.chance(now), k)).collect();
         well.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
         let spare = well.len().saturating_sub(floor.count(well.len()));
-        let left_out = (spare as f64 * LEFT_OUT_SHARE) as usize;
+        let left_out = (spare as f64 * sparing.left_out) as usize;
         let first_share = FIRST_BOXES / self.reach.near.max(1) as f64;
         let due = |(i, &(_, k)): (usize, &(f64, UpstreamKey))| {
             let u = &self.upstreams[k];
             let goes_first = u.id.draw(self.salt) < first_share;
             // New ones are never left out.
-            let is_left_out = i < left_out && u.worked.is_some();
+            let has_failed = u.failed.is_some_and(|at| now.since(at) < MAY_BE_LEFT_OUT);
+            let is_left_out = i < left_out && has_failed;
             let limit = if is_left_out { left_out_limit } else { limit };
             let limit = if goes_first { limit.mul_f64(FIRST_SHARE) } else { limit };
-            let rest = u.rest(now);
+            let rest = u.rest(sparing, now);
             let free = u.near && u.busy(now) < u.slots && u.path.chance(now) < PATH_BAD;
             (free && rest > limit).then_some((rest, k))
         };
@@ -254,17 +279,13 @@
     }
 
     /// Tells whether something failed there a moment ago.
-    fn failed_lately(&self, now: Time) -> bool {
-        self.failed.is_some_and(|at| now.since(at) < self.failed_rest())
-    }
-
-    fn failed_rest(&self) -> Duration {
-        FAILED_REST * 2u32.pow(self.streak.saturating_sub(1).min(MAX_DOUBLINGS))
+    fn failed_lately(&self, sparing: Sparing, now: Time) -> bool {
+        self.failed.is_some_and(|at| now.since(at) < sparing.rest_after(self.streak))
     }
 
     /// Returns how long it has been well and had no work.
-    fn rest(&self, now: Time) -> Duration {
-        let well = self.failed.map_or(self.joined, |at| at + self.failed_rest());
+    fn rest(&self, sparing: Sparing, now: Time) -> Duration {
+        let well = self.failed.map_or(self.joined, |at| at + sparing.rest_after(self.streak));
         now.since(self.worked.unwrap_or(self.joined).max(well))
     }
 
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -94,6 +94,12 @@
         what: Observation,
         now: Time,
     ) -> Option<Doubt> {
+        if what.is_failure()
+            && let Some(k) = self.by_id.get(&upstream)
+            && let Some(s) = self.services.get_mut(self.upstreams[*k].service)
+        {
+            s.failed(now);
+        }
         let u = self.known(upstream)?;
         u.note_failure(what, now);
         if what != Observation::Success
@@ -212,6 +218,11 @@
     /// Takes what this box saw itself, and tells the others what they need.
     fn saw(&mut self, k: UpstreamKey, what: Observation, now: Time) {
         let Some(u) = self.upstreams.get_mut(k) else { return };
+        if what.is_failure()
+            && let Some(s) = self.services.get_mut(u.service)
+        {
+            s.failed(now);
+        }
         u.note_failure(what, now);
         match what {
             Observation::Unreachable => u.path.observe(what, now),
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -13,6 +13,9 @@
 /// Part of its own traffic, times the boxes, that a box trusts the fleet to see.
 const FLEET_SHARE: f64 = 0.5;
 
+/// Time over which a box reckons its own rate of requests.
+const RATE_SPAN: Duration = Duration::from_secs(8);
+
 /// Bound on sends beyond the first of each request, over all boxes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryRule {
@@ -108,6 +111,12 @@
         true
     }
 
+    /// Returns the requests of this box, per second, over the last moments.
+    pub(super) fn rate(&self, now: Time) -> f64 {
+        let recent = self.arrivals.iter().rev().take_while(|&&t| now.since(t) <= RATE_SPAN);
+        recent.count() as f64 / RATE_SPAN.as_secs_f64()
+    }
+
     fn budget(&self, rule: &RetryRule, reach: Reach) -> f64 {
         let seen = self.arrivals.len() as f64;
         let fleet_seen = seen.max(seen * reach.boxes as f64 * FLEET_SHARE);
--- a/crates/honeypulley_policy/src/belief.rs
+++ b/crates/honeypulley_policy/src/belief.rs
@@ -50,6 +50,12 @@
 }
 
 impl Observation {
+    /// Tells whether the request was not served there.
+    #[must_use]
+    pub const fn is_failure(self) -> bool {
+        !matches!(self, Self::Success | Self::Overdue)
+    }
+
     /// Returns how likely this is of a well and of a sick upstream.
     ///
     /// The base rate of failures, 1.2 in 100, is that of the deployments' sheets, and
