--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -122,11 +122,7 @@
             return Err(not_yet(format!("service {name} is not set up on this box yet")));
         };
         let in_touch = self.mesh.readers().in_touch(now);
-        let reach = {
-            let book = self.mesh.book();
-            Reach { boxes: book.count(), near: book.near().count() + 1, in_touch }
-        };
-        policy.balancer().set_reach(reach);
+        policy.balancer().set_reach(Reach { boxes: self.mesh.book().count(), in_touch });
         policy.balancer().arrived(service, now);
         Ok(Routed {
             ask: Ask {
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -124,6 +124,8 @@
     retries: RetryWindow,
     /// Failures of the last moments, whichever box met them.
     failures: VecDeque<Time>,
+    /// When much of it was last seen to fail.
+    failing: Option<Time>,
     /// When this box first heard of it.
     began: Time,
     upstreams: Vec<UpstreamKey>,
@@ -162,8 +164,6 @@
     hall: String,
     reach: Reach,
     rule: RetryRule,
-    /// Number of this box's own, for draws that differ between boxes.
-    salt: u64,
     services: SlotMap<ServiceKey, Service>,
     by_name: BTreeMap<String, ServiceKey>,
     by_id: BTreeMap<NameId, UpstreamKey>,
@@ -180,8 +180,7 @@
     pub fn new(hall: &str, rule: RetryRule, seed: u64) -> Self {
         Self {
             hall: hall.to_owned(),
-            reach: Reach { boxes: 1, near: 1, in_touch: true },
-            salt: seed,
+            reach: Reach { boxes: 1, in_touch: true },
             rule,
             services: SlotMap::with_key(),
             by_name: BTreeMap::new(),
@@ -328,31 +327,37 @@
     }
 }
 
-/// Time over which failures of a service are counted: as the floor is.
-const FAILING_SPAN: Duration = Duration::from_secs(2);
+/// Time over which failures of a service are counted.
+const FAILING_SPAN: Duration = Duration::from_secs(1);
+/// Time for which a service counts as failing after it was seen to: as long as the
+/// floor is counted.
+const FAILING_TIME: Duration = Duration::from_secs(2);
 /// Share of a service's requests that fail from which on it counts as failing.
 ///
 /// The floor is counted from a tenth on; in calm two to three in 100 fail.
-const FAILING_SHARE: f64 = 0.06;
+const FAILING_SHARE: f64 = 0.09;
 /// Failures of the span below which a service does not count as failing.
-const FAILING_LEAST: usize = 4;
+const FAILING_LEAST: usize = 5;
 
 impl Service {
-    /// Takes a failure that some box met.
-    fn failed(&mut self, now: Time) {
+    /// Takes a failure that one of `boxes` boxes met.
+    ///
+    /// The fleet's requests are reckoned from this box's own.
+    fn failed(&mut self, boxes: usize, now: Time) {
         self.failures.push_back(now);
         while self.failures.front().is_some_and(|&t| now.since(t) > FAILING_SPAN) {
             self.failures.pop_front();
         }
+        let fails = self.failures.len();
+        let requests = self.retries.rate(now) * boxes as f64 * FAILING_SPAN.as_secs_f64();
+        if fails >= FAILING_LEAST && fails as f64 > FAILING_SHARE * requests {
+            self.failing = Some(now);
+        }
     }
 
-    /// Tells whether much of the service fails, by what `boxes` boxes told.
-    ///
-    /// The fleet's requests are reckoned from this box's own.
-    fn is_failing(&self, boxes: usize, now: Time) -> bool {
-        let fails = self.failures.iter().filter(|&&t| now.since(t) <= FAILING_SPAN).count();
-        let requests = self.retries.rate(now) * boxes as f64 * FAILING_SPAN.as_secs_f64();
-        fails >= FAILING_LEAST && fails as f64 > FAILING_SHARE * requests
+    /// Tells whether much of the service failed some moments ago.
+    fn is_failing(&self, now: Time) -> bool {
+        self.failing.is_some_and(|at| now.since(at) < FAILING_TIME)
     }
 
     fn new(spec: ServiceSpec, began: Time) -> Self {
@@ -361,6 +366,7 @@
             spread: Spread::default(),
             retries: RetryWindow::default(),
             failures: VecDeque::new(),
+            failing: None,
             began,
             upstreams: Vec::new(),
             spec,
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -44,13 +44,6 @@
 const REST_REPEATABLE: Duration = Duration::from_millis(1_000);
 /// The same before any other request goes there; a late datagram has some room.
 const REST_UNSAFE: Duration = Duration::from_millis(1_650);
-/// Part of these times after which the few boxes that go first may try an upstream.
-///
-/// Boxes that find the same upstream due at once all lose a request to it: 18 of 100
-/// failed trials came so.
-const FIRST_SHARE: f64 = 0.65;
-/// Boxes of a data hall that go first, for each upstream others.
-const FIRST_BOXES: f64 = 3.0;
 /// The same on a box that has just started and knows nothing of any upstream.
 ///
 /// Its work is spread until something is known, also while the fleet comes back.
@@ -60,16 +53,18 @@
 /// How failed upstreams are spared trials while a service is mostly well.
 ///
 /// Measured on the deployments: of trials 3, 4, 5 and 6 s after a failure 63, 41, 29
-/// and 12 in 100 failed. With a loss of all boxes at any moment, 6 s broke no floor
-/// in 96 of them and 15 s broke three, since the users leave out those that failed too.
+/// and 12 in 100 failed. The users count an upstream again two seconds after its spell,
+/// so a longer rest breaks the floor when all boxes are lost at such a moment: one of
+/// 15 s did in three of 96 losses, one that doubled after the second failure of a spell
+/// in five of 360.
 const USUAL_SPARING: Sparing =
-    Sparing { rest: Duration::from_secs(6), doublings: 1, left_out: 0.75 };
+    Sparing { rest: Duration::from_secs(5), borne: 2, doublings: 1, left_out: 0.5 };
 /// The same while much of a service fails: the floor is counted then.
 ///
 /// With the usual one, 10 of 18 sound upstreams among 80 others in trouble got nothing
 /// for two seconds. These kept the floor on 80 days of other luck.
 const FAILING_SPARING: Sparing =
-    Sparing { rest: Duration::from_secs(2), doublings: 2, left_out: 0.5 };
+    Sparing { rest: Duration::from_secs(2), borne: 1, doublings: 2, left_out: 0.5 };
 /// Time after its last failure for which an upstream may be left out.
 const MAY_BE_LEFT_OUT: Duration = Duration::from_secs(30);
 /// Longest time that one left out gets no repeatable work.
@@ -86,7 +81,9 @@
 struct Sparing {
     /// Time after a failure in which an upstream does not count as well.
     rest: Duration,
-    /// Doublings of that time with each further failure, at the most: a spell lasts
+    /// Failures in a row that prolong no rest, since they may be of one spell.
+    borne: u32,
+    /// Doublings of that time with each failure beyond, at the most: a spell lasts
     /// about four seconds, so one that fails for longer is in a trouble of which the
     /// floor does not ask.
     doublings: u32,
@@ -98,7 +95,7 @@
 impl Sparing {
     /// Returns the time for which an upstream with so many failures in a row rests.
     fn rest_after(self, streak: u32) -> Duration {
-        self.rest * 2u32.pow(streak.saturating_sub(1).min(self.doublings))
+        self.rest * 2u32.pow(streak.saturating_sub(self.borne).min(self.doublings))
     }
 }
 
@@ -121,7 +118,7 @@
             (false, false) => (REST_UNSAFE, LEFT_OUT_REST_UNSAFE),
         };
         let floor = s.spec.floor;
-        let is_failing = s.is_failing(self.reach.boxes, now);
+        let is_failing = s.is_failing(now);
         let sparing = if is_failing { FAILING_SPARING } else { USUAL_SPARING };
         // A request that failed once is no trial.
         let first = tried.is_empty();
@@ -238,15 +235,12 @@
         well.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
         let spare = well.len().saturating_sub(floor.count(well.len()));
         let left_out = (spare as f64 * sparing.left_out) as usize;
-        let first_share = FIRST_BOXES / self.reach.near.max(1) as f64;
         let due = |(i, &(_, k)): (usize, &(f64, UpstreamKey))| {
             let u = &self.upstreams[k];
-            let goes_first = u.id.draw(self.salt) < first_share;
             // New ones are never left out.
             let has_failed = u.failed.is_some_and(|at| now.since(at) < MAY_BE_LEFT_OUT);
             let is_left_out = i < left_out && has_failed;
             let limit = if is_left_out { left_out_limit } else { limit };
-            let limit = if goes_first { limit.mul_f64(FIRST_SHARE) } else { limit };
             let rest = u.rest(sparing, now);
             let free = u.near && u.busy(now) < u.slots && u.path.chance(now) < PATH_BAD;
             (free && rest > limit).then_some((rest, k))
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -102,7 +102,7 @@
             && let Some(k) = self.by_id.get(&upstream)
             && let Some(s) = self.services.get_mut(self.upstreams[*k].service)
         {
-            s.failed(now);
+            s.failed(self.reach.boxes, now);
         }
         let u = self.known(upstream)?;
         u.note_failure(what, now);
@@ -226,7 +226,7 @@
         if what.is_failure()
             && let Some(s) = self.services.get_mut(u.service)
         {
-            s.failed(now);
+            s.failed(self.reach.boxes, now);
         }
         u.note_failure(what, now);
         match what {
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -48,8 +48,6 @@
 pub struct Reach {
     /// Boxes of the fleet, this one included.
     pub boxes: usize,
-    /// Boxes of this data hall, this one included.
-    pub near: usize,
     /// Whether this box hears the others.
     pub in_touch: bool,
 }
--- a/crates/honeypulley_policy/src/collector.rs
+++ b/crates/honeypulley_policy/src/collector.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Key of a named thing on the wire: the XXH3 hash of its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -22,13 +22,6 @@
     pub fn of(name: &str) -> Self {
         Self(xxh3_64(name.as_bytes()))
     }
-
-    /// Returns a number from zero up to one that this name and `salt` decide.
-    #[must_use]
-    pub fn draw(self, salt: u64) -> f64 {
-        let bits = xxh3_64_with_seed(&self.0.to_le_bytes(), salt) >> 11;
-        bits as f64 / (1u64 << 53) as f64
-    }
 }
 
 /// Outcomes of one upstream since a box's last report.
