--- a/crates/honeypulley_mesh/src/lib.rs
+++ b/crates/honeypulley_mesh/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod book;
 pub mod list;
+pub mod numbers;
 pub mod peers;
 pub mod readers;
 pub mod serving;
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -1,5 +1,6 @@
 //! Talks to the other boxes: beacons, news, changes, and pulls of what is missed.
 
+use crate::numbers::{Numbers, SeenNumbers};
 use crate::readers::BEACON_GAP;
 use crate::state::Mesh;
 use crate::store::fetch_table;
@@ -12,10 +13,8 @@
 use honeypulley_peer::socket::receive;
 use honeypulley_platform::api::{Object, Platform};
 use honeypulley_policy::balance::News;
-use honeypulley_policy::collector::NameId;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -34,8 +33,6 @@
 const NEWS_OF_LISTS: usize = 3;
 /// Boxes of each other data hall that send on what was seen of upstreams.
 const NEWS_OF_UPSTREAMS: usize = 2;
-/// News of one box that are remembered, to know them when they come again.
-const SEEN_NEWS: usize = 64;
 /// Age of the platform's last answer above which a box says that it can't read.
 ///
 /// Far above a fresh one, and below what is told when there was none.
@@ -69,10 +66,8 @@
     socket: tokio::net::UdpSocket,
     /// Highest version up to which another reader told changes.
     told: Cell<u64>,
-    /// Number of the last news of this box.
-    seq: Cell<u32>,
-    /// Numbers of the last news of each other box.
-    seen: RefCell<HashMap<NameId, VecDeque<u32>>>,
+    numbers: RefCell<Numbers>,
+    seen: RefCell<SeenNumbers>,
 }
 
 impl Duty for PeerDuty {
@@ -89,7 +84,7 @@
                 platform: Arc::clone(&self.platform),
                 socket,
                 told: Cell::new(0),
-                seq: Cell::new(0),
+                numbers: RefCell::new(Numbers::begin(&mut fastrand::Rng::new())),
                 seen: RefCell::default(),
             });
             tokio::select! {
@@ -154,7 +149,7 @@
             }
             Body::Beacon(b) => self.mesh.take_beacon(d.sender, from, b),
             Body::News { seq, items } => {
-                if self.is_new(d.sender, seq) {
+                if self.seen.borrow_mut().is_new(d.sender, seq) {
                     items.into_iter().for_each(|n| self.mesh.news_in.push((d.sender, n)));
                 }
             }
@@ -186,20 +181,6 @@
         Box::pin(self.take(inner, from)).await;
     }
 
-    /// Tells whether news was not taken before, by another way.
-    fn is_new(&self, sender: NameId, seq: u32) -> bool {
-        let mut seen = self.seen.borrow_mut();
-        let last = seen.entry(sender).or_default();
-        if last.contains(&seq) {
-            return false;
-        }
-        last.push_back(seq);
-        if last.len() > SEEN_NEWS {
-            last.pop_front();
-        }
-        true
-    }
-
     async fn accept(&self, listener: &tokio::net::TcpListener) -> Result<()> {
         let view: Rc<dyn PeerView> = Rc::new(View(Arc::clone(&self.mesh)));
         let accepted = server::accept_on(listener, &self.mesh.settings.key, &view).await;
@@ -339,8 +320,7 @@
     }
 
     fn number(&self, items: Vec<News>) -> Body {
-        self.seq.set(self.seq.get().wrapping_add(1));
-        Body::News { seq: self.seq.get(), items }
+        Body::News { seq: self.numbers.borrow_mut().next(), items }
     }
 
     /// Pulls tables and lists that others have and this box misses.
