--- a/crates/honeypulley_mesh/src/lib.rs
+++ b/crates/honeypulley_mesh/src/lib.rs
@@ -7,6 +7,7 @@
 //! one box sees of an upstream reaches all others at once.
 
 pub mod book;
+pub mod decoder;
 pub mod list;
 pub mod numbers;
 pub mod peers;
@@ -18,9 +19,10 @@
 /// The names most users of this crate need.
 pub mod prelude {
     pub use crate::{
+        decoder::{Decoder, StoreKeys},
         peers::PeerDuty,
         serving::{Announcer, Pump, TableRoutes},
-        state::{Decoder, Mesh, MeshSettings, StoreKeys},
+        state::{Mesh, MeshSettings},
         store::StoreDuty,
     };
 }
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -1,6 +1,7 @@
 //! What the duties of one box share.
 
 use crate::book::Book;
+use crate::decoder::Decoder;
 use crate::list::{ListChange, UpstreamList};
 use crate::readers::Readers;
 use arc_swap::ArcSwapOption;
@@ -12,7 +13,7 @@
 use honeypulley_peer::listing::{BoxAddress, Entry, EntryState};
 use honeypulley_peer::server::Held;
 use honeypulley_platform::api::{Changes, Object};
-use honeypulley_policy::balance::{Listed, News};
+use honeypulley_policy::balance::News;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::routes::RouteTable;
 use honeypulley_policy::time::Time;
@@ -20,7 +21,6 @@
 use honeypulley_supervisor::ring::{Full, Ring};
 use parking_lot::{Mutex, MutexGuard};
 use std::collections::BTreeMap;
-use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -36,47 +36,6 @@
 /// Boxes that ask for beliefs at one time, above those that one box is asked by.
 const ASKED: usize = 64;
 
-/// Where the platform keeps what a fleet needs.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoreKeys {
-    /// Key of the routing table.
-    pub table: String,
-    /// Prefix of the routing table and its like, which is watched.
-    pub tables: String,
-    /// Prefix of the entries of upstreams.
-    pub upstreams: String,
-    /// Prefix of the fleet's own boxes.
-    pub boxes: String,
-}
-
-/// Why an object of the platform could not be read.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{key} at version {version}: {cause}")]
-pub struct DecodeError {
-    /// Key of the object.
-    pub key: String,
-    /// Its version.
-    pub version: u64,
-    /// What was wrong.
-    pub cause: String,
-}
-
-/// Reads the platform's objects into the project's own types.
-pub trait Decoder: Debug + Send + Sync {
-    /// Returns where things are.
-    fn keys(&self) -> &StoreKeys;
-    /// Reads the routing table.
-    ///
-    /// # Errors
-    /// Returns what could not be read or served.
-    fn table(&self, o: &Object) -> Result<RouteTable, DecodeError>;
-    /// Reads an upstream's entry.
-    ///
-    /// # Errors
-    /// Returns what could not be read.
-    fn upstream(&self, o: &Object) -> Result<Listed, DecodeError>;
-}
-
 /// Settings of one box of the mesh.
 #[derive(Clone, Debug, bon::Builder)]
 pub struct MeshSettings {
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -9,6 +9,7 @@
 mod choice;
 mod learn;
 mod retry;
+mod trial;
 
 use crate::belief::{Belief, Observation};
 use crate::collector::NameId;
