Bounds are read; sickness as it was measured; trials that spare what failed

Change: figures by name in the settings; failures at once and after work told apart; two phases of sickness; sparing by how much of a service fails; beliefs for a box that starts; a line for a retry that the budget denies, and one for a doubt instead of one for each news.

--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -1,5 +1,6 @@
 //! Talks to the other boxes: beacons, news, changes, and pulls of what is missed.
 
+use crate::numbers::{Numbers, SeenNumbers};
 use crate::readers::BEACON_GAP;
 use crate::state::Mesh;
 use crate::store::fetch_table;
@@ -12,13 +13,12 @@
 use honeypulley_peer::socket::receive;
 use honeypulley_platform::api::{Object, Platform};
 use honeypulley_policy::balance::News;
-use honeypulley_policy::collector::NameId;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Time that a reader leaves to one of a lower id to tell changes first.
@@ -33,14 +33,16 @@
 const NEWS_OF_LISTS: usize = 3;
 /// Boxes of each other data hall that send on what was seen of upstreams.
 const NEWS_OF_UPSTREAMS: usize = 2;
-/// News of one box that are remembered, to know them when they come again.
-const SEEN_NEWS: usize = 64;
 /// Age of the platform's last answer above which a box says that it can't read.
 ///
 /// Far above a fresh one, and below what is told when there was none.
 const ABLE_AGE: Duration = Duration::from_secs(60);
 /// Longest wait for room to send one datagram.
 const SEND_TIME: Duration = Duration::from_millis(5);
+/// Boxes that one which has just started asks for their beliefs.
+///
+/// With a third of the boxes gone unnoticed, all three are gone in 4 of 100.
+const ASKED_BOXES: usize = 3;
 /// Time between two hellos to the seeds while no other box is known.
 const HELLO_GAP: Duration = Duration::from_millis(500);
 
@@ -64,10 +66,8 @@
     socket: tokio::net::UdpSocket,
     /// Highest version up to which another reader told changes.
     told: Cell<u64>,
-    /// Number of the last news of this box.
-    seq: Cell<u32>,
-    /// Numbers of the last news of each other box.
-    seen: RefCell<HashMap<NameId, VecDeque<u32>>>,
+    numbers: RefCell<Numbers>,
+    seen: RefCell<SeenNumbers>,
 }
 
 impl Duty for PeerDuty {
@@ -84,7 +84,7 @@
                 platform: Arc::clone(&self.platform),
                 socket,
                 told: Cell::new(0),
-                seq: Cell::new(0),
+                numbers: RefCell::new(Numbers::begin(&mut fastrand::Rng::new())),
                 seen: RefCell::default(),
             });
             tokio::select! {
@@ -94,6 +94,7 @@
                 () = node.send_news() => Ok(()),
                 () = node.pull_on() => Ok(()),
                 () = node.greet() => Ok(()),
+                () = node.send_beliefs() => Ok(()),
                 () = stop.halt.cancelled() => Ok(()),
             }
         })
@@ -135,6 +136,7 @@
                 if wants_reply {
                     self.hello(from, false).await;
                     self.send_book(from).await;
+                    self.mesh.asked.push(from);
                 }
             }
             Body::Book(boxes) => {
@@ -147,7 +149,7 @@
             }
             Body::Beacon(b) => self.mesh.take_beacon(d.sender, from, b),
             Body::News { seq, items } => {
-                if self.is_new(d.sender, seq) {
+                if self.seen.borrow_mut().is_new(d.sender, seq) {
                     items.into_iter().for_each(|n| self.mesh.news_in.push((d.sender, n)));
                 }
             }
@@ -179,20 +181,6 @@
         Box::pin(self.take(inner, from)).await;
     }
 
-    /// Tells whether news was not taken before, by another way.
-    fn is_new(&self, sender: NameId, seq: u32) -> bool {
-        let mut seen = self.seen.borrow_mut();
-        let last = seen.entry(sender).or_default();
-        if last.contains(&seq) {
-            return false;
-        }
-        last.push_back(seq);
-        if last.len() > SEEN_NEWS {
-            last.pop_front();
-        }
-        true
-    }
-
     async fn accept(&self, listener: &tokio::net::TcpListener) -> Result<()> {
         let view: Rc<dyn PeerView> = Rc::new(View(Arc::clone(&self.mesh)));
         let accepted = server::accept_on(listener, &self.mesh.settings.key, &view).await;
@@ -202,6 +190,7 @@
     /// Makes this box known to the seeds, and then to every box in the store.
     async fn greet(&self) {
         let mut greeted = 0;
+        let mut has_asked = false;
         loop {
             let known: Vec<SocketAddr> = self.mesh.book().all().collect();
             if known.is_empty() {
@@ -214,10 +203,41 @@
                 }
                 greeted = known.len();
             }
+            // Beliefs about upstreams that this box does not know would be lost.
+            let ready = self.mesh.listed.load(Ordering::Relaxed) && self.mesh.table_number() > 0;
+            if !has_asked && ready && !known.is_empty() {
+                has_asked = true;
+                self.ask_beliefs().await;
+            }
             let _ = tokio::time::timeout(HELLO_GAP, self.mesh.greeting.notified()).await;
         }
     }
 
+    /// Asks some boxes, of this data hall if there are any, what they believe.
+    async fn ask_beliefs(&self) {
+        let mut to: Vec<SocketAddr> = self.mesh.book().near().collect();
+        if to.is_empty() {
+            to = self.mesh.book().all().collect();
+        }
+        fastrand::shuffle(&mut to);
+        to.truncate(ASKED_BOXES);
+        log::info!(boxes = to.len(); "peer: {} boxes are asked what they believe", to.len());
+        for addr in to {
+            self.hello(addr, true).await;
+        }
+    }
+
+    /// Tells boxes that have just started what this one believes of upstreams.
+    async fn send_beliefs(&self) {
+        loop {
+            let (to, beliefs) = self.mesh.beliefs.next().await;
+            for part in beliefs.chunks(MAX_ITEMS) {
+                let body = self.number(part.to_vec());
+                self.send_each(&[to], body).await;
+            }
+        }
+    }
+
     /// Tells the others what this box has, while it is a reader.
     async fn beacon_on(&self) {
         let (mut was_reader, mut was_able) = (false, false);
@@ -300,8 +320,7 @@
     }
 
     fn number(&self, items: Vec<News>) -> Body {
-        self.seq.set(self.seq.get().wrapping_add(1));
-        Body::News { seq: self.seq.get(), items }
+        Body::News { seq: self.numbers.borrow_mut().next(), items }
     }
 
     /// Pulls tables and lists that others have and this box misses.
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -1,6 +1,7 @@
 //! What the duties of one box share.
 
 use crate::book::Book;
+use crate::decoder::Decoder;
 use crate::list::{ListChange, UpstreamList};
 use crate::readers::Readers;
 use arc_swap::ArcSwapOption;
@@ -12,7 +13,7 @@
 use honeypulley_peer::listing::{BoxAddress, Entry, EntryState};
 use honeypulley_peer::server::Held;
 use honeypulley_platform::api::{Changes, Object};
-use honeypulley_policy::balance::{Listed, News};
+use honeypulley_policy::balance::News;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::routes::RouteTable;
 use honeypulley_policy::time::Time;
@@ -20,7 +21,6 @@
 use honeypulley_supervisor::ring::{Full, Ring};
 use parking_lot::{Mutex, MutexGuard};
 use std::collections::BTreeMap;
-use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -33,46 +33,8 @@
 /// the link for a quarter of a second before 88 boxes, and datagrams were lost.
 const NARROW_MBPS: f64 = 50.0;
 
-/// Where the platform keeps what a fleet needs.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoreKeys {
-    /// Key of the routing table.
-    pub table: String,
-    /// Prefix of the routing table and its like, which is watched.
-    pub tables: String,
-    /// Prefix of the entries of upstreams.
-    pub upstreams: String,
-    /// Prefix of the fleet's own boxes.
-    pub boxes: String,
-}
-
-/// Why an object of the platform could not be read.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{key} at version {version}: {cause}")]
-pub struct DecodeError {
-    /// Key of the object.
-    pub key: String,
-    /// Its version.
-    pub version: u64,
-    /// What was wrong.
-    pub cause: String,
-}
-
-/// Reads the platform's objects into the project's own types.
-pub trait Decoder: Debug + Send + Sync {
-    /// Returns where things are.
-    fn keys(&self) -> &StoreKeys;
-    /// Reads the routing table.
-    ///
-    /// # Errors
-    /// Returns what could not be read or served.
-    fn table(&self, o: &Object) -> Result<RouteTable, DecodeError>;
-    /// Reads an upstream's entry.
-    ///
-    /// # Errors
-    /// Returns what could not be read.
-    fn upstream(&self, o: &Object) -> Result<Listed, DecodeError>;
-}
+/// Boxes that ask for beliefs at one time, above those that one box is asked by.
+const ASKED: usize = 64;
 
 /// Settings of one box of the mesh.
 #[derive(Clone, Debug, bon::Builder)]
@@ -119,6 +81,10 @@
     pub news_out: Ring<News>,
     /// What other boxes saw, for the serving thread.
     pub news_in: Ring<(NameId, News)>,
+    /// Boxes that have just started and ask what this one believes of upstreams.
+    pub asked: Ring<SocketAddr>,
+    /// What this box believes, and which box asked for it.
+    pub beliefs: Ring<(SocketAddr, Vec<News>)>,
     /// Wakes the serving thread for a table or changes of the list.
     pub serving: Notify,
     /// Wakes the peers' duty to tell what is new.
@@ -172,6 +138,8 @@
             in_force: ArcSwapOption::empty(),
             news_out: Ring::new(4_096, Full::DropOldest),
             news_in: Ring::new(16_384, Full::DropOldest),
+            asked: Ring::new(ASKED, Full::DropOldest),
+            beliefs: Ring::new(ASKED, Full::DropOldest),
             serving: Notify::new(),
             telling: Notify::new(),
             pulling: Notify::new(),
@@ -324,7 +292,9 @@
         let changes = self.list.lock().replace(version, entries, hold, self.now());
         log::info!(from, version, entries = n, hold_ms = hold.as_millis() as u64; "list: taken whole");
         self.hand_on(changes, from);
-        self.listed.store(true, Ordering::Relaxed);
+        if !self.listed.swap(true, Ordering::Relaxed) {
+            self.greeting.notify_one();
+        }
         self.telling.notify_one();
     }
 
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -9,6 +9,7 @@
 mod choice;
 mod learn;
 mod retry;
+mod trial;
 
 use crate::belief::{Belief, Observation};
 use crate::collector::NameId;
@@ -18,11 +19,14 @@
 use crate::time::Time;
 pub use learn::Doubt;
 use retry::RetryWindow;
-pub use retry::{Reach, Resend, RetryRule};
+pub use retry::{BudgetUse, Reach, Resend, RetryRule};
 use slotmap::SlotMap;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+/// Aim taken where a route names none.
+const DEFAULT_AIM: Duration = Duration::from_secs(1);
+
 /// One upstream with what the list says of its size and age.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
@@ -35,7 +39,7 @@
 }
 
 /// What this box tells the others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum News {
     /// Something was seen of an upstream.
     Seen {
@@ -56,6 +60,13 @@
         /// The upstream.
         upstream: NameId,
     },
+    /// What the sender believes of an upstream, for a box that has just started.
+    Belief {
+        /// The upstream.
+        upstream: NameId,
+        /// Chances of the two phases of sickness.
+        phases: [f64; 2],
+    },
     /// A request was sent to one more upstream.
     Retry {
         /// Its service.
@@ -91,6 +102,8 @@
     shared: Belief,
     /// What only the path from this box shows.
     path: Belief,
+    /// Whether this box or another has told anything of it.
+    taught: bool,
     /// The last other box that could not reach it.
     unreached: Option<(NameId, Time)>,
     /// Whether the other halls know that it is well since its last failure.
@@ -110,6 +123,10 @@
     id: NameId,
     spread: Spread,
     retries: RetryWindow,
+    /// Failures of the last moments, whichever box met them.
+    failures: VecDeque<Time>,
+    /// When much of it was last seen to fail.
+    failing: Option<Time>,
     /// When this box first heard of it.
     began: Time,
     upstreams: Vec<UpstreamKey>,
@@ -253,6 +270,7 @@
             load: None,
             shared: Belief::new(now),
             path: Belief::sound(now),
+            taught: false,
             unreached: None,
             told_well: true,
             joined: now,
@@ -310,12 +328,46 @@
     }
 }
 
+/// Time over which failures of a service are counted.
+const FAILING_SPAN: Duration = Duration::from_secs(1);
+/// Time for which a service counts as failing after it was seen to: as long as the
+/// floor is counted.
+const FAILING_TIME: Duration = Duration::from_secs(2);
+/// Share of a service's requests that fail from which on it counts as failing.
+///
+/// The floor is counted from a tenth on; in calm two to three in 100 fail.
+const FAILING_SHARE: f64 = 0.09;
+/// Failures of the span below which a service does not count as failing.
+const FAILING_LEAST: usize = 5;
+
 impl Service {
+    /// Takes a failure that one of `boxes` boxes met.
+    ///
+    /// The fleet's requests are reckoned from this box's own.
+    fn failed(&mut self, boxes: usize, now: Time) {
+        self.failures.push_back(now);
+        while self.failures.front().is_some_and(|&t| now.since(t) > FAILING_SPAN) {
+            self.failures.pop_front();
+        }
+        let fails = self.failures.len();
+        let requests = self.retries.rate(now) * boxes as f64 * FAILING_SPAN.as_secs_f64();
+        if fails >= FAILING_LEAST && fails as f64 > FAILING_SHARE * requests {
+            self.failing = Some(now);
+        }
+    }
+
+    /// Tells whether much of the service failed some moments ago.
+    fn is_failing(&self, now: Time) -> bool {
+        self.failing.is_some_and(|at| now.since(at) < FAILING_TIME)
+    }
+
     fn new(spec: ServiceSpec, began: Time) -> Self {
         Self {
             id: NameId::of(&spec.name),
             spread: Spread::default(),
             retries: RetryWindow::default(),
+            failures: VecDeque::new(),
+            failing: None,
             began,
             upstreams: Vec::new(),
             spec,
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -1,12 +1,12 @@
 //! Choice among a service's upstreams.
 
-use super::{Attempt, Balancer, Resend, Upstream};
+use super::trial::TrialRule;
+use super::{Attempt, Balancer, BudgetUse, DEFAULT_AIM, Resend, Service, Upstream};
 use crate::belief::FAILS_SICK;
 use crate::chooser::{Ask, Chooser, Inputs, LoadReport, Place};
 use crate::router::{
     AttemptKey, Outcome, Pick, Reason, Refusal, RefusalKind, ServiceKey, UpstreamKey, jitter,
 };
-use crate::spec::Floor;
 use crate::time::Time;
 use std::time::Duration;
 
@@ -30,43 +30,12 @@
 const LOAD_LIFE: Duration = Duration::from_millis(500);
 /// Time after which a peer's open attempts are not believed any more.
 const OPEN_LIFE: Duration = Duration::from_secs(6);
-/// Aim taken where a route names none.
-const DEFAULT_AIM: Duration = Duration::from_secs(1);
 /// Part of the aim that work is taken to last before any was seen.
 const ASSUMED_WORK: f64 = 0.3;
 /// Deviations above the middle at which an attempt is overdue.
 const OVERDUE_AT: f64 = 2.0;
 /// Bounds of the same, as parts of the aim.
 const OVERDUE_BOUNDS: (f64, f64) = (0.35, 0.6);
-/// Longest time that an upstream gets nothing, before a repeatable request goes there.
-///
-/// The floor is counted over two seconds, in which most upstreams that are well must
-/// get some work whenever much fails. What fails next can't be known, so it is kept
-/// at all times, by repeatable requests as far as there are any.
-const REST_REPEATABLE: Duration = Duration::from_millis(1_000);
-/// The same before any other request goes there; a late datagram has some room.
-const REST_UNSAFE: Duration = Duration::from_millis(1_650);
-/// The same on a box that has just started and knows nothing of any upstream.
-///
-/// Its work is spread until something is known, also while the fleet comes back.
-const REST_YOUNG: Duration = Duration::from_millis(400);
-/// Time for which a box counts as having just started.
-const YOUNG: Duration = Duration::from_secs(5);
-/// Time after a failure in which an upstream does not count as well.
-///
-/// It doubles with each further failure: a spell of its own lasts four seconds, so
-/// one that fails for longer is in a trouble that the floor does not ask about.
-const FAILED_REST: Duration = Duration::from_secs(2);
-/// Doublings of that time at the most.
-const MAX_DOUBLINGS: u32 = 2;
-/// Longest time that one left out gets no repeatable work.
-const LEFT_OUT_REST: Duration = Duration::from_secs(6);
-/// Part of the upstreams that the floor spares which may be left out.
-///
-/// Not all of it, since some of the others may be in trouble that no box has seen.
-const LEFT_OUT_SHARE: f64 = 0.5;
-/// Chance that this box's path is bad, above which the other boxes keep it at work.
-const PATH_BAD: f64 = 0.4;
 /// Wait told to callers when no upstream is listed.
 const EMPTY_WAIT: Duration = Duration::from_millis(500);
 
@@ -82,16 +51,9 @@
             !tried.contains(k) && self.upstreams.get(**k).is_some_and(|u| !u.is_leaving())
         };
         let open: Vec<UpstreamKey> = s.upstreams.iter().filter(usable).copied().collect();
-        let young = now.since(s.began) < YOUNG;
-        let limit = match (young, ask.repeatable) {
-            (true, _) => REST_YOUNG,
-            (false, true) => REST_REPEATABLE,
-            (false, false) => REST_UNSAFE,
-        };
-        let floor = s.spec.floor;
+        let rule = TrialRule::of(s, ask, now);
         // A request that failed once is no trial.
-        let first = tried.is_empty();
-        let starved = first.then(|| self.starved(&open, floor, limit, now)).flatten();
+        let starved = if tried.is_empty() { self.starved(&open, rule, now) } else { None };
         let starved = starved.map(|u| (u, Reason::Canary));
         let chosen = starved.or_else(|| {
             let least = self.least_loss(&open, ask, aim, work, now)?;
@@ -139,6 +101,11 @@
         self.spend(k, why, now)
     }
 
+    fn budget_use(&self, k: ServiceKey) -> BudgetUse {
+        let usage = |s: &Service| s.retries.usage(&self.rule, self.reach);
+        self.services.get(k).map_or_else(BudgetUse::default, usage)
+    }
+
     fn answered(&mut self, k: AttemptKey, ok: bool, now: Time) {
         self.observed_head(k, ok, now);
     }
@@ -179,33 +146,6 @@
         best.map(|(_, k)| k)
     }
 
-    /// Returns the upstream of this data hall that got no work for the longest time,
-    /// if that is over `limit`.
-    ///
-    /// The most doubted ones are left out, up to a part of what the floor spares.
-    fn starved(
-        &self,
-        open: &[UpstreamKey],
-        floor: Floor,
-        limit: Duration,
-        now: Time,
-    ) -> Option<UpstreamKey> {
-        let well = open.iter().filter(|&&k| !self.upstreams[k].failed_lately(now));
-        let mut well: Vec<(f64, UpstreamKey)> =
-            well.map(|&k| (self.upstreams[k].shared.chance(now), k)).collect();
-        well.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
-        let spare = well.len().saturating_sub(floor.count(well.len()));
-        let left_out = (spare as f64 * LEFT_OUT_SHARE) as usize;
-        let due = |(i, &(_, k)): (usize, &(f64, UpstreamKey))| {
-            let u = &self.upstreams[k];
-            let limit = if i < left_out { LEFT_OUT_REST } else { limit };
-            let rest = u.rest(now);
-            let free = u.near && u.busy(now) < u.slots && u.path.chance(now) < PATH_BAD;
-            (free && rest > limit).then_some((rest, k))
-        };
-        well.iter().enumerate().filter_map(due).max().map(|(_, k)| k)
-    }
-
     fn refuse(&mut self, kind: RefusalKind) -> Refusal {
         Refusal { kind, retry_after: jitter(EMPTY_WAIT, &mut self.rng) }
     }
@@ -230,21 +170,6 @@
         loss
     }
 
-    /// Tells whether something failed there a moment ago.
-    fn failed_lately(&self, now: Time) -> bool {
-        self.failed.is_some_and(|at| now.since(at) < self.failed_rest())
-    }
-
-    fn failed_rest(&self) -> Duration {
-        FAILED_REST * 2u32.pow(self.streak.saturating_sub(1).min(MAX_DOUBLINGS))
-    }
-
-    /// Returns how long it has been well and had no work.
-    fn rest(&self, now: Time) -> Duration {
-        let well = self.failed.map_or(self.joined, |at| at + self.failed_rest());
-        now.since(self.worked.unwrap_or(self.joined).max(well))
-    }
-
     /// Returns the chance that an attempt of this box meets trouble there.
     pub(super) fn chance(&self, now: Time) -> f64 {
         1.0 - (1.0 - self.shared.chance(now)) * (1.0 - self.path.chance(now))
