--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -198,7 +198,9 @@
         let mut policy = self.policy.lock();
         let now = self.mesh.now();
         let mut next = Some((from, first));
+        let mut beliefs = 0;
         while let Some((from, news)) = next {
+            beliefs += usize::from(matches!(news, News::Belief { .. }));
             if let Some(h) = policy.balancer().heard(from, news, now) {
                 log::info!(
                     upstream = h.upstream.as_str(), what:debug = h.what, from = from.0,
@@ -208,6 +210,9 @@
             }
             next = self.mesh.news_in.pop();
         }
+        if beliefs > 0 {
+            log::info!(beliefs; "news: {beliefs} beliefs of another box are taken");
+        }
     }
 
     fn take_lists(&self) {
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -29,16 +29,17 @@
         Just(Observation::Overdue),
         Just(Observation::Shed),
     ];
-    let news = (any::<u64>(), seen, chance(), chance(), 0u8..5).prop_map(|(id, what, a, b, kind)| {
-        let upstream = NameId(id);
-        match kind {
-            0 => News::Seen { upstream, what },
-            1 => News::Open { upstream, count: id as u16 },
-            2 => News::Well { upstream },
-            3 => News::Belief { upstream, phases: [a, b] },
-            _ => News::Retry { service: upstream },
-        }
-    });
+    let news =
+        (any::<u64>(), seen, chance(), chance(), 0u8..5).prop_map(|(id, what, a, b, kind)| {
+            let upstream = NameId(id);
+            match kind {
+                0 => News::Seen { upstream, what },
+                1 => News::Open { upstream, count: id as u16 },
+                2 => News::Well { upstream },
+                3 => News::Belief { upstream, phases: [a, b] },
+                _ => News::Retry { service: upstream },
+            }
+        });
     prop_oneof![
         (any::<u32>(), prop::collection::vec(news, 0..MAX_ITEMS))
             .prop_map(|(seq, items)| Body::News { seq, items }),
