--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -98,12 +98,8 @@
         what: Observation,
         now: Time,
     ) -> Option<Doubt> {
-        if what.is_failure()
-            && let Some(k) = self.by_id.get(&upstream)
-            && let Some(s) = self.services.get_mut(self.upstreams[*k].service)
-        {
-            s.failed(self.reach.boxes, now);
-        }
+        let service = self.known(upstream)?.service;
+        self.count_failure(service, what, now);
         let u = self.known(upstream)?;
         u.note_failure(what, now);
         if what != Observation::Success
@@ -134,6 +130,15 @@
         self.upstreams.values().filter(|u| u.taught).map(told).collect()
     }
 
+    /// Counts a failure that any box met against its service.
+    fn count_failure(&mut self, service: ServiceKey, what: Observation, now: Time) {
+        if what.is_failure()
+            && let Some(s) = self.services.get_mut(service)
+        {
+            s.failed(self.reach.boxes, now);
+        }
+    }
+
     fn known(&mut self, id: NameId) -> Option<&mut Upstream> {
         let k = *self.by_id.get(&id)?;
         self.upstreams.get_mut(k)
@@ -222,12 +227,9 @@
 
     /// Takes what this box saw itself, and tells the others what they need.
     fn saw(&mut self, k: UpstreamKey, what: Observation, now: Time) {
-        let Some(u) = self.upstreams.get_mut(k) else { return };
-        if what.is_failure()
-            && let Some(s) = self.services.get_mut(u.service)
-        {
-            s.failed(self.reach.boxes, now);
-        }
+        let Some(service) = self.upstreams.get(k).map(|u| u.service) else { return };
+        self.count_failure(service, what, now);
+        let u = &mut self.upstreams[k];
         u.note_failure(what, now);
         match what {
             Observation::Unreachable => u.path.observe(what, now),
--- a/crates/honeypulley_policy/src/balance/trial.rs
+++ b/crates/honeypulley_policy/src/balance/trial.rs
@@ -36,9 +36,9 @@
     Sparing { rest: Duration::from_secs(5), borne: 2, doublings: 1, left_out: 0.5 };
 /// The same while much of a service fails: the floor is counted then.
 ///
-/// None is left out: of 53 upstreams 43 were in trouble, and seven that were left out
-/// stood among the ten others. The users count a failed one again after two seconds, so
-/// it has to be tried within four.
+/// None is left out: when 43 of 53 upstreams were in trouble, six of the ten others got
+/// nothing, and those left out may all have stood among the ten. The users count a failed
+/// one again after two seconds, so it has to be tried within four.
 const FAILING_SPARING: Sparing =
     Sparing { rest: Duration::from_secs(2), borne: 2, doublings: 1, left_out: 0.0 };
 /// Time after its last failure for which an upstream may be left out.
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -193,9 +193,9 @@
         let now = self.gate.now();
         let mut policy = self.gate.chooser.lock();
         let spent = policy.spend_retry(self.routed.ask.service, why, now);
-        let known = policy.budget_use(self.routed.ask.service);
-        drop(policy);
         if !spent {
+            let known = policy.budget_use(self.routed.ask.service);
+            drop(policy);
             self.gate.count_for("retries.denied", &[("service", self.routed.service.as_str())]);
             log::info!(
                 request = self.id.as_str(), service = self.routed.service.as_str(), why:debug = why,
