--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -60,15 +60,23 @@
         self.balancer.inputs(k, now)
     }
 
-    fn overdue_after(&self, ask: &Ask) -> Duration {
-        self.balancer.overdue_after(ask)
+    fn look_after(&self, ask: &Ask, age: Duration) -> Duration {
+        self.balancer.look_after(ask, age)
     }
 
-    fn overdue(&mut self, k: AttemptKey, now: Time) {
-        self.balancer.overdue(k, now);
+    fn still_open(&mut self, k: AttemptKey, now: Time) {
+        self.balancer.still_open(k, now);
         self.announce();
     }
 
+    fn hedge(&self, ask: &Ask, k: AttemptKey, now: Time) -> Option<f64> {
+        self.balancer.hedge(ask, k, now)
+    }
+
+    fn is_in_time(&self, ask: &Ask) -> bool {
+        self.balancer.is_in_time(ask)
+    }
+
     fn spend_retry(&mut self, k: ServiceKey, why: Resend, now: Time) -> bool {
         let spent = self.balancer.spend_retry(k, why, now);
         self.announce();
@@ -130,6 +138,8 @@
                 repeatable: route.kind.is_repeatable(),
                 bulky: route.kind == RequestKind::Download,
                 aim: route.aim,
+                left: None,
+                route: NameId::of(&route.name),
             },
             service: name.to_owned(),
             timeout: route.timeout,
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -70,8 +70,10 @@
   struct NewsItem {
     subject @0 :UInt64;
     kind @1 :NewsKind;
-    # Attempts open; of a belief, 255ths: the first phase in the upper eight bits.
+    # Attempts open; of a retry, requests within the window; of a belief, 255ths: the first phase in the upper eight bits.
     count @2 :UInt16;
+    # Of open attempts: whether the one that ended just now was answered well.
+    served @3 :Bool;
   }
 
   enum NewsKind {
@@ -86,6 +88,7 @@
     well @8;
     failedWork @9;
     belief @10;
+    hung @11;
   }
 
   struct Entry {
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -133,9 +133,12 @@
         let mut row = list.reborrow().get(i as u32);
         let (subject, kind, count) = match *n {
             News::Seen { upstream, what } => (upstream, observation_kind(what), 0),
-            News::Open { upstream, count } => (upstream, wire::NewsKind::Open, count),
+            News::Open { upstream, count, served } => {
+                row.set_served(served);
+                (upstream, wire::NewsKind::Open, count)
+            }
             News::Well { upstream } => (upstream, wire::NewsKind::Well, 0),
-            News::Retry { service } => (service, wire::NewsKind::Retry, 0),
+            News::Retry { service, seen } => (service, wire::NewsKind::Retry, seen),
             News::Belief { upstream, phases } => {
                 (upstream, wire::NewsKind::Belief, u16::from_be_bytes(phases.map(parts)))
             }
@@ -160,9 +163,12 @@
             wire::NewsKind::Unreachable => seen(Observation::Unreachable),
             wire::NewsKind::Overdue => seen(Observation::Overdue),
             wire::NewsKind::Shed => seen(Observation::Shed),
-            wire::NewsKind::Open => News::Open { upstream: id, count: r.get_count() },
+            wire::NewsKind::Hung => seen(Observation::Hung),
+            wire::NewsKind::Open => {
+                News::Open { upstream: id, count: r.get_count(), served: r.get_served() }
+            }
             wire::NewsKind::Well => News::Well { upstream: id },
-            wire::NewsKind::Retry => News::Retry { service: id },
+            wire::NewsKind::Retry => News::Retry { service: id, seen: r.get_count() },
             wire::NewsKind::Belief => {
                 News::Belief { upstream: id, phases: r.get_count().to_be_bytes().map(part) }
             }
@@ -189,5 +195,6 @@
         Observation::Unreachable => wire::NewsKind::Unreachable,
         Observation::Overdue => wire::NewsKind::Overdue,
         Observation::Shed => wire::NewsKind::Shed,
+        Observation::Hung => wire::NewsKind::Hung,
     }
 }
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -1085,6 +1085,10 @@
             pub fn get_count(self) -> u16 {
                 self.reader.get_data_field::<u16>(5)
             }
+            #[inline]
+            pub fn get_served(self) -> bool {
+                self.reader.get_bool_field(96)
+            }
         }
 
         pub struct Builder<'a> {
@@ -1195,6 +1199,14 @@
             pub fn set_count(&mut self, value: u16) {
                 self.builder.set_data_field::<u16>(5, value);
             }
+            #[inline]
+            pub fn get_served(self) -> bool {
+                self.builder.get_bool_field(96)
+            }
+            #[inline]
+            pub fn set_served(&mut self, value: bool) {
+                self.builder.set_bool_field(96, value);
+            }
         }
 
         pub struct Pipeline {
@@ -1207,7 +1219,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(163, 147, 255, 11, 1, 113, 61, 247),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
@@ -1217,7 +1229,7 @@
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -1225,28 +1237,35 @@
                 ::capnp::word(114, 97, 109, 46, 78, 101, 119, 115),
                 ::capnp::word(73, 116, 101, 109, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 96, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 117, 98, 106, 101, 99, 116, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1271,12 +1290,21 @@
                 ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 114, 118, 101, 100, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <crate::peer_capnp::datagram::NewsKind as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -1295,9 +1323,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 3, 0];
             pub(crate) const TYPE_ID: u64 = 0xf73d_7101_0bff_93a3;
         }
     }
@@ -1316,6 +1344,7 @@
         Well = 8,
         FailedWork = 9,
         Belief = 10,
+        Hung = 11,
     }
 
     impl ::capnp::introspect::Introspect for NewsKind {
@@ -1358,6 +1387,7 @@
                 8 => ::core::result::Result::Ok(Self::Well),
                 9 => ::core::result::Result::Ok(Self::FailedWork),
                 10 => ::core::result::Result::Ok(Self::Belief),
+                11 => ::core::result::Result::Ok(Self::Hung),
                 n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
             }
         }
@@ -1372,7 +1402,7 @@
         const TYPE_ID: u64 = 0xc99a_765c_1a31_51cbu64;
     }
     mod news_kind {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 68] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(203, 81, 49, 26, 92, 118, 154, 201),
             ::capnp::word(20, 0, 0, 0, 2, 0, 0, 0),
@@ -1382,7 +1412,7 @@
             ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 15, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 39, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -1390,39 +1420,42 @@
             ::capnp::word(114, 97, 109, 46, 78, 101, 119, 115),
             ::capnp::word(75, 105, 110, 100, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(48, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(121, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(93, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(85, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(57, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 117, 99, 99, 101, 115, 115, 0),
             ::capnp::word(102, 97, 105, 108, 117, 114, 101, 0),
@@ -1437,6 +1470,7 @@
             ::capnp::word(102, 97, 105, 108, 101, 100, 87, 111),
             ::capnp::word(114, 107, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 101, 108, 105, 101, 102, 0, 0),
+            ::capnp::word(104, 117, 110, 103, 0, 0, 0, 0),
         ];
         pub(crate) fn get_annotation_types(
             child_index: Option<u16>,
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -28,16 +28,17 @@
         Just(Observation::Unreachable),
         Just(Observation::Overdue),
         Just(Observation::Shed),
+        Just(Observation::Hung),
     ];
     let news =
         (any::<u64>(), seen, chance(), chance(), 0u8..5).prop_map(|(id, what, a, b, kind)| {
             let upstream = NameId(id);
             match kind {
                 0 => News::Seen { upstream, what },
-                1 => News::Open { upstream, count: id as u16 },
+                1 => News::Open { upstream, count: id as u16, served: id % 2 == 0 },
                 2 => News::Well { upstream },
                 3 => News::Belief { upstream, phases: [a, b] },
-                _ => News::Retry { service: upstream },
+                _ => News::Retry { service: upstream, seen: id as u16 },
             }
         });
     prop_oneof![
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -7,22 +7,26 @@
 //! when the others would cost more.
 
 mod choice;
+mod doubt;
+pub(crate) mod illness;
 mod learn;
 mod retry;
 mod trial;
+pub mod work;
 
 use crate::belief::{Belief, Observation};
 use crate::collector::NameId;
 use crate::router::{AttemptKey, ServiceKey, UpstreamKey};
 use crate::spec::{Member, MemberState, ServiceSpec};
-use crate::spread::Spread;
 use crate::time::Time;
+use illness::Illness;
 pub use learn::Doubt;
 use retry::RetryWindow;
 pub use retry::{BudgetUse, Reach, Resend, RetryRule};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
+use work::WorkTimes;
 
 /// Aim taken where a route names none.
 const DEFAULT_AIM: Duration = Duration::from_secs(1);
@@ -54,6 +58,8 @@
         upstream: NameId,
         /// Attempts open.
         count: u16,
+        /// Whether the attempt that ended just now was answered well.
+        served: bool,
     },
     /// An upstream of this box's data hall answers well again.
     Well {
@@ -71,16 +77,22 @@
     Retry {
         /// Its service.
         service: NameId,
+        /// Requests for it that the sender got within the budget's window.
+        seen: u16,
     },
 }
 
 /// Attempts that another box of this data hall has open.
 #[derive(Clone, Copy, Debug)]
 struct PeerOpen {
+    from: NameId,
     count: u16,
-    at: Time,
-    /// Whether that box saw trouble there since it had nothing open.
-    trouble: bool,
+    /// When the oldest of them began, as far as is known.
+    since: Time,
+    /// Whether others waited there when it began.
+    queued: bool,
+    /// What that box has told of it, as a ratio sick against well.
+    told: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -95,8 +107,9 @@
     closed: bool,
     slots: f64,
     cold_until: Time,
-    open: usize,
-    peers: BTreeMap<NameId, PeerOpen>,
+    /// Open attempts of this box.
+    mine: Vec<AttemptKey>,
+    peers: Vec<PeerOpen>,
     load: Option<(f64, Time)>,
     /// What all boxes saw of it.
     shared: Belief,
@@ -121,7 +134,7 @@
 struct Service {
     spec: ServiceSpec,
     id: NameId,
-    spread: Spread,
+    work: WorkTimes,
     retries: RetryWindow,
     /// Failures of the last moments, whichever box met them.
     failures: VecDeque<Time>,
@@ -136,10 +149,23 @@
 struct Attempt {
     upstream: UpstreamKey,
     service: ServiceKey,
+    route: NameId,
     started: Time,
-    aim: Option<Duration>,
-    /// Whether something was already observed of it.
-    judged: bool,
+    aim: Duration,
+    /// Time that it was given, if that is bounded.
+    left: Option<Duration>,
+    /// Whether others waited there when it began, so that its age says little.
+    queued: bool,
+    /// What was told of it while it was open, as a ratio sick against well.
+    told: f64,
+    answer: Option<AnswerKind>,
+}
+
+/// What the head of an answer said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerKind {
+    Good,
+    Bad,
 }
 
 /// State of one upstream as an operator sees it.
@@ -170,6 +196,9 @@
     by_id: BTreeMap<NameId, UpstreamKey>,
     upstreams: SlotMap<UpstreamKey, Upstream>,
     attempts: SlotMap<AttemptKey, Attempt>,
+    /// Answer times by route, for the routes that this box has served.
+    routes: BTreeMap<NameId, WorkTimes>,
+    illness: Illness,
     listed: BTreeMap<String, Listed>,
     news: Vec<News>,
     rng: fastrand::Rng,
@@ -188,6 +217,8 @@
             by_id: BTreeMap::new(),
             upstreams: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
+            routes: BTreeMap::new(),
+            illness: Illness::default(),
             listed: BTreeMap::new(),
             news: Vec::new(),
             rng: fastrand::Rng::with_seed(seed),
@@ -265,8 +296,8 @@
             closed: false,
             slots: l.slots.max(1) as f64,
             cold_until: now + l.cold,
-            open: 0,
-            peers: BTreeMap::new(),
+            mine: Vec::new(),
+            peers: Vec::new(),
             load: None,
             shared: Belief::new(now),
             path: Belief::sound(now),
@@ -316,7 +347,7 @@
             leaving: u.is_leaving(),
             sick: u.shared.chance(now),
             path: u.path.chance(now),
-            open: u.open,
+            open: u.mine.len(),
         };
         self.upstreams.values().map(row).collect()
     }
@@ -364,7 +395,7 @@
     fn new(spec: ServiceSpec, began: Time) -> Self {
         Self {
             id: NameId::of(&spec.name),
-            spread: Spread::default(),
+            work: WorkTimes::default(),
             retries: RetryWindow::default(),
             failures: VecDeque::new(),
             failing: None,
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -1,5 +1,6 @@
 //! Choice among a service's upstreams.
 
+use super::doubt::assumed;
 use super::trial::TrialRule;
 use super::{Attempt, Balancer, BudgetUse, DEFAULT_AIM, Resend, Service, Upstream};
 use crate::belief::FAILS_SICK;
@@ -28,14 +29,8 @@
 const NOISE: f64 = 0.01;
 /// Time in which a reported load loses most of its meaning.
 const LOAD_LIFE: Duration = Duration::from_millis(500);
-/// Time after which a peer's open attempts are not believed any more.
-const OPEN_LIFE: Duration = Duration::from_secs(6);
-/// Part of the aim that work is taken to last before any was seen.
-const ASSUMED_WORK: f64 = 0.3;
-/// Deviations above the middle at which an attempt is overdue.
-const OVERDUE_AT: f64 = 2.0;
-/// Bounds of the same, as parts of the aim.
-const OVERDUE_BOUNDS: (f64, f64) = (0.35, 0.6);
+/// Share of answers that come faster than a send which is thought to be in time.
+const IN_TIME_SHARE: f64 = 0.3;
 /// Wait told to callers when no upstream is listed.
 const EMPTY_WAIT: Duration = Duration::from_millis(500);
 
@@ -44,9 +39,8 @@
         let Some(s) = self.services.get(ask.service) else {
             return Err(self.refuse(RefusalKind::NoUpstream));
         };
-        let aim = ask.aim.unwrap_or(DEFAULT_AIM).as_secs_f64();
-        let work =
-            if s.spread.is_warm() { s.spread.middle().as_secs_f64() } else { aim * ASSUMED_WORK };
+        let aim = ask.aim.unwrap_or(DEFAULT_AIM);
+        let work = s.work.within(0.5, assumed(aim));
         let usable = |k: &&UpstreamKey| {
             !tried.contains(k) && self.upstreams.get(**k).is_some_and(|u| !u.is_leaving())
         };
@@ -56,16 +50,25 @@
         let starved = if tried.is_empty() { self.starved(&open, rule, now) } else { None };
         let starved = starved.map(|u| (u, Reason::Canary));
         let chosen = starved.or_else(|| {
-            let least = self.least_loss(&open, ask, aim, work, now)?;
+            let least = self.least_loss(&open, ask, work, now)?;
             Some((least, Reason::LeastLoss))
         });
         let Some((upstream, reason)) = chosen else {
             return Err(self.refuse(RefusalKind::NoUpstream));
         };
-        let attempt =
-            Attempt { upstream, service: ask.service, started: now, aim: ask.aim, judged: false };
-        let attempt = self.attempts.insert(attempt);
-        self.opened(upstream, 1, now);
+        let u = &self.upstreams[upstream];
+        let attempt = self.attempts.insert(Attempt {
+            upstream,
+            service: ask.service,
+            route: ask.route,
+            started: now,
+            aim,
+            left: ask.left,
+            queued: u.busy(now) >= u.slots,
+            told: 1.0,
+            answer: None,
+        });
+        self.began(attempt, upstream, now);
         Ok(Pick { attempt, upstream, reason })
     }
 
@@ -75,26 +78,27 @@
 
     fn inputs(&self, k: UpstreamKey, now: Time) -> Inputs {
         self.upstreams.get(k).map_or_else(Inputs::default, |u| Inputs {
-            sick: u.shared.chance(now),
+            sick: self.shared_chance(k, now),
             path: u.path.chance(now),
             busy: u.busy(now),
             load_age: u.load.map(|(_, at)| now.since(at)),
         })
     }
 
-    fn overdue_after(&self, ask: &Ask) -> Duration {
-        let aim = ask.aim.unwrap_or(DEFAULT_AIM);
-        let most = aim.mul_f64(OVERDUE_BOUNDS.1);
-        match self.services.get(ask.service) {
-            Some(s) if s.spread.is_warm() => {
-                s.spread.limit(OVERDUE_AT).clamp(aim.mul_f64(OVERDUE_BOUNDS.0), most)
-            }
-            _ => most,
-        }
+    fn look_after(&self, ask: &Ask, age: Duration) -> Duration {
+        self.next_look(ask, age)
     }
 
-    fn overdue(&mut self, k: AttemptKey, now: Time) {
-        self.observed_overdue(k, now);
+    fn still_open(&mut self, k: AttemptKey, now: Time) {
+        self.observed_open(k, now);
+    }
+
+    fn hedge(&self, ask: &Ask, k: AttemptKey, now: Time) -> Option<f64> {
+        self.stuck(ask, k, now)
+    }
+
+    fn is_in_time(&self, ask: &Ask) -> bool {
+        ask.left.is_none_or(|left| left >= self.usual_within(ask, IN_TIME_SHARE))
     }
 
     fn spend_retry(&mut self, k: ServiceKey, why: Resend, now: Time) -> bool {
@@ -102,7 +106,7 @@
     }
 
     fn budget_use(&self, k: ServiceKey) -> BudgetUse {
-        let usage = |s: &Service| s.retries.usage(&self.rule, self.reach);
+        let usage = |s: &Service| s.retries.usage(&self.rule);
         self.services.get(k).map_or_else(BudgetUse::default, usage)
     }
 
@@ -132,13 +136,12 @@
         &mut self,
         open: &[UpstreamKey],
         ask: &Ask,
-        aim: f64,
-        work: f64,
+        work: Duration,
         now: Time,
     ) -> Option<UpstreamKey> {
         let mut best: Option<(f64, UpstreamKey)> = None;
         for &k in open {
-            let loss = self.upstreams[k].loss(ask, aim, work, now) + self.rng.f64() * NOISE;
+            let loss = self.loss(k, ask, work, now) + self.rng.f64() * NOISE;
             if best.is_none_or(|(l, _)| loss < l) {
                 best = Some((loss, k));
             }
@@ -146,40 +149,35 @@
         best.map(|(_, k)| k)
     }
 
-    fn refuse(&mut self, kind: RefusalKind) -> Refusal {
-        Refusal { kind, retry_after: jitter(EMPTY_WAIT, &mut self.rng) }
-    }
-}
-
-impl Upstream {
     /// Returns the loss to expect of one attempt, in requests.
-    fn loss(&self, ask: &Ask, aim: f64, work: f64, now: Time) -> f64 {
-        let fails = self.chance(now) * FAILS_SICK;
+    fn loss(&self, k: UpstreamKey, ask: &Ask, work: Duration, now: Time) -> f64 {
+        let u = &self.upstreams[k];
+        let fails = self.trouble(k, now) * FAILS_SICK;
         let weight = if ask.repeatable { REPEATABLE_LOSS } else { UNSAFE_LOSS };
-        let busy = self.busy(now);
-        let queued = (busy + 1.0 - self.slots).max(0.0);
-        let wait = queued / self.slots * work;
+        let busy = u.busy(now);
+        let queued = (busy + 1.0 - u.slots).max(0.0);
+        let wait = work.mul_f64(queued / u.slots);
+        let aims = wait.as_secs_f64() / ask.aim.unwrap_or(DEFAULT_AIM).as_secs_f64();
         let far = if ask.bulky { BULKY_HALL_LOSS } else { HALL_LOSS };
-        let mut loss = fails * weight + wait / aim * WAIT_LOSS + busy / self.slots * CROWD_LOSS;
-        if !self.near {
+        let mut loss = fails * weight + aims * WAIT_LOSS + busy / u.slots * CROWD_LOSS;
+        if !u.near {
             loss += far;
         }
-        if now < self.cold_until {
+        if now < u.cold_until {
             loss += COLD_LOSS;
         }
         loss
     }
 
-    /// Returns the chance that an attempt of this box meets trouble there.
-    pub(super) fn chance(&self, now: Time) -> f64 {
-        1.0 - (1.0 - self.shared.chance(now)) * (1.0 - self.path.chance(now))
+    fn refuse(&mut self, kind: RefusalKind) -> Refusal {
+        Refusal { kind, retry_after: jitter(EMPTY_WAIT, &mut self.rng) }
     }
+}
 
+impl Upstream {
     /// Returns requests running and waiting, as far as this box knows.
     pub(super) fn busy(&self, now: Time) -> f64 {
-        let fresh = self.peers.values().filter(|p| now.since(p.at) < OPEN_LIFE);
-        let peers: f64 = fresh.map(|p| f64::from(p.count)).sum();
-        let known = self.open as f64 + peers;
+        let known = self.mine.len() as f64 + self.peers_open(now);
         let told = self.load.map_or(0.0, |(busy, at)| {
             busy * (-now.since(at).as_secs_f64() / LOAD_LIFE.as_secs_f64()).exp()
         });
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -1,10 +1,12 @@
 //! What attempts, and other boxes, tell of the upstreams.
 
-use super::{Attempt, Balancer, DEFAULT_AIM, News, PeerOpen, Resend, Upstream};
+use super::doubt::assumed;
+use super::illness::{HUNG_RATIO, HUNG_SURVIVAL, OVERDUE_RATIO};
+use super::work::WorkTimes;
+use super::{AnswerKind, Attempt, Balancer, News, PeerOpen, Resend, Upstream};
 use crate::belief::{Belief, Observation};
 use crate::collector::NameId;
 use crate::router::{AttemptKey, Outcome, ServiceKey, UpstreamKey};
-use crate::spread::Spread;
 use crate::time::Time;
 use std::time::Duration;
 
@@ -24,8 +26,12 @@
 const EARLY_SHARE: f64 = 0.3;
 /// The same as a part of the aim, before any work was seen.
 const EARLY_OF_AIM: f64 = 0.08;
-/// Part of the aim above which an answer is a late one.
-const LATE_SHARE: f64 = 1.0;
+/// Ratio, sick against well, of a good answer that came after nearly all others.
+///
+/// The upstream may be slow, or the request long; an estimate.
+const LATE_RATIO: f64 = 3.0;
+/// Part of the time given to an attempt from which on a failure answer is only its end.
+const OUT_OF_TIME: f64 = 0.95;
 
 /// What another box's news put in doubt.
 #[derive(Clone, Debug, PartialEq)]
@@ -45,7 +51,9 @@
     pub fn heard(&mut self, from: NameId, news: News, now: Time) -> Option<Doubt> {
         match news {
             News::Seen { upstream, what } => return self.heard_seen(from, upstream, what, now),
-            News::Open { upstream, count } => self.heard_open(from, upstream, count, now),
+            News::Open { upstream, count, served } => {
+                self.heard_open(from, upstream, count, served, now);
+            }
             News::Well { upstream } => {
                 let u = self.known(upstream)?;
                 u.told_well = true;
@@ -61,10 +69,10 @@
                     u.shared = Belief::told(phases, now);
                 }
             }
-            News::Retry { service } => {
+            News::Retry { service, seen } => {
                 let rule = self.rule;
                 if let Some(s) = self.services.values_mut().find(|s| s.id == service) {
-                    s.retries.heard(&rule, now);
+                    s.retries.heard(&rule, from, seen, now);
                 }
             }
         }
@@ -73,21 +81,40 @@
 
     /// Takes how many attempts a box of this data hall has open.
     ///
-    /// Attempts that ended without a word of trouble were answered well; boxes do
-    /// not tell each success, and without these only failures would be heard.
-    fn heard_open(&mut self, from: NameId, upstream: NameId, count: u16, now: Time) {
+    /// Boxes do not tell each success to all; those of a hall see here which of each
+    /// other's attempts were answered, and how long that took.
+    fn heard_open(&mut self, from: NameId, upstream: NameId, count: u16, served: bool, now: Time) {
         let Some(u) = self.known(upstream) else { return };
-        let before = u.peers.remove(&from);
-        let (had, trouble) = before.map_or((0, false), |p| (p.count, p.trouble));
+        let queued = u.busy(now) >= u.slots;
+        let before = u.peers.iter().position(|p| p.from == from).map(|i| u.peers.swap_remove(i));
+        let had = before.map_or(0, |p| p.count);
         if count > 0 {
-            u.peers.insert(from, PeerOpen { count, at: now, trouble: trouble && had > 0 });
+            // Which of several ended isn't told, so the others count as new.
+            let kept = before.filter(|p| p.count <= count);
+            let new = PeerOpen { from, count, since: now, queued, told: 1.0 };
+            u.peers.push(kept.map_or(new, |p| PeerOpen { count, ..p }));
         }
         if count > had {
             u.worked = Some(now);
+        } else if let Some(p) = before.filter(|_| served) {
+            self.peer_served(upstream, p, now);
+        }
+    }
+
+    /// Takes that another box of this data hall was answered well.
+    fn peer_served(&mut self, upstream: NameId, p: PeerOpen, now: Time) {
+        let took = now.since(p.since);
+        let alone = p.count == 1 && !p.queued;
+        let Some(u) = self.known(upstream) else { return };
+        let service = u.service;
+        u.streak = 0;
+        let Some(s) = self.services.get_mut(service) else { return };
+        let late = alone && s.work.survival(took, assumed(super::DEFAULT_AIM)) < HUNG_SURVIVAL;
+        if alone {
+            s.work.add(took);
         }
-        if !trouble {
-            (count..had).for_each(|_| u.learn(Observation::Success, now));
-            u.streak = if count < had { 0 } else { u.streak };
+        if let Some(u) = self.known(upstream) {
+            u.learn_answer(late, p.told, now);
         }
     }
 
@@ -102,10 +129,8 @@
         self.count_failure(service, what, now);
         let u = self.known(upstream)?;
         u.note_failure(what, now);
-        if what != Observation::Success
-            && let Some(p) = u.peers.get_mut(&from)
-        {
-            p.trouble = true;
+        if let Some(p) = u.peer(from) {
+            p.told = told_with(p.told, what);
         }
         let before = u.shared.chance(now);
         // One box may have lost its own path; two see the upstream's.
@@ -132,6 +157,7 @@
 
     /// Counts a failure that any box met against its service.
     fn count_failure(&mut self, service: ServiceKey, what: Observation, now: Time) {
+        self.illness.note(what);
         if what.is_failure()
             && let Some(s) = self.services.get_mut(service)
         {
@@ -144,15 +170,18 @@
         self.upstreams.get_mut(k)
     }
 
-    /// Counts attempts of this box and tells its data hall.
-    pub(super) fn opened(&mut self, k: UpstreamKey, by: isize, now: Time) {
-        let Some(u) = self.upstreams.get_mut(k) else { return };
-        u.open = u.open.saturating_add_signed(by);
-        if by > 0 {
-            u.worked = Some(now);
-        }
-        let count = u16::try_from(u.open).unwrap_or(u16::MAX);
-        self.news.push(News::Open { upstream: u.id, count });
+    /// Counts a new attempt of this box and tells its data hall.
+    pub(super) fn began(&mut self, k: AttemptKey, upstream: UpstreamKey, now: Time) {
+        let Some(u) = self.upstreams.get_mut(upstream) else { return };
+        u.mine.push(k);
+        u.worked = Some(now);
+        self.tell_open(upstream, false);
+    }
+
+    fn tell_open(&mut self, k: UpstreamKey, served: bool) {
+        let Some(u) = self.upstreams.get(k) else { return };
+        let count = u16::try_from(u.mine.len()).unwrap_or(u16::MAX);
+        self.news.push(News::Open { upstream: u.id, count, served });
     }
 
     pub(super) fn spend(&mut self, k: ServiceKey, why: Resend, now: Time) -> bool {
@@ -161,60 +190,72 @@
         if !s.retries.spend(&rule, reach, why, now) {
             return false;
         }
-        self.news.push(News::Retry { service: s.id });
+        self.news.push(News::Retry { service: s.id, seen: s.retries.seen() });
         true
     }
 
-    pub(super) fn observed_overdue(&mut self, k: AttemptKey, now: Time) {
-        let Some(a) = self.attempts.get_mut(k) else { return };
-        let upstream = a.upstream;
-        // Where others wait, lateness says nothing of the upstream.
-        let queued = self.upstreams.get(upstream).is_none_or(|u| u.busy(now) > u.slots);
-        if !queued && !std::mem::replace(&mut a.judged, true) {
-            self.saw(upstream, Observation::Overdue, now);
+    /// Takes that an attempt is still open, and tells what its age says.
+    pub(super) fn observed_open(&mut self, k: AttemptKey, now: Time) {
+        let Some(&a) = self.attempts.get(k) else { return };
+        for what in self.steps_due(&a, now) {
+            self.saw(a.upstream, what, now);
+            if let Some(a) = self.attempts.get_mut(k) {
+                a.told = told_with(a.told, what);
+            }
         }
     }
 
     pub(super) fn observed_head(&mut self, k: AttemptKey, ok: bool, now: Time) {
-        let Some(a) = self.attempts.get_mut(k) else { return };
-        let (took, upstream) = (now.since(a.started), a.upstream);
-        let late = a.aim.is_some_and(|aim| took > aim.mul_f64(LATE_SHARE));
-        let judged = std::mem::replace(&mut a.judged, true);
-        let a = *a;
-        let queued = self.upstreams.get(upstream).is_none_or(|u| u.busy(now) > u.slots);
-        if ok && let Some(s) = self.services.get_mut(a.service) {
-            s.spread.add(took);
+        let Some(&a) = self.attempts.get(k) else { return };
+        if !ok && a.is_out_of_time(now) {
+            // The upstream ended it since its time was up; what that says is weighed
+            // when the attempt ends.
+            return;
         }
-        match (ok, late) {
-            (false, _) if self.is_early(&a, took) => {
-                self.saw(upstream, Observation::Failure, now);
-            }
-            (false, _) => self.saw(upstream, Observation::FailedWork, now),
-            // An attempt that was overdue has said so already.
-            (true, true) if !judged && !queued => self.saw(upstream, Observation::Overdue, now),
-            (true, false) => self.saw(upstream, Observation::Success, now),
-            _ => {}
+        let took = now.since(a.started);
+        let late = self.hung(&a, now);
+        if let Some(a) = self.attempts.get_mut(k) {
+            a.answer = Some(if ok { AnswerKind::Good } else { AnswerKind::Bad });
+        }
+        if ok {
+            self.learn_work(&a, took);
+            self.answered_well(&a, late, now);
+        } else if self.is_early(&a, took) {
+            self.saw(a.upstream, Observation::Failure, now);
+        } else if self.routes.contains_key(&a.route) {
+            self.saw(a.upstream, Observation::FailedWork, now);
         }
     }
 
     /// Tells whether an answer came before any work could be done for it.
     fn is_early(&self, a: &Attempt, took: Duration) -> bool {
-        let spread = self.services.get(a.service).map(|s| &s.spread).filter(|s| s.is_warm());
-        let aim = a.aim.unwrap_or(DEFAULT_AIM);
-        let usual = |s: &Spread| s.middle().mul_f64(EARLY_SHARE);
-        took < spread.map_or_else(|| aim.mul_f64(EARLY_OF_AIM), usual)
+        let work = self.services.get(a.service).map(|s| &s.work).filter(|w| w.is_warm());
+        let usual = |w: &WorkTimes| w.within(0.5, assumed(a.aim)).mul_f64(EARLY_SHARE);
+        took < work.map_or_else(|| a.aim.mul_f64(EARLY_OF_AIM), usual)
     }
 
     pub(super) fn observed_end(&mut self, k: AttemptKey, outcome: Outcome, now: Time) {
-        let Some(a) = self.attempts.remove(k) else { return };
-        self.opened(a.upstream, -1, now);
+        let Some(&a) = self.attempts.get(k) else { return };
+        let hung = a.answer.is_none() && self.hung(&a, now);
+        self.attempts.remove(k);
+        let spoilt = matches!(outcome, Outcome::Wrong | Outcome::Failed);
+        let served = a.answer == Some(AnswerKind::Good) && !spoilt;
+        if let Some(u) = self.upstreams.get_mut(a.upstream) {
+            u.mine.retain(|&x| x != k);
+        }
+        self.tell_open(a.upstream, served);
         let what = match outcome {
-            Outcome::Whole | Outcome::Abandoned => return,
+            Outcome::Whole | Outcome::Abandoned | Outcome::Late => {
+                // It ended since its caller or its time went, and showed this much.
+                if hung {
+                    self.saw(a.upstream, Observation::Hung, now);
+                }
+                return;
+            }
             Outcome::NotRun => Observation::Shed,
             Outcome::Failed | Outcome::Wrong => Observation::Failure,
             Outcome::Refused => Observation::Refused,
             Outcome::Unreachable => Observation::Unreachable,
-            Outcome::Late => Observation::Overdue,
             Outcome::Misdirected => {
                 if let Some(u) = self.upstreams.get_mut(a.upstream) {
                     u.closed = true;
@@ -225,26 +266,50 @@
         self.saw(a.upstream, what, now);
     }
 
+    /// Takes a good answer to an attempt of this box.
+    fn answered_well(&mut self, a: &Attempt, late: bool, now: Time) {
+        let Some(u) = self.upstreams.get_mut(a.upstream) else { return };
+        u.note_failure(Observation::Success, now);
+        u.path.observe(Observation::Success, now);
+        u.learn_answer(late, a.told, now);
+        if a.told > 1.0 {
+            // All boxes took the attempt for one that hangs.
+            self.news.push(News::Seen { upstream: u.id, what: Observation::Success });
+        }
+        if u.near && !u.told_well && u.shared.chance(now) < WELL {
+            u.told_well = true;
+            self.news.push(News::Well { upstream: u.id });
+        }
+    }
+
     /// Takes what this box saw itself, and tells the others what they need.
     fn saw(&mut self, k: UpstreamKey, what: Observation, now: Time) {
         let Some(service) = self.upstreams.get(k).map(|u| u.service) else { return };
         self.count_failure(service, what, now);
         let u = &mut self.upstreams[k];
         u.note_failure(what, now);
-        match what {
-            Observation::Unreachable => u.path.observe(what, now),
-            Observation::Success => {
-                u.path.observe(what, now);
-                u.learn(what, now);
-            }
-            _ => u.learn(what, now),
-        }
-        if what != Observation::Success {
-            self.news.push(News::Seen { upstream: u.id, what });
-        } else if u.near && !u.told_well && u.shared.chance(now) < WELL {
-            u.told_well = true;
-            self.news.push(News::Well { upstream: u.id });
+        if what == Observation::Unreachable {
+            u.path.observe(what, now);
+        } else {
+            u.learn(what, now);
         }
+        self.news.push(News::Seen { upstream: u.id, what });
+    }
+}
+
+/// Returns what was told of an attempt once this was told as well.
+fn told_with(told: f64, what: Observation) -> f64 {
+    match what {
+        Observation::Overdue => told.max(OVERDUE_RATIO),
+        Observation::Hung => told.max(HUNG_RATIO),
+        _ => told,
+    }
+}
+
+impl Attempt {
+    /// Tells whether it ran out of the time that it was given.
+    fn is_out_of_time(&self, now: Time) -> bool {
+        self.left.is_some_and(|left| now.since(self.started) >= left.mul_f64(OUT_OF_TIME))
     }
 }
 
@@ -255,6 +320,17 @@
         self.shared.observe(what, now);
     }
 
+    /// Takes a good answer, and takes back what was told while it was waited for.
+    fn learn_answer(&mut self, late: bool, told: f64, now: Time) {
+        self.taught = true;
+        if late || told > OVERDUE_RATIO {
+            self.shared.weigh(told, LATE_RATIO, now);
+        } else {
+            self.shared.weigh(told, 1.0, now);
+            self.shared.observe(Observation::Success, now);
+        }
+    }
+
     /// Notes when something last failed there.
     fn note_failure(&mut self, what: Observation, now: Time) {
         match what {
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -1,17 +1,18 @@
 //! The retry budget that all boxes share.
 
+use crate::collector::NameId;
 use crate::time::Time;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Part of the fleet's budget that is spent, since boxes hear of each other late.
-const SPENT_SHARE: f64 = 0.7;
-/// Part of it that hedges may use, so that failures always find some left.
-const HEDGE_SHARE: f64 = 0.35;
+const SPENT_SHARE: f64 = 0.8;
+/// Part of it for a second send beside one that is likely to be answered.
+const HEDGE_SHARE: f64 = 0.4;
+/// Part of it more where the first send is sure to fail.
+const STUCK_SHARE: f64 = 0.35;
 /// Part of it that one box may spend while it hears the others.
-const OWN_SHARE: f64 = 0.4;
-/// Part of its own traffic, times the boxes, that a box trusts the fleet to see.
-const FLEET_SHARE: f64 = 0.5;
+const OWN_SHARE: f64 = 0.5;
 
 /// Time over which a box reckons its own rate of requests.
 const RATE_SPAN: Duration = Duration::from_secs(8);
@@ -35,12 +36,15 @@
 }
 
 /// Why a request is sent to one more upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Resend {
     /// The attempt before it failed.
     Failed,
-    /// The attempt before it is overdue.
-    Overdue,
+    /// The attempt before it is still open.
+    Overdue {
+        /// Chance that it will not be answered.
+        stuck: f64,
+    },
 }
 
 /// Which boxes this one shares the budget with.
@@ -71,6 +75,17 @@
     arrivals: VecDeque<Time>,
     own: VecDeque<Time>,
     others: VecDeque<Time>,
+    /// What other boxes told of their traffic.
+    traffic: Vec<Traffic>,
+}
+
+/// What another box told of its traffic.
+#[derive(Clone, Copy, Debug)]
+struct Traffic {
+    from: NameId,
+    /// Its requests within the window.
+    seen: u16,
+    at: Time,
 }
 
 impl RetryWindow {
@@ -79,9 +94,17 @@
         drop_old(&mut self.arrivals, rule.window, now);
     }
 
-    pub(super) fn heard(&mut self, rule: &RetryRule, now: Time) {
+    /// Takes that another box sent a request again, and got so many within the window.
+    pub(super) fn heard(&mut self, rule: &RetryRule, from: NameId, seen: u16, now: Time) {
         self.others.push_back(now);
         drop_old(&mut self.others, rule.window, now);
+        self.traffic.retain(|t| t.from != from);
+        self.traffic.push(Traffic { from, seen, at: now });
+    }
+
+    /// Returns the requests of this box within the window.
+    pub(super) fn seen(&self) -> u16 {
+        u16::try_from(self.arrivals.len()).unwrap_or(u16::MAX)
     }
 
     /// Spends one extra send; tells whether there was one.
@@ -92,12 +115,13 @@
         for q in [&mut self.arrivals, &mut self.own, &mut self.others] {
             drop_old(q, rule.window, now);
         }
+        self.traffic.retain(|t| now.since(t.at) <= rule.window);
         let boxes = reach.boxes.max(1) as f64;
         let (seen, own) = (self.arrivals.len() as f64, self.own.len() as f64);
-        let budget = self.budget(rule, reach);
+        let budget = self.budget(rule);
         let share = match why {
             Resend::Failed => SPENT_SHARE,
-            Resend::Overdue => HEDGE_SHARE,
+            Resend::Overdue { stuck } => STUCK_SHARE.mul_add(stuck, HEDGE_SHARE),
         };
         let alone = rule.ratio.mul_add(seen, rule.slack / boxes);
         let own_limit = if reach.in_touch { alone.max(OWN_SHARE * budget) } else { alone };
@@ -115,19 +139,23 @@
         recent.count() as f64 / RATE_SPAN.as_secs_f64()
     }
 
-    fn budget(&self, rule: &RetryRule, reach: Reach) -> f64 {
-        let seen = self.arrivals.len() as f64;
-        let fleet_seen = seen.max(seen * reach.boxes as f64 * FLEET_SHARE);
-        rule.ratio.mul_add(fleet_seen, rule.slack)
+    /// Returns the extra sends that the fleet may make, as far as traffic is known.
+    ///
+    /// It is a lower bound: only those boxes count that told of their traffic, as each
+    /// does when it sends again. Reckoning from what one box or its data hall sees gave
+    /// up to twice the budget where callers are spread unevenly.
+    fn budget(&self, rule: &RetryRule) -> f64 {
+        let told: f64 = self.traffic.iter().map(|t| f64::from(t.seen)).sum();
+        rule.ratio.mul_add(self.arrivals.len() as f64 + told, rule.slack)
     }
 
     /// Returns what is known of the budget.
-    pub(super) fn usage(&self, rule: &RetryRule, reach: Reach) -> BudgetUse {
+    pub(super) fn usage(&self, rule: &RetryRule) -> BudgetUse {
         BudgetUse {
             seen: self.arrivals.len(),
             own: self.own.len(),
             others: self.others.len(),
-            budget: self.budget(rule, reach),
+            budget: self.budget(rule),
         }
     }
 }
--- a/crates/honeypulley_policy/src/balance/trial.rs
+++ b/crates/honeypulley_policy/src/balance/trial.rs
@@ -111,7 +111,7 @@
         let sparing = rule.sparing;
         let well = open.iter().filter(|&&k| !self.upstreams[k].failed_lately(sparing, now));
         let mut well: Vec<(f64, UpstreamKey)> =
-            well.map(|&k| (self.upstreams[k].shared.chance(now), k)).collect();
+            well.map(|&k| (self.shared_chance(k, now), k)).collect();
         well.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
         let spare = well.len().saturating_sub(rule.floor.count(well.len()));
         let left_out = (spare as f64 * sparing.left_out) as usize;
@@ -123,6 +123,7 @@
             let limit = if is_left_out { rule.left_out_rest } else { rule.rest };
             let rest = u.rest(sparing, now);
             let free = u.near && u.busy(now) < u.slots && u.path.chance(now) < PATH_BAD;
+            let free = free && !self.waits_long(k, now);
             (free && rest > limit).then_some((rest, k))
         };
         well.iter().enumerate().filter_map(due).max().map(|(_, k)| k)
--- a/crates/honeypulley_policy/src/belief.rs
+++ b/crates/honeypulley_policy/src/belief.rs
@@ -6,6 +6,7 @@
 //! chances by Bayes' rule, so that at a low base rate of failures a single one says
 //! most of it. Source: Rabiner, 1989, for the filter.
 
+use crate::balance::illness::{HUNG_RATIO, OVERDUE_RATIO};
 use crate::time::Time;
 
 /// Share of requests that fail on a sick upstream, as on the deployments' sheets.
@@ -43,8 +44,12 @@
     Refused,
     /// No connection came up in time.
     Unreachable,
-    /// No answer within the service's usual spread.
+    /// No answer after a time in which few answers are still to come.
     Overdue,
+    /// No answer after a time in which nearly all have come.
+    ///
+    /// It follows [`Self::Overdue`] of the same attempt, unless that ended before.
+    Hung,
     /// It turned the request away.
     Shed,
 }
@@ -67,9 +72,9 @@
             Self::FailedWork => (0.012, 0.03),
             Self::Refused => (0.002, 0.4),
             Self::Unreachable => (0.01, 0.4),
-            // One in twelve of a well upstream's is: at four requests a second each
-            // would else be doubted all the time.
-            Self::Overdue => (0.08, 0.3),
+            // The ratios at which open attempts are told, in two steps.
+            Self::Overdue => (1.0, OVERDUE_RATIO),
+            Self::Hung => (1.0, HUNG_RATIO / OVERDUE_RATIO),
             Self::Shed => (0.05, 0.3),
         }
     }
@@ -125,8 +130,13 @@
 
     /// Takes one observation.
     pub fn observe(&mut self, o: Observation, now: Time) {
-        *self = self.aged(now);
         let (well, sick) = o.likelihood();
+        self.weigh(well, sick, now);
+    }
+
+    /// Takes something that is so likely of a well and of a sick upstream.
+    pub fn weigh(&mut self, well: f64, sick: f64, now: Time) {
+        *self = self.aged(now);
         let joint = [(1.0 - self.early - self.late) * well, self.early * sick, self.late * sick];
         let total: f64 = joint.iter().sum();
         let bounded = |x: f64| (x / total).clamp(LEAST, 1.0 - 2.0 * LEAST);
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -1,6 +1,7 @@
 //! What the serving path asks of a policy, whichever that is.
 
 use crate::balance::{BudgetUse, Resend};
+use crate::collector::NameId;
 use crate::router::{AttemptKey, Outcome, Pick, Refusal, Router, ServiceKey, UpstreamKey};
 use crate::time::Time;
 use std::fmt::Debug;
@@ -17,6 +18,10 @@
     pub bulky: bool,
     /// Time within which an answer is wanted, if the route says.
     pub aim: Option<Duration>,
+    /// Time that is left until it must be answered, if that is bounded.
+    pub left: Option<Duration>,
+    /// Route that it came by.
+    pub route: NameId,
 }
 
 /// Load that an upstream reported with an answer.
@@ -63,10 +68,20 @@
     fn inputs(&self, _: UpstreamKey, _: Time) -> Inputs {
         Inputs::default()
     }
-    /// Returns the age at which an attempt is overdue.
-    fn overdue_after(&self, ask: &Ask) -> Duration;
-    /// Takes that an attempt is overdue.
-    fn overdue(&mut self, k: AttemptKey, now: Time);
+    /// Returns the wait after which an open attempt of this age is looked at again.
+    fn look_after(&self, ask: &Ask, age: Duration) -> Duration;
+    /// Takes that an attempt is still open.
+    fn still_open(&mut self, k: AttemptKey, now: Time);
+    /// Tells whether a second send is worth while beside one that is so old.
+    ///
+    /// `Some` is the chance that the first one will not be answered.
+    fn hedge(&self, _: &Ask, _: AttemptKey, _: Time) -> Option<f64> {
+        Some(1.0)
+    }
+    /// Tells whether a send now could still be answered in time.
+    fn is_in_time(&self, _: &Ask) -> bool {
+        true
+    }
     /// Spends one send beyond the first of a request; tells whether there was one.
     fn spend_retry(&mut self, k: ServiceKey, why: Resend, now: Time) -> bool;
     /// Returns what is known of a service's retry budget, for the log.
@@ -92,12 +107,12 @@
         self.upstream(k).map(|(name, addr)| Place { name, addr })
     }
 
-    fn overdue_after(&self, ask: &Ask) -> Duration {
+    fn look_after(&self, ask: &Ask, _: Duration) -> Duration {
         self.stall_limit(ask.service)
     }
 
     // A router finds overdue attempts itself, in its tick.
-    fn overdue(&mut self, _: AttemptKey, _: Time) {}
+    fn still_open(&mut self, _: AttemptKey, _: Time) {}
 
     fn spend_retry(&mut self, k: ServiceKey, _: Resend, _: Time) -> bool {
         Self::spend_retry(self, k)
--- a/crates/honeypulley_policy/tests/balance.rs
+++ b/crates/honeypulley_policy/tests/balance.rs
@@ -36,7 +36,14 @@
 
 fn ask(b: &Balancer, repeatable: bool) -> Ask {
     let service = b.service("s").expect("set up");
-    Ask { service, repeatable, bulky: false, aim: Some(Duration::from_secs(1)) }
+    Ask {
+        service,
+        repeatable,
+        bulky: false,
+        aim: Some(Duration::from_secs(1)),
+        left: Some(Duration::from_secs(2)),
+        route: NameId::of("r"),
+    }
 }
 
 /// Sends `n` requests, one each 10 ms from `from` ms on, and counts the picks.
@@ -332,7 +339,7 @@
 #[test]
 fn a_peer_of_the_hall_that_fills_an_upstream_is_counted() {
     let mut b = balancer(2);
-    let open = News::Open { upstream: NameId::of("u0"), count: 6 };
+    let open = News::Open { upstream: NameId::of("u0"), count: 6, served: false };
     b.heard(NameId::of("peer"), open, Time::ZERO);
     let picks = send(&mut b, 50, 1, true);
     assert_eq!(picks.get("u0"), None, "{picks:?}");
@@ -399,7 +406,7 @@
     let now = Time::from_millis(100);
     assert!(b.spend_retry(service, Resend::Failed, now));
     for _ in 0..10 {
-        b.heard(NameId::of("other"), News::Retry { service: NameId::of("s") }, now);
+        b.heard(NameId::of("other"), News::Retry { service: NameId::of("s"), seen: 0 }, now);
     }
     assert!(!b.spend_retry(service, Resend::Failed, now), "the fleet has spent its slack");
     let later = Time::from_millis(11_000);
@@ -432,7 +439,7 @@
     b.set_reach(Reach { boxes: 3, in_touch: true });
     let service = b.service("s").expect("set up");
     let now = Time::from_millis(100);
-    while b.spend_retry(service, Resend::Overdue, now) {}
+    while b.spend_retry(service, Resend::Overdue { stuck: 0.1 }, now) {}
     assert!(b.spend_retry(service, Resend::Failed, now));
 }
 
@@ -447,8 +454,8 @@
     assert_eq!(
         told,
         [
-            News::Open { upstream, count: 1 },
-            News::Open { upstream, count: 0 },
+            News::Open { upstream, count: 1, served: false },
+            News::Open { upstream, count: 0, served: false },
             News::Seen { upstream, what: Observation::Failure },
         ]
     );
@@ -469,11 +476,12 @@
         rows.iter().find(|r| r.upstream == "u0").expect("listed").sick
     };
     let before = sick(&b, 100);
-    b.heard(peer, News::Open { upstream, count: 2 }, Time::from_millis(10));
+    b.heard(peer, News::Open { upstream, count: 2, served: false }, Time::from_millis(10));
     if let Some(what) = trouble {
         b.heard(peer, News::Seen { upstream, what }, Time::from_millis(50));
     }
-    b.heard(peer, News::Open { upstream, count: 0 }, Time::from_millis(100));
+    let served = trouble.is_none();
+    b.heard(peer, News::Open { upstream, count: 0, served }, Time::from_millis(100));
     assert_eq!(sick(&b, 100) < before, trusted_more);
 }
 
@@ -504,3 +512,33 @@
     let told = b.take_news().into_iter().filter(|n| *n == News::Well { upstream }).count();
     assert_eq!(told, 1);
 }
+
+/// The serving thread of a box ended where an upstream left the list under an attempt.
+#[test]
+fn an_attempt_outlives_its_upstream() {
+    let mut b = balancer(1);
+    let ask = ask(&b, true);
+    let pick = b.pick(&ask, &[], Time::ZERO).expect("there is one");
+    b.remove_upstream("u0");
+    let later = Time::from_millis(900);
+    b.still_open(pick.attempt, later);
+    assert_eq!(b.hedge(&ask, pick.attempt, later), None);
+    b.finish(pick.attempt, Outcome::Abandoned, later);
+}
+
+/// A box that reckoned the fleet's traffic from its own broke the bound of the retries.
+#[test]
+fn the_retry_budget_goes_by_the_traffic_that_boxes_told() {
+    let spent_of = |told: u16| {
+        let mut b = balancer(3);
+        b.set_reach(Reach { boxes: 40, in_touch: true });
+        let service = b.service("s").expect("set up");
+        let now = Time::from_millis(100);
+        (0..100).for_each(|_| b.arrived(service, now));
+        let retry = News::Retry { service: NameId::of("s"), seen: told };
+        b.heard(NameId::of("other"), retry, now);
+        (0..1_000).take_while(|_| b.spend_retry(service, Resend::Failed, now)).count()
+    };
+    assert!(spent_of(0) <= 30, "a fifth of a hundred requests, and the slack of ten");
+    assert!(spent_of(400) > 30, "what others see counts as well");
+}
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -40,15 +40,25 @@
 
 type Running = FuturesUnordered<BoxFuture<'static, Result<Answer, (UpstreamKey, Failure)>>>;
 
+/// An attempt that was sent, and when.
+#[derive(Clone, Copy, Debug)]
+struct OpenAttempt {
+    key: AttemptKey,
+    upstream: UpstreamKey,
+    began: Instant,
+}
+
 /// What the attempts so far have shown.
 #[derive(Debug, Default)]
 struct Tally {
     tried: Vec<UpstreamKey>,
     /// Sends that were proven not to have run.
     unrun: usize,
-    newest: Option<AttemptKey>,
+    open: Vec<OpenAttempt>,
     unknown: Option<String>,
     last: String,
+    /// An upstream's failure answer, to be passed on if nothing better comes.
+    failure: Option<Answer>,
     retry_after: Option<Duration>,
 }
 
@@ -67,35 +77,35 @@
     pub async fn run(mut self) -> Result<Answer, OwnAnswer> {
         let (mut running, mut tally) = (Running::new(), Tally::default());
         self.start(&mut running, &mut tally, "first").map_err(OwnAnswer::refusal)?;
-        let overdue = self.gate.chooser.lock().overdue_after(&self.routed.ask);
-        let mut overdue_at = Some(Instant::now() + overdue);
         loop {
+            let look_at = self.next_look(&tally);
             let ended = tokio::select! {
                 biased;
                 Some(ended) = running.next() => ended,
-                () = at(self.deadline) => return Err(self.late(&tally)),
-                () = at(overdue_at) => {
-                    // Again later, since the budget may have been spent just now.
-                    overdue_at = Some(Instant::now() + overdue);
-                    self.hedge(&mut running, &mut tally);
+                () = at(self.deadline) => return self.out_of_time(tally),
+                () = at(look_at) => {
+                    self.look(&mut running, &mut tally);
                     continue;
                 }
             };
             let (upstream, failure) = match ended {
                 Ok(answer) if answer.head.status.is_server_error() => {
                     self.log_failure_answer(&answer);
+                    tally.open.retain(|a| a.upstream != answer.guard.upstream);
                     // The upstream's own failure answer; it is passed on if no
-                    // other attempt can be made.
-                    if !self.should_retry(&tally)
-                        || self.start(&mut running, &mut tally, "retry").is_err()
-                    {
+                    // other attempt is open or can be made.
+                    let again = self.should_retry(&tally)
+                        && self.start(&mut running, &mut tally, "retry").is_ok();
+                    if !again && running.is_empty() {
                         return Ok(answer);
                     }
+                    tally.failure = Some(answer);
                     continue;
                 }
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
+            tally.open.retain(|a| a.upstream != upstream);
             self.book(upstream, &failure, &mut tally);
             if !running.is_empty() {
                 continue;
@@ -103,7 +113,7 @@
             if !self.may_repeat(&failure, &tally)
                 || self.start(&mut running, &mut tally, "retry").is_err()
             {
-                return Err(self.given_up(&tally));
+                return tally.failure.take().ok_or_else(|| self.given_up(&tally));
             }
         }
     }
@@ -120,7 +130,9 @@
         let now = self.gate.now();
         // The last send allowed can't be made good by another.
         let is_last = tally.ran() + 1 >= self.routed.attempts;
-        let ask = Ask { repeatable: self.routed.ask.repeatable && !is_last, ..self.routed.ask };
+        let left = self.left();
+        let repeatable = self.routed.ask.repeatable && !is_last;
+        let ask = Ask { repeatable, left, ..self.routed.ask };
         let pick = match policy.pick(&ask, &tally.tried, now) {
             Ok(p) => p,
             Err(r) => {
@@ -146,21 +158,38 @@
         );
         let guard = AttemptGuard::new(&self.gate, pick);
         tally.tried.push(pick.upstream);
-        tally.newest = Some(pick.attempt);
+        tally.open.push(OpenAttempt {
+            key: pick.attempt,
+            upstream: pick.upstream,
+            began: Instant::now(),
+        });
         let body = self.source.take().expect("checked before each attempt");
-        let left = self.deadline.map(|d| d.saturating_duration_since(Instant::now()));
         let attempt = send(Arc::clone(&self.gate), guard, to, Arc::clone(&self.out), body, left);
         running.push(Box::pin(attempt));
         Ok(())
     }
 
-    /// Tells the policy of an overdue attempt and sends another if that is allowed.
-    fn hedge(&mut self, running: &mut Running, tally: &mut Tally) {
-        if let Some(k) = tally.newest {
-            let now = self.gate.now();
-            self.gate.chooser.lock().overdue(k, now);
-        }
-        if self.routed.ask.repeatable && self.has_retry(tally) && self.spend(Resend::Overdue) {
+    /// Returns when the attempts are to be looked at again.
+    fn next_look(&self, tally: &Tally) -> Option<Instant> {
+        let policy = self.gate.chooser.lock();
+        let next = |a: &OpenAttempt| {
+            let now = Instant::now();
+            now + policy.look_after(&self.routed.ask, now - a.began)
+        };
+        tally.open.iter().map(next).min()
+    }
+
+    /// Tells the policy what is still open and sends another if that is worth while.
+    fn look(&mut self, running: &mut Running, tally: &mut Tally) {
+        let now = self.gate.now();
+        let stuck = {
+            let mut policy = self.gate.chooser.lock();
+            tally.open.iter().for_each(|a| policy.still_open(a.key, now));
+            let newest = tally.open.last();
+            newest.and_then(|a| policy.hedge(&self.routed.ask, a.key, now))
+        };
+        let Some(stuck) = stuck else { return };
+        if self.may_send_again(tally) && self.spend(Resend::Overdue { stuck }) {
             self.gate.count("attempts.hedged");
             // Finding no other upstream is no loss: the first attempt still runs.
             let _ = self.start(running, tally, "hedge");
@@ -169,11 +198,26 @@
 
     /// Tells whether a request that got a failure answer should be tried elsewhere.
     fn should_retry(&self, tally: &Tally) -> bool {
-        self.routed.ask.repeatable && self.has_retry(tally) && self.spend(Resend::Failed)
+        self.may_send_again(tally) && self.spend(Resend::Failed)
+    }
+
+    /// Tells whether a repeatable request may be sent once more, and still in time.
+    fn may_send_again(&self, tally: &Tally) -> bool {
+        self.routed.ask.repeatable && self.has_retry(tally) && self.is_in_time()
+    }
+
+    fn is_in_time(&self) -> bool {
+        let ask = Ask { left: self.left(), ..self.routed.ask };
+        self.gate.chooser.lock().is_in_time(&ask)
+    }
+
+    /// Returns the time until the request must be answered.
+    fn left(&self) -> Option<Duration> {
+        self.deadline.map(|d| d.saturating_duration_since(Instant::now()))
     }
 
     fn may_repeat(&self, failure: &Failure, tally: &Tally) -> bool {
-        if !self.has_retry(tally) {
+        if !self.has_retry(tally) || !self.is_in_time() {
             return false;
         }
         let safe = self.routed.ask.repeatable || tally.unknown.is_none();
@@ -257,6 +301,12 @@
         OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, Some(wait), tally.last.clone())
     }
 
+    /// Returns what there is at the deadline: an upstream's failure, or our own.
+    fn out_of_time(&self, mut tally: Tally) -> Result<Answer, OwnAnswer> {
+        let late = self.late(&tally);
+        tally.failure.take().ok_or(late)
+    }
+
     fn late(&self, tally: &Tally) -> OwnAnswer {
         // Whatever still runs is cancelled by the drop of its future.
         self.gate.count("requests.late");
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -11,7 +11,7 @@
 use honeypulley_bundle::head::Version;
 use honeypulley_bundle::keeper::InForce;
 use honeypulley_policy::chooser::Ask;
-use honeypulley_policy::collector::{Report, Verdict};
+use honeypulley_policy::collector::{NameId, Report, Verdict};
 use honeypulley_policy::permits::PermitView;
 use honeypulley_policy::router::{Refusal, RefusalKind, Router, UpstreamStatus};
 use honeypulley_policy::spec::Member;
@@ -278,7 +278,14 @@
         let spec = router.spec(service).expect("found above");
         let repeatable = spec.repeat.allows(is_safe(wanted.method));
         Ok(Routed {
-            ask: Ask { service, repeatable, bulky: false, aim: None },
+            ask: Ask {
+                service,
+                repeatable,
+                bulky: false,
+                aim: None,
+                left: None,
+                route: NameId::of(name),
+            },
             service: name.to_owned(),
             timeout: Some(spec.deadline),
             attempts: MAX_ATTEMPTS,
--- a/tools/trial/src/model/traffic.rs
+++ b/tools/trial/src/model/traffic.rs
@@ -6,6 +6,7 @@
 };
 use honeypulley_policy::balance::News;
 use honeypulley_policy::chooser::{Ask, Chooser};
+use honeypulley_policy::collector::NameId;
 use honeypulley_policy::router::{Reason, UpstreamKey};
 use std::time::Duration;
 
@@ -99,6 +100,8 @@
                     repeatable: self.s.repeatable,
                     bulky: false,
                     aim: Some(self.s.size.deadline / 5),
+                    left: Some(self.s.size.deadline),
+                    route: NameId::of("r"),
                 };
                 let tried = self.requests[request].tried;
                 let tried: Vec<UpstreamKey> = tried.into_iter().collect();
@@ -144,7 +147,7 @@
         let r = &self.requests[request];
         if let (false, Some(a)) = (r.over, r.attempt) {
             let b = r.b;
-            self.balancers[b].overdue(a, self.now);
+            self.balancers[b].still_open(a, self.now);
             self.tell(b);
         }
     }
