Requests that would wait too long are refused at once; halls learn each other's load

A box knew only what its own hall had open; the rest stood in load reports that one box saw.

Change: what an answer's load report counts beyond the hall's own open attempts is told to the hall with the attempt's end.

--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -133,8 +133,9 @@
         let mut row = list.reborrow().get(i as u32);
         let (subject, kind, count) = match *n {
             News::Seen { upstream, what } => (upstream, observation_kind(what), 0),
-            News::Open { upstream, count, served } => {
+            News::Open { upstream, count, served, far } => {
                 row.set_served(served);
+                row.set_far(far.map_or(0, |n| n.saturating_add(1)));
                 (upstream, wire::NewsKind::Open, count)
             }
             News::Well { upstream } => (upstream, wire::NewsKind::Well, 0),
@@ -165,7 +166,8 @@
             wire::NewsKind::Shed => seen(Observation::Shed),
             wire::NewsKind::Hung => seen(Observation::Hung),
             wire::NewsKind::Open => {
-                News::Open { upstream: id, count: r.get_count(), served: r.get_served() }
+                let far = r.get_far().checked_sub(1);
+                News::Open { upstream: id, count: r.get_count(), served: r.get_served(), far }
             }
             wire::NewsKind::Well => News::Well { upstream: id },
             wire::NewsKind::Retry => News::Retry { service: id, seen: r.get_count() },
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -1089,6 +1089,10 @@
             pub fn get_served(self) -> bool {
                 self.reader.get_bool_field(96)
             }
+            #[inline]
+            pub fn get_far(self) -> u8 {
+                self.reader.get_data_field::<u8>(13)
+            }
         }
 
         pub struct Builder<'a> {
@@ -1207,6 +1211,14 @@
             pub fn set_served(&mut self, value: bool) {
                 self.builder.set_bool_field(96, value);
             }
+            #[inline]
+            pub fn get_far(self) -> u8 {
+                self.builder.get_data_field::<u8>(13)
+            }
+            #[inline]
+            pub fn set_far(&mut self, value: u8) {
+                self.builder.set_data_field::<u8>(13, value);
+            }
         }
 
         pub struct Pipeline {
@@ -1219,7 +1231,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(163, 147, 255, 11, 1, 113, 61, 247),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
@@ -1229,7 +1241,7 @@
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -1237,35 +1249,42 @@
                 ::capnp::word(114, 97, 109, 46, 78, 101, 119, 115),
                 ::capnp::word(73, 116, 101, 109, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 96, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 13, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 117, 98, 106, 101, 99, 116, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1298,6 +1317,14 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 97, 114, 0, 0, 0, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -1305,6 +1332,7 @@
                     1 => <crate::peer_capnp::datagram::NewsKind as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -1323,9 +1351,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 3, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 1, 3, 0];
             pub(crate) const TYPE_ID: u64 = 0xf73d_7101_0bff_93a3;
         }
     }
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -35,7 +35,12 @@
             let upstream = NameId(id);
             match kind {
                 0 => News::Seen { upstream, what },
-                1 => News::Open { upstream, count: id as u16, served: id % 2 == 0 },
+                1 => News::Open {
+                    upstream,
+                    count: id as u16,
+                    served: id % 2 == 0,
+                    far: (id % 3 > 0).then_some(id as u8 / 2),
+                },
                 2 => News::Well { upstream },
                 3 => News::Belief { upstream, phases: [a, b] },
                 _ => News::Retry { service: upstream, seen: id as u16 },
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -6,6 +6,7 @@
 //! no floor can be broken by it: an upstream that is thought sick is still taken
 //! when the others would cost more.
 
+mod admit;
 mod choice;
 mod doubt;
 pub(crate) mod illness;
@@ -60,6 +61,8 @@
         count: u16,
         /// Whether the attempt that ended just now was answered well.
         served: bool,
+        /// Requests of other data halls there, by the report that came with its answer.
+        far: Option<u8>,
     },
     /// An upstream of this box's data hall answers well again.
     Well {
@@ -95,6 +98,13 @@
     told: f64,
 }
 
+/// Requests at an upstream that boxes of other data halls sent.
+#[derive(Clone, Copy, Debug)]
+struct FarLoad {
+    count: f64,
+    at: Time,
+}
+
 #[derive(Clone, Debug)]
 struct Upstream {
     name: String,
@@ -110,7 +120,8 @@
     /// Open attempts of this box.
     mine: Vec<AttemptKey>,
     peers: Vec<PeerOpen>,
-    load: Option<(f64, Time)>,
+    /// Requests that this data hall does not know of, by the newest report.
+    far: Option<FarLoad>,
     /// What all boxes saw of it.
     shared: Belief,
     /// What only the path from this box shows.
@@ -159,6 +170,8 @@
     /// What was told of it while it was open, as a ratio sick against well.
     told: f64,
     answer: Option<AnswerKind>,
+    /// Requests of other data halls, by the report that came with the answer.
+    far: Option<u8>,
 }
 
 /// What the head of an answer said.
@@ -298,7 +311,7 @@
             cold_until: now + l.cold,
             mine: Vec::new(),
             peers: Vec::new(),
-            load: None,
+            far: None,
             shared: Belief::new(now),
             path: Belief::sound(now),
             taught: false,
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -2,7 +2,7 @@
 
 use super::doubt::assumed;
 use super::trial::TrialRule;
-use super::{Attempt, Balancer, BudgetUse, DEFAULT_AIM, Resend, Service, Upstream};
+use super::{Attempt, Balancer, BudgetUse, DEFAULT_AIM, FarLoad, Resend, Service, Upstream};
 use crate::belief::FAILS_SICK;
 use crate::chooser::{Ask, Chooser, Inputs, LoadReport, Place};
 use crate::router::{
@@ -27,7 +27,7 @@
 const COLD_LOSS: f64 = 0.06;
 /// Random part, so that boxes with the same belief do not all pick the same.
 const NOISE: f64 = 0.01;
-/// Time in which a reported load loses most of its meaning.
+/// Time in which a report of other halls' requests loses most of its meaning.
 const LOAD_LIFE: Duration = Duration::from_millis(500);
 /// Share of answers that come faster than a send which is thought to be in time.
 const IN_TIME_SHARE: f64 = 0.3;
@@ -56,6 +56,7 @@
         let Some((upstream, reason)) = chosen else {
             return Err(self.refuse(RefusalKind::NoUpstream));
         };
+        self.admit(upstream, ask, now)?;
         let u = &self.upstreams[upstream];
         let attempt = self.attempts.insert(Attempt {
             upstream,
@@ -67,6 +68,7 @@
             queued: u.busy(now) >= u.slots,
             told: 1.0,
             answer: None,
+            far: None,
         });
         self.began(attempt, upstream, now);
         Ok(Pick { attempt, upstream, reason })
@@ -81,7 +83,7 @@
             sick: self.shared_chance(k, now),
             path: u.path.chance(now),
             busy: u.busy(now),
-            load_age: u.load.map(|(_, at)| now.since(at)),
+            load_age: u.far.map(|f| now.since(f.at)),
         })
     }
 
@@ -116,7 +118,9 @@
 
     fn reported_load(&mut self, k: UpstreamKey, load: LoadReport, now: Time) {
         if let Some(u) = self.upstreams.get_mut(k) {
-            u.load = Some((load.busy, now));
+            // The report counts the request that it answers.
+            let count = (load.busy - u.known(now)).max(0.0);
+            u.far = Some(FarLoad { count, at: now });
         }
     }
 
@@ -155,8 +159,7 @@
         let fails = self.trouble(k, now) * FAILS_SICK;
         let weight = if ask.repeatable { REPEATABLE_LOSS } else { UNSAFE_LOSS };
         let busy = u.busy(now);
-        let queued = (busy + 1.0 - u.slots).max(0.0);
-        let wait = work.mul_f64(queued / u.slots);
+        let wait = work.mul_f64(u.ahead(busy) / u.slots);
         let aims = wait.as_secs_f64() / ask.aim.unwrap_or(DEFAULT_AIM).as_secs_f64();
         let far = if ask.bulky { BULKY_HALL_LOSS } else { HALL_LOSS };
         let mut loss = fails * weight + aims * WAIT_LOSS + busy / u.slots * CROWD_LOSS;
@@ -169,6 +172,10 @@
         loss
     }
 
+    pub(super) const fn rng(&mut self) -> &mut fastrand::Rng {
+        &mut self.rng
+    }
+
     fn refuse(&mut self, kind: RefusalKind) -> Refusal {
         Refusal { kind, retry_after: jitter(EMPTY_WAIT, &mut self.rng) }
     }
@@ -177,10 +184,19 @@
 impl Upstream {
     /// Returns requests running and waiting, as far as this box knows.
     pub(super) fn busy(&self, now: Time) -> f64 {
-        let known = self.mine.len() as f64 + self.peers_open(now);
-        let told = self.load.map_or(0.0, |(busy, at)| {
-            busy * (-now.since(at).as_secs_f64() / LOAD_LIFE.as_secs_f64()).exp()
+        let far = self.far.map_or(0.0, |f| {
+            f.count * (-now.since(f.at).as_secs_f64() / LOAD_LIFE.as_secs_f64()).exp()
         });
-        known.max(told)
+        self.known(now) + far
+    }
+
+    /// Returns requests that one more would wait for, beside so many.
+    pub(super) fn ahead(&self, busy: f64) -> f64 {
+        (busy + 1.0 - self.slots).max(0.0)
+    }
+
+    /// Returns requests of this data hall that are open there.
+    fn known(&self, now: Time) -> f64 {
+        self.mine.len() as f64 + self.peers_open(now)
     }
 }
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -3,7 +3,7 @@
 use super::doubt::assumed;
 use super::illness::{HUNG_RATIO, HUNG_SURVIVAL, OVERDUE_RATIO};
 use super::work::WorkTimes;
-use super::{AnswerKind, Attempt, Balancer, News, PeerOpen, Resend, Upstream};
+use super::{AnswerKind, Attempt, Balancer, FarLoad, News, PeerOpen, Resend, Upstream};
 use crate::belief::{Belief, Observation};
 use crate::collector::NameId;
 use crate::router::{AttemptKey, Outcome, ServiceKey, UpstreamKey};
@@ -51,8 +51,11 @@
     pub fn heard(&mut self, from: NameId, news: News, now: Time) -> Option<Doubt> {
         match news {
             News::Seen { upstream, what } => return self.heard_seen(from, upstream, what, now),
-            News::Open { upstream, count, served } => {
+            News::Open { upstream, count, served, far } => {
                 self.heard_open(from, upstream, count, served, now);
+                if let (Some(far), Some(u)) = (far, self.known(upstream)) {
+                    u.far = Some(FarLoad { count: f64::from(far), at: now });
+                }
             }
             News::Well { upstream } => {
                 let u = self.known(upstream)?;
@@ -175,13 +178,13 @@
         let Some(u) = self.upstreams.get_mut(upstream) else { return };
         u.mine.push(k);
         u.worked = Some(now);
-        self.tell_open(upstream, false);
+        self.tell_open(upstream, false, None);
     }
 
-    fn tell_open(&mut self, k: UpstreamKey, served: bool) {
+    fn tell_open(&mut self, k: UpstreamKey, served: bool, far: Option<u8>) {
         let Some(u) = self.upstreams.get(k) else { return };
         let count = u16::try_from(u.mine.len()).unwrap_or(u16::MAX);
-        self.news.push(News::Open { upstream: u.id, count, served });
+        self.news.push(News::Open { upstream: u.id, count, served, far });
     }
 
     pub(super) fn spend(&mut self, k: ServiceKey, why: Resend, now: Time) -> bool {
@@ -214,8 +217,12 @@
         }
         let took = now.since(a.started);
         let late = self.hung(&a, now);
+        let far = self.upstreams.get(a.upstream).and_then(|u| u.far).filter(|f| f.at == now);
+        let far = far.map(|f| f.count.min(f64::from(u8::MAX - 1)) as u8);
         if let Some(a) = self.attempts.get_mut(k) {
             a.answer = Some(if ok { AnswerKind::Good } else { AnswerKind::Bad });
+            // A report that came with this answer was taken just before.
+            a.far = far;
         }
         if ok {
             self.learn_work(&a, took);
@@ -243,7 +250,7 @@
         if let Some(u) = self.upstreams.get_mut(a.upstream) {
             u.mine.retain(|&x| x != k);
         }
-        self.tell_open(a.upstream, served);
+        self.tell_open(a.upstream, served, a.far);
         let what = match outcome {
             Outcome::Whole | Outcome::Abandoned | Outcome::Late => {
                 // It ended since its caller or its time went, and showed this much.
--- a/crates/honeypulley_policy/tests/balance.rs
+++ b/crates/honeypulley_policy/tests/balance.rs
@@ -339,7 +339,7 @@
 #[test]
 fn a_peer_of_the_hall_that_fills_an_upstream_is_counted() {
     let mut b = balancer(2);
-    let open = News::Open { upstream: NameId::of("u0"), count: 6, served: false };
+    let open = News::Open { upstream: NameId::of("u0"), count: 6, served: false, far: None };
     b.heard(NameId::of("peer"), open, Time::ZERO);
     let picks = send(&mut b, 50, 1, true);
     assert_eq!(picks.get("u0"), None, "{picks:?}");
@@ -454,8 +454,8 @@
     assert_eq!(
         told,
         [
-            News::Open { upstream, count: 1, served: false },
-            News::Open { upstream, count: 0, served: false },
+            News::Open { upstream, count: 1, served: false, far: None },
+            News::Open { upstream, count: 0, served: false, far: None },
             News::Seen { upstream, what: Observation::Failure },
         ]
     );
@@ -476,12 +476,16 @@
         rows.iter().find(|r| r.upstream == "u0").expect("listed").sick
     };
     let before = sick(&b, 100);
-    b.heard(peer, News::Open { upstream, count: 2, served: false }, Time::from_millis(10));
+    b.heard(
+        peer,
+        News::Open { upstream, count: 2, served: false, far: None },
+        Time::from_millis(10),
+    );
     if let Some(what) = trouble {
         b.heard(peer, News::Seen { upstream, what }, Time::from_millis(50));
     }
     let served = trouble.is_none();
-    b.heard(peer, News::Open { upstream, count: 0, served }, Time::from_millis(100));
+    b.heard(peer, News::Open { upstream, count: 0, served, far: None }, Time::from_millis(100));
     assert_eq!(sick(&b, 100) < before, trusted_more);
 }
 
