--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -70,7 +70,7 @@
   struct NewsItem {
     subject @0 :UInt64;
     kind @1 :NewsKind;
-    # Attempts open; of a retry, requests within the window; of a belief, 255ths: the first phase in the upper eight bits.
+    # Attempts open; of a retry or a denied one, requests within the window; of a belief, 255ths: the first phase in the upper eight bits.
     count @2 :UInt16;
     # Of open attempts: whether the one that ended just now was answered well.
     served @3 :Bool;
@@ -91,6 +91,7 @@
     failedWork @9;
     belief @10;
     hung @11;
+    denied @12;
   }
 
   struct Entry {
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -140,6 +140,7 @@
             }
             News::Well { upstream } => (upstream, wire::NewsKind::Well, 0),
             News::Retry { service, seen } => (service, wire::NewsKind::Retry, seen),
+            News::Denied { service, seen } => (service, wire::NewsKind::Denied, seen),
             News::Belief { upstream, phases } => {
                 (upstream, wire::NewsKind::Belief, u16::from_be_bytes(phases.map(parts)))
             }
@@ -171,6 +172,7 @@
             }
             wire::NewsKind::Well => News::Well { upstream: id },
             wire::NewsKind::Retry => News::Retry { service: id, seen: r.get_count() },
+            wire::NewsKind::Denied => News::Denied { service: id, seen: r.get_count() },
             wire::NewsKind::Belief => {
                 News::Belief { upstream: id, phases: r.get_count().to_be_bytes().map(part) }
             }
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -83,6 +83,13 @@
         /// Requests for it that the sender got within the budget's window.
         seen: u16,
     },
+    /// A request was not sent again, since the budget was spent as far as is known.
+    Denied {
+        /// Its service.
+        service: NameId,
+        /// Requests for it that the sender got within the budget's window.
+        seen: u16,
+    },
 }
 
 /// Attempts that another box of this data hall has open.
--- a/crates/honeypulley_policy/src/balance/doubt.rs
+++ b/crates/honeypulley_policy/src/balance/doubt.rs
@@ -61,7 +61,8 @@
         let mine = u.mine.iter().filter_map(|&a| self.attempts.get(a));
         let mine: f64 = mine.map(|a| self.untold(a, now)).product();
         let fresh = u.peers.iter().filter(|p| !p.queued && now.since(p.since) < OPEN_LIFE);
-        let peers: f64 = fresh.map(|p| self.peer_untold(s, p, now)).product();
+        let waited = u.waited(s, now);
+        let peers: f64 = fresh.map(|p| self.peer_untold(s, p, waited, now)).product();
         mine * peers
     }
 
@@ -70,9 +71,10 @@
         (self.open_ratio(a, now) / a.told).max(1.0)
     }
 
-    fn peer_untold(&self, s: &Service, p: &PeerOpen, now: Time) -> f64 {
+    fn peer_untold(&self, s: &Service, p: &PeerOpen, waited: Duration, now: Time) -> f64 {
+        let worked = now.since(p.since).saturating_sub(waited);
         // Its route is not known here, so the service's usual aim must do.
-        let survival = s.work.survival(now.since(p.since), assumed(DEFAULT_AIM));
+        let survival = s.work.survival(worked, assumed(DEFAULT_AIM));
         (self.illness.open_ratio(survival) / p.told).max(1.0)
     }
 
@@ -92,7 +94,9 @@
         let route = self.routes.get(&a.route)?;
         let service = self.services.get(a.service)?;
         let work = if route.is_warm() { route } else { &service.work };
-        Some(work.survival(now.since(a.started), assumed(a.aim)))
+        let waited =
+            self.upstreams.get(a.upstream).map_or(Duration::ZERO, |u| u.waited(service, now));
+        Some(work.survival(now.since(a.started).saturating_sub(waited), assumed(a.aim)))
     }
 
     /// Returns the next steps at which an open attempt has to be told.
@@ -189,6 +193,15 @@
 }
 
 impl Upstream {
+    /// Returns the time that requests there may have waited behind others.
+    ///
+    /// Without it a queue that other data halls fill looks like a hang: after a loss of
+    /// all boxes most upstreams of a service were doubted, and work chased the rest.
+    fn waited(&self, s: &Service, now: Time) -> Duration {
+        let ahead = (self.busy(now) - self.slots).max(0.0);
+        s.work.within(0.5, assumed(DEFAULT_AIM)).mul_f64(ahead / self.slots)
+    }
+
     /// Returns the entry of another box's open attempts.
     pub(super) fn peer(&mut self, from: NameId) -> Option<&mut PeerOpen> {
         self.peers.iter_mut().find(|p| p.from == from)
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -75,7 +75,13 @@
             News::Retry { service, seen } => {
                 let rule = self.rule;
                 if let Some(s) = self.services.values_mut().find(|s| s.id == service) {
-                    s.retries.heard(&rule, from, seen, now);
+                    s.retries.heard(&rule, now);
+                    s.retries.heard_traffic(from, seen, now);
+                }
+            }
+            News::Denied { service, seen } => {
+                if let Some(s) = self.services.values_mut().find(|s| s.id == service) {
+                    s.retries.heard_traffic(from, seen, now);
                 }
             }
         }
@@ -191,6 +197,9 @@
         let (rule, reach) = (self.rule, self.reach);
         let Some(s) = self.services.get_mut(k) else { return false };
         if !s.retries.spend(&rule, reach, why, now) {
+            if s.retries.is_telling(now) {
+                self.news.push(News::Denied { service: s.id, seen: s.retries.seen() });
+            }
             return false;
         }
         self.news.push(News::Retry { service: s.id, seen: s.retries.seen() });
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -14,6 +14,8 @@
 /// Part of it that one box may spend while it hears the others.
 const OWN_SHARE: f64 = 0.5;
 
+/// Wait between two times that a box tells its traffic without having sent again.
+const TELL_GAP: Duration = Duration::from_secs(1);
 /// Time over which a box reckons its own rate of requests.
 const RATE_SPAN: Duration = Duration::from_secs(8);
 
@@ -77,6 +79,8 @@
     others: VecDeque<Time>,
     /// What other boxes told of their traffic.
     traffic: Vec<Traffic>,
+    /// When this box last told its own.
+    told: Option<Time>,
 }
 
 /// What another box told of its traffic.
@@ -94,14 +98,29 @@
         drop_old(&mut self.arrivals, rule.window, now);
     }
 
-    /// Takes that another box sent a request again, and got so many within the window.
-    pub(super) fn heard(&mut self, rule: &RetryRule, from: NameId, seen: u16, now: Time) {
+    /// Takes that another box sent a request again.
+    pub(super) fn heard(&mut self, rule: &RetryRule, now: Time) {
         self.others.push_back(now);
         drop_old(&mut self.others, rule.window, now);
+    }
+
+    /// Takes how many requests another box got within the window.
+    pub(super) fn heard_traffic(&mut self, from: NameId, seen: u16, now: Time) {
         self.traffic.retain(|t| t.from != from);
         self.traffic.push(Traffic { from, seen, at: now });
     }
 
+    /// Tells whether this box should tell its traffic though it sent nothing again.
+    ///
+    /// Boxes that are denied would else never learn that there is more to spend.
+    pub(super) fn is_telling(&mut self, now: Time) -> bool {
+        let due = self.told.is_none_or(|at| now.since(at) > TELL_GAP);
+        if due {
+            self.told = Some(now);
+        }
+        due
+    }
+
     /// Returns the requests of this box within the window.
     pub(super) fn seen(&self) -> u16 {
         u16::try_from(self.arrivals.len()).unwrap_or(u16::MAX)
@@ -130,6 +149,7 @@
             return false;
         }
         self.own.push_back(now);
+        self.told = Some(now);
         true
     }
 
@@ -142,7 +162,7 @@
     /// Returns the extra sends that the fleet may make, as far as traffic is known.
     ///
     /// It is a lower bound: only those boxes count that told of their traffic, as each
-    /// does when it sends again. Reckoning from what one box or its data hall sees gave
+    /// does when it sends again or is denied. Reckoning from what one box or its data hall sees gave
     /// up to twice the budget where callers are spread unevenly.
     fn budget(&self, rule: &RetryRule) -> f64 {
         let told: f64 = self.traffic.iter().map(|t| f64::from(t.seen)).sum();
