Attempts of routes that were never served say a little, instead of nothing

Cause: after a loss of all boxes no route has been served on any box, so that no open attempt was told at all until the first answers. What such a route's attempts say is bounded by the first level instead; requests that never end in time stay harmless.

--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -83,6 +83,7 @@
             sick: self.shared_chance(k, now),
             path: u.path.chance(now),
             busy: u.busy(now),
+            near: u.near,
             load_age: u.far.map(|f| now.since(f.at)),
         })
     }
--- a/crates/honeypulley_policy/src/balance/doubt.rs
+++ b/crates/honeypulley_policy/src/balance/doubt.rs
@@ -83,20 +83,18 @@
         if a.queued || a.answer.is_some() {
             return 1.0;
         }
+        let ratio = self.illness.open_ratio(self.survival(a, now));
         // Requests of a route that was never served may all take as long.
-        let Some(survival) = self.survival(a, now) else { return 1.0 };
-        self.illness.open_ratio(survival)
+        if self.routes.contains_key(&a.route) { ratio } else { ratio.min(OVERDUE_RATIO) }
     }
 
-    /// Returns the share of answers that take longer than an attempt has; nothing if
-    /// no request of its route was ever answered here.
-    fn survival(&self, a: &Attempt, now: Time) -> Option<f64> {
-        let route = self.routes.get(&a.route)?;
-        let service = self.services.get(a.service)?;
-        let work = if route.is_warm() { route } else { &service.work };
-        let waited =
-            self.upstreams.get(a.upstream).map_or(Duration::ZERO, |u| u.waited(service, now));
-        Some(work.survival(now.since(a.started).saturating_sub(waited), assumed(a.aim)))
+    /// Returns the share of answers that take longer than an attempt has worked.
+    fn survival(&self, a: &Attempt, now: Time) -> f64 {
+        let Some(service) = self.services.get(a.service) else { return 1.0 };
+        let work = self.routes.get(&a.route).filter(|w| w.is_warm()).unwrap_or(&service.work);
+        let upstream = self.upstreams.get(a.upstream);
+        let waited = upstream.map_or(Duration::ZERO, |u| u.waited(service, now));
+        work.survival(now.since(a.started).saturating_sub(waited), assumed(a.aim))
     }
 
     /// Returns the next steps at which an open attempt has to be told.
@@ -109,8 +107,9 @@
 
     /// Tells whether an attempt that ended with no answer had waited beyond nearly all.
     pub(super) fn hung(&self, a: &Attempt, now: Time) -> bool {
-        let waited = self.survival(a, now).is_some_and(|s| s < HUNG_SURVIVAL);
-        waited && !a.queued && a.told < HUNG_RATIO
+        let is_proven = self.routes.contains_key(&a.route);
+        let waited = self.survival(a, now) < HUNG_SURVIVAL;
+        is_proven && waited && !a.queued && a.told < HUNG_RATIO
     }
 
     /// Returns the wait until an open attempt says more, or may be hedged.
@@ -151,9 +150,8 @@
 
     /// Returns the age from which on an open attempt says so much.
     fn age_at(&self, ask: &Ask, ratio: f64, aim: Duration) -> Option<Duration> {
-        let route = self.routes.get(&ask.route)?;
         let service = self.services.get(ask.service)?;
-        let work = if route.is_warm() { route } else { &service.work };
+        let work = self.routes.get(&ask.route).filter(|w| w.is_warm()).unwrap_or(&service.work);
         let says = |age: Duration| self.illness.open_ratio(work.survival(age, assumed(aim)));
         let mut bounds = (Duration::ZERO, aim.mul_f64(SEARCH_AIMS));
         if says(bounds.1) < ratio {
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -51,6 +51,8 @@
     pub path: f64,
     /// Requests running and waiting there, as far as this box knows.
     pub busy: f64,
+    /// Whether it stands in this box's data hall.
+    pub near: bool,
     /// Age of the upstream's last load report, if there was one.
     pub load_age: Option<Duration>,
 }
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -152,7 +152,7 @@
             request = self.id.as_str(), service, upstream = to.name.as_str(),
             reason:debug = pick.reason, version,
             attempts = self.routed.attempts, repeatable = self.routed.ask.repeatable,
-            sick = known.sick as f32, path = known.path as f32, busy = known.busy as f32,
+            near = known.near, sick = known.sick as f32, path = known.path as f32, busy = known.busy as f32,
             load_age_ms = known.load_age.map(|d| d.as_millis() as u64);
             "route: {kind} sent to {}", to.name
         );
