Looks at open attempts are not skipped; losses by class from the logs

A look that is early is followed at once.

honeypulley losses counts from the boxes' logs what was not served, by what decided it.

--- a/crates/honeypulley_observe/src/explain.rs
+++ b/crates/honeypulley_observe/src/explain.rs
@@ -42,7 +42,9 @@
         Some(Self { at, origin, message, fields })
     }
 
-    fn field(&self, name: &str) -> &str {
+    /// Returns a field, empty if the line has none.
+    #[must_use]
+    pub fn field(&self, name: &str) -> &str {
         self.fields.get(name).map_or("", String::as_str)
     }
 
--- a/crates/honeypulley_operator/src/cli.rs
+++ b/crates/honeypulley_operator/src/cli.rs
@@ -35,6 +35,7 @@
                 .arg(flag("json", "Prints JSON")),
         )
         .subcommand(why_command())
+        .subcommand(losses_command())
         .subcommand(Command::new("completions").about("Prints completions").arg(
             Arg::new("shell").required(true).value_parser(value_parser!(clap_complete::Shell)),
         ))
@@ -57,13 +58,28 @@
         )
 }
 
-fn why_command() -> Command {
-    let logs = Arg::new("log")
+fn logs() -> Arg {
+    Arg::new("log")
         .long("log")
         .value_name("FILE")
         .action(ArgAction::Append)
         .value_parser(value_parser!(PathBuf))
-        .help("Log of a box; may be given again; without any, standard input is read");
+        .help("Log of a box; may be given again; without any, standard input is read")
+}
+
+fn losses_command() -> Command {
+    Command::new("losses")
+        .about("Counts from the boxes' logs what was not served, by what decided it")
+        .after_help(
+            "Columns: requests of a class, service, whether a second upstream was allowed, the \
+             reason of the first choice, sends, whether a further one was denied, how it ended; \
+             of the first choice the middle belief in sickness and requests known there.",
+        )
+        .arg(logs())
+        .arg(flag("json", "Prints JSON, what was served included"))
+}
+
+fn why_command() -> Command {
     Command::new("why")
         .about("Says from the boxes' logs what decided a request, or a belief about an upstream")
         .after_help(
@@ -77,7 +93,7 @@
                 .help("Id of a request"),
         )
         .arg(Arg::new("upstream").long("upstream").value_name("NAME").help("Name of an upstream"))
-        .arg(logs)
+        .arg(logs())
         .arg(flag("json", "Prints JSON"))
         .arg(settings().required(false))
 }
@@ -122,6 +138,7 @@
   honeypulley status --settings operator.ini --json
   honeypulley why guestlist u3 --settings operator.ini
   honeypulley why 9c41d07be2a35f68 --log box1.log --log box2.log
+  honeypulley losses --log box1.log --log box2.log
 
 Exit codes: 0 done, 1 not done (the reason is on standard error), 2 usage.";
 
@@ -143,6 +160,7 @@
             clap_complete::generate(shell, &mut command(), "honeypulley", &mut std::io::stdout());
             Ok(())
         }
+        "losses" => why::losses(sub),
         "why" if sub.get_one::<PathBuf>("settings").is_none() => why::run(sub),
         _ => {
             let settings = Settings::load(path(sub, "settings"))?;
--- a/crates/honeypulley_operator/src/why.rs
+++ b/crates/honeypulley_operator/src/why.rs
@@ -3,6 +3,7 @@
 use clap::ArgMatches;
 use eyre::{Result, WrapErr, eyre};
 use honeypulley_observe::explain::{self, Explanation};
+use honeypulley_observe::losses;
 use std::io::Read;
 use std::path::PathBuf;
 
@@ -30,6 +31,21 @@
     Ok(())
 }
 
+/// Classes the requests that were not served, from log files or standard input.
+///
+/// # Errors
+/// Returns an error if a log can't be read.
+pub fn losses(args: &ArgMatches) -> Result<()> {
+    let text = read(args)?;
+    let rows = losses::count(text.lines());
+    if args.get_flag("json") {
+        println!("{}", serde_json::to_string_pretty(&rows)?);
+    } else {
+        print!("{}", losses::page(&rows));
+    }
+    Ok(())
+}
+
 fn read(args: &ArgMatches) -> Result<String> {
     let files: Vec<&PathBuf> = args.get_many("log").into_iter().flatten().collect();
     let mut text = String::new();
--- a/crates/honeypulley_policy/src/balance/doubt.rs
+++ b/crates/honeypulley_policy/src/balance/doubt.rs
@@ -117,8 +117,8 @@
         let aim = ask.aim.unwrap_or(DEFAULT_AIM);
         let levels = [OVERDUE_RATIO, HUNG_RATIO].map(|r| self.age_at(ask, r, aim));
         let ages = levels.into_iter().flatten().chain([self.hedge_age(ask)]);
-        let next = ages.filter(|&at| at > age + LEAST_LOOK).min();
-        next.map_or_else(|| aim.mul_f64(LOOK_GAP), |at| at - age)
+        let next = ages.filter(|&at| at > age).min();
+        next.map_or_else(|| aim.mul_f64(LOOK_GAP), |at| (at - age).max(LEAST_LOOK))
     }
 
     /// Returns the age at which a second send should go out.
@@ -137,7 +137,9 @@
     pub(super) fn stuck(&self, ask: &Ask, k: AttemptKey, now: Time) -> Option<f64> {
         let a = self.attempts.get(k).filter(|a| self.upstreams.contains_key(a.upstream))?;
         let chance = self.trouble(a.upstream, now) * FAILS_SICK;
-        (now.since(a.started) >= self.hedge_age(ask)).then_some(chance)
+        // The age may have moved since the look was planned.
+        let due = now.since(a.started) + LEAST_LOOK >= self.hedge_age(ask);
+        due.then_some(chance)
     }
 
     /// Returns the time within which a share of the answers come.
--- a/crates/honeypulley_policy/tests/balance.rs
+++ b/crates/honeypulley_policy/tests/balance.rs
@@ -546,3 +546,16 @@
     assert!(spent_of(0) <= 30, "a fifth of a hundred requests, and the slack of ten");
     assert!(spent_of(400) > 30, "what others see counts as well");
 }
+
+/// Second sends went out at the whole aim, since the age for them had moved by a
+/// millisecond between a look and the next one.
+#[test]
+fn a_look_that_is_a_moment_early_is_followed_at_once() {
+    let mut b = balancer(2);
+    send(&mut b, 200, 10, true);
+    let ask = ask(&b, true);
+    let first = b.look_after(&ask, Duration::ZERO);
+    let early = first - Duration::from_millis(1);
+    let next = b.look_after(&ask, early);
+    assert!(next <= Duration::from_millis(10), "{next:?} after {early:?}");
+}
--- /dev/null
+++ b/crates/honeypulley_policy/tests/floor.rs
@@ -0,0 +1,152 @@
+//! Work for upstreams that are well while most of their service hangs.
+//!
+//! The boxes of one data hall decide together, as in a fleet: what one tells is heard by
+//! the others at once. No sockets, no clock; the same verdict at each run.
+
+use honeypulley_policy::balance::{Balancer, Listed, Reach, RetryRule};
+use honeypulley_policy::chooser::{Ask, Chooser};
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::router::{AttemptKey, Outcome};
+use honeypulley_policy::spec::{Member, MemberState, ServiceSpec};
+use honeypulley_policy::time::Time;
+use rstest::rstest;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Time that work takes on an upstream that is well, in ms.
+const WORK_MS: u64 = 210;
+/// Time after which a request is given up, in ms.
+const TIMEOUT_MS: u64 = 1_000;
+/// Step of the simulated time, in ms.
+const STEP_MS: u64 = 10;
+/// Span in which most upstreams that are well have to get work, in ms.
+const SPAN_MS: u64 = 2_000;
+/// Share of them that has to.
+const FLOOR_SHARE: f64 = 0.7;
+
+/// One attempt that waits for its answer.
+#[derive(Debug)]
+struct Waiting {
+    from: usize,
+    key: AttemptKey,
+    ends: u64,
+    served: bool,
+}
+
+/// Boxes of one data hall before one service.
+#[derive(Debug)]
+struct Hall {
+    boxes: Vec<Balancer>,
+    waiting: Vec<Waiting>,
+    hangs_from: u64,
+    hanging: BTreeSet<String>,
+    /// When each upstream was sent something.
+    sent: BTreeMap<String, Vec<u64>>,
+}
+
+impl Hall {
+    fn new(boxes: usize, upstreams: usize, hanging: usize, hangs_from: u64) -> Self {
+        let boxes = (0..boxes).map(|i| a_box(i as u64, boxes, upstreams)).collect();
+        let hanging = (0..hanging).map(name).collect();
+        Self { boxes, waiting: Vec::new(), hangs_from, hanging, sent: BTreeMap::new() }
+    }
+
+    /// Sends one request by a box.
+    fn send(&mut self, from: usize, now: u64, repeatable: bool) {
+        let at = Time::from_millis(now);
+        let b = &mut self.boxes[from];
+        let service = b.service("s").expect("set up");
+        b.arrived(service, at);
+        let ask = Ask {
+            service,
+            repeatable,
+            bulky: false,
+            aim: Some(Duration::from_millis(800)),
+            left: Some(Duration::from_millis(TIMEOUT_MS)),
+            route: NameId::of("r"),
+        };
+        let Ok(pick) = b.pick(&ask, &[], at) else { return };
+        let upstream = b.place(pick.upstream).expect("known").name.to_owned();
+        let served = now < self.hangs_from || !self.hanging.contains(&upstream);
+        let ends = now + if served { WORK_MS } else { TIMEOUT_MS };
+        self.sent.entry(upstream).or_default().push(now);
+        self.waiting.push(Waiting { from, key: pick.attempt, ends, served });
+    }
+
+    /// Ends what is due, looks at the rest, and hands all news on.
+    fn step(&mut self, now: u64) {
+        let at = Time::from_millis(now);
+        for w in &self.waiting {
+            let b = &mut self.boxes[w.from];
+            if now < w.ends {
+                b.still_open(w.key, at);
+            } else if w.served {
+                b.answered(w.key, true, at);
+                b.finish(w.key, Outcome::Whole, at);
+            } else {
+                b.finish(w.key, Outcome::Abandoned, at);
+            }
+        }
+        self.waiting.retain(|w| now < w.ends);
+        for from in 0..self.boxes.len() {
+            let news = self.boxes[from].take_news();
+            let sender = NameId::of(&from.to_string());
+            for (to, b) in self.boxes.iter_mut().enumerate() {
+                if to != from {
+                    news.iter().for_each(|&n| drop(b.heard(sender, n, at)));
+                }
+            }
+        }
+    }
+
+    /// Returns the upstreams that are well and were sent something in a span.
+    fn working(&self, from: u64) -> usize {
+        let is_in = |at: &u64| (from..from + SPAN_MS).contains(at);
+        let well = self.sent.iter().filter(|(name, _)| !self.hanging.contains(*name));
+        well.filter(|(_, at)| at.iter().any(is_in)).count()
+    }
+}
+
+fn name(i: usize) -> String {
+    format!("u{i}")
+}
+
+fn a_box(seed: u64, boxes: usize, upstreams: usize) -> Balancer {
+    let rule = RetryRule { ratio: 0.2, slack: 58.0, window: Duration::from_secs(10) };
+    let mut b = Balancer::new("h", rule, seed);
+    b.set_services(&[ServiceSpec::builder().name("s").build()], Time::ZERO);
+    b.set_reach(Reach { boxes, in_touch: true });
+    for i in 0..upstreams {
+        let member = Member {
+            name: name(i),
+            service: "s".to_owned(),
+            addr: format!("10.0.0.1:{i}"),
+            hall: "h".to_owned(),
+            state: MemberState::Live,
+        };
+        b.set_upstream(Listed { member, slots: 2, cold: Duration::ZERO }, Time::ZERO);
+    }
+    b
+}
+
+/// On a grown deployment 6 of 12 upstreams that were well got nothing for two seconds,
+/// the 107 others being in trouble that hangs: nothing had failed as far as was counted.
+#[rstest]
+#[case::repeatable(true)]
+#[case::unsafe_ones(false)]
+fn upstreams_that_are_well_get_work_while_the_others_hang(#[case] repeatable: bool) {
+    let (upstreams, hanging, hangs_from) = (40, 34, 6_000);
+    let mut hall = Hall::new(20, upstreams, hanging, hangs_from);
+    for now in (STEP_MS..16_000).step_by(STEP_MS as usize) {
+        hall.step(now);
+        let n = now / STEP_MS;
+        // A hundred requests a second, by the boxes in turn.
+        hall.send(n as usize % hall.boxes.len(), now, repeatable);
+    }
+    let well = upstreams - hanging;
+    for from in (hangs_from..14_000).step_by(500) {
+        let working = hall.working(from);
+        let share = working as f64 / well as f64;
+        assert!(share >= FLOOR_SHARE, "{working} of {well} got work from {from} ms on");
+    }
+}
