--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -56,7 +56,7 @@
         let Some((upstream, reason)) = chosen else {
             return Err(self.refuse(RefusalKind::NoUpstream));
         };
-        self.admit(upstream, ask, now)?;
+        self.admit(upstream, ask, tried.is_empty(), now)?;
         let u = &self.upstreams[upstream];
         let attempt = self.attempts.insert(Attempt {
             upstream,
