--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -20,6 +20,7 @@
 use crate::router::{AttemptKey, ServiceKey, UpstreamKey};
 use crate::spec::{Member, MemberState, ServiceSpec};
 use crate::time::Time;
+use admit::Pressure;
 use illness::Illness;
 pub use learn::Doubt;
 use retry::RetryWindow;
@@ -167,6 +168,7 @@
     failures: VecDeque<Time>,
     /// When much of it was last seen to fail.
     failing: Option<Time>,
+    pressure: Pressure,
     /// When this box first heard of it.
     began: Time,
     upstreams: Vec<UpstreamKey>,
@@ -432,6 +434,7 @@
             retries: RetryWindow::default(),
             failures: VecDeque::new(),
             failing: None,
+            pressure: Pressure::default(),
             began,
             upstreams: Vec::new(),
             spec,
--- a/crates/honeypulley_policy/tests/balance.rs
+++ b/crates/honeypulley_policy/tests/balance.rs
@@ -559,3 +559,90 @@
     let next = b.look_after(&ask, early);
     assert!(next <= Duration::from_millis(10), "{next:?} after {early:?}");
 }
+
+/// Tells how many requests are queued at each upstream, by another box of the hall.
+fn queue(b: &mut Balancer, upstreams: usize, count: u16, at: Time) {
+    for i in 0..upstreams {
+        let upstream = NameId::of(&format!("u{i}"));
+        b.heard(NameId::of("peer"), News::Open { upstream, count, served: false, far: None }, at);
+    }
+}
+
+#[test]
+fn a_standing_queue_is_refused_at_once_and_a_passing_one_is_not() {
+    let mut b = balancer(2);
+    let ask = ask(&b, true);
+    let mut refused = Vec::new();
+    for ms in (10..2_500).step_by(100) {
+        let now = Time::from_millis(ms);
+        queue(&mut b, 2, 7, now);
+        match b.pick(&ask, &[], now) {
+            Ok(p) => b.finish(p.attempt, Outcome::NotRun, now),
+            Err(r) => {
+                assert_eq!(r.kind, RefusalKind::Overload);
+                assert!(r.retry_after >= Duration::from_millis(100), "{:?}", r.retry_after);
+                refused.push(ms);
+            }
+        }
+    }
+    assert!(refused.first().is_some_and(|&ms| (400..1_500).contains(&ms)), "{refused:?}");
+    let later = Time::from_millis(2_600);
+    queue(&mut b, 2, 0, later);
+    assert!(b.pick(&ask, &[], later).is_ok(), "the queue has drained");
+}
+
+#[test]
+fn a_request_that_would_wait_beyond_its_time_is_refused_at_once() {
+    let mut b = balancer(2);
+    queue(&mut b, 2, 40, Time::from_millis(10));
+    let ask = ask(&b, false);
+    let refused = b.pick(&ask, &[], Time::from_millis(20)).expect_err("both are full");
+    assert_eq!(refused.kind, RefusalKind::Overload);
+}
+
+/// What an answer's load report counts beyond this hall's own is told to the hall.
+#[test]
+fn boxes_of_a_hall_tell_each_other_the_load_of_other_halls() {
+    let mut b = balancer(1);
+    let ask = ask(&b, true);
+    let now = Time::from_millis(100);
+    let pick = b.pick(&ask, &[], Time::ZERO).expect("there is one");
+    b.reported_load(pick.upstream, LoadReport { busy: 4.0, slots: 3.0 }, now);
+    b.answered(pick.attempt, true, now);
+    b.finish(pick.attempt, Outcome::Whole, now);
+    let upstream = NameId::of("u0");
+    let told = News::Open { upstream, count: 0, served: true, far: Some(3) };
+    assert!(b.take_news().contains(&told));
+    let mut other = balancer(1);
+    other.heard(NameId::of("peer"), told, now);
+    let pick = other.pick(&ask, &[], now).expect("there is one");
+    assert!(other.inputs(pick.upstream, now).busy > 3.5, "its own and three of other halls");
+}
+
+/// Hangs: the usual illness of a fleet decides what an open attempt says.
+#[rstest]
+#[case::hangs(Observation::Hung, true)]
+#[case::fails_at_once(Observation::Failure, false)]
+fn an_old_attempt_says_more_where_upstreams_hang(#[case] usual: Observation, #[case] more: bool) {
+    let sick = |usual: Option<Observation>| {
+        let mut b = balancer(2);
+        for i in 0..30 {
+            let what = usual.unwrap_or(Observation::Success);
+            let seen = News::Seen { upstream: NameId::of("u1"), what };
+            b.heard(NameId::of("other"), seen, Time::from_millis(i));
+        }
+        let upstream = NameId::of("u0");
+        let open = News::Open { upstream, count: 1, served: false, far: None };
+        b.heard(NameId::of("peer"), open, Time::from_millis(100));
+        let rows = b.status(Time::from_millis(101));
+        let ask = ask(&b, true);
+        let pick = b.pick(&ask, &[], Time::from_millis(101)).expect("there are two");
+        let name = b.place(pick.upstream).expect("known").name.to_owned();
+        assert_eq!(rows.len(), 2);
+        let (tried, now) = ([pick.upstream], Time::from_millis(900));
+        let other = b.pick(&ask, &tried, now).expect("there is another").upstream;
+        let key = if name == "u0" { pick.upstream } else { other };
+        b.inputs(key, now).sick
+    };
+    assert_eq!(sick(Some(usual)) > sick(None), more);
+}
