--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -60,6 +60,10 @@
         self.balancer.inputs(k, now)
     }
 
+    fn expected(&self, ask: &Ask, now: Time) -> Option<Duration> {
+        self.balancer.expected(ask, now)
+    }
+
     fn look_after(&self, ask: &Ask, age: Duration) -> Duration {
         self.balancer.look_after(ask, age)
     }
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -88,6 +88,13 @@
         })
     }
 
+    fn expected(&self, ask: &Ask, now: Time) -> Option<Duration> {
+        let s = self.services.get(ask.service)?;
+        let open = s.upstreams.iter().filter(|&&k| !self.upstreams[k].is_leaving());
+        let wait = open.map(|&k| self.wait(k, ask, now)).min()?;
+        Some(wait + self.usual_within(ask, 0.5))
+    }
+
     fn look_after(&self, ask: &Ask, age: Duration) -> Duration {
         self.next_look(ask, age)
     }
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -70,6 +70,10 @@
     fn inputs(&self, _: UpstreamKey, _: Time) -> Inputs {
         Inputs::default()
     }
+    /// Returns when the soonest answer can be expected, for the log of a refusal.
+    fn expected(&self, _: &Ask, _: Time) -> Option<Duration> {
+        None
+    }
     /// Returns the wait after which an open attempt of this age is looked at again.
     fn look_after(&self, ask: &Ask, age: Duration) -> Duration;
     /// Takes that an attempt is still open.
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -136,8 +136,11 @@
         let pick = match policy.pick(&ask, &tally.tried, now) {
             Ok(p) => p,
             Err(r) => {
+                let expected = policy.expected(&ask, now);
                 log::info!(
-                    request = self.id.as_str(), service, version;
+                    request = self.id.as_str(), service, version,
+                    aim_ms = ask.aim.map(|d| d.as_millis() as u64),
+                    expected_ms = expected.map(|d| d.as_millis() as u64);
                     "route: {kind} not sent, {}", r.kind
                 );
                 return Err(r);
