--- /dev/null
+++ b/crates/honeypulley_policy/tests/balance/budget.rs
@@ -0,0 +1,71 @@
+//! The retry budget that all boxes share.
+
+use crate::RULE;
+use crate::balancer;
+use honeypulley_policy::balance::{Balancer, News, Reach, Resend, RetryRule};
+use honeypulley_policy::chooser::Chooser;
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::spec::ServiceSpec;
+use honeypulley_policy::time::Time;
+
+#[test]
+fn the_retry_budget_counts_what_other_boxes_spent() {
+    let mut b = balancer(3);
+    b.set_reach(Reach { boxes: 5, in_touch: true });
+    let service = b.service("s").expect("set up");
+    let now = Time::from_millis(100);
+    assert!(b.spend_retry(service, Resend::Failed, now));
+    for _ in 0..10 {
+        b.heard(NameId::of("other"), News::Retry { service: NameId::of("s"), seen: 0 }, now);
+    }
+    assert!(!b.spend_retry(service, Resend::Failed, now), "the fleet has spent its slack");
+    let later = Time::from_millis(11_000);
+    assert!(b.spend_retry(service, Resend::Failed, later), "the window has moved on");
+}
+
+#[test]
+fn boxes_that_hear_nobody_keep_the_budget_together() {
+    let boxes = 40;
+    let rule = RetryRule { slack: 58.0, ..RULE };
+    let mut spent = 0;
+    for seed in 0..boxes {
+        let mut b = Balancer::new("h", rule, seed);
+        b.set_services(&[ServiceSpec::builder().name("s").build()], Time::ZERO);
+        b.set_reach(Reach { boxes: boxes as usize, in_touch: false });
+        let service = b.service("s").expect("set up");
+        for i in 0..10 {
+            let now = Time::from_millis(i * 100);
+            b.arrived(service, now);
+            spent += usize::from(b.spend_retry(service, Resend::Failed, now));
+        }
+    }
+    // A fifth of 400 requests and the slack.
+    assert!(spent <= 80 + 58, "{spent}");
+}
+
+#[test]
+fn hedges_leave_budget_to_failures() {
+    let mut b = balancer(3);
+    b.set_reach(Reach { boxes: 3, in_touch: true });
+    let service = b.service("s").expect("set up");
+    let now = Time::from_millis(100);
+    while b.spend_retry(service, Resend::Overdue { stuck: 0.1 }, now) {}
+    assert!(b.spend_retry(service, Resend::Failed, now));
+}
+
+/// A box that reckoned the fleet's traffic from its own broke the bound of the retries.
+#[test]
+fn the_retry_budget_goes_by_the_traffic_that_boxes_told() {
+    let spent_of = |told: u16| {
+        let mut b = balancer(3);
+        b.set_reach(Reach { boxes: 40, in_touch: true });
+        let service = b.service("s").expect("set up");
+        let now = Time::from_millis(100);
+        (0..100).for_each(|_| b.arrived(service, now));
+        let retry = News::Retry { service: NameId::of("s"), seen: told };
+        b.heard(NameId::of("other"), retry, now);
+        (0..1_000).take_while(|_| b.spend_retry(service, Resend::Failed, now)).count()
+    };
+    assert!(spent_of(0) <= 30, "a fifth of a hundred requests, and the slack of ten");
+    assert!(spent_of(400) > 30, "what others see counts as well");
+}
--- /dev/null
+++ b/crates/honeypulley_policy/tests/balance/choice.rs
@@ -0,0 +1,224 @@
+//! Choice by expected loss: what one box picks, learns and tells.
+
+use crate::{RULE, ask, balancer, failure, listed, send};
+use honeypulley_policy::balance::{Balancer, News};
+use honeypulley_policy::belief::{Belief, Observation};
+use honeypulley_policy::chooser::Chooser;
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::router::{Outcome, RefusalKind};
+use honeypulley_policy::spec::{MemberState, ServiceSpec};
+use honeypulley_policy::time::Time;
+use rstest::rstest;
+
+#[test]
+fn one_failure_elsewhere_turns_the_next_request_away() {
+    let mut b = balancer(4);
+    b.heard(NameId::of("other"), failure("u1"), Time::from_millis(5));
+    let picks = send(&mut b, 100, 10, false);
+    assert_eq!(picks.get("u1"), None, "{picks:?}");
+}
+
+#[test]
+fn a_failed_upstream_gets_its_work_back() {
+    let mut b = balancer(4);
+    b.heard(NameId::of("other"), failure("u1"), Time::from_millis(5));
+    let picks = send(&mut b, 400, 60_000, true);
+    assert!(picks.contains_key("u1"), "{picks:?}");
+}
+
+#[test]
+fn failures_raise_the_chance_and_successes_lower_it() {
+    let at = Time::from_millis(1_000);
+    let mut belief = Belief::new(Time::ZERO);
+    let prior = belief.chance(at);
+    belief.observe(Observation::Failure, at);
+    let failed = belief.chance(at);
+    assert!(failed > 0.5, "one failure at a base rate of 1.2 in 100: {failed}");
+    let later = Time::from_millis(3_000);
+    belief.observe(Observation::Success, later);
+    belief.observe(Observation::Success, later);
+    let better = belief.chance(later);
+    assert!(better < failed / 1.5, "{better}");
+    assert!(belief.chance(Time::from_millis(30_000)) < 0.3);
+    assert!(prior < 0.2, "{prior}");
+}
+
+#[test]
+fn one_good_answer_in_a_spell_does_not_clear_an_upstream() {
+    let mut belief = Belief::new(Time::ZERO);
+    belief.observe(Observation::Failure, Time::ZERO);
+    belief.observe(Observation::Success, Time::from_millis(1_000));
+    let soon = belief.chance(Time::from_millis(1_000));
+    assert!(soon > 0.5, "a quarter of the answers in a spell are good: {soon}");
+    for i in 0..20 {
+        belief.observe(Observation::Success, Time::from_millis(6_000 + i * 1_000));
+    }
+    let proven = belief.chance(Time::from_millis(25_200));
+    assert!(proven < 0.05, "{proven}");
+}
+
+/// Shares of upstreams that were sick so long after a failure, by the deployments' logs.
+#[rstest]
+#[case(1_000, 0.73, 0.95)]
+#[case(2_000, 0.60, 0.80)]
+#[case(4_000, 0.35, 0.50)]
+#[case(6_000, 0.19, 0.33)]
+#[case(30_000, 0.10, 0.20)]
+fn a_spell_ends_as_it_was_measured(#[case] ms: u64, #[case] least: f64, #[case] most: f64) {
+    let mut belief = Belief::new(Time::ZERO);
+    belief.observe(Observation::Failure, Time::ZERO);
+    let sick = belief.chance(Time::from_millis(ms));
+    assert!((least..=most).contains(&sick), "{sick} after {ms} ms");
+}
+
+#[test]
+fn time_in_small_steps_moves_a_belief_as_one_step_does() {
+    let mut steps = Belief::new(Time::ZERO);
+    steps.observe(Observation::Failure, Time::ZERO);
+    let whole = steps;
+    for ms in (100..=8_000).step_by(100) {
+        steps = Belief::told(steps.phases(Time::from_millis(ms)), Time::from_millis(ms));
+    }
+    let at = Time::from_millis(8_000);
+    assert!((steps.chance(at) - whole.chance(at)).abs() < 1e-6);
+}
+
+/// Sends one request to a box's only upstream, and fails it after `took` ms.
+fn fail_after(b: &mut Balancer, from: u64, took: u64) -> f64 {
+    let pick = b.pick(&ask(b, false), &[], Time::from_millis(from)).expect("there is one");
+    let end = Time::from_millis(from + took);
+    b.answered(pick.attempt, false, end);
+    b.finish(pick.attempt, Outcome::Whole, end);
+    b.status(end)[0].sick
+}
+
+#[rstest]
+#[case::at_once(2, true)]
+#[case::after_work(250, false)]
+fn a_failure_after_the_usual_work_says_little(#[case] took: u64, #[case] doubted: bool) {
+    let mut b = balancer(1);
+    let ask = ask(&b, true);
+    for i in 0..30 {
+        let pick = b.pick(&ask, &[], Time::from_millis(i * 300)).expect("there is one");
+        let end = Time::from_millis(i * 300 + 240);
+        b.answered(pick.attempt, true, end);
+        b.finish(pick.attempt, Outcome::Whole, end);
+    }
+    let sick = fail_after(&mut b, 9_000, took);
+    assert_eq!(sick > 0.5, doubted, "{sick}");
+}
+
+#[test]
+fn a_box_that_starts_takes_over_beliefs_but_not_against_its_own() {
+    let mut old = balancer(3);
+    send(&mut old, 300, 10, false);
+    old.heard(NameId::of("other"), failure("u1"), Time::from_millis(3_000));
+    let told = old.beliefs(Time::from_millis(3_010));
+    assert_eq!(told.len(), 3, "{told:?}");
+    let mut new = balancer(3);
+    new.heard(NameId::of("other"), failure("u2"), Time::from_millis(5));
+    told.into_iter().for_each(|n| {
+        new.heard(NameId::of("old"), n, Time::from_millis(10));
+    });
+    let rows = new.status(Time::from_millis(10));
+    let sick = |name: &str| rows.iter().find(|r| r.upstream == name).expect("listed").sick;
+    assert!(sick("u0") < 0.1, "{}", sick("u0"));
+    assert!(sick("u1") > 0.5, "{}", sick("u1"));
+    assert!(sick("u2") > 0.8, "what it heard itself stands: {}", sick("u2"));
+}
+
+#[test]
+fn a_box_alone_that_reaches_no_upstream_holds_it_against_its_path_alone() {
+    let mut b = balancer(3);
+    let unreachable = News::Seen { upstream: NameId::of("u1"), what: Observation::Unreachable };
+    for i in 0..5 {
+        b.heard(NameId::of("cut-off"), unreachable, Time::from_millis(i * 100));
+    }
+    let sick = |b: &Balancer, name: &str| {
+        let rows = b.status(Time::from_millis(600));
+        rows.iter().find(|r| r.upstream == name).map(|r| r.sick)
+    };
+    assert_eq!(sick(&b, "u1"), sick(&b, "u2"), "one box alone proves nothing");
+    b.heard(NameId::of("cut-off"), unreachable, Time::from_millis(4_000));
+    b.heard(NameId::of("another"), unreachable, Time::from_millis(4_100));
+    let picks = send(&mut b, 30, 4_200, false);
+    assert_eq!(picks.get("u1"), None, "two boxes bear each other out: {picks:?}");
+}
+
+#[rstest]
+#[case::leaving(MemberState::Leaving)]
+#[case::live(MemberState::Live)]
+fn a_leaving_upstream_gets_no_new_work(#[case] state: MemberState) {
+    let mut b = balancer(2);
+    b.set_upstream(listed("u0", "h", state), Time::from_millis(1));
+    let picks = send(&mut b, 1_500, 10, true);
+    assert_eq!(picks.contains_key("u0"), state == MemberState::Live, "{picks:?}");
+}
+
+#[test]
+fn an_upstream_gone_from_the_list_gets_no_new_work() {
+    let mut b = balancer(1);
+    b.remove_upstream("u0");
+    let refused = b.pick(&ask(&b, true), &[], Time::ZERO).expect_err("none is left");
+    assert_eq!(refused.kind, RefusalKind::NoUpstream);
+}
+
+#[test]
+fn an_address_that_another_instance_has_is_not_asked_again() {
+    let mut b = balancer(2);
+    let ask = ask(&b, true);
+    let pick = b.pick(&ask, &[], Time::ZERO).expect("there are two");
+    let name = b.place(pick.upstream).expect("known").name.to_owned();
+    b.finish(pick.attempt, Outcome::Misdirected, Time::from_millis(1));
+    let picks = send(&mut b, 50, 10, true);
+    assert!(!picks.contains_key(&name), "{picks:?}");
+}
+
+#[test]
+fn entries_that_came_before_their_service_are_kept_for_it() {
+    let mut b = Balancer::new("h", RULE, 7);
+    b.set_upstream(listed("u0", "h", MemberState::Live), Time::ZERO);
+    b.set_services(&[ServiceSpec::builder().name("s").build()], Time::ZERO);
+    assert_eq!(send(&mut b, 1, 0, true).len(), 1);
+}
+
+#[test]
+fn own_data_hall_goes_first_until_it_is_full() {
+    let mut b = balancer(1);
+    b.set_upstream(listed("far", "elsewhere", MemberState::Live), Time::ZERO);
+    let ask = ask(&b, true);
+    let mut near = 0;
+    for _ in 0..8 {
+        let pick = b.pick(&ask, &[], Time::ZERO).expect("there are two");
+        near += usize::from(b.place(pick.upstream).expect("known").name == "u0");
+    }
+    assert!((3..=5).contains(&near), "{near} of 8 open ones stayed near its three slots");
+}
+
+#[test]
+fn another_hall_that_says_an_upstream_is_well_is_believed() {
+    let mut b = balancer(1);
+    b.set_upstream(listed("far", "elsewhere", MemberState::Live), Time::ZERO);
+    for name in ["far", "u0"] {
+        b.heard(NameId::of("other"), failure(name), Time::from_millis(10));
+        b.heard(
+            NameId::of("other"),
+            News::Well { upstream: NameId::of(name) },
+            Time::from_millis(20),
+        );
+    }
+    let rows = b.status(Time::from_millis(30));
+    let sick = |name: &str| rows.iter().find(|r| r.upstream == name).expect("listed").sick;
+    assert!(sick("far") < 0.2, "{}", sick("far"));
+    assert!(sick("u0") > 0.5, "the own hall goes by its own attempts: {}", sick("u0"));
+}
+
+#[test]
+fn a_hall_says_once_that_its_upstream_is_well_again() {
+    let mut b = balancer(1);
+    b.heard(NameId::of("other"), failure("u0"), Time::from_millis(10));
+    send(&mut b, 50, 3_000, true);
+    let upstream = NameId::of("u0");
+    let told = b.take_news().into_iter().filter(|n| *n == News::Well { upstream }).count();
+    assert_eq!(told, 1);
+}
--- /dev/null
+++ b/crates/honeypulley_policy/tests/balance/trials.rs
@@ -0,0 +1,136 @@
+//! Trials: work for upstreams that would not be chosen by their loss.
+
+use crate::{balancer, failure, listed, send};
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::spec::MemberState;
+use honeypulley_policy::time::Time;
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+#[rstest]
+#[case::calm(0, false)]
+#[case::failing(60, true)]
+fn failed_upstreams_are_tried_soon_only_while_much_fails(
+    #[case] failures: usize,
+    #[case] tried: bool,
+) {
+    let mut b = balancer(10);
+    send(&mut b, 400, 10, false);
+    for name in ["u1", "u2", "u3"] {
+        b.heard(NameId::of("other"), failure(name), Time::from_millis(4_010));
+    }
+    let service = b.service("s").expect("set up");
+    let mut picks = BTreeMap::new();
+    for from in (4_020..8_520).step_by(500) {
+        // Those of an upstream that never answers.
+        for _ in 0..failures {
+            b.heard(NameId::of("other"), failure("u4"), Time::from_millis(from));
+        }
+        (0..50).for_each(|i| b.arrived(service, Time::from_millis(from + i * 10)));
+        for (name, n) in send(&mut b, 50, from, false) {
+            *picks.entry(name).or_insert(0) += n;
+        }
+    }
+    let was_tried = ["u1", "u2", "u3"].iter().any(|n| picks.contains_key(*n));
+    assert_eq!(was_tried, tried, "{picks:?}");
+}
+
+/// On a grown deployment 6 of 10 sound upstreams got nothing for two seconds while
+/// much failed: some were left out, some had failed a second time.
+#[rstest]
+#[case::repeatable(true)]
+#[case::unsafe_ones(false)]
+fn while_much_fails_every_failed_upstream_is_tried_within_four_seconds(#[case] repeatable: bool) {
+    let mut b = balancer(30);
+    send(&mut b, 600, 10, repeatable);
+    let failed: Vec<String> = (0..12).map(|i| format!("u{i}")).collect();
+    for at in [6_000, 8_600] {
+        for name in &failed {
+            b.heard(NameId::of("other"), failure(name), Time::from_millis(at));
+        }
+    }
+    let mut tried = std::collections::BTreeSet::new();
+    for from in (8_610..12_600).step_by(100) {
+        // Those of upstreams that never answer.
+        for _ in 0..6 {
+            b.heard(NameId::of("other"), failure("u29"), Time::from_millis(from));
+        }
+        tried.extend(send(&mut b, 10, from, repeatable).into_keys());
+    }
+    let missing: Vec<&String> = failed.iter().filter(|n| !tried.contains(*n)).collect();
+    assert!(missing.is_empty(), "{missing:?} got nothing");
+}
+
+/// Nine upstreams that had failed twice got nothing for 7.5 s after a loss of all boxes.
+#[test]
+fn a_second_failure_in_a_spell_prolongs_no_rest() {
+    let mut b = balancer(10);
+    send(&mut b, 600, 10, false);
+    for name in ["u1", "u2", "u3"] {
+        b.heard(NameId::of("other"), failure(name), Time::from_millis(6_000));
+        b.heard(NameId::of("other"), failure(name), Time::from_millis(8_500));
+    }
+    send(&mut b, 380, 8_510, false);
+    let picks = send(&mut b, 350, 12_310, false);
+    let tried = ["u1", "u2", "u3"].iter().filter(|n| picks.contains_key(**n)).count();
+    assert!(tried >= 2, "{tried} of three were tried within 7.3 s: {picks:?}");
+}
+
+/// On a grown deployment 10 of 18 new upstreams got nothing beside 80 proven ones.
+#[test]
+fn new_upstreams_get_work_whatever_failed_among_the_others() {
+    let mut b = balancer(40);
+    send(&mut b, 1_500, 10, false);
+    for i in 0..12 {
+        b.heard(NameId::of("other"), failure(&format!("u{i}")), Time::from_millis(15_000));
+    }
+    for i in 0..10 {
+        let new = listed(&format!("new{i}"), "h", MemberState::Live);
+        b.set_upstream(new, Time::from_millis(15_000));
+    }
+    send(&mut b, 200, 15_010, false);
+    let picks = send(&mut b, 200, 17_010, false);
+    let new = picks.keys().filter(|k| k.starts_with("new")).count();
+    assert!(new >= 7, "{new} of 10 new ones got work: {picks:?}");
+}
+
+#[rstest]
+#[case::repeatable(true)]
+#[case::unsafe_ones(false)]
+fn most_upstreams_get_work_in_any_two_seconds(#[case] repeatable: bool) {
+    let mut b = balancer(10);
+    for i in 0..8 {
+        b.heard(NameId::of("other"), failure(&format!("u{i}")), Time::from_millis(5));
+        b.heard(NameId::of("other"), failure(&format!("u{i}")), Time::from_millis(6));
+    }
+    // Those that failed count as well again after two seconds.
+    for from in [6_000, 9_000, 20_000] {
+        let picks = send(&mut b, 200, from, repeatable);
+        assert!(picks.len() >= 7, "{} of 10 got work from {from} on: {picks:?}", picks.len());
+    }
+}
+
+#[test]
+fn one_that_failed_a_moment_ago_is_left_alone() {
+    let mut b = balancer(10);
+    send(&mut b, 200, 10, true);
+    b.heard(NameId::of("other"), failure("u3"), Time::from_millis(2_010));
+    let picks = send(&mut b, 190, 2_020, true);
+    assert_eq!(picks.get("u3"), None, "{picks:?}");
+}
+
+#[test]
+fn a_box_that_has_just_started_spreads_its_work() {
+    let mut b = balancer(10);
+    let picks = send(&mut b, 120, 10, false);
+    assert!(picks.len() >= 7, "{} of 10 got work in 1.2 s: {picks:?}", picks.len());
+}
+
+#[test]
+fn a_new_upstream_gets_work_however_well_the_others_are_proven() {
+    let mut b = balancer(3);
+    send(&mut b, 1_000, 10, false);
+    b.set_upstream(listed("new", "h", MemberState::Live), Time::from_millis(10_010));
+    let picks = send(&mut b, 300, 10_020, false);
+    assert!(picks.contains_key("new"), "{picks:?}");
+}
