--- /dev/null
+++ b/crates/honeypulley_policy/benches/pick.rs
@@ -0,0 +1,73 @@
+//! Time of one pick before 21 upstreams, of which boxes of the hall tell open attempts.
+//!
+//! Prints the middle of some rounds in nanoseconds; run it with `cargo bench -p
+//! honeypulley_policy`.
+
+use honeypulley_policy::balance::{Balancer, Listed, News, RetryRule};
+use honeypulley_policy::chooser::{Ask, Chooser};
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::router::Outcome;
+use honeypulley_policy::spec::{Member, MemberState, ServiceSpec};
+use honeypulley_policy::time::Time;
+use std::time::{Duration, Instant};
+
+const UPSTREAMS: usize = 21;
+const PEERS: usize = 40;
+const ROUNDS: usize = 21;
+const PICKS: u64 = 2_000;
+
+fn balancer() -> Balancer {
+    let mut b = Balancer::new("h", RetryRule::default(), 7);
+    b.set_services(&[ServiceSpec::builder().name("s").build()], Time::ZERO);
+    for i in 0..UPSTREAMS {
+        let member = Member {
+            name: format!("u{i}"),
+            service: "s".to_owned(),
+            addr: format!("10.0.0.1:{i}"),
+            hall: "h".to_owned(),
+            state: MemberState::Live,
+        };
+        b.set_upstream(Listed { member, slots: 3, cold: Duration::ZERO }, Time::ZERO);
+    }
+    b
+}
+
+/// Each peer has one attempt open, the peers in turn on the upstreams.
+fn open_by_peers(b: &mut Balancer, at: Time) {
+    for peer in 0..PEERS {
+        let upstream = NameId::of(&format!("u{}", peer % UPSTREAMS));
+        let open = News::Open { upstream, count: 1, served: false, far: None };
+        b.heard(NameId::of(&format!("peer{peer}")), open, at);
+    }
+}
+
+fn main() {
+    let mut b = balancer();
+    let service = b.service("s").expect("set up");
+    let ask = Ask {
+        service,
+        repeatable: true,
+        bulky: false,
+        aim: Some(Duration::from_secs(1)),
+        left: None,
+        route: NameId::of("r"),
+    };
+    let mut took = Vec::new();
+    for round in 0..ROUNDS as u64 {
+        let from = Time::from_millis(round * 1_000);
+        open_by_peers(&mut b, from);
+        let mut picks = Duration::ZERO;
+        for i in 0..PICKS {
+            let now = from + Duration::from_micros(i * 100);
+            let at = Instant::now();
+            let pick = b.pick(&ask, &[], now).expect("there are upstreams");
+            picks += at.elapsed();
+            b.answered(pick.attempt, true, now);
+            b.finish(pick.attempt, Outcome::Whole, now);
+            b.take_news();
+        }
+        took.push(picks.as_nanos() as u64 / PICKS);
+    }
+    took.sort_unstable();
+    println!("pick: {} ns at {UPSTREAMS} upstreams and {PEERS} peers", took[ROUNDS / 2]);
+}
