--- a/crates/honeypulley_policy/src/balance/admit.rs
+++ b/crates/honeypulley_policy/src/balance/admit.rs
@@ -77,7 +77,8 @@
         is_first: bool,
         now: Time,
     ) -> Result<(), Refusal> {
-        let expected = self.wait(k, ask, now) + self.usual_within(ask, 0.5);
+        let wait = self.wait(k, ask, now);
+        let expected = wait + self.usual_within(ask, 0.5);
         let least = granted(ask, MOST_AIMS);
         let service = self.services.get_mut(ask.service);
         let stands = service.is_some_and(|s| s.pressure.take(expected > least, now));
@@ -86,9 +87,11 @@
             (true, true) => least,
             (true, false) => least.mul_f64(AGAIN_SHARE),
         };
-        let Some(excess) = expected.checked_sub(most).filter(|e| !e.is_zero()) else {
+        // What does not wait is refused by nobody: how long its work takes isn't known.
+        let excess = expected.saturating_sub(most).min(wait);
+        if excess.is_zero() {
             return Ok(());
-        };
+        }
         let (shortest, longest) = WAIT_BOUNDS;
         let drained = (excess + most / 2).clamp(shortest, longest);
         let retry_after = jitter(drained, self.rng());
--- a/crates/honeypulley_policy/tests/balance/open_attempts.rs
+++ b/crates/honeypulley_policy/tests/balance/open_attempts.rs
@@ -3,7 +3,7 @@
 use crate::{ask, balancer, send};
 use honeypulley_policy::balance::{Balancer, News};
 use honeypulley_policy::belief::Observation;
-use honeypulley_policy::chooser::{Chooser, LoadReport};
+use honeypulley_policy::chooser::{Ask, Chooser, LoadReport};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::router::{Outcome, RefusalKind};
 use honeypulley_policy::time::Time;
@@ -143,6 +143,14 @@
     assert_eq!(refused.kind, RefusalKind::Overload);
 }
 
+/// A request of a route that holds it for less than work was assumed to last got 503.
+#[test]
+fn a_request_that_need_not_wait_is_sent_however_short_its_time() {
+    let mut b = balancer(2);
+    let ask = Ask { left: Some(Duration::from_millis(100)), ..ask(&b, true) };
+    assert!(b.pick(&ask, &[], Time::ZERO).is_ok());
+}
+
 /// What an answer's load report counts beyond this hall's own is told to the hall.
 #[test]
 fn boxes_of_a_hall_tell_each_other_the_load_of_other_halls() {
