--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -162,8 +162,8 @@
     /// Returns the extra sends that the fleet may make, as far as traffic is known.
     ///
     /// It is a lower bound: only those boxes count that told of their traffic, as each
-    /// does when it sends again or is denied. Reckoning from what one box or its data hall sees gave
-    /// up to twice the budget where callers are spread unevenly.
+    /// does when it sends again or is denied. Reckoning from what one box or its data
+    /// hall sees gave up to twice the budget where callers are spread unevenly.
     fn budget(&self, rule: &RetryRule) -> f64 {
         let told: f64 = self.traffic.iter().map(|t| f64::from(t.seen)).sum();
         rule.ratio.mul_add(self.arrivals.len() as f64 + told, rule.slack)
