One way to build a refusal, to reckon a wait and to find a service by its id

Three copies go: the wait before an upstream stood in the loss and in admission, the refusal's jitter in two places behind an accessor, the search for a service in two arms. Behaviour is unchanged; the tests are untouched.

--- a/crates/honeypulley_policy/src/balance/admit.rs
+++ b/crates/honeypulley_policy/src/balance/admit.rs
@@ -8,7 +8,7 @@
 use super::doubt::assumed;
 use super::{Balancer, DEFAULT_AIM};
 use crate::chooser::Ask;
-use crate::router::{Refusal, RefusalKind, UpstreamKey, jitter};
+use crate::router::{Refusal, RefusalKind, UpstreamKey};
 use crate::time::Time;
 use std::time::Duration;
 
@@ -94,8 +94,7 @@
         }
         let (shortest, longest) = WAIT_BOUNDS;
         let drained = (excess + most / 2).clamp(shortest, longest);
-        let retry_after = jitter(drained, self.rng());
-        Err(Refusal { kind: RefusalKind::Overload, retry_after })
+        Err(self.refuse(RefusalKind::Overload, drained))
     }
 
     /// Returns how long a request would wait at an upstream before it is worked on.
@@ -104,6 +103,6 @@
             return Duration::ZERO;
         };
         let work = s.work.within(0.5, assumed(ask.aim.unwrap_or(DEFAULT_AIM)));
-        work.mul_f64(u.ahead(u.busy(now)) / u.slots)
+        u.wait(u.busy(now), work)
     }
 }
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -37,7 +37,7 @@
 impl Chooser for Balancer {
     fn pick(&mut self, ask: &Ask, tried: &[UpstreamKey], now: Time) -> Result<Pick, Refusal> {
         let Some(s) = self.services.get(ask.service) else {
-            return Err(self.refuse(RefusalKind::NoUpstream));
+            return Err(self.refuse(RefusalKind::NoUpstream, EMPTY_WAIT));
         };
         let aim = ask.aim.unwrap_or(DEFAULT_AIM);
         let work = s.work.within(0.5, assumed(aim));
@@ -54,7 +54,7 @@
             Some((least, Reason::LeastLoss))
         });
         let Some((upstream, reason)) = chosen else {
-            return Err(self.refuse(RefusalKind::NoUpstream));
+            return Err(self.refuse(RefusalKind::NoUpstream, EMPTY_WAIT));
         };
         self.admit(upstream, ask, tried.is_empty(), now)?;
         let u = &self.upstreams[upstream];
@@ -167,7 +167,7 @@
         let fails = self.trouble(k, now) * FAILS_SICK;
         let weight = if ask.repeatable { REPEATABLE_LOSS } else { UNSAFE_LOSS };
         let busy = u.busy(now);
-        let wait = work.mul_f64(u.ahead(busy) / u.slots);
+        let wait = u.wait(busy, work);
         let aims = wait.as_secs_f64() / ask.aim.unwrap_or(DEFAULT_AIM).as_secs_f64();
         let far = if ask.bulky { BULKY_HALL_LOSS } else { HALL_LOSS };
         let mut loss = fails * weight + aims * WAIT_LOSS + busy / u.slots * CROWD_LOSS;
@@ -180,12 +180,9 @@
         loss
     }
 
-    pub(super) const fn rng(&mut self) -> &mut fastrand::Rng {
-        &mut self.rng
-    }
-
-    fn refuse(&mut self, kind: RefusalKind) -> Refusal {
-        Refusal { kind, retry_after: jitter(EMPTY_WAIT, &mut self.rng) }
+    /// Builds a refusal; the wait is lengthened at random, so that callers spread.
+    pub(super) fn refuse(&mut self, kind: RefusalKind, wait: Duration) -> Refusal {
+        Refusal { kind, retry_after: jitter(wait, &mut self.rng) }
     }
 }
 
@@ -198,9 +195,9 @@
         self.known(now) + far
     }
 
-    /// Returns requests that one more would wait for, beside so many.
-    pub(super) fn ahead(&self, busy: f64) -> f64 {
-        (busy + 1.0 - self.slots).max(0.0)
+    /// Returns how long one more request would wait beside so many of usual work.
+    pub(super) fn wait(&self, busy: f64, work: Duration) -> Duration {
+        work.mul_f64((busy + 1.0 - self.slots).max(0.0) / self.slots)
     }
 
     /// Returns requests of this data hall that are open there.
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -3,7 +3,9 @@
 use super::doubt::assumed;
 use super::illness::{HUNG_RATIO, HUNG_SURVIVAL, OVERDUE_RATIO};
 use super::work::WorkTimes;
-use super::{AnswerKind, Attempt, Balancer, FarLoad, News, PeerOpen, Resend, Unreached, Upstream};
+use super::{
+    AnswerKind, Attempt, Balancer, FarLoad, News, PeerOpen, Resend, Service, Unreached, Upstream,
+};
 use crate::belief::{Belief, Observation};
 use crate::collector::NameId;
 use crate::router::{AttemptKey, Outcome, ServiceKey, UpstreamKey};
@@ -80,13 +82,13 @@
             }
             News::Retry { service, seen } => {
                 let rule = self.rule;
-                if let Some(s) = self.services.values_mut().find(|s| s.id == service) {
+                if let Some(s) = self.known_service(service) {
                     s.retries.heard(&rule, now);
                     s.retries.heard_traffic(from, seen, now);
                 }
             }
             News::Denied { service, seen } => {
-                if let Some(s) = self.services.values_mut().find(|s| s.id == service) {
+                if let Some(s) = self.known_service(service) {
                     s.retries.heard_traffic(from, seen, now);
                 }
             }
@@ -182,6 +184,10 @@
         }
     }
 
+    fn known_service(&mut self, id: NameId) -> Option<&mut Service> {
+        self.services.values_mut().find(|s| s.id == id)
+    }
+
     fn known(&mut self, id: NameId) -> Option<&mut Upstream> {
         let k = *self.by_id.get(&id)?;
         self.upstreams.get_mut(k)
