Sight of who holds which list: versions and ages on lines, metrics, and a command

Nothing told a box that never heard of a departure from one that heard late. A choice now logs the version of the list and the time since it was known to be complete; list lines carry the version; a box says when a beacon tells it of a version it misses; two metrics; readers tell the age of their list in beacons. honeypulley departures reads from the logs which box heard when, and which never did.

--- a/crates/honeypulley_mesh/src/list.rs
+++ b/crates/honeypulley_mesh/src/list.rs
@@ -46,6 +46,7 @@
 pub struct UpstreamList {
     known: bool,
     version: u64,
+    as_of: Option<Time>,
     rows: BTreeMap<String, Row>,
 }
 
@@ -62,6 +63,20 @@
         self.known
     }
 
+    /// Returns the last point at which the list was known to be complete.
+    #[must_use]
+    pub const fn as_of(&self) -> Option<Time> {
+        self.as_of
+    }
+
+    /// Takes that the list of `version` was complete at a point; it says something
+    /// of this one only if this one is as new.
+    pub fn confirm(&mut self, version: u64, at: Time) {
+        if self.known && self.version >= version {
+            self.as_of = self.as_of.max(Some(at));
+        }
+    }
+
     /// Takes the changes that follow the one at `since`, up to the one at `upto`.
     ///
     /// The list is complete with `upto` then if it was with `since` before.
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -12,7 +12,6 @@
 use honeypulley_proxy::answer::OwnAnswer;
 use honeypulley_proxy::gate::{Routed, Routes, Wanted};
 use honeypulley_proxy::shared::Feeder;
-use honeypulley_supervisor::ring::Ring;
 use http::StatusCode;
 use parking_lot::Mutex;
 use std::sync::Arc;
@@ -25,14 +24,14 @@
 #[derive(Debug)]
 pub struct Announcer {
     balancer: Balancer,
-    news: Ring<News>,
+    mesh: Arc<Mesh>,
 }
 
 impl Announcer {
-    /// Wraps a balancer; its news go to `news`.
+    /// Wraps a balancer; its news go to the other boxes of `mesh`.
     #[must_use]
-    pub const fn new(balancer: Balancer, news: Ring<News>) -> Self {
-        Self { balancer, news }
+    pub const fn new(balancer: Balancer, mesh: Arc<Mesh>) -> Self {
+        Self { balancer, mesh }
     }
 
     /// Gives the balancer to change it by what other duties heard.
@@ -41,7 +40,7 @@
     }
 
     fn announce(&mut self) {
-        self.balancer.take_news().into_iter().for_each(|n| self.news.push(n));
+        self.balancer.take_news().into_iter().for_each(|n| self.mesh.news_out.push(n));
     }
 }
 
@@ -57,7 +56,7 @@
     }
 
     fn inputs(&self, k: UpstreamKey, now: Time) -> Inputs {
-        self.balancer.inputs(k, now)
+        Inputs { list: self.mesh.list_now(), ..self.balancer.inputs(k, now) }
     }
 
     fn expected(&self, ask: &Ask, now: Time) -> Option<Duration> {
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -14,6 +14,7 @@
 use honeypulley_peer::server::Held;
 use honeypulley_platform::api::{Changes, Object};
 use honeypulley_policy::balance::News;
+use honeypulley_policy::chooser::ListNow;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::routes::RouteTable;
 use honeypulley_policy::time::Time;
@@ -36,6 +37,9 @@
 /// Boxes that ask for beliefs at one time, above those that one box is asked by.
 const ASKED: usize = 64;
 
+/// Age told of a list that was never complete.
+const NEVER: Duration = Duration::from_secs(3_600);
+
 /// Settings of one box of the mesh.
 #[derive(Clone, Debug, bon::Builder)]
 pub struct MeshSettings {
@@ -203,15 +207,34 @@
     /// Returns what this box has, to be told to others.
     #[must_use]
     pub fn beacon(&self) -> Beacon {
+        let now = self.now();
+        let list = self.list_now();
         let readers = self.readers.lock();
         Beacon {
             table: self.table.lock().number,
-            list: self.list.lock().version(),
+            list: list.version,
             reader: readers.is_reading(),
-            read_age: readers.read_age(self.now()),
+            read_age: readers.read_age(now),
+            list_age: list.age.unwrap_or(NEVER),
         }
     }
 
+    /// Returns which version of the list this box holds, and how old that is.
+    #[must_use]
+    pub fn list_now(&self) -> ListNow {
+        let now = self.now();
+        let list = self.list.lock();
+        ListNow { version: list.version(), age: list.as_of().map(|at| now.since(at)) }
+    }
+
+    /// Takes that the platform has told this box all changes up to now.
+    pub fn confirm_list(&self) {
+        let now = self.now();
+        let mut list = self.list.lock();
+        let version = list.version();
+        list.confirm(version, now);
+    }
+
     /// Takes the routing table as the platform keeps it.
     ///
     /// An older one, by its number, is left out: a box never goes back.
@@ -334,13 +357,14 @@
         if changes.is_empty() {
             return;
         }
+        let list = self.list.lock().version();
         let mut next = self.next_list.lock();
         for c in changes {
             let (name, state) = match &c {
                 ListChange::Set(l) => (l.member.name.clone(), format!("{:?}", l.member.state)),
                 ListChange::Gone(n) => (n.clone(), "Gone".to_owned()),
             };
-            log::info!(upstream = name.as_str(), state = state.as_str(), from; "list: {name} is {state}");
+            log::info!(upstream = name.as_str(), state = state.as_str(), list, from; "list: {name} is {state}");
             next.insert(name, c);
         }
         drop(next);
@@ -360,9 +384,16 @@
         if b.table > self.table.lock().number {
             missed.table = Some((b.table, from));
         }
-        if b.list > self.list.lock().version() {
+        let mut list = self.list.lock();
+        list.confirm(b.list, self.now().before(b.list_age));
+        if b.list > list.version() {
+            if missed.list.is_none() {
+                let (version, held) = (b.list, list.version());
+                log::info!(peer:display = from, version, held; "list: version {version} is missed, by a beacon");
+            }
             missed.list = Some((b.list, from));
         }
+        drop(list);
         if missed.table.is_some() || missed.list.is_some() {
             self.pulling.notify_one();
         }
@@ -432,6 +463,7 @@
             "hall": self.settings.hall,
             "table": self.in_force.load().as_ref().map_or(0, |t| t.version),
             "list": b.list,
+            "list_age_ms": b.list_age.as_millis() as u64,
             "reader": b.reader,
             "read_age_ms": b.read_age.as_millis() as u64,
             "boxes": self.book().count(),
@@ -447,11 +479,14 @@
         format!(
             "{}honeypulley_boxes {boxes}\nhoneypulley_upstreams {upstreams}\n\
              honeypulley_table_version {}\nhoneypulley_list_version {}\n\
+             honeypulley_list_age_ms {}\nhoneypulley_list_missed {}\n\
              honeypulley_reader {}\nhoneypulley_read_age_ms {}\n\
              honeypulley_news_dropped_total {}\n",
             self.registry.text(),
             b.table,
             b.list,
+            b.list_age.as_millis(),
+            u8::from(self.missed().list.is_some()),
             u8::from(b.reader),
             b.read_age.as_millis(),
             self.news_in.dropped() + self.news_out.dropped(),
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -103,6 +103,7 @@
         let all = self.platform.list(prefix, Freshness::Latest).await;
         let all = self.noted("list", all)?;
         self.mesh.take_list(&all, "platform");
+        self.mesh.confirm_list();
         Ok(all.version)
     }
 
@@ -246,6 +247,7 @@
                     wait = FIRST_WAIT;
                     seen = Some(c.version);
                     self.mesh.take_changes(&c, "platform");
+                    self.mesh.confirm_list();
                 }
                 Err(PlatformError::Compacted { .. }) => seen = None,
                 Err(_) => pause(&mut wait).await,
--- a/crates/honeypulley_operator/src/cli.rs
+++ b/crates/honeypulley_operator/src/cli.rs
@@ -36,6 +36,7 @@
         )
         .subcommand(why_command())
         .subcommand(losses_command())
+        .subcommand(departures_command())
         .subcommand(Command::new("completions").about("Prints completions").arg(
             Arg::new("shell").required(true).value_parser(value_parser!(clap_complete::Shell)),
         ))
@@ -79,6 +80,17 @@
         .arg(flag("json", "Prints JSON, what was served included"))
 }
 
+fn departures_command() -> Command {
+    Command::new("departures")
+        .about("Says from the boxes' logs which box heard when that an upstream left")
+        .after_help(
+            "Times run from the first box that heard, by the boxes' clocks. Boxes that held the \
+             upstream for live and have no line that it left come last in a row.",
+        )
+        .arg(logs())
+        .arg(flag("json", "Prints JSON"))
+}
+
 fn why_command() -> Command {
     Command::new("why")
         .about("Says from the boxes' logs what decided a request, or a belief about an upstream")
@@ -139,6 +151,7 @@
   honeypulley why guestlist u3 --settings operator.ini
   honeypulley why 9c41d07be2a35f68 --log box1.log --log box2.log
   honeypulley losses --log box1.log --log box2.log
+  honeypulley departures --log box1.log --log box2.log
 
 Exit codes: 0 done, 1 not done (the reason is on standard error), 2 usage.";
 
@@ -161,6 +174,7 @@
             Ok(())
         }
         "losses" => why::losses(sub),
+        "departures" => why::departures(sub),
         "why" if sub.get_one::<PathBuf>("settings").is_none() => why::run(sub),
         _ => {
             let settings = Settings::load(path(sub, "settings"))?;
--- a/crates/honeypulley_operator/src/why.rs
+++ b/crates/honeypulley_operator/src/why.rs
@@ -3,7 +3,7 @@
 use clap::ArgMatches;
 use eyre::{Result, WrapErr, eyre};
 use honeypulley_observe::explain::{self, Explanation};
-use honeypulley_observe::losses;
+use honeypulley_observe::{departures, losses};
 use std::io::Read;
 use std::path::PathBuf;
 
@@ -46,6 +46,21 @@
     Ok(())
 }
 
+/// Says which box heard of which departure, from log files or standard input.
+///
+/// # Errors
+/// Returns an error if a log can't be read.
+pub fn departures(args: &ArgMatches) -> Result<()> {
+    let text = read(args)?;
+    let found = departures::read(text.lines());
+    if args.get_flag("json") {
+        println!("{}", serde_json::to_string_pretty(&found)?);
+    } else {
+        print!("{}", departures::page(&found));
+    }
+    Ok(())
+}
+
 fn read(args: &ArgMatches) -> Result<String> {
     let files: Vec<&PathBuf> = args.get_many("log").into_iter().flatten().collect();
     let mut text = String::new();
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -44,6 +44,8 @@
       reader @20 :Bool;
       # Milliseconds since the platform last answered the sender.
       readAgeMs @21 :UInt32;
+      # Milliseconds since the sender's list was last known to be complete.
+      listAgeMs @28 :UInt32;
     }
     news :group {
       seen @22 :List(NewsItem);
--- a/crates/honeypulley_peer/src/codec.rs
+++ b/crates/honeypulley_peer/src/codec.rs
@@ -91,6 +91,8 @@
     pub reader: bool,
     /// Time since the platform last answered it.
     pub read_age: Duration,
+    /// Time since its list was last known to be complete.
+    pub list_age: Duration,
 }
 
 /// A datagram with its sender.
@@ -167,6 +169,7 @@
                 b.set_list_version(x.list);
                 b.set_reader(x.reader);
                 b.set_read_age_ms(millis(x.read_age));
+                b.set_list_age_ms(millis(x.list_age));
             }
             Self::News { seq, items } => {
                 let mut b = root.init_news();
@@ -222,6 +225,7 @@
                 list: r.get_list_version(),
                 reader: r.get_reader(),
                 read_age: Duration::from_millis(r.get_read_age_ms().into()),
+                list_age: Duration::from_millis(r.get_list_age_ms().into()),
             }),
             Ok(wire::News(r)) => Self::News { seq: r.get_seq(), items: read_news(r.get_seen()?)? },
             Ok(wire::Forward(r)) => Self::Forward(Bytes::copy_from_slice(r?)),
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -286,6 +286,7 @@
             self.builder.set_data_field::<u64>(3, 0u64);
             self.builder.set_bool_field(144, false);
             self.builder.set_data_field::<u32>(5, 0u32);
+            self.builder.set_data_field::<u32>(8, 0u32);
             self.builder.into()
         }
         #[inline]
@@ -5019,6 +5020,10 @@
             pub fn get_read_age_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(5)
             }
+            #[inline]
+            pub fn get_list_age_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(8)
+            }
         }
 
         pub struct Builder<'a> {
@@ -5134,6 +5139,14 @@
             pub fn set_read_age_ms(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(5, value);
             }
+            #[inline]
+            pub fn get_list_age_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(8)
+            }
+            #[inline]
+            pub fn set_list_age_ms(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(8, value);
+            }
         }
 
         pub struct Pipeline {
@@ -5146,7 +5159,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(218, 152, 204, 188, 33, 10, 37, 207),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
@@ -5156,42 +5169,49 @@
                 ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
                 ::capnp::word(114, 97, 109, 46, 98, 101, 97, 99),
                 ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 106, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 144, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(117, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(145, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 97, 98, 108, 101, 86, 101, 114),
                 ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -5227,6 +5247,15 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 105, 115, 116, 65, 103, 101, 77),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -5234,6 +5263,7 @@
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5252,9 +5282,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 3, 2, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 1, 3, 2, 0];
             pub(crate) const TYPE_ID: u64 = 0xcf25_0a21_bccc_98da;
         }
     }
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -85,6 +85,7 @@
             busy: u.busy(now),
             near: u.near,
             load_age: u.far.map(|f| now.since(f.at)),
+            ..Inputs::default()
         })
     }
 
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -55,6 +55,17 @@
     pub near: bool,
     /// Age of the upstream's last load report, if there was one.
     pub load_age: Option<Duration>,
+    /// The list of upstreams at the choice.
+    pub list: ListNow,
+}
+
+/// Which list of upstreams a box holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListNow {
+    /// Version up to which it is complete.
+    pub version: u64,
+    /// Time since it was last known to be complete, if it ever was.
+    pub age: Option<Duration>,
 }
 
 /// A policy: chooses upstreams and learns from how attempts went.
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -156,7 +156,8 @@
             reason:debug = pick.reason, version,
             attempts = self.routed.attempts, repeatable = self.routed.ask.repeatable,
             near = known.near, sick = known.sick as f32, path = known.path as f32, busy = known.busy as f32,
-            load_age_ms = known.load_age.map(|d| d.as_millis() as u64);
+            load_age_ms = known.load_age.map(|d| d.as_millis() as u64),
+            list = known.list.version, list_age_ms = known.list.age.map(|d| d.as_millis() as u64);
             "route: {kind} sent to {}", to.name
         );
         let guard = AttemptGuard::new(&self.gate, pick);
