--- /dev/null
+++ b/crates/honeypulley_mesh/tests/departures.rs
@@ -0,0 +1,92 @@
+//! A departure reaches every box that can be reached, whatever one way of telling loses.
+//!
+//! Seen: a request reached an upstream 2.7 s after the platform had taken that it leaves,
+//! and in plays of such days whole data halls went on sending work to upstreams that had
+//! left, one for twenty seconds. A box thought its list complete, since the last part of a
+//! change, or a peer's list, raised its version beyond what it had; or it knew that it
+//! missed something and asked the box that had passed the news on, which missed it too;
+//! and a reader that found a departure by reading the whole list told no one. Each case
+//! here loses one way, and the departure has to come by another within the time that a
+//! bound of two seconds leaves for telling and repair.
+
+mod support;
+
+use honeypulley_peer::codec::Body;
+use honeypulley_platform::api::Changes;
+use rstest::rstest;
+use std::time::Duration;
+use support::{Connections, Passes, Relay, TestBox, all, entry, nothing, said};
+
+/// Time within which a departure has to be known, from the platform's word on.
+const KNOWN: Duration = Duration::from_millis(1_200);
+
+fn names(n: u64) -> Vec<String> {
+    (0..n).map(|i| format!("u{i}")).collect()
+}
+
+/// Passes all but the first so many told changes.
+fn loses(mut count: u32) -> Passes {
+    Box::new(move |_, body| {
+        let is_lost = count > 0 && matches!(said(body), Body::Changes { .. });
+        count -= u32::from(is_lost);
+        !is_lost
+    })
+}
+
+/// Tells a reader by its watch that these upstreams leave.
+fn leave(b: &TestBox, names: &[String]) {
+    let objects = (11..).zip(names).map(|(version, n)| entry(n, "leaving", version)).collect();
+    b.mesh.take_changes(&Changes { version: 30, objects, removed: Vec::new() }, "the test");
+}
+
+/// Shows a reader the whole list, in which the first upstream is leaving.
+fn show_whole(b: &TestBox) {
+    let all = (1..10).map(|i| entry(&format!("u{i}"), "live", i + 1));
+    let objects = all.chain([entry("u0", "leaving", 11)]).collect();
+    b.mesh.take_list(&Changes { version: 30, objects, removed: Vec::new() }, "the test");
+}
+
+#[rstest]
+#[case::nothing_lost(8, 0, Connections::Hung)]
+#[case::first_part_lost(8, 1, Connections::Refused)]
+#[case::one_part_and_it_lost(2, 1, Connections::Refused)]
+#[case::first_part_lost_and_the_peer_hung(8, 1, Connections::Hung)]
+#[case::both_parts_lost_and_the_peer_hung(8, 2, Connections::Hung)]
+fn departures_whose_telling_is_lost_are_known_in_time(
+    #[case] leaving: u64,
+    #[case] lost: u32,
+    #[case] connections: Connections,
+) {
+    let (reader, other) = (TestBox::start("a", "hall-a"), TestBox::start("b", "hall-a"));
+    let relay = Relay::start(&reader, &other, connections, loses(lost), all());
+    assert_eq!(relay.is_hung(), connections == Connections::Hung);
+    reader.read();
+    leave(&reader, &names(leaving));
+    assert_eq!(other.until_left(&names(leaving), KNOWN), Vec::<String>::new());
+}
+
+#[rstest]
+fn a_departure_found_in_the_whole_list_is_told_like_any_other() {
+    let (reader, other) = (TestBox::start("a", "hall-a"), TestBox::start("b", "hall-a"));
+    let _relay = Relay::start(&reader, &other, Connections::Refused, all(), nothing());
+    reader.read();
+    show_whole(&reader);
+    assert_eq!(other.until_left(&names(1), KNOWN), Vec::<String>::new());
+}
+
+#[rstest]
+fn what_is_missed_is_asked_of_a_box_that_has_it() {
+    let reader = TestBox::start("a", "hall-a");
+    let (near, other) = (TestBox::start("d", "hall-b"), TestBox::start("b", "hall-b"));
+    // The reader's beacons come to the other box through the one near it, which itself
+    // never gets what they speak of.
+    let loses_changes: Passes = Box::new(|_, body| !matches!(said(body), Body::Changes { .. }));
+    let _relay = Relay::start(&reader, &near, Connections::Refused, loses_changes, nothing());
+    near.know(&other, other.addr);
+    other.know(&near, near.addr);
+    other.know(&reader, reader.addr);
+    reader.read();
+    show_whole(&reader);
+    assert_eq!(other.until_left(&names(1), KNOWN), Vec::<String>::new());
+    assert!(!near.knows_left("u0"), "nothing leads there");
+}
--- /dev/null
+++ b/crates/honeypulley_mesh/tests/support/mod.rs
@@ -0,0 +1,233 @@
+//! Boxes that talk over loopback, with a relay between two of them that loses what a
+//! test says.
+
+use bytes::Bytes;
+use honeypulley_mesh::decoder::{DecodeError, Decoder, StoreKeys};
+use honeypulley_mesh::prelude::*;
+use honeypulley_peer::codec::{Body, Datagram};
+use honeypulley_peer::key::FleetKey;
+use honeypulley_peer::listing::{BoxAddress, EntryState};
+use honeypulley_platform::api::{Changes, Object, Platform};
+use honeypulley_platform::memory::MemoryPlatform;
+use honeypulley_policy::balance::Listed;
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::routes::RouteTable;
+use honeypulley_policy::spec::{Member, MemberState};
+use honeypulley_supervisor::clock::Clock;
+use honeypulley_supervisor::tree::{Stop, Tree};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// Prefix of upstreams in the store.
+const UPSTREAMS: &str = "u/";
+
+/// Reads an upstream's entry: its value is `live` or `leaving`.
+#[derive(Debug)]
+struct TestDecoder(StoreKeys);
+
+impl Decoder for TestDecoder {
+    fn keys(&self) -> &StoreKeys {
+        &self.0
+    }
+
+    fn table(&self, o: &Object) -> Result<RouteTable, DecodeError> {
+        let cause = "these boxes have no table".to_owned();
+        Err(DecodeError { key: o.key.clone(), version: o.version, cause })
+    }
+
+    fn upstream(&self, o: &Object) -> Result<Listed, DecodeError> {
+        let state =
+            if &o.value[..] == b"leaving" { MemberState::Leaving } else { MemberState::Live };
+        let member = Member {
+            name: o.key.trim_start_matches(UPSTREAMS).to_owned(),
+            service: "s".to_owned(),
+            addr: "10.0.0.1:80".to_owned(),
+            hall: "hall-a".to_owned(),
+            state,
+        };
+        Ok(Listed { member, slots: 3, cold: Duration::ZERO })
+    }
+}
+
+/// An upstream's entry as the platform keeps it.
+pub fn entry(name: &str, state: &'static str, version: u64) -> Object {
+    Object {
+        key: format!("{UPSTREAMS}{name}"),
+        value: Bytes::from_static(state.as_bytes()),
+        version,
+    }
+}
+
+fn key() -> FleetKey {
+    FleetKey::derive("a-key-of-the-tests-alone")
+}
+
+/// A box that talks to its peers; the test is its store.
+pub struct TestBox {
+    pub mesh: Arc<Mesh>,
+    pub addr: SocketAddr,
+    hall: String,
+    stop: Stop,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl TestBox {
+    /// Starts a box that holds ten upstreams, `u0` to `u9`, all live, at version 10.
+    pub fn start(name: &str, hall: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let addr = listener.local_addr().expect("it is bound");
+        let socket = UdpSocket::bind(addr).expect("the same port is free for datagrams");
+        listener.set_nonblocking(true).expect("it can be set");
+        socket.set_nonblocking(true).expect("it can be set");
+        let keys = StoreKeys {
+            table: "t/main".to_owned(),
+            tables: "t/".to_owned(),
+            upstreams: UPSTREAMS.to_owned(),
+            boxes: "b/".to_owned(),
+        };
+        let settings = MeshSettings::builder().name(name).hall(hall).peer(addr).key(key()).build();
+        let leaving = Arc::new(AtomicBool::new(false));
+        let mesh =
+            Arc::new(Mesh::new(settings, Clock::start(), Arc::new(TestDecoder(keys)), leaving));
+        let objects = (0..10).map(|i| entry(&format!("u{i}"), "live", i + 1)).collect();
+        mesh.take_list(&Changes { version: 10, objects, removed: Vec::new() }, "the test");
+        let platform: Arc<dyn Platform> = Arc::new(MemoryPlatform::default());
+        let stop = Stop::default();
+        let duty = PeerDuty { mesh: Arc::clone(&mesh), platform, socket, listener };
+        let tree = Tree::new(stop.clone()).duty(duty);
+        let thread = std::thread::spawn(move || tree.run().expect("it runs"));
+        Self { mesh, addr, hall: hall.to_owned(), stop, thread: Some(thread) }
+    }
+
+    /// Makes this box a reader of the platform, which has just answered it.
+    pub fn read(&self) {
+        let now = self.mesh.now();
+        self.mesh.readers().decide(1, 0.0, now);
+        self.mesh.readers().answered(now);
+        assert!(self.mesh.readers().is_reading());
+    }
+
+    /// Makes another box known to this one, at `addr`.
+    pub fn know(&self, other: &Self, addr: SocketAddr) {
+        self.mesh.learn(BoxAddress { id: other.mesh.id, addr, hall: other.hall.clone() });
+    }
+
+    /// Tells whether the list of this box shows an upstream as gone or leaving.
+    pub fn knows_left(&self, name: &str) -> bool {
+        let list = self.mesh.held_list().value;
+        let found = list.iter().find(|e| e.name == name);
+        !found.is_some_and(
+            |e| matches!(&e.state, EntryState::Present(l) if l.member.state == MemberState::Live),
+        )
+    }
+
+    /// Waits until this box knows that all of these have left; returns those that it
+    /// does not know in time.
+    pub fn until_left(&self, names: &[String], within: Duration) -> Vec<String> {
+        let began = Instant::now();
+        loop {
+            let unknown: Vec<String> =
+                names.iter().filter(|n| !self.knows_left(n)).cloned().collect();
+            if unknown.is_empty() || began.elapsed() > within {
+                return unknown;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for TestBox {
+    fn drop(&mut self) {
+        self.stop.halt.cancel();
+        if let Some(t) = self.thread.take() {
+            let _ = t.join();
+        }
+    }
+}
+
+/// What a relay does with connections from the second box to the first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connections {
+    /// They are refused.
+    Refused,
+    /// They come up and say nothing.
+    Hung,
+}
+
+/// What a relay does with a datagram.
+pub type Passes = Box<dyn FnMut(NameId, &Body) -> bool + Send>;
+
+/// A relay between two boxes, each of which sees the other at the relay's address.
+///
+/// Its threads end with the test's process.
+pub struct Relay {
+    hung: Option<TcpListener>,
+}
+
+impl Relay {
+    /// Starts a relay that passes datagrams to the second box by `forth`, and to the
+    /// first by `back`; both boxes know each other by it from then on.
+    pub fn start(
+        first: &TestBox,
+        second: &TestBox,
+        connections: Connections,
+        forth: Passes,
+        back: Passes,
+    ) -> Self {
+        let hung = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let as_first = hung.local_addr().expect("it is bound");
+        let at_first = UdpSocket::bind(as_first).expect("the same port is free");
+        let at_second = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+        let as_second = at_second.local_addr().expect("it is bound");
+        let hung = (connections == Connections::Hung).then_some(hung);
+        let (from_second, from_first) = (clone(&at_first), clone(&at_second));
+        pass(from_first, at_first, second.addr, forth);
+        pass(from_second, at_second, first.addr, back);
+        second.know(first, as_first);
+        first.know(second, as_second);
+        Self { hung }
+    }
+
+    /// Tells whether connections hang, as an open listener that no one asks does.
+    pub const fn is_hung(&self) -> bool {
+        self.hung.is_some()
+    }
+}
+
+fn clone(s: &UdpSocket) -> UdpSocket {
+    s.try_clone().expect("a socket can be cloned")
+}
+
+/// Passes what comes in at `from` on to a box, from the address of `by`.
+fn pass(from: UdpSocket, by: UdpSocket, to: SocketAddr, mut passes: Passes) {
+    std::thread::spawn(move || {
+        let mut buffer = [0; 2_000];
+        while let Ok((n, _)) = from.recv_from(&mut buffer) {
+            let Some(d) = Datagram::open(&buffer[..n], &key()) else { continue };
+            if passes(d.sender, &d.body) {
+                let _ = by.send_to(&buffer[..n], to);
+            }
+        }
+    });
+}
+
+/// Passes everything.
+pub fn all() -> Passes {
+    Box::new(|_, _| true)
+}
+
+/// Passes nothing.
+pub fn nothing() -> Passes {
+    Box::new(|_, _| false)
+}
+
+/// Returns what a datagram says, also if it is to be sent on.
+pub fn said(body: &Body) -> Body {
+    match body {
+        Body::Forward(sealed) => Datagram::open(sealed, &key()).expect("it was sealed").body,
+        other => other.clone(),
+    }
+}
