--- a/crates/honeypulley_mesh/tests/departures.rs
+++ b/crates/honeypulley_mesh/tests/departures.rs
@@ -11,7 +11,9 @@
 
 mod support;
 
-use honeypulley_peer::codec::Body;
+use honeypulley_mesh::list::ListChange;
+use honeypulley_peer::codec::{Body, Told};
+use honeypulley_peer::listing::{Entry, EntryState};
 use honeypulley_platform::api::Changes;
 use rstest::rstest;
 use std::time::Duration;
@@ -90,3 +92,20 @@
     assert_eq!(other.until_left(&names(1), KNOWN), Vec::<String>::new());
     assert!(!near.knows_left("u0"), "nothing leads there");
 }
+
+/// Seen as the record has it: a third of the boxes had been cut off, the readers among
+/// them, and one that came back told the others to wait 2.3 s for entries that went, as
+/// it would have after an outage of the platform. All boxes waited, and sent work there
+/// for 2.3 to 2.7 s.
+#[test]
+fn a_box_that_was_never_away_waits_for_no_entry_that_another_waits_for() {
+    let (teller, other) = (TestBox::start("a", "hall-a"), TestBox::start("b", "hall-a"));
+    let now = other.mesh.now();
+    other.mesh.readers().heard(teller.mesh.id, true, Duration::ZERO, now);
+    let state = EntryState::Gone { hold: Duration::from_millis(2_300) };
+    let entries = vec![Entry { name: "u0".to_owned(), version: 11, state }];
+    let told = Told { since: 10, upto: 11, part: 0, parts: 1, age: Duration::ZERO, entries };
+    other.mesh.hear_changes(teller.mesh.id, told, teller.addr);
+    let left: Vec<_> = other.mesh.next_list();
+    assert!(left.contains(&ListChange::Gone("u0".to_owned())), "{left:?}");
+}
--- a/crates/honeypulley_mesh/tests/readers.rs
+++ b/crates/honeypulley_mesh/tests/readers.rs
@@ -155,6 +155,7 @@
     let mut r = Readers::new(NameId(1));
     r.answered(Time::from_millis(1_000));
     assert_eq!(r.hold(Time::from_millis(1_500)), Duration::ZERO, "calm");
+    r.failed(true);
     assert!(r.hold(Time::from_millis(5_000)) > Duration::from_secs(2), "away");
     assert!(!r.in_touch(Time::from_millis(5_000)));
     r.answered(Time::from_millis(6_000));
@@ -165,3 +166,46 @@
     }
     assert_eq!(r.hold(Time::from_millis(11_000)), Duration::ZERO, "calm again");
 }
+
+#[test]
+fn a_platform_that_readers_say_is_away_was_away() {
+    let mut r = Readers::new(NameId(1));
+    let at = Time::from_millis;
+    r.heard(NameId(2), true, Duration::ZERO, at(1_000));
+    r.heard(NameId(2), true, Duration::from_millis(2_000), at(3_000));
+    r.heard(NameId(2), true, Duration::from_millis(4_000), at(5_000));
+    assert!(r.hold(at(5_100)) > Duration::from_secs(2), "away");
+    r.heard(NameId(2), true, Duration::ZERO, at(5_500));
+    assert!(r.hold(at(5_600)) > Duration::from_secs(2), "it has just returned");
+}
+
+/// A departure without a word before it was held for 2.3 s by every box, since the
+/// readers had all been lost some moments before; their silence was taken for an absence
+/// of the platform, after which entries that went may come back.
+#[test]
+fn silence_of_all_readers_is_no_absence_of_the_platform() {
+    let mut r = Readers::new(NameId(1));
+    let at = Time::from_millis;
+    r.heard(NameId(2), true, Duration::ZERO, at(1_000));
+    assert_eq!(r.hold(at(5_000)), Duration::ZERO, "nobody said that it is away");
+    r.heard(NameId(3), true, Duration::ZERO, at(6_000));
+    assert_eq!(r.hold(at(6_100)), Duration::ZERO, "a new reader says that it answers");
+}
+
+#[rstest]
+#[case(36)]
+#[case(136)]
+#[case(300)]
+fn readers_that_all_die_at_once_are_replaced_within_the_bound_on_departures(#[case] n: usize) {
+    for seed in 0..5 {
+        let mut f = Fleet::new(n, seed);
+        f.play(6_000);
+        for i in f.reading() {
+            f.cut[i] = true;
+        }
+        f.play(1_400);
+        assert!(f.useful() >= 1, "seed {seed}: nobody reads");
+        let begun = f.reading().len();
+        assert!(begun < 40, "seed {seed}: {begun} of {n} began at once");
+    }
+}
