--- a/crates/honeypulley_mesh/src/catch_up.rs
+++ b/crates/honeypulley_mesh/src/catch_up.rs
@@ -1,10 +1,12 @@
 //! What a box does about changes of the list that it misses, or may miss.
 //!
 //! A box misses changes when another one has told of a version that it does not hold.
-//! It may miss some when no reader has been heard for a while and its list was last
-//! known to be complete some time ago. It then asks boxes by datagram, next takes a
-//! whole list over a connection, and last reads the platform itself; each way goes on
-//! beside the next, since any of them may hang.
+//! It may miss some when its list was last known to be complete some time ago and no
+//! reader has been heard since that the platform answers. It then asks boxes by
+//! datagram, next takes a whole list over a connection, and last reads the platform
+//! itself; each way goes on beside the next, since any of them may hang. Where readers
+//! are heard and say that the platform is away, it only asks: the platform may answer
+//! others, but hardly this box.
 //!
 //! With the bound on a departure at two seconds, the smallest of the deployments: a
 //! lost datagram is noticed by the next beacon, 0.5 s at most, and asked for at once;
@@ -59,8 +61,19 @@
     pub version: u64,
     /// Time since it was last known to be complete, if it ever was.
     pub age: Option<Duration>,
-    /// Whether no reader has been heard for [`SILENCE`].
-    pub is_silent: bool,
+    /// What was heard of readers for [`SILENCE`].
+    pub heard: HeardOf,
+}
+
+/// What a box has heard of readers lately.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeardOf {
+    /// A reader that the platform answers.
+    Able,
+    /// Readers alone that the platform does not answer.
+    Unable,
+    /// No reader.
+    Nobody,
 }
 
 /// A box that has spoken of a version that this one misses.
@@ -136,8 +149,10 @@
     ///
     /// `Err` holds how long nothing was known to be complete, once that is over.
     pub fn next(&mut self, own: Own, now: Time) -> Result<Option<Step>, Duration> {
-        let stale = own.is_silent && own.age.is_none_or(|a| a > STALE_AGE);
-        if !self.misses(own.version) && !stale {
+        let is_old = own.age.is_none_or(|a| a > STALE_AGE);
+        let is_stale = is_old && own.heard != HeardOf::Able;
+        let misses = self.misses(own.version);
+        if !misses && !is_stale {
             return self.since.take().map_or(Ok(None), |since| Err(now.since(since)));
         }
         if self.since.is_none() {
@@ -145,10 +160,11 @@
         }
         let since = self.since.unwrap_or(now);
         let factor = if now.since(since) > PATIENCE { PATIENT_FACTOR } else { 1 };
+        let is_alone = misses || own.heard == HeardOf::Nobody;
         Ok(Some(Step {
             ask: take_due(&mut self.ask_due, ASK_GAP * factor, now),
-            pull: take_due(&mut self.pull_due, PULL_GAP * factor, now),
-            read: take_due(&mut self.read_due, READ_GAP * factor, now),
+            pull: take_due(&mut self.pull_due, PULL_GAP * factor, now) && is_alone,
+            read: take_due(&mut self.read_due, READ_GAP * factor, now) && is_alone,
         }))
     }
 
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -47,8 +47,8 @@
     fn catch_up_once(self: &Rc<Self>) -> Duration {
         let now = self.mesh.now();
         let list = self.mesh.list_now();
-        let is_silent = self.mesh.readers().is_silent(now);
-        let own = Own { version: list.version, age: list.age, is_silent };
+        let heard = self.mesh.readers().heard_of(now);
+        let own = Own { version: list.version, age: list.age, heard };
         let next = self.mesh.catch_up().next(own, now);
         match next {
             Ok(None) => {}
@@ -79,7 +79,7 @@
         let age_ms = own.age.map(|a| a.as_millis() as u64);
         log::info!(
             list = own.version, wanted = self.mesh.catch_up().wanted(), age_ms,
-            silent = own.is_silent, asked:debug = to;
+            heard:debug = own.heard, asked:debug = to;
             "list: changes after {} are asked for", own.version
         );
         self.send_each(&to, Body::Want { after: own.version });
--- a/crates/honeypulley_mesh/src/readers.rs
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -6,6 +6,7 @@
 //! off stops being fresh, and another takes its place. Too many readers cost
 //! calls for some moments; too few never last.
 
+use crate::catch_up::HeardOf;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::time::Time;
 use std::collections::BTreeMap;
@@ -186,6 +187,17 @@
         self.reading.is_some()
     }
 
+    /// Returns what was heard of readers for [`SILENCE`].
+    #[must_use]
+    pub fn heard_of(&self, now: Time) -> HeardOf {
+        if self.is_silent(now) {
+            return HeardOf::Nobody;
+        }
+        let is_able = |h: &Heard| now.since(h.at) <= SILENCE && h.at.since(h.read) < FRESH_AGE;
+        let starts = self.last_heard.is_none();
+        if starts || self.heard.values().any(is_able) { HeardOf::Able } else { HeardOf::Unable }
+    }
+
     /// Returns the bounds of the time to the next look at who reads, in milliseconds.
     ///
     /// It is short while no reader is heard: the bound on departures runs.
