--- a/crates/honeypulley_mesh/tests/departures.rs
+++ b/crates/honeypulley_mesh/tests/departures.rs
@@ -15,6 +15,7 @@
 use honeypulley_peer::codec::{Body, Told};
 use honeypulley_peer::listing::{Entry, EntryState};
 use honeypulley_platform::api::Changes;
+use honeypulley_policy::spec::MemberState;
 use rstest::rstest;
 use std::time::Duration;
 use support::{Connections, Passes, Relay, TestBox, all, entry, nothing, said};
@@ -109,3 +110,28 @@
     let left: Vec<_> = other.mesh.next_list();
     assert!(left.contains(&ListChange::Gone("u0".to_owned())), "{left:?}");
 }
+
+#[test]
+fn what_two_duties_change_is_handed_on_in_their_order() {
+    let b = TestBox::start("a", "hall-a");
+    let state = |v: u64| if v.is_multiple_of(2) { "live" } else { "leaving" };
+    let changes =
+        |v| Changes { version: v, objects: vec![entry("u0", state(v), v)], removed: Vec::new() };
+    let handed = std::thread::scope(|s| {
+        for first in [11, 12] {
+            let mesh = &b.mesh;
+            s.spawn(move || {
+                (first..2_000).step_by(2).for_each(|v| mesh.take_changes(&changes(v), "a duty"));
+            });
+        }
+        let mut handed = None;
+        for _ in 0..1_000 {
+            handed = b.mesh.next_list().pop().or(handed);
+        }
+        handed
+    });
+    let last = b.mesh.next_list().pop().or(handed);
+    let is_leaving =
+        |c: &ListChange| matches!(c, ListChange::Set(l) if l.member.state == MemberState::Leaving);
+    assert_eq!(last.as_ref().is_some_and(is_leaving), b.knows_left("u0"), "{last:?}");
+}
--- a/crates/honeypulley_mesh/tests/list.rs
+++ b/crates/honeypulley_mesh/tests/list.rs
@@ -136,3 +136,60 @@
     assert_eq!(told.len(), 2);
     assert_eq!(l.version(), 10);
 }
+
+#[test]
+fn a_gap_that_closes_completes_what_came_from_beyond_it() {
+    let mut l = two();
+    l.apply(9, 11, vec![gone("a", 11, 0)], NOW);
+    l.apply(11, 14, vec![live("c", 14)], NOW);
+    l.apply(7, 9, vec![live("d", 9)], NOW);
+    assert_eq!(l.version(), 5);
+    l.apply(5, 7, vec![live("e", 7)], NOW);
+    assert_eq!(l.version(), 14);
+}
+
+/// An upstream that had come and gone again was there for good on a box that heard of the
+/// last change before the one in the middle.
+#[test]
+fn a_change_that_comes_late_undoes_no_newer_one_that_changed_nothing() {
+    let mut l = two();
+    l.apply(5, 8, vec![gone("a", 8, 0)], NOW);
+    l.apply(8, 12, vec![gone("a", 12, 0)], NOW);
+    assert_eq!(l.apply(9, 10, vec![live("a", 10)], NOW), []);
+    assert_eq!(l.present().count(), 1);
+}
+
+#[test]
+fn a_box_that_asks_is_told_what_it_lacks_and_no_more() {
+    let mut l = two();
+    l.apply(5, 8, vec![gone("a", 8, 0)], NOW);
+    l.apply(8, 9, vec![live("c", 9)], NOW);
+    let names = |since| {
+        let found = l.changes_after(since, NOW)?;
+        Some(found.into_iter().map(|e| e.name).collect::<Vec<_>>())
+    };
+    assert_eq!(names(8), Some(vec!["c".to_owned()]));
+    assert_eq!(names(5), Some(vec!["a".to_owned(), "c".to_owned()]));
+    assert_eq!(names(9), Some(Vec::new()));
+    assert_eq!(names(10), None, "this box holds less itself");
+}
+
+#[test]
+fn what_may_be_forgotten_is_not_told_as_all() {
+    let mut l = two();
+    l.apply(5, 8, vec![gone("a", 8, 0)], NOW);
+    l.expire(NOW + Duration::from_secs(600));
+    assert_eq!(l.changes_after(7, NOW), None, "that a went is forgotten");
+    assert_eq!(l.changes_after(8, NOW), Some(Vec::new()));
+}
+
+#[test]
+fn a_list_is_as_old_as_its_last_confirmation() {
+    let mut l = two();
+    assert_eq!(l.as_of(), None);
+    l.confirm(9, Time::from_millis(900));
+    assert_eq!(l.as_of(), None, "it lacks what that one has");
+    l.confirm(5, Time::from_millis(900));
+    l.confirm(4, Time::from_millis(400));
+    assert_eq!(l.as_of(), Some(Time::from_millis(900)));
+}
