--- a/crates/honeypulley_observe/src/departures.rs
+++ b/crates/honeypulley_observe/src/departures.rs
@@ -63,9 +63,14 @@
 impl Words {
     fn take(&mut self, line: &Line) {
         let origin = line.origin.clone();
-        if line.field("state") == "Live" {
-            self.live.insert(origin);
-            return;
+        match line.field("state") {
+            "Leaving" | "Gone" => {}
+            "Live" => {
+                self.live.insert(origin);
+                return;
+            }
+            // The end of the line is missing: the box was killed as it wrote.
+            _ => return,
         }
         let Ok(at) = line.at.parse::<Timestamp>() else { return };
         let word = Word {
--- a/crates/honeypulley_observe/tests/departures.rs
+++ b/crates/honeypulley_observe/tests/departures.rs
@@ -10,7 +10,8 @@
 timestamp=2026-03-04T16:24:46.000000+00:00 level=INFO message="list: i-1 is Leaving" upstream=i-1 state=Leaving list=9 from=platform box=a
 timestamp=2026-03-04T16:24:47.200000+00:00 level=INFO message="list: i-1 is Leaving" upstream=i-1 state=Leaving list=9 from=10.0.0.9:7 box=b
 timestamp=2026-03-04T16:24:48.000000+00:00 level=INFO message="list: i-1 is Gone" upstream=i-1 state=Gone list=11 from=platform box=a
-timestamp=2026-03-04T16:24:48.100000+00:00 level=INFO message="list: version 11 is missed, by a beacon" version=11 held=3 peer=10.0.0.9:7 box=c
+timestamp=2026-03-04T16:24:48.100000+00:00 level=INFO message="list: version 11 is missed" version=11 held=3 peer=10.0.0.9:7 box=c
+timestamp=2026-03-04T16:24:48.200000+00:00 level=INFO message="list: i-2 is Live" upstream=i-2
 "#;
 
 #[test]
