A version that only a lost reader held is settled by reading the platform

A reader that reads the whole list counts what is missing in it as of that reading. A whole list of the platform now completes this box's up to what it has heard of.

The test of two duties took another upstream's change for its own where they finished before it began; it drains those first.

--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -147,7 +147,12 @@
         let entries = self.entries(c, hold);
         let before = self.lists.lock().list.version();
         self.replace(c.version, entries, hold, from);
+        let wanted = self.catch_up().wanted();
         let mut lists = self.lists.lock();
+        // The platform shows all up to its version, also what only a lost box spoke of.
+        // More than others have heard of is not claimed: they would have to ask for it.
+        let held = lists.list.version();
+        lists.list.complete(held, wanted.min(c.version));
         let upto = lists.list.version();
         if before > 0 && upto > before && self.readers().is_reading() {
             let entries = lists.list.changes_after(before, self.now()).unwrap_or_default();
--- a/crates/honeypulley_mesh/tests/departures.rs
+++ b/crates/honeypulley_mesh/tests/departures.rs
@@ -12,7 +12,7 @@
 mod support;
 
 use honeypulley_mesh::list::ListChange;
-use honeypulley_peer::codec::{Body, Told};
+use honeypulley_peer::codec::{Beacon, Body, Told};
 use honeypulley_peer::listing::{Entry, EntryState};
 use honeypulley_platform::api::Changes;
 use honeypulley_policy::spec::MemberState;
@@ -111,9 +111,27 @@
     assert!(left.contains(&ListChange::Gone("u0".to_owned())), "{left:?}");
 }
 
+/// A reader that reads the whole list counts what is missing in it as of that reading; if
+/// it is lost before it told that, nobody else ever gets to that version.
+#[test]
+fn a_version_that_a_lost_box_alone_held_is_settled_by_reading_the_platform() {
+    let (lost, b) = (TestBox::start("a", "hall-a"), TestBox::start("b", "hall-a"));
+    let age = Duration::ZERO;
+    let beacon = Beacon { table: 0, list: 12, reader: true, read_age: age, list_age: age };
+    b.mesh.take_beacon(lost.mesh.id, lost.addr, beacon);
+    assert!(b.mesh.catch_up().misses(b.mesh.list_now().version));
+    let objects = (0..10).map(|i| entry(&format!("u{i}"), "live", i + 1)).collect();
+    b.mesh.take_list(&Changes { version: 30, objects, removed: Vec::new() }, "the test");
+    let held = b.mesh.list_now().version;
+    assert!(!b.mesh.catch_up().misses(held), "it holds {held}, and all that there is");
+    assert_eq!(held, 12, "no more than others know of, or they would ask for it");
+}
+
 #[test]
 fn what_two_duties_change_is_handed_on_in_their_order() {
     let b = TestBox::start("a", "hall-a");
+    // From here on only the one upstream changes.
+    assert_eq!(b.mesh.next_list().len(), 10);
     let state = |v: u64| if v.is_multiple_of(2) { "live" } else { "leaving" };
     let changes =
         |v| Changes { version: v, objects: vec![entry("u0", state(v), v)], removed: Vec::new() };
