--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -154,8 +154,9 @@
         let held = lists.list.version();
         lists.list.complete(held, wanted.min(c.version));
         let upto = lists.list.version();
-        if before > 0 && upto > before && self.readers().is_reading() {
-            let entries = lists.list.changes_after(before, self.now()).unwrap_or_default();
+        let tells = before > 0 && upto > before && self.readers().is_reading();
+        // What may be forgotten in part is not told at all; the beacon says what there is.
+        if tells && let Some(entries) = lists.list.changes_after(before, self.now()) {
             lists.untold.push(Untold { since: before, upto, entries });
         }
     }
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -154,8 +154,7 @@
             return;
         };
         let to: Vec<SocketAddr> = self.mesh.book().near().collect();
-        let is_urgent = !matches!(inner.body, Body::News { .. });
-        self.outbox.post(Parcel { to, bytes: sealed, is_urgent });
+        self.outbox.post(Parcel::new(to, sealed, &inner.body));
         self.take(inner, from);
     }
 
--- a/crates/honeypulley_mesh/src/peers/outbox.rs
+++ b/crates/honeypulley_mesh/src/peers/outbox.rs
@@ -5,6 +5,7 @@
 //! receive buffer, the very beacons that tell it what it missed.
 
 use bytes::Bytes;
+use honeypulley_peer::codec::Body;
 use honeypulley_supervisor::ring::{Full, Ring};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,10 +23,10 @@
 /// One datagram and the boxes that it goes to.
 #[derive(Clone, Debug)]
 pub(super) struct Parcel {
-    pub(super) to: Vec<SocketAddr>,
-    pub(super) bytes: Bytes,
+    to: Vec<SocketAddr>,
+    bytes: Bytes,
     /// Whether it concerns tables and lists; what was seen of upstreams waits for it.
-    pub(super) is_urgent: bool,
+    is_urgent: bool,
 }
 
 /// Parcels that wait to be sent, the urgent ones first.
@@ -35,6 +36,14 @@
     usual: Ring<Parcel>,
 }
 
+impl Parcel {
+    /// Builds the parcel of a datagram whose body this is, or which sends that on.
+    pub(super) const fn new(to: Vec<SocketAddr>, bytes: Bytes, body: &Body) -> Self {
+        let is_urgent = !matches!(body, Body::News { .. });
+        Self { to, bytes, is_urgent }
+    }
+}
+
 impl Outbox {
     /// Builds an empty outbox.
     pub(super) fn new() -> Self {
--- a/crates/honeypulley_mesh/src/peers/tell.rs
+++ b/crates/honeypulley_mesh/src/peers/tell.rs
@@ -126,27 +126,26 @@
     /// So a box sends to as many as its own data hall has, whatever the fleet's
     /// size, and each other data hall is reached by few datagrams.
     pub(super) fn spread(&self, body: Body, delegates: usize) {
-        let is_urgent = !matches!(body, Body::News { .. });
-        let bytes = self.seal(body);
+        let bytes = self.seal(&body);
         let (near, far) = {
             let book = self.mesh.book();
             let near: Vec<SocketAddr> = book.near().collect();
             let mut rng = fastrand::Rng::new();
             (near, book.delegates(delegates, self.mesh.now(), &mut rng))
         };
-        let forward = self.seal(Body::Forward(bytes.clone()));
+        let forward = self.seal(&Body::Forward(bytes.clone()));
         // The other data halls first: one datagram there serves a whole hall.
-        self.outbox.post(Parcel { to: far, bytes: forward, is_urgent });
-        self.outbox.post(Parcel { to: near, bytes, is_urgent });
+        self.outbox.post(Parcel::new(far, forward, &body));
+        self.outbox.post(Parcel::new(near, bytes, &body));
     }
 
     pub(super) fn send_each(&self, to: &[SocketAddr], body: Body) {
-        let is_urgent = !matches!(body, Body::News { .. });
-        let bytes = self.seal(body);
-        self.outbox.post(Parcel { to: to.to_vec(), bytes, is_urgent });
+        let bytes = self.seal(&body);
+        self.outbox.post(Parcel::new(to.to_vec(), bytes, &body));
     }
 
-    fn seal(&self, body: Body) -> Bytes {
-        Datagram { sender: self.mesh.id, body }.seal(&self.mesh.settings.key).into()
+    fn seal(&self, body: &Body) -> Bytes {
+        let d = Datagram { sender: self.mesh.id, body: body.clone() };
+        d.seal(&self.mesh.settings.key).into()
     }
 }
--- a/crates/honeypulley_mesh/src/readers.rs
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -7,6 +7,7 @@
 //! calls for some moments; too few never last.
 
 use crate::catch_up::HeardOf;
+use honeypulley_peer::codec::Beacon;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::time::Time;
 use std::collections::BTreeMap;
@@ -115,21 +116,22 @@
         self.refused = true;
         let before = self.failures;
         self.failures += if lost { FAILURES } else { 1 };
-        before < FAILURES && self.failures >= FAILURES
+        before < FAILURES && self.is_unable()
     }
 
     /// Takes a reader's beacon.
-    pub fn heard(&mut self, id: NameId, reader: bool, read_age: Duration, now: Time) {
-        if !reader {
+    pub fn heard(&mut self, id: NameId, b: &Beacon, now: Time) {
+        if !b.reader {
             self.heard.remove(&id);
             return;
         }
-        let read = now.before(read_age);
+        let read = now.before(b.read_age);
         self.last_heard = Some(now);
         self.heard.insert(id, Heard { at: now, read });
-        if read_age < FRESH_AGE {
+        if b.read_age < FRESH_AGE {
             self.touch(read);
-        } else {
+        } else if b.unable {
+            // An old answer alone is no sign: a box that has just begun to read has one.
             self.refused = true;
         }
     }
@@ -138,7 +140,7 @@
     ///
     /// Returns whether it did not before.
     pub fn answered(&mut self, now: Time) -> bool {
-        let again = self.failures >= FAILURES;
+        let again = self.is_unable();
         self.own_read = Some(now);
         self.failures = 0;
         self.touch(now);
@@ -177,10 +179,16 @@
     /// Returns the age of the platform's last answer to this box.
     #[must_use]
     pub fn read_age(&self, now: Time) -> Duration {
-        let known = self.own_read.filter(|_| self.failures < FAILURES);
+        let known = self.own_read.filter(|_| !self.is_unable());
         known.map_or(NEVER, |t| now.since(t))
     }
 
+    /// Tells whether the platform fails this box's calls.
+    #[must_use]
+    pub const fn is_unable(&self) -> bool {
+        self.failures >= FAILURES
+    }
+
     /// Tells whether this box reads.
     #[must_use]
     pub const fn is_reading(&self) -> bool {
@@ -243,7 +251,7 @@
         let alone = self.is_silent(now) || self.live(now).is_empty();
         let fresh = if alone { 0 } else { self.fresh(now).count() };
         if let Some(since) = self.reading {
-            let new = now.since(since) < FRESH_AGE && self.failures < FAILURES;
+            let new = now.since(since) < FRESH_AGE && !self.is_unable();
             let trusted = new || self.read_age(now) < FRESH_AGE;
             let spare = if trusted { self.rank(now) >= WANTED } else { fresh >= WANTED };
             let yields = self.reluctant && fresh >= WANTED && draw < YIELD_CHANCE;
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -219,6 +219,7 @@
             list: list.version,
             reader: readers.is_reading(),
             read_age: readers.read_age(now),
+            unable: readers.is_unable(),
             list_age: list.age.unwrap_or(NEVER),
         }
     }
@@ -263,7 +264,7 @@
     /// Takes a beacon: who reads, and what there is that this box misses.
     pub fn take_beacon(&self, id: NameId, via: SocketAddr, b: Beacon) {
         let now = self.now();
-        self.readers.lock().heard(id, b.reader, b.read_age, now);
+        self.readers.lock().heard(id, &b, now);
         if b.table > self.table.lock().number {
             *self.missed.lock() = Some(MissedTable { number: b.table, origin: id, via });
             self.pulling.notify_one();
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -46,6 +46,8 @@
       readAgeMs @21 :UInt32;
       # Milliseconds since the sender's list was last known to be complete.
       listAgeMs @28 :UInt32;
+      # The platform fails the sender's calls.
+      unable @33 :Bool;
     }
     news :group {
       seen @22 :List(NewsItem);
--- a/crates/honeypulley_peer/src/codec.rs
+++ b/crates/honeypulley_peer/src/codec.rs
@@ -133,6 +133,8 @@
     pub reader: bool,
     /// Time since the platform last answered it.
     pub read_age: Duration,
+    /// Whether its calls fail; one that has just begun to read has made none.
+    pub unable: bool,
     /// Time since its list was last known to be complete.
     pub list_age: Duration,
 }
@@ -211,6 +213,7 @@
                 b.set_list_version(x.list);
                 b.set_reader(x.reader);
                 b.set_read_age_ms(millis(x.read_age));
+                b.set_unable(x.unable);
                 b.set_list_age_ms(millis(x.list_age));
             }
             Self::News { seq, items } => {
@@ -271,6 +274,7 @@
                 list: r.get_list_version(),
                 reader: r.get_reader(),
                 read_age: Duration::from_millis(r.get_read_age_ms().into()),
+                unable: r.get_unable(),
                 list_age: Duration::from_millis(r.get_list_age_ms().into()),
             }),
             Ok(wire::News(r)) => Self::News { seq: r.get_seq(), items: read_news(r.get_seen()?)? },
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -288,6 +288,7 @@
             self.builder.set_bool_field(144, false);
             self.builder.set_data_field::<u32>(5, 0u32);
             self.builder.set_data_field::<u32>(8, 0u32);
+            self.builder.set_bool_field(288, false);
             self.builder.into()
         }
         #[inline]
@@ -5048,6 +5049,10 @@
             pub fn get_list_age_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(8)
             }
+            #[inline]
+            pub fn get_unable(self) -> bool {
+                self.reader.get_bool_field(288)
+            }
         }
 
         pub struct Builder<'a> {
@@ -5171,6 +5176,14 @@
             pub fn set_list_age_ms(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(8, value);
             }
+            #[inline]
+            pub fn get_unable(self) -> bool {
+                self.builder.get_bool_field(288)
+            }
+            #[inline]
+            pub fn set_unable(&mut self, value: bool) {
+                self.builder.set_bool_field(288, value);
+            }
         }
 
         pub struct Pipeline {
@@ -5183,7 +5196,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(218, 152, 204, 188, 33, 10, 37, 207),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
@@ -5193,49 +5206,56 @@
                 ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
                 ::capnp::word(114, 97, 109, 46, 98, 101, 97, 99),
                 ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 106, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 144, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(145, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(173, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 32, 1, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 33, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 97, 98, 108, 101, 86, 101, 114),
                 ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -5280,6 +5300,14 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 110, 97, 98, 108, 101, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -5288,6 +5316,7 @@
                     2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5306,9 +5335,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 1, 3, 2, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 1, 3, 2, 0, 5];
             pub(crate) const TYPE_ID: u64 = 0xcf25_0a21_bccc_98da;
         }
     }
