--- a/crates/honeypulley_operator/src/why.rs
+++ b/crates/honeypulley_operator/src/why.rs
@@ -4,6 +4,7 @@
 use eyre::{Result, WrapErr, eyre};
 use honeypulley_observe::explain::{self, Explanation};
 use honeypulley_observe::{departures, losses};
+use serde::Serialize;
 use std::io::Read;
 use std::path::PathBuf;
 
@@ -23,12 +24,7 @@
         }
     };
     let explained = explained?;
-    if args.get_flag("json") {
-        println!("{}", serde_json::to_string_pretty(&explained)?);
-    } else {
-        print!("{}", page(&explained));
-    }
-    Ok(())
+    show(args, &explained, page)
 }
 
 /// Classes the requests that were not served, from log files or standard input.
@@ -38,12 +34,7 @@
 pub fn losses(args: &ArgMatches) -> Result<()> {
     let text = read(args)?;
     let rows = losses::count(text.lines());
-    if args.get_flag("json") {
-        println!("{}", serde_json::to_string_pretty(&rows)?);
-    } else {
-        print!("{}", losses::page(&rows));
-    }
-    Ok(())
+    show(args, &rows, |r| losses::page(r))
 }
 
 /// Says which box heard of which departure, from log files or standard input.
@@ -53,10 +44,15 @@
 pub fn departures(args: &ArgMatches) -> Result<()> {
     let text = read(args)?;
     let found = departures::read(text.lines());
+    show(args, &found, |f| departures::page(f))
+}
+
+/// Prints what was found, as JSON or as a page for a person.
+fn show<T: Serialize>(args: &ArgMatches, found: &T, page: impl Fn(&T) -> String) -> Result<()> {
     if args.get_flag("json") {
-        println!("{}", serde_json::to_string_pretty(&found)?);
+        println!("{}", serde_json::to_string_pretty(found)?);
     } else {
-        print!("{}", departures::page(&found));
+        print!("{}", page(found));
     }
     Ok(())
 }
