--- a/crates/honeypulley_policy/tests/balance/budget.rs
+++ b/crates/honeypulley_policy/tests/balance/budget.rs
@@ -92,3 +92,39 @@
     b.heard(other, retry, now);
     assert_eq!(b.budget_use(service).others, 11, "each send counts once");
 }
+
+/// Spends what a fleet of boxes that have just started may, each hearing the others.
+fn spent_by_new_boxes(rule: RetryRule, now: Time) -> usize {
+    let service = NameId::of("s");
+    let mut boxes: Vec<Balancer> = (0..6).map(|seed| Balancer::new("h", rule, seed)).collect();
+    for b in &mut boxes {
+        b.set_services(&[ServiceSpec::builder().name("s").build()], now);
+        b.set_reach(Reach { boxes: 6, in_touch: true });
+    }
+    let mut spent = 0;
+    // Nobody may spend a hundred times what the rule allows.
+    for turn in 0..6_000 {
+        let i = turn % 6;
+        let key = boxes[i].service("s").expect("set up");
+        if !boxes[i].spend_retry(key, Resend::Failed, now) {
+            continue;
+        }
+        spent += 1;
+        let news = News::Retry { service, seen: 0, spent: 1 };
+        for b in boxes.iter_mut().enumerate().filter(|(j, _)| *j != i).map(|(_, b)| b) {
+            b.heard(NameId(i as u64), news, now);
+        }
+    }
+    spent
+}
+
+/// All boxes lost power some seconds after their fleet had spent much of its budget; none
+/// knew of that when they were back, and they spent it once more: 90 extra sends in ten
+/// seconds where 87 were allowed.
+#[test]
+fn a_fleet_that_lost_all_its_boxes_leaves_room_for_what_it_spent_before() {
+    let rule = RetryRule { slack: 58.0, ..RULE };
+    let before = spent_by_new_boxes(rule, Time::from_millis(1_000));
+    let after = spent_by_new_boxes(rule, Time::from_millis(4_000));
+    assert!(before + after <= 58, "{before} and {after} within ten seconds");
+}
