--- a/crates/honeypulley_mesh/src/catch_up.rs
+++ b/crates/honeypulley_mesh/src/catch_up.rs
@@ -54,6 +54,20 @@
     pub read: bool,
 }
 
+/// How a box stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Nothing is missed.
+    Complete,
+    /// Nothing is missed any more.
+    CaughtUp {
+        /// Time since this box took it that it misses something.
+        took: Duration,
+    },
+    /// Something is missed, or may be.
+    Behind(Step),
+}
+
 /// What a box knows of its own list.
 #[derive(Clone, Copy, Debug)]
 pub struct Own {
@@ -145,15 +159,14 @@
         self.read_due = ask_due + READ_GAP;
     }
 
-    /// Decides what is to be done now; `None` while nothing is missed.
-    ///
-    /// `Err` holds how long nothing was known to be complete, once that is over.
-    pub fn next(&mut self, own: Own, now: Time) -> Result<Option<Step>, Duration> {
+    /// Decides what is to be done now.
+    pub fn next(&mut self, own: Own, now: Time) -> Progress {
         let is_old = own.age.is_none_or(|a| a > STALE_AGE);
         let is_stale = is_old && own.heard != HeardOf::Able;
         let misses = self.misses(own.version);
         if !misses && !is_stale {
-            return self.since.take().map_or(Ok(None), |since| Err(now.since(since)));
+            let caught_up = |since| Progress::CaughtUp { took: now.since(since) };
+            return self.since.take().map_or(Progress::Complete, caught_up);
         }
         if self.since.is_none() {
             self.begin(now, now);
@@ -161,11 +174,11 @@
         let since = self.since.unwrap_or(now);
         let factor = if now.since(since) > PATIENCE { PATIENT_FACTOR } else { 1 };
         let is_alone = misses || own.heard == HeardOf::Nobody;
-        Ok(Some(Step {
+        Progress::Behind(Step {
             ask: take_due(&mut self.ask_due, ASK_GAP * factor, now),
             pull: take_due(&mut self.pull_due, PULL_GAP * factor, now) && is_alone,
             read: take_due(&mut self.read_due, READ_GAP * factor, now) && is_alone,
-        }))
+        })
     }
 
     /// Returns how long nothing is to be done.
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -1,7 +1,7 @@
 //! How a box gets what it misses: changes by datagram, whole lists and tables.
 
 use super::Node;
-use crate::catch_up::Own;
+use crate::catch_up::{Own, Progress, Step};
 use crate::state::MissedTable;
 use crate::store::fetch_table;
 use honeypulley_peer::client::{PeerClient, PeerError};
@@ -28,6 +28,8 @@
 const PULL_TIME: Duration = Duration::from_millis(1_000);
 /// Pulls of the list under way at one time, so that one that hangs holds up none.
 const MAX_PULLS: u32 = 2;
+/// Least wait between two looks at what is missed, so that a late timer costs no loop.
+const LEAST_WAIT: Duration = Duration::from_millis(5);
 /// Boxes of the fleet that read the platform for themselves at one time, as reckoned.
 ///
 /// Each 0.6 s, that is a tenth of the 2,000 calls a second which the smallest platform
@@ -49,28 +51,30 @@
         let list = self.mesh.list_now();
         let heard = self.mesh.readers().heard_of(now);
         let own = Own { version: list.version, age: list.age, heard };
-        let next = self.mesh.catch_up().next(own, now);
-        match next {
-            Ok(None) => {}
-            Err(took) => {
+        let progress = self.mesh.catch_up().next(own, now);
+        match progress {
+            Progress::Complete => {}
+            Progress::CaughtUp { took } => {
                 let took_ms = took.as_millis() as u64;
                 log::info!(list = own.version, took_ms; "list: complete again");
             }
-            Ok(Some(step)) => {
-                if step.ask {
-                    self.ask(own);
-                }
-                if step.pull && self.pulls.get() < MAX_PULLS {
-                    self.pull_list();
-                }
-                let boxes = self.mesh.book().count() as f64;
-                if step.read && fastrand::f64() < READS_AT_ONCE / boxes {
-                    self.mesh.rereading.notify_one();
-                }
-            }
+            Progress::Behind(step) => self.take_step(step, own),
         }
         let wait = self.mesh.catch_up().wait(own, now);
-        wait.max(Duration::from_millis(5))
+        wait.max(LEAST_WAIT)
+    }
+
+    fn take_step(self: &Rc<Self>, step: Step, own: Own) {
+        if step.ask {
+            self.ask(own);
+        }
+        if step.pull && self.pulls.get() < MAX_PULLS {
+            self.pull_list();
+        }
+        let boxes = self.mesh.book().count() as f64;
+        if step.read && fastrand::f64() < READS_AT_ONCE / boxes {
+            self.mesh.rereading.notify_one();
+        }
     }
 
     /// Asks two boxes for the changes after the list that this one holds.
@@ -107,8 +111,8 @@
 
     /// Answers a box that asks for the changes after a version.
     ///
-    /// A box that holds no more than the asker says nothing, unless its list is known
-    /// to have been complete later.
+    /// One that holds less than the asker says nothing; one that holds the same tells
+    /// when its list was last known to be complete.
     pub(super) fn answer(&self, after: u64, to: SocketAddr) {
         match self.mesh.changes_after(after) {
             Some(parts) => parts.into_iter().for_each(|t| self.send_each(&[to], Body::Changes(t))),
--- a/crates/honeypulley_mesh/tests/catch_up.rs
+++ b/crates/honeypulley_mesh/tests/catch_up.rs
@@ -1,6 +1,6 @@
 //! What a box does, and when, about changes that it misses.
 
-use honeypulley_mesh::catch_up::{CatchUp, HeardOf, Own, Step};
+use honeypulley_mesh::catch_up::{CatchUp, HeardOf, Own, Progress, Step};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::time::Time;
 use rstest::rstest;
@@ -20,7 +20,7 @@
 /// Steps that are due in each millisecond of a span, with the time of each.
 fn steps(c: &mut CatchUp, own: Own, span: std::ops::Range<u64>) -> Vec<(u64, Step)> {
     let due = |ms| {
-        let step = c.next(own, Time::from_millis(ms)).ok().flatten()?;
+        let Progress::Behind(step) = c.next(own, Time::from_millis(ms)) else { return None };
         (step.ask || step.pull || step.read).then_some((ms, step))
     };
     span.filter_map(due).collect()
@@ -47,8 +47,8 @@
 fn what_has_come_meanwhile_is_not_asked_for() {
     let mut c = CatchUp::default();
     c.heard(12, 10, READER, via(), Time::from_millis(1_000));
-    let took = c.next(own(12, 0, HeardOf::Able), Time::from_millis(1_030));
-    assert_eq!(took, Err(Duration::from_millis(30)));
+    let progress = c.next(own(12, 0, HeardOf::Able), Time::from_millis(1_030));
+    assert_eq!(progress, Progress::CaughtUp { took: Duration::from_millis(30) });
     assert_eq!(steps(&mut c, own(12, 0, HeardOf::Able), 1_031..2_000), []);
     assert!(!c.misses(12));
 }
--- a/crates/honeypulley_mesh/tests/fleet.rs
+++ b/crates/honeypulley_mesh/tests/fleet.rs
@@ -5,7 +5,7 @@
 //! each other one, which send on. Run with `--nocapture` for the figures.
 
 use honeypulley_mesh::book::Book;
-use honeypulley_mesh::catch_up::{CatchUp, HeardOf, Own};
+use honeypulley_mesh::catch_up::{CatchUp, HeardOf, Own, Progress};
 use honeypulley_mesh::list::UpstreamList;
 use honeypulley_mesh::told::Parts;
 use honeypulley_peer::codec::Told;
@@ -161,7 +161,7 @@
         let b = &mut self.boxes[who];
         let own =
             Own { version: b.list.version(), age: Some(Duration::ZERO), heard: HeardOf::Able };
-        let Ok(Some(step)) = b.catch_up.next(own, now) else { return };
+        let Progress::Behind(step) = b.catch_up.next(own, now) else { return };
         let wait = b.catch_up.wait(own, now).as_micros() as u64;
         let near: Vec<SocketAddr> = b.book.near().collect();
         let source = b.catch_up.source().map(|s| s.origin.0 as usize);
