--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -86,8 +86,8 @@
         spent
     }
 
-    fn budget_use(&self, k: ServiceKey) -> BudgetUse {
-        self.balancer.budget_use(k)
+    fn budget_use(&self, k: ServiceKey, now: Time) -> BudgetUse {
+        self.balancer.budget_use(k, now)
     }
 
     fn answered(&mut self, k: AttemptKey, ok: bool, now: Time) {
@@ -198,8 +198,12 @@
                 () = self.mesh.serving.notified() => {}
                 (from, news) = self.mesh.news_in.next() => self.take_news(from, news),
                 asker = self.mesh.asked.next() => {
-                    let beliefs = self.policy.lock().balancer().beliefs(self.mesh.now());
-                    self.mesh.beliefs.push((asker, beliefs));
+                    let now = self.mesh.now();
+                    let mut policy = self.policy.lock();
+                    let mut told = policy.balancer().spendings(now);
+                    told.extend(policy.balancer().beliefs(now));
+                    drop(policy);
+                    self.mesh.beliefs.push((asker, told));
                 }
             }
         }
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -106,6 +106,8 @@
     belief @10;
     hung @11;
     denied @12;
+    # Count is the extra sends of all boxes within the window.
+    spent @13;
   }
 
   struct Entry {
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -143,6 +143,7 @@
                 row.set_far(spent);
                 (service, wire::NewsKind::Retry, seen)
             }
+            News::Spent { service, sum } => (service, wire::NewsKind::Spent, sum),
             News::Denied { service, seen, spent } => {
                 row.set_far(spent);
                 (service, wire::NewsKind::Denied, seen)
@@ -180,6 +181,7 @@
             wire::NewsKind::Retry => {
                 News::Retry { service: id, seen: r.get_count(), spent: r.get_far() }
             }
+            wire::NewsKind::Spent => News::Spent { service: id, sum: r.get_count() },
             wire::NewsKind::Denied => {
                 News::Denied { service: id, seen: r.get_count(), spent: r.get_far() }
             }
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -31,7 +31,7 @@
         Just(Observation::Hung),
     ];
     let news =
-        (any::<u64>(), seen, chance(), chance(), 0u8..6).prop_map(|(id, what, a, b, kind)| {
+        (any::<u64>(), seen, chance(), chance(), 0u8..7).prop_map(|(id, what, a, b, kind)| {
             let upstream = NameId(id);
             match kind {
                 0 => News::Seen { upstream, what },
@@ -43,7 +43,8 @@
                 },
                 2 => News::Well { upstream },
                 3 => News::Belief { upstream, phases: [a, b] },
-                4 => News::Denied { service: upstream, seen: id as u16, spent: id as u8 },
+                4 => News::Spent { service: upstream, sum: id as u16 },
+                5 => News::Denied { service: upstream, seen: id as u16, spent: id as u8 },
                 _ => News::Retry { service: upstream, seen: id as u16, spent: id as u8 },
             }
         });
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -24,7 +24,7 @@
 use illness::Illness;
 pub use learn::Doubt;
 use retry::RetryWindow;
-pub use retry::{BudgetUse, Reach, Resend, RetryRule};
+pub use retry::{BudgetUse, Past, Reach, Resend, RetryRule};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -86,6 +86,14 @@
         /// Requests of it that the sender sent again within that window, at least.
         spent: u8,
     },
+    /// Requests that all boxes sent again within the window, for a box that has just
+    /// started, by one that lived through it.
+    Spent {
+        /// Their service.
+        service: NameId,
+        /// How many.
+        sum: u16,
+    },
     /// A request was not sent again, since the budget was spent as far as is known.
     Denied {
         /// Its service.
@@ -226,6 +234,7 @@
     hall: String,
     reach: Reach,
     rule: RetryRule,
+    past: Past,
     services: SlotMap<ServiceKey, Service>,
     by_name: BTreeMap<String, ServiceKey>,
     by_id: BTreeMap<NameId, UpstreamKey>,
@@ -249,6 +258,7 @@
             hall: hall.to_owned(),
             reach: Reach { boxes: 1, in_touch: true },
             rule,
+            past: Past::Unknown,
             services: SlotMap::with_key(),
             by_name: BTreeMap::new(),
             by_id: BTreeMap::new(),
@@ -263,6 +273,13 @@
         }
     }
 
+    /// Takes what is known of the extra sends before this box started.
+    #[must_use]
+    pub const fn with_past(mut self, past: Past) -> Self {
+        self.past = past;
+        self
+    }
+
     /// Takes the boxes among which the retry budget is shared.
     pub const fn set_reach(&mut self, reach: Reach) {
         self.reach = reach;
@@ -271,13 +288,15 @@
     /// Takes the services of a table; what was learnt of kept ones stays.
     pub fn set_services(&mut self, specs: &[ServiceSpec], now: Time) {
         let mut gone: BTreeSet<String> = self.by_name.keys().cloned().collect();
+        // A service of a later table had no requests before this box heard of it.
+        let past = if self.by_name.is_empty() { self.past } else { Past::Empty };
         for spec in specs {
             gone.remove(&spec.name);
             if let Some(&k) = self.by_name.get(&spec.name) {
                 self.services[k].spec = spec.clone();
                 continue;
             }
-            let k = self.services.insert(Service::new(spec.clone(), now));
+            let k = self.services.insert(Service::new(spec.clone(), past, now));
             self.by_name.insert(spec.name.clone(), k);
             let waiting: Vec<Listed> =
                 self.listed.values().filter(|l| l.member.service == spec.name).cloned().collect();
@@ -431,11 +450,11 @@
         self.failing.is_some_and(|at| now.since(at) < FAILING_TIME)
     }
 
-    fn new(spec: ServiceSpec, began: Time) -> Self {
+    fn new(spec: ServiceSpec, past: Past, began: Time) -> Self {
         Self {
             id: NameId::of(&spec.name),
             work: WorkTimes::default(),
-            retries: RetryWindow::default(),
+            retries: RetryWindow::new(past, began),
             failures: VecDeque::new(),
             failing: None,
             pressure: Pressure::default(),
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -116,8 +116,8 @@
         self.spend(k, why, now)
     }
 
-    fn budget_use(&self, k: ServiceKey) -> BudgetUse {
-        let usage = |s: &Service| s.retries.usage(&self.rule);
+    fn budget_use(&self, k: ServiceKey, now: Time) -> BudgetUse {
+        let usage = |s: &Service| s.retries.usage(&self.rule, now);
         self.services.get(k).map_or_else(BudgetUse::default, usage)
     }
 
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -81,6 +81,12 @@
                     u.shared = Belief::told(phases, now);
                 }
             }
+            News::Spent { service, sum } => {
+                let rule = self.rule;
+                if let Some(s) = self.known_service(service) {
+                    s.retries.inherit(&rule, sum, now);
+                }
+            }
             News::Retry { service, seen, spent } => {
                 self.heard_spent(service, Spending { from, seen, spent, again: true }, now);
             }
@@ -176,6 +182,19 @@
         self.upstreams.values().filter(|u| u.taught).map(told).collect()
     }
 
+    /// Returns what all boxes spent of the retry budget, for one that has just started.
+    ///
+    /// A box that has not lived through the whole window itself says nothing.
+    #[must_use]
+    pub fn spendings(&mut self, now: Time) -> Vec<News> {
+        let rule = self.rule;
+        let sum = |s: &mut Service| {
+            let sum = s.retries.sum(&rule, now)?;
+            Some(News::Spent { service: s.id, sum })
+        };
+        self.services.values_mut().filter_map(sum).collect()
+    }
+
     /// Counts a failure that any box met against its service.
     fn count_failure(&mut self, service: ServiceKey, what: Observation, now: Time) {
         self.illness.note(what);
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -49,6 +49,16 @@
     },
 }
 
+/// What a box knows of the extra sends before it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Past {
+    /// The fleet starts for the first time, so there were none.
+    Empty,
+    /// Nothing, as after a loss of all boxes, until a box that lived through it tells.
+    #[default]
+    Unknown,
+}
+
 /// Which boxes this one shares the budget with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reach {
@@ -69,15 +79,22 @@
     pub others: usize,
     /// Extra sends that the fleet may make, as this box reckons.
     pub budget: f64,
+    /// Whether the sends before this box started are known.
+    pub past_known: bool,
 }
 
 /// Requests and extra sends of one service within the window.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct RetryWindow {
+    past: Past,
+    /// When this box began to count.
+    began: Time,
     arrivals: VecDeque<Time>,
     own: VecDeque<Time>,
     /// Extra sends of other boxes, and whose they are.
     others: VecDeque<(Time, NameId)>,
+    /// Extra sends that were told in sum to this box at its start, and when.
+    inherited: Option<(usize, Time)>,
     /// What other boxes told of their traffic.
     traffic: Vec<Traffic>,
     /// When this box last told its own.
@@ -106,6 +123,46 @@
 }
 
 impl RetryWindow {
+    pub(super) const fn new(past: Past, began: Time) -> Self {
+        Self {
+            past,
+            began,
+            arrivals: VecDeque::new(),
+            own: VecDeque::new(),
+            others: VecDeque::new(),
+            inherited: None,
+            traffic: Vec::new(),
+            told: None,
+        }
+    }
+
+    /// Returns the extra sends of all boxes within the window, for one that has just
+    /// started; `None` if this box does not know them itself.
+    pub(super) fn sum(&mut self, rule: &RetryRule, now: Time) -> Option<u16> {
+        self.drop_old(rule, now);
+        let spent = self.spent_by_all();
+        self.knows_past(rule, now).then(|| u16::try_from(spent).unwrap_or(u16::MAX))
+    }
+
+    /// Takes the extra sends of all boxes, as one that lived through the window tells.
+    pub(super) fn inherit(&mut self, rule: &RetryRule, sum: u16, now: Time) {
+        if self.knows_past(rule, now) {
+            return;
+        }
+        self.past = Past::Empty;
+        let heard = self.own.len() + self.others.len();
+        self.inherited = Some((usize::from(sum).saturating_sub(heard), now));
+    }
+
+    /// Tells whether all extra sends within the window are known, as far as boxes tell.
+    fn knows_past(&self, rule: &RetryRule, now: Time) -> bool {
+        self.past == Past::Empty || now.since(self.began) >= rule.window
+    }
+
+    fn spent_by_all(&self) -> usize {
+        self.own.len() + self.others.len() + self.inherited.map_or(0, |(n, _)| n)
+    }
+
     pub(super) fn arrived(&mut self, rule: &RetryRule, now: Time) {
         self.arrivals.push_back(now);
         self.drop_old(rule, now);
@@ -122,6 +179,10 @@
         let known = self.others.iter().filter(|(_, from)| *from == told.from).count();
         let missed = usize::from(told.spent).saturating_sub(known);
         let more = missed.max(usize::from(told.again));
+        if let Some((n, _)) = &mut self.inherited {
+            // What it spent before the one that it tells now was in the sum.
+            *n = n.saturating_sub(more - usize::from(told.again));
+        }
         self.others.extend(std::iter::repeat_n((now, told.from), more));
         self.traffic.retain(|t| t.from != told.from);
         self.traffic.push(Traffic { from: told.from, seen: told.seen, at: now });
@@ -133,6 +194,7 @@
         while self.own.pop_front_if(|t| is_old(*t)).is_some() {}
         while self.others.pop_front_if(|(t, _)| is_old(*t)).is_some() {}
         self.traffic.retain(|t| !is_old(t.at));
+        self.inherited = self.inherited.filter(|(_, at)| !is_old(*at));
     }
 
     /// Tells whether this box should tell its traffic though it sent nothing again.
@@ -164,14 +226,15 @@
         self.drop_old(rule, now);
         let boxes = reach.boxes.max(1) as f64;
         let (seen, own) = (self.arrivals.len() as f64, self.own.len() as f64);
-        let budget = self.budget(rule);
+        let slack = self.slack(rule, now);
+        let budget = self.budget(rule, now);
         let share = match why {
             Resend::Failed => SPENT_SHARE,
             Resend::Overdue { stuck } => STUCK_SHARE.mul_add(stuck, HEDGE_SHARE),
         };
-        let alone = rule.ratio.mul_add(seen, rule.slack / boxes);
+        let alone = rule.ratio.mul_add(seen, slack / boxes);
         let own_limit = if reach.in_touch { alone.max(OWN_SHARE * budget) } else { alone };
-        let spent = own + self.others.len() as f64;
+        let spent = self.spent_by_all() as f64;
         if spent + 1.0 > share * budget || own + 1.0 > own_limit {
             return false;
         }
@@ -191,18 +254,29 @@
     /// It is a lower bound: only those boxes count that told of their traffic, as each
     /// does when it sends again or is denied. Reckoning from what one box or its data
     /// hall sees gave up to twice the budget where callers are spread unevenly.
-    fn budget(&self, rule: &RetryRule) -> f64 {
+    fn budget(&self, rule: &RetryRule, now: Time) -> f64 {
         let told: f64 = self.traffic.iter().map(|t| f64::from(t.seen)).sum();
-        rule.ratio.mul_add(self.arrivals.len() as f64 + told, rule.slack)
+        rule.ratio.mul_add(self.arrivals.len() as f64 + told, self.slack(rule, now))
+    }
+
+    /// Returns the sends allowed beside the share of the requests.
+    ///
+    /// Where the past is unknown, the fleet may have spent all that it spends of the slack
+    /// a moment before this box started, so only the rest is left for a whole window. Boxes
+    /// that had all lost power spent the slack twice: 90 extra sends in ten seconds where
+    /// 87 were allowed. The rest still lets a request be sent again in the first second.
+    fn slack(&self, rule: &RetryRule, now: Time) -> f64 {
+        if self.knows_past(rule, now) { rule.slack } else { rule.slack * (1.0 - SPENT_SHARE) }
     }
 
     /// Returns what is known of the budget.
-    pub(super) fn usage(&self, rule: &RetryRule) -> BudgetUse {
+    pub(super) fn usage(&self, rule: &RetryRule, now: Time) -> BudgetUse {
         BudgetUse {
             seen: self.arrivals.len(),
             own: self.own.len(),
-            others: self.others.len(),
-            budget: self.budget(rule),
+            others: self.spent_by_all() - self.own.len(),
+            budget: self.budget(rule, now),
+            past_known: self.knows_past(rule, now),
         }
     }
 }
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -102,7 +102,7 @@
     /// Spends one send beyond the first of a request; tells whether there was one.
     fn spend_retry(&mut self, k: ServiceKey, why: Resend, now: Time) -> bool;
     /// Returns what is known of a service's retry budget, for the log.
-    fn budget_use(&self, _: ServiceKey) -> BudgetUse {
+    fn budget_use(&self, _: ServiceKey, _: Time) -> BudgetUse {
         BudgetUse::default()
     }
     /// Takes the head of an answer; `ok` is false for a failure answer.
--- a/crates/honeypulley_policy/tests/balance/budget.rs
+++ b/crates/honeypulley_policy/tests/balance/budget.rs
@@ -2,7 +2,7 @@
 
 use crate::RULE;
 use crate::balancer;
-use honeypulley_policy::balance::{Balancer, News, Reach, Resend, RetryRule};
+use honeypulley_policy::balance::{Balancer, News, Past, Reach, Resend, RetryRule};
 use honeypulley_policy::chooser::Chooser;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::spec::ServiceSpec;
@@ -90,7 +90,7 @@
     b.heard(other, denied(10), now);
     let retry = News::Retry { service: NameId::of("s"), seen: 0, spent: 11 };
     b.heard(other, retry, now);
-    assert_eq!(b.budget_use(service).others, 11, "each send counts once");
+    assert_eq!(b.budget_use(service, now).others, 11, "each send counts once");
 }
 
 /// Spends what a fleet of boxes that have just started may, each hearing the others.
@@ -128,3 +128,67 @@
     let after = spent_by_new_boxes(rule, Time::from_millis(4_000));
     assert!(before + after <= 58, "{before} and {after} within ten seconds");
 }
+
+/// The boxes of a fleet that starts for the first time have their slack at once; those that
+/// come back from a loss of all leave room for what may have been spent before.
+#[test]
+fn a_first_start_has_its_whole_slack_and_a_return_what_is_left_of_it() {
+    let rule = RetryRule { slack: 58.0, ..RULE };
+    let spent = |past| {
+        let mut b = Balancer::new("h", rule, 7).with_past(past);
+        b.set_services(&[ServiceSpec::builder().name("s").build()], Time::ZERO);
+        b.set_reach(Reach { boxes: 1, in_touch: false });
+        let service = b.service("s").expect("set up");
+        let now = Time::from_millis(100);
+        (0..100).take_while(|_| b.spend_retry(service, Resend::Failed, now)).count()
+    };
+    let (before, after) = (spent(Past::Empty), spent(Past::Unknown));
+    assert!(before >= 40, "{before} sends in the first moment");
+    assert!(after >= 1, "a request can be sent again in the first second");
+    assert!(before + after <= 58, "{before} and {after} within ten seconds");
+}
+
+/// A box that restarts alone asks those that lived through it what was spent.
+#[test]
+fn a_box_that_restarts_is_told_what_the_others_spent() {
+    let rule = RetryRule { slack: 58.0, ..RULE };
+    let fleet = || {
+        let mut b = Balancer::new("h", rule, 7).with_past(Past::Empty);
+        b.set_services(&[ServiceSpec::builder().name("s").build()], Time::ZERO);
+        b.set_reach(Reach { boxes: 5, in_touch: true });
+        b
+    };
+    let mut old = fleet();
+    let now = Time::from_millis(9_000);
+    let service = NameId::of("s");
+    let other = NameId::of("other");
+    old.heard(other, News::Retry { service, seen: 0, spent: 30 }, now);
+    let mut young = fleet().with_past(Past::Unknown);
+    young.set_services(&[], now);
+    young.set_services(&[ServiceSpec::builder().name("s").build()], now);
+    let told = old.spendings(now);
+    assert!(told.contains(&News::Spent { service, sum: 30 }), "{told:?}");
+    for n in told {
+        young.heard(NameId::of("old"), n, now);
+    }
+    let key = young.service("s").expect("set up");
+    let known = young.budget_use(key, now);
+    assert!(known.past_known && known.others == 30, "{known:?}");
+    // The same sends, told again by the box that made them, count once.
+    young.heard(other, News::Retry { service, seen: 0, spent: 31 }, now);
+    assert_eq!(young.budget_use(key, now).others, 31);
+    let mut more = 0;
+    while young.spend_retry(key, Resend::Failed, now) {
+        more += 1;
+    }
+    assert!((1..=27).contains(&more), "{more} sends beside 31 of 58");
+}
+
+/// What a box tells that knows no more than the asker is no knowledge of the past.
+#[test]
+fn boxes_that_all_returned_tell_each_other_nothing_of_the_past() {
+    let mut b = Balancer::new("h", RULE, 7);
+    b.set_services(&[ServiceSpec::builder().name("s").build()], Time::ZERO);
+    let told = b.spendings(Time::from_millis(100));
+    assert!(told.is_empty(), "{told:?}");
+}
--- a/crates/honeypulley_policy/tests/balance/main.rs
+++ b/crates/honeypulley_policy/tests/balance/main.rs
@@ -5,7 +5,7 @@
 mod open_attempts;
 mod trials;
 
-use honeypulley_policy::balance::{Balancer, Listed, News, RetryRule};
+use honeypulley_policy::balance::{Balancer, Listed, News, Past, RetryRule};
 use honeypulley_policy::belief::Observation;
 use honeypulley_policy::chooser::{Ask, Chooser};
 use honeypulley_policy::collector::NameId;
@@ -30,9 +30,10 @@
     Listed { member, slots: 3, cold: Duration::ZERO }
 }
 
-/// A box in hall `h` before `n` upstreams of its hall, called `u0` and so on.
+/// A box in hall `h` of a fleet that starts for the first time, before `n` upstreams of
+/// its hall, called `u0` and so on.
 fn balancer(n: usize) -> Balancer {
-    let mut b = Balancer::new("h", RULE, 7);
+    let mut b = Balancer::new("h", RULE, 7).with_past(Past::Empty);
     b.set_services(&[ServiceSpec::builder().name("s").build()], Time::ZERO);
     for i in 0..n {
         b.set_upstream(listed(&format!("u{i}"), "h", MemberState::Live), Time::ZERO);
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -242,12 +242,13 @@
         let mut policy = self.gate.chooser.lock();
         let spent = policy.spend_retry(self.routed.ask.service, why, now);
         if !spent {
-            let known = policy.budget_use(self.routed.ask.service);
+            let known = policy.budget_use(self.routed.ask.service, now);
             drop(policy);
             self.gate.count_for("retries.denied", &[("service", self.routed.service.as_str())]);
             log::info!(
                 request = self.id.as_str(), service = self.routed.service.as_str(), why:debug = why,
-                seen = known.seen, own = known.own, others = known.others, budget = known.budget as f32;
+                seen = known.seen, own = known.own, others = known.others, budget = known.budget as f32,
+                past_known = known.past_known;
                 "route: not sent again, the retry budget is spent"
             );
         }
