--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -154,7 +154,7 @@
         let hold = self.readers().hold(self.now());
         let entries = self.entries(c, hold);
         let before = self.lists.lock().list.version();
-        self.replace(c.version, entries, hold, from);
+        self.replace(c.version, entries, from);
         let wanted = self.catch_up().wanted();
         let mut lists = self.lists.lock();
         // The platform shows all up to its version, also what only a lost box spoke of.
@@ -175,11 +175,12 @@
     pub fn take_old_list(&self, c: &Changes, from: &str) {
         let hold = self.readers().hold(self.now());
         let entries = self.entries(c, hold);
-        self.replace(c.version, entries, hold, from);
+        self.replace(c.version, entries, from);
     }
 
     /// Takes the whole list as of `version`.
-    pub fn replace(&self, version: u64, entries: Vec<Entry>, hold: Duration, from: &str) {
+    pub fn replace(&self, version: u64, entries: Vec<Entry>, from: &str) {
+        let hold = self.readers().hold(self.now());
         let n = entries.len();
         let mut lists = self.lists.lock();
         let changes = lists.list.replace(version, held_for(entries, hold), hold, self.now());
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -16,7 +16,7 @@
 use honeypulley_peer::socket::receive;
 use honeypulley_platform::api::Platform;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
-use outbox::{Outbox, Parcel};
+use outbox::{Outbox, Parcel, Urgency};
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
@@ -155,7 +155,7 @@
             return;
         };
         let to: Vec<SocketAddr> = self.mesh.book().near().collect();
-        self.outbox.post(Parcel::new(to, sealed, &inner.body));
+        self.outbox.post(Parcel::new(to, sealed, Urgency::of(&inner.body)));
         self.take(inner, from);
     }
 
--- a/crates/honeypulley_mesh/src/peers/outbox.rs
+++ b/crates/honeypulley_mesh/src/peers/outbox.rs
@@ -25,8 +25,23 @@
 pub(super) struct Parcel {
     to: Vec<SocketAddr>,
     bytes: Bytes,
-    /// Whether it concerns tables and lists; what was seen of upstreams waits for it.
-    is_urgent: bool,
+    urgency: Urgency,
+}
+
+/// Whether a datagram waits for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Urgency {
+    /// It concerns tables, lists or boxes, and goes first.
+    Urgent,
+    /// It tells what was seen of upstreams.
+    Usual,
+}
+
+impl Urgency {
+    /// Returns the urgency of a datagram that says this, or sends it on.
+    pub(super) const fn of(body: &Body) -> Self {
+        if matches!(body, Body::News { .. }) { Self::Usual } else { Self::Urgent }
+    }
 }
 
 /// Parcels that wait to be sent, the urgent ones first.
@@ -37,10 +52,9 @@
 }
 
 impl Parcel {
-    /// Builds the parcel of a datagram whose body this is, or which sends that on.
-    pub(super) const fn new(to: Vec<SocketAddr>, bytes: Bytes, body: &Body) -> Self {
-        let is_urgent = !matches!(body, Body::News { .. });
-        Self { to, bytes, is_urgent }
+    /// Builds the parcel of a sealed datagram.
+    pub(super) const fn new(to: Vec<SocketAddr>, bytes: Bytes, urgency: Urgency) -> Self {
+        Self { to, bytes, urgency }
     }
 }
 
@@ -56,7 +70,10 @@
         if p.to.is_empty() {
             return;
         }
-        let ring = if p.is_urgent { &self.urgent } else { &self.usual };
+        let ring = match p.urgency {
+            Urgency::Urgent => &self.urgent,
+            Urgency::Usual => &self.usual,
+        };
         let before = ring.dropped();
         ring.push(p);
         if ring.dropped() > before {
@@ -67,7 +84,6 @@
     /// Sends what comes, for good.
     pub(super) async fn send_on(&self, socket: &UdpSocket) {
         loop {
-            self.send_urgent(socket).await;
             tokio::select! {
                 biased;
                 p = self.urgent.next() => send(socket, &p.bytes, &p.to).await,
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -137,12 +137,10 @@
         let node = Rc::clone(self);
         node.pulls.set(node.pulls.get() + 1);
         tokio::task::spawn_local(async move {
-            let pulled = tokio::time::timeout(PULL_TIME, node.pull_list_from(from)).await;
+            let is_pulled = within("list", from, PULL_TIME, node.pull_list_from(from)).await;
             node.pulls.set(node.pulls.get() - 1);
-            match pulled {
-                Ok(Ok(())) => node.mesh.asking.notify_one(),
-                Ok(Err(e)) => log::info!("list: not pulled: {e}"),
-                Err(_) => log::info!(peer:display = from; "list: not pulled: {from} hangs"),
+            if is_pulled {
+                node.mesh.asking.notify_one();
             }
         });
     }
@@ -151,8 +149,7 @@
         let peer = PeerClient::connect(from, &self.mesh.settings.key).await?;
         let Held { version, value } = peer.upstreams().await?;
         if version > 0 {
-            let hold = self.mesh.readers().hold(self.mesh.now());
-            self.mesh.replace(version, value, hold, &from.to_string());
+            self.mesh.replace(version, value, &from.to_string());
         }
         Ok(())
     }
@@ -213,11 +210,7 @@
 
     /// Pulls a table of at least this number from one box, for which it waits so long.
     async fn try_pull_table(&self, from: SocketAddr, number: u64, most: Duration) {
-        match tokio::time::timeout(most, self.pull_table_from(from, number, most)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(e)) => log::info!("table: not pulled: {e}"),
-            Err(_) => log::info!(peer:display = from; "table: not pulled: {from} hangs"),
-        }
+        within("table", from, most, self.pull_table_from(from, number, most)).await;
     }
 
     async fn pull_table_from(
@@ -239,3 +232,18 @@
         self.mesh.book().address(id)
     }
 }
+
+/// Waits so long for a pull, and logs why it failed; tells whether it did not.
+async fn within(
+    what: &str,
+    from: SocketAddr,
+    most: Duration,
+    pull: impl Future<Output = Result<(), PeerError>>,
+) -> bool {
+    match tokio::time::timeout(most, pull).await {
+        Ok(Ok(())) => return true,
+        Ok(Err(e)) => log::info!("{what}: not pulled: {e}"),
+        Err(_) => log::info!(peer:display = from; "{what}: not pulled: {from} hangs"),
+    }
+    false
+}
--- a/crates/honeypulley_mesh/src/peers/tell.rs
+++ b/crates/honeypulley_mesh/src/peers/tell.rs
@@ -1,7 +1,7 @@
 //! What a box tells the others: changes of the list, beacons, and what it sees.
 
 use super::Node;
-use super::outbox::Parcel;
+use super::outbox::{Parcel, Urgency};
 use crate::readers::BEACON_GAP;
 use bytes::Bytes;
 use honeypulley_peer::codec::{Body, Datagram, MAX_ITEMS, Told};
@@ -126,26 +126,27 @@
     /// So a box sends to as many as its own data hall has, whatever the fleet's
     /// size, and each other data hall is reached by few datagrams.
     pub(super) fn spread(&self, body: Body, delegates: usize) {
-        let bytes = self.seal(&body);
+        let urgency = Urgency::of(&body);
+        let bytes = self.seal(body);
         let (near, far) = {
             let book = self.mesh.book();
             let near: Vec<SocketAddr> = book.near().collect();
             let mut rng = fastrand::Rng::new();
             (near, book.delegates(delegates, self.mesh.now(), &mut rng))
         };
-        let forward = self.seal(&Body::Forward(bytes.clone()));
+        let forward = self.seal(Body::Forward(bytes.clone()));
         // The other data halls first: one datagram there serves a whole hall.
-        self.outbox.post(Parcel::new(far, forward, &body));
-        self.outbox.post(Parcel::new(near, bytes, &body));
+        self.outbox.post(Parcel::new(far, forward, urgency));
+        self.outbox.post(Parcel::new(near, bytes, urgency));
     }
 
     pub(super) fn send_each(&self, to: &[SocketAddr], body: Body) {
-        let bytes = self.seal(&body);
-        self.outbox.post(Parcel::new(to.to_vec(), bytes, &body));
+        let urgency = Urgency::of(&body);
+        self.outbox.post(Parcel::new(to.to_vec(), self.seal(body), urgency));
     }
 
-    fn seal(&self, body: &Body) -> Bytes {
-        let d = Datagram { sender: self.mesh.id, body: body.clone() };
+    fn seal(&self, body: Body) -> Bytes {
+        let d = Datagram { sender: self.mesh.id, body };
         d.seal(&self.mesh.settings.key).into()
     }
 }
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -239,6 +239,7 @@
     past: Past,
     services: SlotMap<ServiceKey, Service>,
     by_name: BTreeMap<String, ServiceKey>,
+    services_by_id: BTreeMap<NameId, ServiceKey>,
     by_id: BTreeMap<NameId, UpstreamKey>,
     upstreams: SlotMap<UpstreamKey, Upstream>,
     attempts: SlotMap<AttemptKey, Attempt>,
@@ -264,6 +265,7 @@
             past: Past::Unknown,
             services: SlotMap::with_key(),
             by_name: BTreeMap::new(),
+            services_by_id: BTreeMap::new(),
             by_id: BTreeMap::new(),
             upstreams: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
@@ -307,6 +309,7 @@
             }
             let k = self.services.insert(Service::new(spec.clone(), past, now));
             self.by_name.insert(spec.name.clone(), k);
+            self.services_by_id.insert(NameId::of(&spec.name), k);
             let waiting: Vec<Listed> =
                 self.listed.values().filter(|l| l.member.service == spec.name).cloned().collect();
             for l in waiting {
@@ -316,6 +319,7 @@
         for name in gone {
             let Some(k) = self.by_name.remove(&name) else { continue };
             let Some(s) = self.services.remove(k) else { continue };
+            self.services_by_id.remove(&s.id);
             for u in s.upstreams {
                 self.forget(u);
             }
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -216,7 +216,8 @@
     }
 
     fn known_service(&mut self, id: NameId) -> Option<&mut Service> {
-        self.services.values_mut().find(|s| s.id == id)
+        let k = *self.services_by_id.get(&id)?;
+        self.services.get_mut(k)
     }
 
     fn known(&mut self, id: NameId) -> Option<&mut Upstream> {
