--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -246,10 +246,6 @@
     /// Answer times by route, for the routes that this box has served.
     routes: BTreeMap<NameId, WorkTimes>,
     illness: Illness,
-    /// When each other box was last heard, as far as that is a moment ago.
-    heard: BTreeMap<NameId, Time>,
-    /// When silent boxes were last looked for.
-    silence_seen: Time,
     /// Boxes that did not reach an upstream which answered others, and when it did.
     contradicted: BTreeMap<NameId, Time>,
     listed: BTreeMap<String, Listed>,
@@ -275,8 +271,6 @@
             attempts: SlotMap::with_key(),
             routes: BTreeMap::new(),
             illness: Illness::default(),
-            heard: BTreeMap::new(),
-            silence_seen: Time::ZERO,
             contradicted: BTreeMap::new(),
             listed: BTreeMap::new(),
             news: Vec::new(),
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -36,7 +36,6 @@
 
 impl Chooser for Balancer {
     fn pick(&mut self, ask: &Ask, tried: &[UpstreamKey], now: Time) -> Result<Pick, Refusal> {
-        self.drop_silent(now);
         let Some(s) = self.services.get(ask.service) else {
             return Err(self.refuse(RefusalKind::NoUpstream, EMPTY_WAIT));
         };
--- a/crates/honeypulley_policy/src/balance/doubt.rs
+++ b/crates/honeypulley_policy/src/balance/doubt.rs
@@ -28,15 +28,6 @@
 const LEAST_LOOK: Duration = Duration::from_millis(5);
 /// Time after which a peer's open attempts are not believed any more.
 const OPEN_LIFE: Duration = Duration::from_secs(6);
-/// Time without news of a box of this data hall after which its open attempts count for
-/// nothing: it has died, or it would have told of those that are overdue.
-///
-/// A box tells of each request twice; with two requests a second it is silent for so long in
-/// one of 120 cases. One that had died left attempts that looked like hangs, and like load,
-/// for six seconds.
-const SILENT_TIME: Duration = Duration::from_millis(1_200);
-/// Time between two looks for boxes that are silent.
-const SILENCE_GAP: Duration = Duration::from_millis(200);
 /// Ratio from which an open attempt keeps trials from an upstream.
 const LONG_RATIO: f64 = OVERDUE_RATIO;
 /// Halvings of the interval in which a level is looked for; to a 500th of the aim.
@@ -45,18 +36,6 @@
 const SEARCH_AIMS: f64 = 8.0;
 
 impl Balancer {
-    /// Drops the open attempts of boxes of which nothing has been heard for a while.
-    pub(super) fn drop_silent(&mut self, now: Time) {
-        if now.since(self.silence_seen) < SILENCE_GAP {
-            return;
-        }
-        self.silence_seen = now;
-        self.heard.retain(|_, at| now.since(*at) < SILENT_TIME);
-        for u in self.upstreams.values_mut() {
-            u.peers.retain(|p| self.heard.contains_key(&p.from));
-        }
-    }
-
     /// Returns the chance that an attempt of this box meets trouble at an upstream.
     pub(super) fn trouble(&self, k: UpstreamKey, now: Time) -> f64 {
         let path = self.upstreams[k].path.chance(now);
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -61,7 +61,6 @@
 impl Balancer {
     /// Takes news of another box; returns a doubt that it raised.
     pub fn heard(&mut self, from: NameId, news: News, now: Time) -> Option<Doubt> {
-        self.heard.insert(from, now);
         match news {
             News::Seen { upstream, what } => return self.heard_seen(from, upstream, what, now),
             News::Open { upstream, count, served, far } => {
