Readers gather changes of the list for a moment before they watch on

Change: after an answer with changes the reader that tells them waits 80 ms, the others 250 ms. A departure that comes alone is not later.

--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -12,6 +12,14 @@
 pub(crate) const FIRST_WAIT: Duration = Duration::from_millis(150);
 /// Longest such wait.
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
+/// Time in which the reader that tells changes gathers them after one has come.
+///
+/// A release of a fifth of 480 upstreams brings a hundred changes a second; each of them woke
+/// the watch of each of three readers, three quarters of the calls of such a day. A departure
+/// is known later by that time at most; one that comes alone is not.
+const FIRST_GATHER: Duration = Duration::from_millis(80);
+/// The same for the other readers, who tell only what that one did not.
+const OTHER_GATHER: Duration = Duration::from_millis(250);
 /// Time after a start in which no box begins to read, so that beacons get round.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
 /// The same where the whole fleet starts for the first time: no caller waits, and a box that
@@ -175,6 +183,9 @@
                     seen = Some(c.version);
                     self.mesh.take_changes(&c, "platform");
                     self.mesh.confirm_list();
+                    if !(c.objects.is_empty() && c.removed.is_empty()) {
+                        self.gather().await;
+                    }
                 }
                 Err(PlatformError::Compacted { .. }) => seen = None,
                 Err(_) => pause(&mut wait).await,
@@ -182,6 +193,12 @@
         }
     }
 
+    /// Waits for further changes, so that one answer brings several.
+    async fn gather(&self) {
+        let is_first = self.mesh.readers().rank(self.mesh.now()) == 0;
+        tokio::time::sleep(if is_first { FIRST_GATHER } else { OTHER_GATHER }).await;
+    }
+
     /// Reads the list when no peer could tell this box what it misses.
     async fn reread_on(&self) {
         loop {
