A request that comes before table and list waits for them while they are on their way

Change: a request waits up to 0.4 s as long as the platform's first answers are awaited; where the platform fails or has no table it is refused at once.

--- a/crates/honeypulley_mesh/src/join.rs
+++ b/crates/honeypulley_mesh/src/join.rs
@@ -41,9 +41,16 @@
         let mut wait = FIRST_WAIT;
         while self.mesh.table_number() == 0 {
             match self.read_table(Freshness::Stale).await {
+                Ok(_) if self.mesh.table_number() > 0 => {}
                 // The operator may not have written one yet, or the answer is older.
-                Ok(_) => self.until_table().await,
-                Err(_) => pause(&mut wait).await,
+                Ok(_) => {
+                    self.mesh.setup.give_up();
+                    self.until_table().await;
+                }
+                Err(_) => {
+                    self.mesh.setup.give_up();
+                    pause(&mut wait).await;
+                }
             }
         }
     }
@@ -63,6 +70,7 @@
         let mut wait = FIRST_WAIT;
         while !self.mesh.knows_list() {
             if self.read_list(Freshness::Stale).await.is_err() {
+                self.mesh.setup.give_up();
                 pause(&mut wait).await;
             }
         }
--- a/crates/honeypulley_mesh/src/lib.rs
+++ b/crates/honeypulley_mesh/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod readers;
 pub mod serving;
+pub mod setup;
 pub mod state;
 pub mod store;
 pub mod told;
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -187,7 +187,7 @@
         log::info!(from, version, entries = n, hold_ms = hold.as_millis() as u64; "list: taken whole");
         lists.hand_on(changes, from);
         drop(lists);
-        if !self.listed.swap(true, Ordering::Relaxed) {
+        if !self.listed.swap(true, Ordering::AcqRel) {
             self.greeting.notify_one();
         }
         self.serving.notify_one();
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -4,6 +4,7 @@
 use crate::list::ListChange;
 use crate::state::Mesh;
 use async_trait::async_trait;
+use futures::future::BoxFuture;
 use honeypulley_policy::balance::{Balancer, BudgetUse, News, Resend};
 use honeypulley_policy::chooser::{Ask, Chooser, Inputs, LoadReport, Place};
 use honeypulley_policy::collector::NameId;
@@ -16,6 +17,7 @@
 use http::StatusCode;
 use parking_lot::Mutex;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// When to come back while this box is not set up.
@@ -120,6 +122,11 @@
 }
 
 impl Routes for TableRoutes {
+    fn settling(&self) -> Option<BoxFuture<'_, ()>> {
+        let setup = &self.mesh.setup;
+        setup.is_awaited().then(|| -> BoxFuture<'_, ()> { Box::pin(setup.settled()) })
+    }
+
     fn route(&self, wanted: &Wanted<'_>, now: Time) -> Result<Routed, OwnAnswer> {
         let Some(table) = self.mesh.in_force.load_full() else {
             return Err(not_yet("no routing table is in force on this box yet".to_owned()));
@@ -235,11 +242,15 @@
             log::info!(version = table.version; "table: version {} is in force", table.version);
             self.mesh.in_force.store(Some(table));
         }
+        let listed = self.mesh.listed.load(Ordering::Acquire);
         for change in self.mesh.next_list() {
             match change {
                 ListChange::Set(l) => policy.balancer().set_upstream(l, now),
                 ListChange::Gone(name) => policy.balancer().remove_upstream(&name),
             }
         }
+        if listed && self.mesh.setup.is_awaited() && self.mesh.in_force.load().is_some() {
+            self.mesh.setup.complete();
+        }
     }
 }
--- /dev/null
+++ b/crates/honeypulley_mesh/src/setup.rs
@@ -0,0 +1,78 @@
+//! Whether a box that has just started has what it needs to serve.
+//!
+//! Callers connect as soon as the port is open, while table and list are on their way. After
+//! a loss of all 293 boxes 690 requests came in that third of a second and were refused,
+//! though the platform's answer was there 50 to 300 ms later; so they wait for it. Where
+//! there is no prospect of one, a request is refused at once.
+
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Longest time that a request waits for table and list.
+///
+/// Of 293 boxes that came back together the slowest had both 0.5 s after its start, all but
+/// one in ten within 0.3 s.
+const MOST_WAIT: Duration = Duration::from_millis(400);
+
+/// How far a box is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+enum Stage {
+    /// The platform has been asked for table and list.
+    Awaited,
+    /// It failed, or has no table: when more comes isn't known.
+    Unknown,
+    /// Both are in force on the serving thread.
+    Complete,
+}
+
+/// What a box that starts waits for.
+#[derive(Debug)]
+pub struct Setup {
+    stage: AtomicU8,
+    changed: Notify,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self { stage: AtomicU8::new(Stage::Awaited as u8), changed: Notify::new() }
+    }
+}
+
+impl Setup {
+    /// Takes that table and list are in force.
+    pub fn complete(&self) {
+        self.stage.store(Stage::Complete as u8, Ordering::Release);
+        self.changed.notify_waiters();
+    }
+
+    /// Takes that the platform could not give one of them.
+    pub fn give_up(&self) {
+        let (from, to) = (Stage::Awaited as u8, Stage::Unknown as u8);
+        if self.stage.compare_exchange(from, to, Ordering::AcqRel, Ordering::Relaxed).is_ok() {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Tells whether something is on its way.
+    #[must_use]
+    pub fn is_awaited(&self) -> bool {
+        self.stage.load(Ordering::Acquire) == Stage::Awaited as u8
+    }
+
+    /// Ends once nothing is on its way any more, or after [`MOST_WAIT`].
+    pub async fn settled(&self) {
+        let changed = async {
+            loop {
+                let mut woken = std::pin::pin!(self.changed.notified());
+                woken.as_mut().enable();
+                if !self.is_awaited() {
+                    return;
+                }
+                woken.await;
+            }
+        };
+        let _ = tokio::time::timeout(MOST_WAIT, changed).await;
+    }
+}
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -5,6 +5,7 @@
 use crate::decoder::Decoder;
 use crate::lists::Lists;
 use crate::readers::Readers;
+use crate::setup::Setup;
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use honeypulley_observe::metrics::Registry;
@@ -107,6 +108,8 @@
     pub reading: Notify,
     /// Wakes whoever waits for a newer table of this box.
     pub table_taken: Notify,
+    /// What a box that has just started waits for.
+    pub setup: Setup,
     /// Set when the list was taken once.
     pub listed: AtomicBool,
     /// Set while the other boxes may not know this one's address.
@@ -163,6 +166,7 @@
             greeting: Notify::new(),
             reading: Notify::new(),
             table_taken: Notify::new(),
+            setup: Setup::default(),
             listed: AtomicBool::new(false),
             unknown: AtomicBool::new(settings.first_start),
             leaving,
--- a/crates/honeypulley_proxy/src/gate.rs
+++ b/crates/honeypulley_proxy/src/gate.rs
@@ -3,6 +3,7 @@
 use crate::answer::OwnAnswer;
 use crate::dialect::Dialect;
 use cadence::{Counted, CountedExt, StatsdClient, Timed};
+use futures::future::BoxFuture;
 use honeypulley_policy::chooser::{Ask, Chooser};
 use honeypulley_policy::time::Time;
 use honeypulley_supervisor::clock::Clock;
@@ -57,6 +58,11 @@
 
 /// Finds where a request goes.
 pub trait Routes: Debug + Send + Sync {
+    /// Returns what a request has to wait for before there are routes, if that is on its way.
+    fn settling(&self) -> Option<BoxFuture<'_, ()>> {
+        None
+    }
+
     /// Finds the route of a request and takes what the limits allow.
     ///
     /// # Errors
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -42,6 +42,9 @@
         let id = self.request_id(req);
         check_framing(req)?;
         let host = host_of(req)?;
+        if let Some(settled) = self.gate.routes.settling() {
+            settled.await;
+        }
         let wanted = Wanted {
             host: &host,
             path: req.uri().path(),
