At a first start one book a newcomer is asked for, and lists are pulled seldom

Change: a hello is answered by the box's own address, with the whole book only where asked, which one seed is; within the first four seconds of a first start pulls wait four times as long, and the platform is not read while a reader is heard. Boxes that come back ask no strangers while the platform may still name them.

--- a/crates/honeypulley_mesh/src/catch_up.rs
+++ b/crates/honeypulley_mesh/src/catch_up.rs
@@ -99,9 +99,19 @@
     pub via: SocketAddr,
 }
 
+/// Time of a first start in which whole lists are pulled seldom.
+///
+/// All upstreams enter the list in its first seconds, hundreds in one: a list that is pulled
+/// is behind at once. 293 boxes pulled it 618 times and read the platform 161 times.
+const FIRST_TIME: Duration = Duration::from_secs(4);
+/// How much longer the waits for a pull and a read are then.
+const FIRST_FACTOR: u32 = 4;
+
 /// State of a box that catches up, or has no need to.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CatchUp {
+    /// Whether the whole fleet starts for the first time with this box.
+    first_start: bool,
     /// Newest version heard of.
     wanted: u64,
     source: Option<Source>,
@@ -113,6 +123,12 @@
 }
 
 impl CatchUp {
+    /// Builds the state of a box that may have started with the whole fleet.
+    #[must_use]
+    pub fn new(first_start: bool) -> Self {
+        Self { first_start, ..Self::default() }
+    }
+
     /// Takes that a box told of a version; tells whether it is the first one missed.
     pub fn heard(
         &mut self,
@@ -155,8 +171,23 @@
     fn begin(&mut self, ask_due: Time, now: Time) {
         self.since = Some(now);
         self.ask_due = ask_due;
-        self.pull_due = ask_due + PULL_GAP;
-        self.read_due = ask_due + READ_GAP;
+        let factor = self.factor(now);
+        self.pull_due = ask_due + PULL_GAP * factor;
+        self.read_due = ask_due + READ_GAP * factor;
+    }
+
+    fn starts(&self, now: Time) -> bool {
+        self.first_start && now.since(Time::ZERO) < FIRST_TIME
+    }
+
+    /// Returns how much longer than usual is waited for a pull or a read.
+    fn factor(&self, now: Time) -> u32 {
+        let is_long = self.since.is_some_and(|at| now.since(at) > PATIENCE);
+        match (self.starts(now), is_long) {
+            (true, _) => FIRST_FACTOR,
+            (false, true) => PATIENT_FACTOR,
+            (false, false) => 1,
+        }
     }
 
     /// Decides what is to be done now.
@@ -171,13 +202,14 @@
         if self.since.is_none() {
             self.begin(now, now);
         }
-        let since = self.since.unwrap_or(now);
-        let factor = if now.since(since) > PATIENCE { PATIENT_FACTOR } else { 1 };
+        let factor = self.factor(now);
         let is_alone = misses || own.heard == HeardOf::Nobody;
+        // Some box holds what this one misses, as long as one reads.
+        let may_read = is_alone && !(self.starts(now) && own.heard != HeardOf::Nobody);
         Progress::Behind(Step {
             ask: take_due(&mut self.ask_due, ASK_GAP * factor, now),
             pull: take_due(&mut self.pull_due, PULL_GAP * factor, now) && is_alone,
-            read: take_due(&mut self.read_due, READ_GAP * factor, now) && is_alone,
+            read: take_due(&mut self.read_due, READ_GAP * factor, now) && may_read,
         })
     }
 
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -72,7 +72,8 @@
                 seen: RefCell::default(),
                 newcomers: RefCell::default(),
                 gathering: Notify::new(),
-                strangers: Cell::new(0),
+                // None is asked while the platform may still name them.
+                strangers: Cell::new(greet::MOST_ASKED),
             });
             tokio::select! {
                 r = node.receive() => r,
@@ -118,10 +119,10 @@
         match d.body {
             // Only a hello comes from its sender's own address for sure; the others may
             // have been sent on by a box of this data hall.
-            Body::Hello { hall, wants_reply, wants_beliefs } => {
+            Body::Hello { hall, wants_book, wants_beliefs } => {
                 let sender = BoxAddress { id: d.sender, addr: from, hall };
                 let is_new = self.mesh.learn(sender.clone());
-                self.take_hello(sender, is_new, wants_reply);
+                self.take_hello(sender, is_new, wants_book);
                 if wants_beliefs {
                     self.mesh.asked.push(from);
                 }
--- a/crates/honeypulley_mesh/src/peers/greet.rs
+++ b/crates/honeypulley_mesh/src/peers/greet.rs
@@ -30,7 +30,7 @@
 /// spares the others most of it.
 const GATHER_TIME: (u64, u64) = (100, 350);
 /// Boxes not known that are asked who they are, in each [`HELLO_GAP`].
-const MOST_ASKED: u32 = 8;
+pub(super) const MOST_ASKED: u32 = 8;
 
 impl Node {
     /// Makes this box known where it may not be, and asks what the others believe.
@@ -42,9 +42,14 @@
         loop {
             self.strangers.set(0);
             if self.mesh.book().count() == 1 {
-                self.mesh.seeds().into_iter().for_each(|to| self.hello(to, true));
+                self.introduce(self.mesh.seeds());
             } else if self.mesh.unknown.swap(false, Ordering::Relaxed) {
-                self.introduce();
+                let mut to = self.mesh.seeds();
+                // At a first start the seeds hear of all, and few others are known yet.
+                if to.is_empty() || !self.mesh.settings.first_start {
+                    to.extend(self.some_boxes());
+                }
+                self.introduce(to);
             }
             // Beliefs about upstreams that this box does not know would be lost.
             let ready = self.mesh.listed.load(Ordering::Relaxed) && self.mesh.table_number() > 0;
@@ -56,15 +61,11 @@
         }
     }
 
-    /// Says hello to the seeds and to some boxes, which tell the others.
-    fn introduce(&self) {
-        let mut to = self.mesh.seeds();
-        // At a first start the seeds hear of all, and few others are known yet.
-        if to.is_empty() || !self.mesh.settings.first_start {
-            to.extend(self.some_boxes());
-        }
+    /// Says hello to some boxes, which tell the others; one of them is asked whom it knows.
+    fn introduce(&self, mut to: Vec<SocketAddr>) {
         log::info!(boxes = to.len(); "peer: {} boxes are told of this one", to.len());
-        to.into_iter().for_each(|addr| self.hello(addr, true));
+        fastrand::shuffle(&mut to);
+        to.into_iter().enumerate().for_each(|(i, addr)| self.hello(addr, i == 0));
     }
 
     /// Asks some boxes what they believe.
@@ -72,7 +73,7 @@
         let to = self.some_boxes();
         log::info!(boxes = to.len(); "peer: {} boxes are asked what they believe", to.len());
         let hall = self.mesh.settings.hall.clone();
-        self.send_each(&to, Body::Hello { hall, wants_reply: false, wants_beliefs: true });
+        self.send_each(&to, Body::Hello { hall, wants_book: false, wants_beliefs: true });
     }
 
     /// Returns a few boxes, of this data hall if there are any.
@@ -88,13 +89,9 @@
         some
     }
 
-    /// Takes a hello; one that wants a reply may be of a box that the others do not know.
-    pub(super) fn take_hello(&self, newcomer: BoxAddress, is_new: bool, wants_reply: bool) {
-        if !wants_reply {
-            return;
-        }
-        self.hello(newcomer.addr, false);
-        self.send_book(newcomer.addr);
+    /// Takes a hello, which may be of a box that the others do not know.
+    pub(super) fn take_hello(&self, newcomer: BoxAddress, is_new: bool, wants_book: bool) {
+        self.answer_hello(newcomer.addr, wants_book);
         if is_new {
             self.newcomers.borrow_mut().push(newcomer);
             self.gathering.notify_one();
@@ -114,7 +111,7 @@
         let asked = self.strangers.get();
         if asked < MOST_ASKED {
             self.strangers.set(asked + 1);
-            self.hello(from, true);
+            self.hello(from, false);
         }
     }
 
@@ -145,13 +142,18 @@
         }
     }
 
-    fn hello(&self, to: SocketAddr, wants_reply: bool) {
+    fn hello(&self, to: SocketAddr, wants_book: bool) {
         let hall = self.mesh.settings.hall.clone();
-        self.send_each(&[to], Body::Hello { hall, wants_reply, wants_beliefs: false });
+        self.send_each(&[to], Body::Hello { hall, wants_book, wants_beliefs: false });
     }
 
-    fn send_book(&self, to: SocketAddr) {
-        let boxes: Vec<BoxAddress> = self.mesh.book().entries().cloned().collect();
+    /// Tells a box who this one is, and whom it knows if that is wanted.
+    fn answer_hello(&self, to: SocketAddr, wants_book: bool) {
+        let s = &self.mesh.settings;
+        let mut boxes = vec![BoxAddress { id: self.mesh.id, addr: s.peer, hall: s.hall.clone() }];
+        if wants_book {
+            boxes.extend(self.mesh.book().entries().cloned());
+        }
         for part in boxes.chunks(MAX_BOXES) {
             self.send_each(&[to], Body::Book(part.to_vec()));
         }
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -174,7 +174,7 @@
             registry: Registry::default(),
             book: Mutex::new(Book::new(id, &settings.hall)),
             lists: Mutex::new(Lists::default()),
-            catch_up: Mutex::new(CatchUp::default()),
+            catch_up: Mutex::new(CatchUp::new(settings.first_start)),
             readers: Mutex::new(Readers::new(id).reluctant(narrow)),
             table: Mutex::new(HeldTable::default()),
             next_table: Mutex::new(None),
--- a/crates/honeypulley_mesh/tests/catch_up.rs
+++ b/crates/honeypulley_mesh/tests/catch_up.rs
@@ -78,3 +78,29 @@
     let late = all.iter().filter(|(ms, s)| *ms > 4_000 && s.ask).count();
     assert!((70..=75).contains(&late), "{late} questions in a minute");
 }
+
+/// All upstreams enter the list in the first seconds of a first start; 293 boxes that pulled
+/// it whole each 0.3 s were behind again at once, and read the platform 161 times.
+#[rstest]
+#[case::first_start(true, 3, 0)]
+#[case::later(false, 10, 4)]
+fn lists_are_pulled_seldom_while_all_upstreams_enter(
+    #[case] first_start: bool,
+    #[case] most_pulls: usize,
+    #[case] least_reads: usize,
+) {
+    let mut c = CatchUp::new(first_start);
+    let (mut pulls, mut reads) = (0, 0);
+    for ms in (1_000..4_000).step_by(10) {
+        let now = Time::from_millis(ms);
+        // A new version each 10 ms, of which this box never has the last ones.
+        c.heard(ms, ms - 900, READER, via(), now);
+        let own = Own { version: ms - 900, age: None, heard: HeardOf::Able };
+        if let Progress::Behind(step) = c.next(own, now) {
+            pulls += usize::from(step.pull);
+            reads += usize::from(step.read);
+        }
+    }
+    assert!(pulls <= most_pulls, "{pulls} pulls");
+    assert!(reads >= least_reads && (!first_start || reads == 0), "{reads} reads");
+}
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -28,10 +28,11 @@
       holdMs @13 :UInt32;
       witnesses @14 :UInt16;
     }
-    # The sender is new, or does not know the receiver's data hall.
+    # The sender is new, or does not know the receiver; the answer is a book.
     hello :group {
       helloHall @15 :Text;
-      wantsReply @16 :Bool;
+      # Asks for all boxes that the receiver knows; else for the receiver alone.
+      wantsBook @16 :Bool;
       # The sender has just started and asks what others believe of upstreams.
       wantsBeliefs @34 :Bool;
     }
--- a/crates/honeypulley_peer/src/codec.rs
+++ b/crates/honeypulley_peer/src/codec.rs
@@ -55,12 +55,12 @@
     },
     /// A collector's verdict.
     Verdict(Verdict),
-    /// The sender is new, or does not know the receiver's data hall.
+    /// The sender is new, or does not know the receiver; the answer is a [`Body::Book`].
     Hello {
         /// The sender's data hall.
         hall: String,
-        /// Whether it wants a hello and a [`Body::Book`] back.
-        wants_reply: bool,
+        /// Whether it asks for all boxes that the receiver knows; else for the receiver alone.
+        wants_book: bool,
         /// Whether it has just started and asks what others believe of upstreams.
         wants_beliefs: bool,
     },
@@ -201,11 +201,11 @@
             Self::Rumour { bundle } => root.init_rumour().set_rumour_bundle(bundle.0),
             Self::Report { service, items } => write_report(root, *service, items),
             Self::Verdict(v) => write_verdict(root, v),
-            Self::Hello { hall, wants_reply, wants_beliefs } => {
+            Self::Hello { hall, wants_book, wants_beliefs } => {
                 let mut b = root.init_hello();
                 b.set_wants_beliefs(*wants_beliefs);
                 b.set_hello_hall(hall.as_str());
-                b.set_wants_reply(*wants_reply);
+                b.set_wants_book(*wants_book);
             }
             Self::Book(boxes) => {
                 write_boxes(root.init_book().init_boxes(boxes.len() as u32), boxes);
@@ -269,7 +269,7 @@
             }),
             Ok(wire::Hello(r)) => Self::Hello {
                 hall: r.get_hello_hall()?.to_string()?,
-                wants_reply: r.get_wants_reply(),
+                wants_book: r.get_wants_book(),
                 wants_beliefs: r.get_wants_beliefs(),
             },
             Ok(wire::Book(r)) => Self::Book(read_boxes(r.get_boxes()?)?),
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -4397,7 +4397,7 @@
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_wants_reply(self) -> bool {
+            pub fn get_wants_book(self) -> bool {
                 self.reader.get_bool_field(144)
             }
             #[inline]
@@ -4515,11 +4515,11 @@
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_wants_reply(self) -> bool {
+            pub fn get_wants_book(self) -> bool {
                 self.builder.get_bool_field(144)
             }
             #[inline]
-            pub fn set_wants_reply(&mut self, value: bool) {
+            pub fn set_wants_book(&mut self, value: bool) {
                 self.builder.set_bool_field(144, value);
             }
             #[inline]
@@ -4570,7 +4570,7 @@
                 ::capnp::word(1, 0, 0, 0, 144, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
@@ -4590,8 +4590,8 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 97, 110, 116, 115, 82, 101, 112),
-                ::capnp::word(108, 121, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 110, 116, 115, 66, 111, 111),
+                ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
