--- a/crates/honeypulley_mesh/src/setup.rs
+++ b/crates/honeypulley_mesh/src/setup.rs
@@ -61,7 +61,7 @@
         self.stage.load(Ordering::Acquire) == Stage::Awaited as u8
     }
 
-    /// Ends once nothing is on its way any more, or after [`MOST_WAIT`].
+    /// Ends once nothing is on its way any more, or after the longest wait of 0.4 s.
     pub async fn settled(&self) {
         let changed = async {
             loop {
