Boxes take turns with the trial of an upstream that has rested

Hypothesis: an upstream that is due is due for all boxes of a hall at the same moment, so several try it before they hear of each other. In the logs of a hall of the large deployment 81 of 291 orders on trial came within 50 ms of another one there, and 25 of its 156 lost orders were such.

Change: in the last 0.15 of the longest rest each box has its turn, drawn for each rest; an upstream counts as without work from the first turn on.

Load tests have cases for half of the slots busy and for frequent illness; their bounds fail on the code before both changes.

--- a/crates/honeypulley_mesh/tests/pace.rs
+++ b/crates/honeypulley_mesh/tests/pace.rs
@@ -46,8 +46,8 @@
 
 /// A box of 4 requests a second and one of 40, in a hall of 61: both told twice a request.
 #[rstest]
-#[case::few_requests(4, 7)]
-#[case::many_requests(40, 41)]
+#[case::few_requests(4, 6)]
+#[case::many_requests(40, 40)]
 fn a_hall_is_told_less_often_than_twice_a_request(#[case] rate: u64, #[case] most: usize) {
     let mut pacer = Pacer::default();
     let mut rng = fastrand::Rng::with_seed(1);
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -268,6 +268,8 @@
     listed: BTreeMap<String, Listed>,
     news: Vec<News>,
     rng: fastrand::Rng,
+    /// What sets this box's draws apart from those of others.
+    seed: u64,
 }
 
 impl Balancer {
@@ -292,6 +294,7 @@
             listed: BTreeMap::new(),
             news: Vec::new(),
             rng: fastrand::Rng::with_seed(seed),
+            seed,
         }
     }
 
--- a/crates/honeypulley_policy/src/balance/floor.rs
+++ b/crates/honeypulley_policy/src/balance/floor.rs
@@ -15,6 +15,10 @@
 ///
 /// The floor is counted over two seconds; a late datagram has some room.
 pub(super) const WORK_TIME: Duration = Duration::from_millis(1_650);
+/// Time after its last work from which an upstream counts as without.
+///
+/// It is when the first boxes have their turns to try it.
+const FRESH_TIME: Duration = Duration::from_millis(1_400);
 /// Time for which an upstream has to be well before the floor counts it.
 const SOUND_AFTER: Duration = Duration::from_secs(2);
 /// Share of the upstreams that are well by which more have work than the floor asks for.
@@ -51,7 +55,7 @@
             // The chance that the floor counts it.
             let sound = 1.0 - u.shared.chance(now.before(SOUND_AFTER));
             counted += sound;
-            if u.worked.is_some_and(|at| now.since(at) < WORK_TIME) {
+            if u.worked.is_some_and(|at| now.since(at) < FRESH_TIME) {
                 working += sound;
             }
         }
--- a/crates/honeypulley_policy/src/balance/trial.rs
+++ b/crates/honeypulley_policy/src/balance/trial.rs
@@ -38,6 +38,13 @@
 /// rested. The users count a failed one again after two seconds, so it has to be tried
 /// within four.
 const FAILING_SPARING: Sparing = Sparing { rest: Duration::from_secs(2), borne: 2, doublings: 1 };
+/// Last part of the longest time without work, in which boxes have their turns.
+///
+/// Boxes that all found an upstream due at once met there before they heard of each other:
+/// a quarter of the trials in a hall of a large fleet. Where upstreams fall ill every twelve
+/// seconds (`tests/load`) 2.1 in 100 orders were lost to such company, 0.8 with turns, and
+/// 0.8 with a part of 0.25; of all orders 8.3, 7.0 and 7.0.
+const TURN_SHARE: f64 = 0.15;
 /// Chance that this box's path is bad, above which the other boxes keep it at work.
 const PATH_BAD: f64 = 0.4;
 /// How upstreams that failed are spared trials.
@@ -114,7 +121,18 @@
         let u = &self.upstreams[k];
         let is_well = !u.failed_lately(rule.sparing, now);
         let is_free = u.near && u.busy(now) < u.slots && u.path.chance(now) < PATH_BAD;
-        is_well && is_free && u.rest(rule.sparing, now) > rule.rest && !self.waits_long(k, now)
+        let rest = u.rest(rule.sparing, now);
+        is_well && is_free && self.has_turn(u, rest, rule.rest) && !self.waits_long(k, now)
+    }
+
+    /// Tells whether a rest is long enough for this box, by a turn drawn for each rest.
+    fn has_turn(&self, u: &Upstream, rest: Duration, most: Duration) -> bool {
+        if rest <= most.mul_f64(1.0 - TURN_SHARE) {
+            return false;
+        }
+        let worked = u.worked.unwrap_or(u.joined).as_micros();
+        let turn = fastrand::Rng::with_seed(self.seed ^ u.id.0 ^ worked).f64();
+        rest > most.mul_f64(1.0 - TURN_SHARE * turn)
     }
 
     /// Returns the less doubted of two drawn at random.
--- a/crates/honeypulley_policy/tests/load/main.rs
+++ b/crates/honeypulley_policy/tests/load/main.rs
@@ -38,6 +38,8 @@
 const SMALL: Plan = Plan { boxes: 12, upstreams: 6, orders: 21.0, reads: 3.0, ..CALM };
 /// The same where upstreams fall ill twice as often.
 const PRONE: Plan = Plan { gap_s: 13.0, ..CALM };
+/// The same where upstreams fall ill every twelve seconds, so that much fails.
+const ILL: Plan = Plan { gap_s: 7.0, ..CALM };
 /// The same with half of the slots busy.
 const BUSY: Plan = Plan { orders: 200.0, ..CALM };
 /// The same where all upstreams turn 45 in 100 requests away for ten seconds, though they
@@ -71,10 +73,11 @@
 /// Orders lost when each upstream had to get work every 1.65 s: 0.046, 0.021 and 0.076 (mean
 /// of sixteen seeds). The bounds leave room for four seeds.
 #[rstest]
-#[case::calm(CALM, 0.036)]
+#[case::calm(CALM, 0.031)]
 #[case::small(SMALL, 0.025)]
-#[case::prone(PRONE, 0.066)]
-#[case::busy(BUSY, 0.030)]
+#[case::prone(PRONE, 0.045)]
+#[case::ill(ILL, 0.080)]
+#[case::busy(BUSY, 0.0235)]
 fn orders_are_seldom_lost_to_spells_and_the_floor_is_kept(#[case] plan: Plan, #[case] most: f64) {
     let ours = means(plan);
     assert!(ours.lost <= most, "{} of the orders were lost", ours.lost);
