--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -11,21 +11,24 @@
 mod doubt;
 mod failing;
 mod floor;
+mod heard;
 pub(crate) mod illness;
 mod learn;
+mod news;
 mod retry;
 mod trial;
 pub mod work;
 
-use crate::belief::{Belief, Observation};
+use crate::belief::Belief;
 use crate::collector::NameId;
 use crate::router::{AttemptKey, ServiceKey, UpstreamKey};
 use crate::spec::{Member, MemberState, ServiceSpec};
 use crate::time::Time;
 use admit::Pressure;
 use failing::Failing;
+pub use heard::Doubt;
 use illness::Illness;
-pub use learn::Doubt;
+pub use news::News;
 use retry::RetryWindow;
 pub use retry::{BudgetUse, Past, Reach, Resend, RetryRule};
 use slotmap::SlotMap;
@@ -47,84 +50,6 @@
     pub cold: Duration,
 }
 
-/// What this box tells the others.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum News {
-    /// Something was seen of an upstream.
-    Seen {
-        /// The upstream.
-        upstream: NameId,
-        /// What was seen.
-        what: Observation,
-    },
-    /// An attempt began, and this box has so many open there; for its own data hall.
-    Open {
-        /// The upstream.
-        upstream: NameId,
-        /// Attempts open.
-        count: u16,
-    },
-    /// An attempt ended, and this box has so many left there; for its own data hall.
-    Ended {
-        /// The upstream.
-        upstream: NameId,
-        /// Attempts that are still open.
-        count: u16,
-        /// Whether it was answered well.
-        served: bool,
-        /// Requests of other data halls there, by the report that came with its answer.
-        far: Option<u8>,
-        /// Time since it ended, for which the news was held to be told with others.
-        ago: Duration,
-    },
-    /// An upstream of this box's data hall answers well again.
-    Well {
-        /// The upstream.
-        upstream: NameId,
-    },
-    /// What the sender believes of an upstream, for a box that has just started.
-    Belief {
-        /// The upstream.
-        upstream: NameId,
-        /// Chances of the two phases of sickness.
-        phases: [f64; 2],
-    },
-    /// A request was sent to one more upstream.
-    Retry {
-        /// Its service.
-        service: NameId,
-        /// Requests for it that the sender got within the budget's window.
-        seen: u16,
-        /// Requests of it that the sender sent again within that window, at least.
-        spent: u8,
-    },
-    /// Requests that all boxes sent again within the window, for a box that has just
-    /// started, by one that lived through it.
-    Spent {
-        /// Their service.
-        service: NameId,
-        /// How many.
-        sum: u16,
-    },
-    /// A request was not sent again, since the budget was spent as far as is known.
-    Denied {
-        /// Its service.
-        service: NameId,
-        /// Requests for it that the sender got within the budget's window.
-        seen: u16,
-        /// Requests of it that the sender sent again within that window, at least.
-        spent: u8,
-    },
-}
-
-impl News {
-    /// Tells whether it concerns the sender's data hall alone.
-    #[must_use]
-    pub const fn is_for_hall(&self) -> bool {
-        matches!(self, Self::Open { .. } | Self::Ended { .. })
-    }
-}
-
 /// Attempts that another box of this data hall has open.
 #[derive(Clone, Copy, Debug)]
 struct PeerOpen {
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -1,32 +1,20 @@
-//! What attempts, and other boxes, tell of the upstreams.
+//! What this box's attempts tell of the upstreams.
 
 use super::doubt::assumed;
-use super::illness::{HUNG_RATIO, HUNG_SURVIVAL, OVERDUE_RATIO};
-use super::retry::Spending;
+use super::heard::CONTRADICTED_TIME;
+use super::illness::{HUNG_RATIO, OVERDUE_RATIO};
 use super::work::WorkTimes;
-use super::{
-    AnswerKind, Attempt, Balancer, FarLoad, News, PeerOpen, Resend, Service, Unreached, Upstream,
-};
-use crate::belief::{Belief, Observation};
+use super::{AnswerKind, Attempt, Balancer, News, Resend, Unreached, Upstream};
+use crate::belief::Observation;
 use crate::collector::NameId;
 use crate::router::{AttemptKey, Outcome, ServiceKey, UpstreamKey};
 use crate::time::Time;
 use std::time::Duration;
 
-/// Chance of sickness from which an upstream is in doubt, for the log.
-///
-/// A line for each news was 80 lines a second on each of 88 boxes.
-const DOUBTED: f64 = 0.5;
 /// Chance of sickness below which an upstream that failed is well again.
 const WELL: f64 = 0.2;
 /// Time within which two boxes that can't reach an upstream bear each other out.
 const UNREACHED_SPAN: Duration = Duration::from_millis(1_500);
-/// Time for which the word of a box is not taken that it can't reach an upstream, after
-/// another was answered by one that it had not reached.
-///
-/// It has lost its own paths. Without this, two cut boxes of twenty bore each other
-/// out, and seven of twenty upstreams that were well got nothing for two seconds.
-const CONTRADICTED_TIME: Duration = Duration::from_secs(5);
 /// Time within which several failures are one.
 const ONE_FAILURE: Duration = Duration::from_millis(500);
 /// Part of the usual time of work below which a failure came at once.
@@ -45,183 +33,9 @@
 /// Part of the time given to an attempt from which on a failure answer is only its end.
 const OUT_OF_TIME: f64 = 0.95;
 
-/// What another box's news put in doubt.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Doubt {
-    /// Name of the upstream.
-    pub upstream: String,
-    /// What was seen.
-    pub what: Observation,
-    /// Chance of sickness before.
-    pub before: f64,
-    /// Chance of sickness after.
-    pub after: f64,
-}
-
 impl Balancer {
-    /// Takes news of another box; returns a doubt that it raised.
-    pub fn heard(&mut self, from: NameId, news: News, now: Time) -> Option<Doubt> {
-        match news {
-            News::Seen { upstream, what } => return self.heard_seen(from, upstream, what, now),
-            News::Open { upstream, count } => {
-                self.heard_open(from, upstream, count, now);
-            }
-            News::Ended { upstream, count, served, far, ago } => {
-                let at = now.before(ago);
-                self.heard_ended(from, upstream, count, served, at);
-                if let (Some(far), Some(u)) = (far, self.known(upstream)) {
-                    u.far = Some(FarLoad { count: f64::from(far), at });
-                }
-            }
-            News::Well { upstream } => {
-                let u = self.known(upstream)?;
-                u.told_well = true;
-                // This data hall knows its own upstreams by its own attempts.
-                if !u.near {
-                    u.shared.calm(now);
-                }
-            }
-            News::Belief { upstream, phases } => {
-                let u = self.known(upstream)?;
-                if !u.taught {
-                    u.taught = true;
-                    u.shared = Belief::told(phases, now);
-                }
-            }
-            News::Spent { service, sum } => {
-                let rule = self.rule;
-                if let Some(s) = self.known_service(service) {
-                    s.retries.inherit(&rule, sum, now);
-                }
-            }
-            News::Retry { service, seen, spent } => {
-                self.heard_spent(service, Spending { from, seen, spent, again: true }, now);
-            }
-            News::Denied { service, seen, spent } => {
-                self.heard_spent(service, Spending { from, seen, spent, again: false }, now);
-            }
-        }
-        None
-    }
-
-    fn heard_spent(&mut self, service: NameId, told: Spending, now: Time) {
-        let rule = self.rule;
-        if let Some(s) = self.known_service(service) {
-            s.retries.heard(&rule, told, now);
-        }
-    }
-
-    /// Takes that a box of this data hall has so many attempts open since `at`.
-    ///
-    /// Returns what was known of them before.
-    fn heard_open(
-        &mut self,
-        from: NameId,
-        upstream: NameId,
-        count: u16,
-        at: Time,
-    ) -> Option<PeerOpen> {
-        let u = self.known(upstream)?;
-        let queued = u.busy(at) >= u.slots;
-        let before = u.peers.iter().position(|p| p.from == from).map(|i| u.peers.swap_remove(i));
-        if count > 0 {
-            // Which of several ended isn't told, so the others count as new.
-            let kept = before.filter(|p| p.count <= count);
-            let new = PeerOpen { from, count, since: at, queued, told: 1.0 };
-            u.peers.push(kept.map_or(new, |p| PeerOpen { count, ..p }));
-        }
-        if count > before.map_or(0, |p| p.count) {
-            u.worked = u.worked.max(Some(at));
-            let service = u.service;
-            if let Some(s) = self.services.get_mut(service) {
-                s.failing.began(at);
-            }
-        }
-        before
-    }
-
-    /// Takes that an attempt of a box of this data hall ended at `at`.
-    ///
-    /// Boxes do not tell each success to all; those of a hall see here which of each
-    /// other's attempts were answered, and how long that took.
-    fn heard_ended(&mut self, from: NameId, upstream: NameId, count: u16, served: bool, at: Time) {
-        let before = self.heard_open(from, upstream, count, at);
-        if let Some(p) = before.filter(|p| served && count <= p.count) {
-            self.peer_served(upstream, p, at);
-        }
-    }
-
-    /// Takes that another box of this data hall was answered well.
-    fn peer_served(&mut self, upstream: NameId, p: PeerOpen, now: Time) {
-        let took = now.since(p.since);
-        let alone = p.count == 1 && !p.queued;
-        let Some(u) = self.known(upstream) else { return };
-        let service = u.service;
-        u.streak = 0;
-        let Some(s) = self.services.get_mut(service) else { return };
-        let late = alone && s.work.survival(took, assumed(super::DEFAULT_AIM)) < HUNG_SURVIVAL;
-        if alone {
-            s.work.add(took);
-        }
-        if let Some(u) = self.known(upstream) {
-            u.learn_answer(late, p.told, now);
-            let unreached = std::mem::take(&mut u.unreached);
-            self.contradict(&unreached, now);
-        }
-    }
-
-    fn heard_seen(
-        &mut self,
-        from: NameId,
-        upstream: NameId,
-        what: Observation,
-        now: Time,
-    ) -> Option<Doubt> {
-        let service = self.known(upstream)?.service;
-        self.count_failure(service, what, now);
-        let shed_share = self.services.get(service).map_or(0.0, |s| s.failing.shed_share());
-        let contradicted = self.contradicted.get(&from);
-        let is_contradicted = contradicted.is_some_and(|&at| now.since(at) < CONTRADICTED_TIME);
-        let u = self.known(upstream)?;
-        if let Some(p) = u.peer(from) {
-            p.told = told_with(p.told, what);
-        }
-        let before = u.shared.chance(now);
-        if what == Observation::Unreachable {
-            u.was_not_reached();
-        }
-        if what != Observation::Unreachable || (!is_contradicted && u.is_borne_out(from, now)) {
-            u.learn(what, shed_share, now);
-        }
-        let after = u.shared.chance(now);
-        let turned = before < DOUBTED && after >= DOUBTED;
-        turned.then(|| Doubt { upstream: u.name.clone(), what, before, after })
-    }
-
-    /// Returns what this box believes, for one that has just started.
-    ///
-    /// What nobody has seen anything of is left out.
-    #[must_use]
-    pub fn beliefs(&self, now: Time) -> Vec<News> {
-        let told = |u: &Upstream| News::Belief { upstream: u.id, phases: u.shared.phases(now) };
-        self.upstreams.values().filter(|u| u.taught).map(told).collect()
-    }
-
-    /// Returns what all boxes spent of the retry budget, for one that has just started.
-    ///
-    /// A box that has not lived through the whole window itself says nothing.
-    #[must_use]
-    pub fn spendings(&mut self, now: Time) -> Vec<News> {
-        let rule = self.rule;
-        let sum = |s: &mut Service| {
-            let sum = s.retries.sum(&rule, now)?;
-            Some(News::Spent { service: s.id, sum })
-        };
-        self.services.values_mut().filter_map(sum).collect()
-    }
-
     /// Counts a failure that any box met against its service.
-    fn count_failure(&mut self, service: ServiceKey, what: Observation, now: Time) {
+    pub(super) fn count_failure(&mut self, service: ServiceKey, what: Observation, now: Time) {
         self.illness.note(what);
         let halls = self.reach.boxes as f64 / self.hall_boxes.max(1) as f64;
         let Some(s) = self.services.get_mut(service) else { return };
@@ -233,16 +47,6 @@
         }
     }
 
-    fn known_service(&mut self, id: NameId) -> Option<&mut Service> {
-        let k = *self.services_by_id.get(&id)?;
-        self.services.get_mut(k)
-    }
-
-    fn known(&mut self, id: NameId) -> Option<&mut Upstream> {
-        let k = *self.by_id.get(&id)?;
-        self.upstreams.get_mut(k)
-    }
-
     /// Counts a new attempt of this box and tells its data hall.
     pub(super) fn began(&mut self, k: AttemptKey, upstream: UpstreamKey, now: Time) {
         let Some(u) = self.upstreams.get_mut(upstream) else { return };
@@ -375,7 +179,7 @@
     }
 
     /// Takes that an upstream answered which some boxes had not reached a moment ago.
-    fn contradict(&mut self, unreached: &[Unreached], now: Time) {
+    pub(super) fn contradict(&mut self, unreached: &[Unreached], now: Time) {
         let recent = unreached.iter().filter(|r| now.since(r.at) < CONTRADICTED_TIME);
         self.contradicted.extend(recent.map(|r| (r.from, now)));
     }
@@ -398,7 +202,7 @@
 }
 
 /// Returns what was told of an attempt once this was told as well.
-fn told_with(told: f64, what: Observation) -> f64 {
+pub(super) fn told_with(told: f64, what: Observation) -> f64 {
     match what {
         Observation::Overdue => told.max(OVERDUE_RATIO),
         Observation::Hung => told.max(HUNG_RATIO),
@@ -424,7 +228,7 @@
     /// A request that is turned away says the less of one upstream, the more of them are
     /// turned away by all: where each turned away 45 in 100, though it had room, all were
     /// doubted in turn, work waited at the few that were not, and 9 in 100 answers came late.
-    fn learn(&mut self, what: Observation, shed_share: f64, now: Time) {
+    pub(super) fn learn(&mut self, what: Observation, shed_share: f64, now: Time) {
         self.taught = true;
         if what != Observation::Shed {
             self.note_failure(what, now);
@@ -439,19 +243,19 @@
     }
 
     /// Takes that what was last sent there did not arrive, so that it still wants work.
-    const fn was_not_reached(&mut self) {
+    pub(super) const fn was_not_reached(&mut self) {
         self.worked = self.answered;
     }
 
     /// Takes that a box can't reach it; tells whether another could not either.
-    fn is_borne_out(&mut self, from: NameId, now: Time) -> bool {
+    pub(super) fn is_borne_out(&mut self, from: NameId, now: Time) -> bool {
         self.unreached.retain(|r| r.from != from && now.since(r.at) < UNREACHED_SPAN);
         self.unreached.push(Unreached { from, at: now });
         self.unreached.len() > 1
     }
 
     /// Takes a good answer, and takes back what was told while it was waited for.
-    fn learn_answer(&mut self, late: bool, told: f64, now: Time) {
+    pub(super) fn learn_answer(&mut self, late: bool, told: f64, now: Time) {
         self.taught = true;
         self.answered = self.answered.max(Some(now));
         if late || told > OVERDUE_RATIO {
