Attempts of which nothing was sent do not make a service count as failing

Change: only what may lose a request counts: failures, hangs and sheds. An attempt that did not reach its upstream goes elsewhere and costs its caller some milliseconds.

The new case of the load test fails before.

--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -39,7 +39,7 @@
         self.illness.note(what);
         let halls = self.reach.boxes as f64 / self.hall_boxes.max(1) as f64;
         let Some(s) = self.services.get_mut(service) else { return };
-        if what.is_failure() {
+        if what.may_lose() {
             s.failing.failed(halls, now);
         }
         if what == Observation::Shed {
--- a/crates/honeypulley_policy/src/belief.rs
+++ b/crates/honeypulley_policy/src/belief.rs
@@ -55,10 +55,15 @@
 }
 
 impl Observation {
-    /// Tells whether the request was not served there.
+    /// Tells whether a request may be lost by it.
+    ///
+    /// One of which nothing was sent goes elsewhere at no cost. Such attempts counted as
+    /// failures of the service: where a fifth of a hall's boxes did not reach two fifths of the
+    /// upstreams it took itself for failing, tried what had failed a moment ago, and lost 4.1
+    /// in 100 orders, 2.7 now, as where nothing is cut (`tests/load`).
     #[must_use]
-    pub const fn is_failure(self) -> bool {
-        !matches!(self, Self::Success | Self::Overdue)
+    pub const fn may_lose(self) -> bool {
+        matches!(self, Self::Failure | Self::FailedWork | Self::Hung | Self::Shed)
     }
 
     /// Returns how likely this is of a well and of a sick upstream.
--- a/crates/honeypulley_policy/tests/load/hall.rs
+++ b/crates/honeypulley_policy/tests/load/hall.rs
@@ -22,6 +22,8 @@
 const MOST_HOLD_MS: f64 = 150.0;
 /// Time of the way to an upstream and back, in ms.
 const WAY_MS: u64 = 3;
+/// Time after which a connection that does not come up is given up, in ms.
+const CONNECT_MS: u64 = 200;
 /// Requests that an upstream holds beyond its slots before it turns more away.
 const QUEUE: usize = 12;
 /// Time given to a request, and its aim, in ms.
@@ -51,6 +53,13 @@
     pub share: f64,
 }
 
+/// The first boxes of a hall, which do not reach the first upstreams of it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cut {
+    pub boxes: usize,
+    pub upstreams: usize,
+}
+
 /// What a hall is and what troubles it.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -72,6 +81,7 @@
     /// Share of requests that fail at once in a spell.
     pub fails: f64,
     pub sheds: Sheds,
+    pub cut: Cut,
     pub seed: u64,
 }
 
@@ -157,6 +167,8 @@
     Served,
     Fails,
     Shed,
+    /// No connection came up.
+    Unreached,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -268,7 +280,7 @@
             Policy::Oracle => self.least_busy_well(r, now).map(|i| (i, None)),
         };
         let Some((worker, key)) = chosen else { return false };
-        let (ends, end) = self.work(worker, now);
+        let (ends, end) = self.work(r.from, worker, now);
         r.tried.push(worker);
         r.open = Some(Sent { key, ends, end });
         true
@@ -301,8 +313,11 @@
     }
 
     /// Has an upstream take a request; returns when it answers, and how.
-    fn work(&mut self, i: usize, now: u64) -> (u64, End) {
+    fn work(&mut self, from: usize, i: usize, now: u64) -> (u64, End) {
         let plan = self.plan;
+        if from < plan.cut.boxes && i < plan.cut.upstreams {
+            return (now + CONNECT_MS, End::Unreached);
+        }
         let w = &mut self.workers[i];
         w.sent.push(now);
         w.ends.retain(|&e| e > now);
@@ -368,13 +383,17 @@
             self.requests.push(r);
             return;
         }
-        let is_shed = sent.end == End::Shed;
-        self.count(&r, |c| if is_shed { c.refused += 1 } else { c.failed += 1 });
+        let is_unrun = matches!(sent.end, End::Shed | End::Unreached);
+        self.count(&r, |c| if is_unrun { c.refused += 1 } else { c.failed += 1 });
     }
 
     fn may_repeat(&mut self, r: &Request, end: End, now: u64) -> bool {
         let ask = self.ask(r, now);
         let b = &mut self.boxes[r.from];
+        if end == End::Unreached {
+            // Nothing was sent, so another send costs no budget.
+            return r.tried.len() < MOST_SENDS;
+        }
         (r.repeatable || end == End::Shed)
             && r.tried.len() < MOST_SENDS
             && b.is_in_time(&ask)
@@ -385,10 +404,15 @@
     fn end(&mut self, from: usize, sent: &Sent, at: Time) {
         let Some(key) = sent.key else { return };
         let b = &mut self.boxes[from];
-        if sent.end != End::Shed {
-            b.answered(key, sent.end == End::Served, at);
-        }
-        b.finish(key, if sent.end == End::Shed { Outcome::NotRun } else { Outcome::Whole }, at);
+        let outcome = match sent.end {
+            End::Shed => Outcome::NotRun,
+            End::Unreached => Outcome::Unreachable,
+            End::Served | End::Fails => {
+                b.answered(key, sent.end == End::Served, at);
+                Outcome::Whole
+            }
+        };
+        b.finish(key, outcome, at);
     }
 
     /// Returns the least share of upstreams that were well which got work in two seconds.
--- a/crates/honeypulley_policy/tests/load/main.rs
+++ b/crates/honeypulley_policy/tests/load/main.rs
@@ -5,7 +5,7 @@
 
 mod hall;
 
-use hall::{Plan, Policy, Report, Sheds, play};
+use hall::{Cut, Plan, Policy, Report, Sheds, play};
 use rstest::rstest;
 
 /// Seconds that each plan is played.
@@ -32,6 +32,7 @@
     spell_s: 5.0,
     fails: 0.75,
     sheds: Sheds { from: 0, to: 0, share: 0.0 },
+    cut: Cut { boxes: 0, upstreams: 0 },
     seed: 1,
 };
 /// The same in a hall of a small fleet, where nearly all upstreams are needed for the floor.
@@ -40,6 +41,10 @@
 const PRONE: Plan = Plan { gap_s: 13.0, ..CALM };
 /// The same where upstreams fall ill every twelve seconds, so that much fails.
 const ILL: Plan = Plan { gap_s: 7.0, ..CALM };
+/// The same where a fifth of the boxes does not reach two fifths of the upstreams.
+///
+/// They try others at once, so nothing is lost by it.
+const CUT: Plan = Plan { cut: Cut { boxes: 12, upstreams: 23 }, ..CALM };
 /// The same with half of the slots busy.
 const BUSY: Plan = Plan { orders: 200.0, ..CALM };
 /// The same where all upstreams turn 45 in 100 requests away for ten seconds, though they
@@ -78,6 +83,7 @@
 #[case::prone(PRONE, 0.045)]
 #[case::ill(ILL, 0.080)]
 #[case::busy(BUSY, 0.0235)]
+#[case::cut(CUT, 0.031)]
 fn orders_are_seldom_lost_to_spells_and_the_floor_is_kept(#[case] plan: Plan, #[case] most: f64) {
     let ours = means(plan);
     assert!(ours.lost <= most, "{} of the orders were lost", ours.lost);
