--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -31,8 +31,7 @@
 /// of its first failure as much again was lost there. In halls of 58 boxes (`tests/load`) 1.7
 /// in 100 orders were lost to spells with a random part of 0.01 in place of this, 1.4 to 1.6
 /// with 0.03 to 0.2; where upstreams fall ill twice as often 3.9, and 2.9 to 2.7. A narrow band
-/// keeps out an upstream that answered one trial, which then needs another soon: a
-/// tenth of the orders of a hall of a large fleet were trials with 0.04.
+/// keeps out an upstream that answered one trial well, which then needs another one soon.
 const ALIKE_LOSS: f64 = 0.06;
 /// Time in which a report of other halls' requests loses most of its meaning.
 const LOAD_LIFE: Duration = Duration::from_millis(500);
