--- a/crates/honeypulley_mesh/src/catch_up.rs
+++ b/crates/honeypulley_mesh/src/catch_up.rs
@@ -43,6 +43,14 @@
 /// How much longer the gaps are then: the box is cut off, and asks 1.25 times a second.
 const PATIENT_FACTOR: u32 = 8;
 
+/// Time of a first start in which whole lists are pulled seldom.
+///
+/// All upstreams enter the list in its first seconds, hundreds in one: a list that is pulled
+/// is behind at once. 293 boxes pulled it 618 times and read the platform 161 times.
+const FIRST_TIME: Duration = Duration::from_secs(4);
+/// How much longer the waits for a pull and a read are then.
+const FIRST_FACTOR: u32 = 4;
+
 /// What is to be done now.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Step {
@@ -99,14 +107,6 @@
     pub via: SocketAddr,
 }
 
-/// Time of a first start in which whole lists are pulled seldom.
-///
-/// All upstreams enter the list in its first seconds, hundreds in one: a list that is pulled
-/// is behind at once. 293 boxes pulled it 618 times and read the platform 161 times.
-const FIRST_TIME: Duration = Duration::from_secs(4);
-/// How much longer the waits for a pull and a read are then.
-const FIRST_FACTOR: u32 = 4;
-
 /// State of a box that catches up, or has no need to.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CatchUp {
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -166,6 +166,7 @@
 }
 
 impl Balancer {
+    /// Returns an upstream of the least loss, or another that is as good.
     fn least_loss(
         &mut self,
         open: &[UpstreamKey],
