Logs tell which requests are the same, and whether an upstream that broke off has ended

Cause: a line names a try, and a request that comes again has another name on another box; a closed connection was the same line whether the upstream had ended or runs on.

Each attempt now logs a keyed fingerprint of method, host, path, body and caller, and each attempt that is broken off is followed by one connect to the same port: refused means ended. No decision depends on either yet.

--- a/crates/honeypulley_daemon/src/start.rs
+++ b/crates/honeypulley_daemon/src/start.rs
@@ -13,6 +13,7 @@
 use honeypulley_observe::logs::{self, LogGuard};
 use honeypulley_platform::http::HttpPlatform;
 use honeypulley_policy::router::Router;
+use honeypulley_proxy::fingerprint::Fingerprinter;
 use honeypulley_proxy::shared::{Feed, Shared};
 use honeypulley_supervisor::clock::Clock;
 use honeypulley_supervisor::tree::{Duty, Stop, Tree, block_on};
@@ -52,7 +53,9 @@
     let platform = Arc::new(HttpPlatform::new(&settings.platform.to_string())?);
     let router = Router::new(&settings.name, &settings.hall, fastrand::u64(..));
     let metrics = Arc::new(metrics(settings.metrics)?);
-    let shared = Shared::new(router, Feed::default(), Clock::start(), metrics, settings.source)?;
+    let (source, clock) = (settings.source, Clock::start());
+    let fingerprints = Fingerprinter::new(settings.key.subkey("request fingerprints"));
+    let shared = Shared::new(router, Feed::default(), clock, metrics, source, fingerprints)?;
     let shared = Arc::new(shared);
     let (name, hall) = (settings.name.as_str(), settings.hall.as_str());
     log::info!(
--- a/crates/honeypulley_peer/src/key.rs
+++ b/crates/honeypulley_peer/src/key.rs
@@ -22,6 +22,12 @@
         Self(blake3::derive_key("honeypulley 2026 fleet key", text.as_bytes()))
     }
 
+    /// Returns a key for another purpose, from which this one can't be found.
+    #[must_use]
+    pub fn subkey(&self, purpose: &str) -> [u8; 32] {
+        *blake3::keyed_hash(&self.0, purpose.as_bytes()).as_bytes()
+    }
+
     /// Returns the tag of a datagram.
     #[must_use]
     pub fn tag(&self, message: &[u8]) -> [u8; TAG] {
--- a/crates/honeypulley_policy/src/lib.rs
+++ b/crates/honeypulley_policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod naive;
 pub mod permits;
 pub mod placement;
+pub mod quarantine;
 pub mod router;
 pub mod routes;
 pub mod spec;
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -2,7 +2,9 @@
 
 use crate::dialect::Dialect;
 use crate::gate::Gate;
+use crate::liveness::has_ended;
 use bytes::{Bytes, BytesMut};
+use honeypulley_policy::quarantine::Fingerprint;
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, UpstreamKey};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
 use std::sync::Arc;
@@ -26,6 +28,8 @@
     pub upgrade: bool,
     /// Whether a short answer is taken whole before any of it is passed on.
     pub collect: bool,
+    /// What it has in common with other tries of the same request.
+    pub fingerprint: Fingerprint,
 }
 
 /// Closes an attempt with the policy when it is done with, whatever the way.
@@ -142,6 +146,10 @@
         Err(e) => {
             let (outcome, failure) = failed(&e);
             guard.ended(outcome);
+            drop(guard);
+            if outcome == Outcome::Failed {
+                check(&to, &out).await;
+            }
             return Err((upstream, failure));
         }
     };
@@ -159,11 +167,21 @@
         }
         Err(why) => {
             guard.ended(Outcome::Wrong);
+            drop(guard);
+            check(&to, &out).await;
             Err((upstream, Failure::Unknown { why: format!("the answer was cut: {why}") }))
         }
     }
 }
 
+/// Finds out whether an upstream that broke an attempt off has ended.
+async fn check(to: &Destination, out: &Outgoing) {
+    let ended = has_ended(&to.addr).await;
+    let (name, same) = (to.name.as_str(), out.fingerprint);
+    let word = if ended { "has ended" } else { "still runs" };
+    log::warn!(upstream = name, same:display, ended; "attempt: broken off, {name} {word}");
+}
+
 /// Returns the identity of an attempt: the caller's, or one of our own.
 fn attempt_id(dialect: &Dialect, out: &Outgoing) -> Option<HeaderValue> {
     if dialect.caller_attempt {
--- a/crates/honeypulley_proxy/src/body.rs
+++ b/crates/honeypulley_proxy/src/body.rs
@@ -68,6 +68,24 @@
         matches!(self, Self::Kept(_) | Self::Streamed(Some(_)))
     }
 
+    /// Returns what of the body was read, all of it if it is kept.
+    #[must_use]
+    pub fn beginning(&self) -> &[u8] {
+        match self {
+            Self::Kept(b) => b,
+            Self::Streamed(s) => s.as_ref().and_then(|b| b.begun.as_deref()).unwrap_or_default(),
+        }
+    }
+
+    /// Returns the length in bytes, if it is known before the end.
+    #[must_use]
+    pub fn length(&self) -> Option<u64> {
+        match self {
+            Self::Kept(b) => Some(b.len() as u64),
+            Self::Streamed(s) => s.as_ref().and_then(|b| b.size_hint().exact()),
+        }
+    }
+
     /// Returns what tells later whether the caller's bytes could be read.
     #[must_use]
     pub fn broken(&self) -> Option<Arc<AtomicBool>> {
--- /dev/null
+++ b/crates/honeypulley_proxy/src/fingerprint.rs
@@ -0,0 +1,65 @@
+//! What makes two requests the same one.
+//!
+//! A caller that sends a request again gives it a new id and a new deadline, and comes from
+//! another port to another box. Method, host, path with query, body and the caller's address
+//! stay. The digest is keyed, so that no caller can build a request that is taken for
+//! another's.
+
+use crate::body::Source;
+use honeypulley_policy::quarantine::Fingerprint;
+use http::Method;
+use std::fmt;
+use std::net::IpAddr;
+
+/// What of a request its fingerprint covers.
+#[derive(Clone, Copy, Debug)]
+pub struct Identity<'a> {
+    /// Method.
+    pub method: &'a Method,
+    /// Host without its port, in lower case.
+    pub host: &'a str,
+    /// Path with query.
+    pub path: &'a str,
+    /// Address that the caller comes from, if it is known.
+    pub caller: Option<IpAddr>,
+    /// Name that the caller gives itself, if any.
+    pub named: Option<&'a str>,
+}
+
+/// Makes fingerprints with the fleet's key, so that all boxes make the same.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Fingerprinter([u8; 32]);
+
+impl fmt::Debug for Fingerprinter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Fingerprinter(..)")
+    }
+}
+
+impl Fingerprinter {
+    /// Builds it with a key that the fleet's boxes share and callers do not know.
+    #[must_use]
+    pub const fn new(key: [u8; 32]) -> Self {
+        Self(key)
+    }
+
+    /// Returns the fingerprint of a request.
+    ///
+    /// A body that is streamed counts with its beginning and its length, if that is told.
+    #[must_use]
+    pub fn of(&self, id: &Identity<'_>, body: &Source) -> Fingerprint {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        let caller = id.caller.map_or_else(String::new, |ip| ip.to_string());
+        let parts = [id.method.as_str(), id.host, id.path, &caller, id.named.unwrap_or_default()];
+        for part in parts {
+            // The length keeps two parts from being told as one.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(&body.length().unwrap_or(u64::MAX).to_le_bytes());
+        hasher.update(body.beginning());
+        let digest = hasher.finalize();
+        let (first, _) = digest.as_bytes().split_first_chunk().expect("a digest has 32 bytes");
+        Fingerprint(u64::from_le_bytes(*first))
+    }
+}
--- a/crates/honeypulley_proxy/src/gate.rs
+++ b/crates/honeypulley_proxy/src/gate.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::OwnAnswer;
 use crate::dialect::Dialect;
+use crate::fingerprint::Fingerprinter;
 use cadence::{Counted, CountedExt, StatsdClient, Timed};
 use futures::future::BoxFuture;
 use honeypulley_policy::chooser::{Ask, Chooser};
@@ -90,6 +91,8 @@
     pub routes: Arc<dyn Routes>,
     /// Headers spoken.
     pub dialect: Dialect,
+    /// What tells requests that are the same.
+    pub fingerprints: Fingerprinter,
     /// Client towards upstreams.
     pub client: reqwest::Client,
     /// The process's clock.
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -3,11 +3,13 @@
 use crate::answer::{OwnAnswer, Ran};
 use crate::attempt::{Answer, AnswerBody, Outgoing};
 use crate::body::{Source, Watched};
+use crate::fingerprint::Identity;
 use crate::gate::{Gate, OpenGuard, Wanted};
 use crate::headers;
 use crate::race::Race;
 use crate::upgrade;
 use async_trait::async_trait;
+use honeypulley_policy::quarantine::Fingerprint;
 use http::{HeaderValue, Method, StatusCode, Version, header};
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -60,6 +62,14 @@
         out.collect = routed.collect && !out.upgrade;
         routed.ask.repeatable &= !out.upgrade;
         let source = take_body(req, routed.body_bytes).await?;
+        let identity = Identity {
+            method: &out.method,
+            host: &host,
+            path: &out.path,
+            caller: req.remote_addr().ip(),
+            named: headers::text(req.headers(), &dialect.caller),
+        };
+        out.fingerprint = self.gate.fingerprints.of(&identity, &source);
         let broken = source.broken();
         let service = routed.service.clone();
         let race = Race {
@@ -141,6 +151,7 @@
             headers: h,
             upgrade: is_upgrade,
             collect: false,
+            fingerprint: Fingerprint(0),
         }
     }
 
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::answer::OwnAnswer;
 use crate::callers::CallerLimits;
 use crate::dialect::Dialect;
+use crate::fingerprint::Fingerprinter;
 use crate::gate::{Gate, Reuse, Routed, Routes, Wanted, client};
 use crate::headers;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -126,6 +127,7 @@
         clock: Clock,
         metrics: Arc<StatsdClient>,
         source: Option<IpAddr>,
+        fingerprints: Fingerprinter,
     ) -> Result<Self, reqwest::Error> {
         let router = Arc::new(Mutex::new(router));
         let dialect = Dialect::default();
@@ -140,6 +142,7 @@
             chooser: Arc::<Mutex<Router>>::clone(&router),
             routes: Arc::<BundleRoutes>::clone(&routes),
             dialect,
+            fingerprints,
             client: client(source, Reuse::Pooled)?,
             clock,
             metrics,
--- a/crates/honeypulley_proxy/tests/order.rs
+++ b/crates/honeypulley_proxy/tests/order.rs
@@ -6,6 +6,7 @@
 use honeypulley_bundle::model::Bundle;
 use honeypulley_bundle::sign::Signer;
 use honeypulley_policy::router::Router;
+use honeypulley_proxy::fingerprint::Fingerprinter;
 use honeypulley_proxy::shared::{Feed, Shared};
 use honeypulley_supervisor::clock::Clock;
 use std::collections::HashMap;
@@ -30,7 +31,15 @@
     let metrics = Arc::new(StatsdClient::from_sink("test", NopMetricSink));
     let router = Router::new("b", "h", 7);
     let shared = Arc::new(
-        Shared::new(router, Feed::default(), Clock::start(), metrics, None).expect("set up"),
+        Shared::new(
+            router,
+            Feed::default(),
+            Clock::start(),
+            metrics,
+            None,
+            Fingerprinter::new([0; 32]),
+        )
+        .expect("set up"),
     );
     shared.feed.bundles.push(in_force(2));
     shared.feed.bundles.push(in_force(1));
