@@ -4927,49 +5846,127 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(123, 194, 208, 108, 29, 83, 76, 252),
+                ::capnp::word(218, 152, 204, 188, 33, 10, 37, 207),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-                ::capnp::word(114, 97, 109, 46, 98, 111, 111, 107),
+                ::capnp::word(114, 97, 109, 46, 98, 101, 97, 99),
+                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(153, 0, 0, 0, 106, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(98, 111, 120, 101, 115, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 144, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(91, 244, 139, 48, 238, 19, 62, 132),
+                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(173, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 32, 1, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 33, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 97, 98, 108, 101, 86, 101, 114),
+                ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 105, 115, 116, 86, 101, 114, 115),
+                ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 97, 100, 101, 114, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 97, 100, 65, 103, 101, 77),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 105, 115, 116, 65, 103, 101, 77),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 110, 97, 98, 108, 101, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<
-                        crate::peer_capnp::datagram::box_address::Owned,
-                    > as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4988,14 +5985,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xfc4c_531d_6cd0_c27b;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 1, 3, 2, 0, 5];
+            pub(crate) const TYPE_ID: u64 = 0xcf25_0a21_bccc_98da;
         }
     }
 
-    pub mod beacon {
+    pub mod news {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -5091,7 +6088,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -5100,29 +6097,24 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_table_version(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn get_list_version(self) -> u64 {
-                self.reader.get_data_field::<u64>(3)
+            pub fn get_seen(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Reader<'a, crate::peer_capnp::datagram::news_item::Owned>,
+            > {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn get_reader(self) -> bool {
-                self.reader.get_bool_field(144)
+            pub fn has_seen(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_read_age_ms(self) -> u32 {
+            pub fn get_seq(self) -> u32 {
                 self.reader.get_data_field::<u32>(5)
             }
-            #[inline]
-            pub fn get_list_age_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(8)
-            }
-            #[inline]
-            pub fn get_unable(self) -> bool {
-                self.reader.get_bool_field(288)
-            }
         }
 
         pub struct Builder<'a> {
@@ -5207,53 +6199,53 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_table_version(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn set_table_version(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(1, value);
-            }
-            #[inline]
-            pub fn get_list_version(self) -> u64 {
-                self.builder.get_data_field::<u64>(3)
+            pub fn get_seen(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::news_item::Owned>,
+            > {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_list_version(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(3, value);
+            pub fn set_seen(
+                &mut self,
+                value: ::capnp::struct_list::Reader<
+                    '_,
+                    crate::peer_capnp::datagram::news_item::Owned,
+                >,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
             }
             #[inline]
-            pub fn get_reader(self) -> bool {
-                self.builder.get_bool_field(144)
+            pub fn init_seen(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::news_item::Owned>
+            {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    size,
+                )
             }
             #[inline]
-            pub fn set_reader(&mut self, value: bool) {
-                self.builder.set_bool_field(144, value);
+            pub fn has_seen(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_read_age_ms(self) -> u32 {
+            pub fn get_seq(self) -> u32 {
                 self.builder.get_data_field::<u32>(5)
             }
             #[inline]
-            pub fn set_read_age_ms(&mut self, value: u32) {
+            pub fn set_seq(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(5, value);
             }
-            #[inline]
-            pub fn get_list_age_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(8)
-            }
-            #[inline]
-            pub fn set_list_age_ms(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(8, value);
-            }
-            #[inline]
-            pub fn get_unable(self) -> bool {
-                self.builder.get_bool_field(288)
-            }
-            #[inline]
-            pub fn set_unable(&mut self, value: bool) {
-                self.builder.set_bool_field(288, value);
-            }
         }
 
         pub struct Pipeline {
@@ -5266,103 +6258,51 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(218, 152, 204, 188, 33, 10, 37, 207),
+                ::capnp::word(49, 91, 171, 245, 96, 79, 22, 243),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-                ::capnp::word(114, 97, 109, 46, 98, 101, 97, 99),
-                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(153, 0, 0, 0, 106, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(161, 0, 0, 0, 98, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 144, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(173, 0, 0, 0, 82, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(181, 0, 0, 0, 82, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(5, 0, 0, 0, 32, 1, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 33, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(116, 97, 98, 108, 101, 86, 101, 114),
-                ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 105, 115, 116, 86, 101, 114, 115),
-                ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 97, 109, 46, 110, 101, 119, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 97, 100, 101, 114, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(61, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 101, 101, 110, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 97, 100, 65, 103, 101, 77),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(163, 147, 255, 11, 1, 113, 61, 247),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 105, 115, 116, 65, 103, 101, 77),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 113, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5370,23 +6310,11 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(117, 110, 97, 98, 108, 101, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::peer_capnp::datagram::news_item::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5405,14 +6333,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 1, 3, 2, 0, 5];
-            pub(crate) const TYPE_ID: u64 = 0xcf25_0a21_bccc_98da;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) const TYPE_ID: u64 = 0xf316_4f60_f5ab_5b31;
         }
     }
 
-    pub mod news {
+    pub mod changes {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -5517,10 +6445,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_seen(
+            pub fn get_since(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_upto(self) -> u64 {
+                self.reader.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn get_entries(
                 self,
             ) -> ::capnp::Result<
-                ::capnp::struct_list::Reader<'a, crate::peer_capnp::datagram::news_item::Owned>,
+                ::capnp::struct_list::Reader<'a, crate::peer_capnp::datagram::entry::Owned>,
             > {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
@@ -5528,12 +6464,20 @@
                 )
             }
             #[inline]
-            pub fn has_seen(&self) -> bool {
+            pub fn has_entries(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_seq(self) -> u32 {
-                self.reader.get_data_field::<u32>(5)
+            pub fn get_part(self) -> u16 {
+                self.reader.get_data_field::<u16>(10)
+            }
+            #[inline]
+            pub fn get_parts(self) -> u16 {
+                self.reader.get_data_field::<u16>(11)
+            }
+            #[inline]
+            pub fn get_told_age_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(8)
             }
         }
 
@@ -5619,10 +6563,26 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_seen(
+            pub fn get_since(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_since(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_upto(self) -> u64 {
+                self.builder.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn set_upto(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(3, value);
+            }
+            #[inline]
+            pub fn get_entries(
                 self,
             ) -> ::capnp::Result<
-                ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::news_item::Owned>,
+                ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::entry::Owned>,
             > {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
@@ -5630,12 +6590,9 @@
                 )
             }
             #[inline]
-            pub fn set_seen(
+            pub fn set_entries(
                 &mut self,
-                value: ::capnp::struct_list::Reader<
-                    '_,
-                    crate::peer_capnp::datagram::news_item::Owned,
-                >,
+                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::datagram::entry::Owned>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
@@ -5644,10 +6601,10 @@
                 )
             }
             #[inline]
-            pub fn init_seen(
+            pub fn init_entries(
                 self,
                 size: u32,
-            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::news_item::Owned>
+            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::entry::Owned>
             {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(0),
@@ -5655,16 +6612,32 @@
                 )
             }
             #[inline]
-            pub fn has_seen(&self) -> bool {
+            pub fn has_entries(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_seq(self) -> u32 {
-                self.builder.get_data_field::<u32>(5)
+            pub fn get_part(self) -> u16 {
+                self.builder.get_data_field::<u16>(10)
             }
             #[inline]
-            pub fn set_seq(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(5, value);
+            pub fn set_part(&mut self, value: u16) {
+                self.builder.set_data_field::<u16>(10, value);
+            }
+            #[inline]
+            pub fn get_parts(self) -> u16 {
+                self.builder.get_data_field::<u16>(11)
+            }
+            #[inline]
+            pub fn set_parts(&mut self, value: u16) {
+                self.builder.set_data_field::<u16>(11, value);
+            }
+            #[inline]
+            pub fn get_told_age_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(8)
+            }
+            #[inline]
+            pub fn set_told_age_ms(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(8, value);
             }
         }
 
@@ -5678,51 +6651,112 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(49, 91, 171, 245, 96, 79, 22, 243),
+                ::capnp::word(67, 212, 255, 237, 249, 185, 160, 245),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-                ::capnp::word(114, 97, 109, 46, 110, 101, 119, 115),
+                ::capnp::word(114, 97, 109, 46, 99, 104, 97, 110),
+                ::capnp::word(103, 101, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 5, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 26, 0, 0, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(61, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 101, 101, 110, 0, 0, 0, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 10, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 29, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 11, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 30, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 31, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 105, 110, 99, 101, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 112, 116, 111, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(163, 147, 255, 11, 1, 113, 61, 247),
+                ::capnp::word(34, 120, 191, 243, 108, 243, 251, 228),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 101, 113, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 111, 108, 100, 65, 103, 101, 77),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5733,8 +6767,12 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::peer_capnp::datagram::news_item::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::peer_capnp::datagram::entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5753,14 +6791,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
-            pub(crate) const TYPE_ID: u64 = 0xf316_4f60_f5ab_5b31;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 4, 0, 5, 1];
+            pub(crate) const TYPE_ID: u64 = 0xf5a0_b9f9_edff_d443;
         }
     }
 
-    pub mod changes {
+    pub mod want {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -5856,7 +6894,7 @@
             }
         }
 
-        impl<'a> Reader<'a> {
+        impl Reader<'_> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -5865,40 +6903,9 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_since(self) -> u64 {
+            pub fn get_after(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
-            #[inline]
-            pub fn get_upto(self) -> u64 {
-                self.reader.get_data_field::<u64>(3)
-            }
-            #[inline]
-            pub fn get_entries(
-                self,
-            ) -> ::capnp::Result<
-                ::capnp::struct_list::Reader<'a, crate::peer_capnp::datagram::entry::Owned>,
-            > {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_entries(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-            #[inline]
-            pub fn get_part(self) -> u16 {
-                self.reader.get_data_field::<u16>(10)
-            }
-            #[inline]
-            pub fn get_parts(self) -> u16 {
-                self.reader.get_data_field::<u16>(11)
-            }
-            #[inline]
-            pub fn get_told_age_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(8)
-            }
         }
 
         pub struct Builder<'a> {
@@ -5956,108 +6963,39 @@
                         .into(),
                 )
             }
-        }
-
-        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
-            fn set_pointer_builder(
-                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-                value: Self,
-                canonicalize: bool,
-            ) -> ::capnp::Result<()> {
-                pointer.set_struct(&value.reader, canonicalize)
-            }
-        }
-
-        impl<'a> Builder<'a> {
-            pub fn into_reader(self) -> Reader<'a> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_since(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn set_since(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(1, value);
-            }
-            #[inline]
-            pub fn get_upto(self) -> u64 {
-                self.builder.get_data_field::<u64>(3)
-            }
-            #[inline]
-            pub fn set_upto(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(3, value);
-            }
-            #[inline]
-            pub fn get_entries(
-                self,
-            ) -> ::capnp::Result<
-                ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::entry::Owned>,
-            > {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_entries(
-                &mut self,
-                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::datagram::entry::Owned>,
-            ) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
-            }
-            #[inline]
-            pub fn init_entries(
-                self,
-                size: u32,
-            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::entry::Owned>
-            {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
-                    size,
-                )
-            }
-            #[inline]
-            pub fn has_entries(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
             }
-            #[inline]
-            pub fn get_part(self) -> u16 {
-                self.builder.get_data_field::<u16>(10)
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
             }
-            #[inline]
-            pub fn set_part(&mut self, value: u16) {
-                self.builder.set_data_field::<u16>(10, value);
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
             }
-            #[inline]
-            pub fn get_parts(self) -> u16 {
-                self.builder.get_data_field::<u16>(11)
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
             }
-            #[inline]
-            pub fn set_parts(&mut self, value: u16) {
-                self.builder.set_data_field::<u16>(11, value);
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_told_age_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(8)
+            pub fn get_after(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn set_told_age_ms(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(8, value);
+            pub fn set_after(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
             }
         }
 
@@ -6071,75 +7009,32 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(67, 212, 255, 237, 249, 185, 160, 245),
+                ::capnp::word(130, 139, 59, 184, 87, 9, 86, 150),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-                ::capnp::word(114, 97, 109, 46, 99, 104, 97, 110),
-                ::capnp::word(103, 101, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 10, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 29, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(4, 0, 0, 0, 11, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 30, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(5, 0, 0, 0, 8, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 31, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 105, 110, 99, 101, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 97, 109, 46, 119, 97, 110, 116),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 32, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(117, 112, 116, 111, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6147,52 +7042,10 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(34, 120, 191, 243, 108, 243, 251, 228),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 111, 108, 100, 65, 103, 101, 77),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::struct_list::Owned<crate::peer_capnp::datagram::entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
-                    4 => <u16 as ::capnp::introspect::Introspect>::introspect(),
-                    5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6211,14 +7064,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 4, 0, 5, 1];
-            pub(crate) const TYPE_ID: u64 = 0xf5a0_b9f9_edff_d443;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9656_0957_b83b_8b82;
         }
     }
 
-    pub mod want {
+    pub mod requests {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -6314,7 +7167,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -6323,8 +7176,23 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_after(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
+            pub fn get_request_items(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Reader<'a, crate::peer_capnp::datagram::request_item::Owned>,
+            > {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_request_items(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_requests_seq(self) -> u32 {
+                self.reader.get_data_field::<u32>(5)
             }
         }
 
@@ -6410,12 +7278,52 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_after(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
+            pub fn get_request_items(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::request_item::Owned>,
+            > {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_after(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(1, value);
+            pub fn set_request_items(
+                &mut self,
+                value: ::capnp::struct_list::Reader<
+                    '_,
+                    crate::peer_capnp::datagram::request_item::Owned,
+                >,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_request_items(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::datagram::request_item::Owned>
+            {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_request_items(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_requests_seq(self) -> u32 {
+                self.builder.get_data_field::<u32>(5)
+            }
+            #[inline]
+            pub fn set_requests_seq(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(5, value);
             }
         }
 
@@ -6429,43 +7337,67 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(130, 139, 59, 184, 87, 9, 86, 150),
+                ::capnp::word(114, 73, 201, 243, 237, 43, 52, 224),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
-                ::capnp::word(114, 97, 109, 46, 119, 97, 110, 116),
+                ::capnp::word(114, 97, 109, 46, 114, 101, 113, 117),
+                ::capnp::word(101, 115, 116, 115, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 32, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 35, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 106, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 36, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(65, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 73),
+                ::capnp::word(116, 101, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(194, 131, 27, 1, 188, 10, 158, 212),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
+                ::capnp::word(83, 101, 113, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<
+                        crate::peer_capnp::datagram::request_item::Owned,
+                    > as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6484,10 +7416,10 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x9656_0957_b83b_8b82;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) const TYPE_ID: u64 = 0xe034_2bed_f3c9_4972;
         }
     }
 }
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -3,9 +3,11 @@
 use honeypulley_bundle::head::Version;
 use honeypulley_peer::codec::{Body, Datagram, MAX_DATAGRAM, MAX_ITEMS, report_bodies};
 use honeypulley_peer::key::FleetKey;
+use honeypulley_peer::requests::MAX_REQUESTS;
 use honeypulley_policy::balance::News;
 use honeypulley_policy::belief::Observation;
 use honeypulley_policy::collector::{Judgement, NameId, Report, ReportItem, Verdict};
+use honeypulley_policy::quarantine::{Fingerprint, RequestNews, Scope};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::time::Duration;
@@ -50,7 +52,27 @@
                 _ => News::Retry { service: upstream, seen: id as u16, spent: id as u8 },
             }
         });
+    let requests = (any::<[u64; 2]>(), any::<[u32; 2]>(), 0u8..3, any::<u8>()).prop_map(
+        |([request, upstream], [began, span], kind, trials)| {
+            let scope = if trials % 2 == 0 { Scope::Caller } else { Scope::Content };
+            let (request, span) = (Fingerprint(request), Duration::from_millis(span.into()));
+            let began = Duration::from_millis(began.into());
+            match kind {
+                0 => RequestNews::Ended {
+                    request,
+                    scope,
+                    upstream: NameId(upstream),
+                    began,
+                    ended: span,
+                },
+                1 => RequestNews::Served { request, ago: span },
+                _ => RequestNews::Held { request, scope, left: span, trials },
+            }
+        },
+    );
     prop_oneof![
+        (any::<u32>(), prop::collection::vec(requests, 0..MAX_REQUESTS))
+            .prop_map(|(seq, items)| Body::Requests { seq, items }),
         (any::<u32>(), prop::collection::vec(news, 0..MAX_ITEMS))
             .prop_map(|(seq, items)| Body::News { seq, items }),
         any::<u64>().prop_map(|nonce| Body::Ask { nonce }),
@@ -136,3 +158,20 @@
     assert!(!key.check(b"nonce", b"short"));
     assert!(!format!("{key:?}").contains("one"), "keys stay out of logs");
 }
+
+#[test]
+fn the_longest_news_of_requests_fit_a_datagram_that_is_sent_on() {
+    let item = RequestNews::Ended {
+        request: Fingerprint(u64::MAX - 1),
+        scope: Scope::Content,
+        upstream: NameId(u64::MAX - 2),
+        began: Duration::from_millis(0x1234_5678),
+        ended: Duration::from_millis(0x1234_5678),
+    };
+    let key = FleetKey::derive("a fleet key of tests");
+    let body = Body::Requests { seq: u32::MAX - 1, items: vec![item; MAX_REQUESTS] };
+    let inner = Datagram { sender: NameId(u64::MAX - 1), body }.seal(&key);
+    let outer = Datagram { sender: NameId(u64::MAX - 1), body: Body::Forward(inner.into()) };
+    let len = outer.seal(&key).len();
+    assert!(len <= MAX_DATAGRAM, "{len}");
+}
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -4,8 +4,10 @@
 use crate::gate::Gate;
 use crate::liveness::has_ended;
 use bytes::{Bytes, BytesMut};
-use honeypulley_policy::quarantine::Fingerprint;
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::quarantine::{End, Fingerprints};
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, UpstreamKey};
+use honeypulley_policy::time::Time;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,7 +31,7 @@
     /// Whether a short answer is taken whole before any of it is passed on.
     pub collect: bool,
     /// What it has in common with other tries of the same request.
-    pub fingerprint: Fingerprint,
+    pub same: Fingerprints,
 }
 
 /// Closes an attempt with the policy when it is done with, whatever the way.
@@ -40,15 +42,18 @@
     pub key: AttemptKey,
     /// The upstream asked.
     pub upstream: UpstreamKey,
+    request: Fingerprints,
     outcome: Outcome,
+    /// Whether the head of its answer was good.
+    good: bool,
 }
 
 impl AttemptGuard {
     /// Guards an attempt that was just opened.
     #[must_use]
-    pub fn new(gate: &Arc<Gate>, pick: Pick) -> Self {
-        let (key, upstream) = (pick.attempt, pick.upstream);
-        Self { gate: Arc::clone(gate), key, upstream, outcome: Outcome::Abandoned }
+    pub fn new(gate: &Arc<Gate>, pick: Pick, request: Fingerprints) -> Self {
+        let (key, upstream, gate) = (pick.attempt, pick.upstream, Arc::clone(gate));
+        Self { gate, key, upstream, request, outcome: Outcome::Abandoned, good: false }
     }
 
     /// Says how the attempt ended; the guard's drop tells the policy.
@@ -61,6 +66,9 @@
     fn drop(&mut self) {
         let now = self.gate.now();
         self.gate.chooser.lock().finish(self.key, self.outcome, now);
+        if self.good && self.outcome == Outcome::Whole {
+            self.gate.suspects.served(self.request, now);
+        }
     }
 }
 
@@ -139,6 +147,7 @@
     left: Option<Duration>,
 ) -> Result<Answer, (UpstreamKey, Failure)> {
     let upstream = guard.upstream;
+    let began = gate.now();
     let id = attempt_id(&gate.dialect, &out);
     let request = build(&gate, &to, &out, body, left, id.as_ref());
     let response = match request.send().await {
@@ -148,7 +157,7 @@
             guard.ended(outcome);
             drop(guard);
             if outcome == Outcome::Failed {
-                check(&to, &out).await;
+                note_if_ended(&gate, &to, &out, began).await;
             }
             return Err((upstream, failure));
         }
@@ -168,18 +177,29 @@
         Err(why) => {
             guard.ended(Outcome::Wrong);
             drop(guard);
-            check(&to, &out).await;
+            note_if_ended(&gate, &to, &out, began).await;
             Err((upstream, Failure::Unknown { why: format!("the answer was cut: {why}") }))
         }
     }
 }
 
-/// Finds out whether an upstream that broke an attempt off has ended.
-async fn check(to: &Destination, out: &Outgoing) {
-    let ended = has_ended(&to.addr).await;
-    let (name, same) = (to.name.as_str(), out.fingerprint);
-    let word = if ended { "has ended" } else { "still runs" };
-    log::warn!(upstream = name, same:display, ended; "attempt: broken off, {name} {word}");
+/// Finds out whether an upstream that broke an attempt off has ended, and notes it.
+///
+/// It comes before any second send, so that a request that ends its upstreams is known for it
+/// by then. Where the upstream runs on, that costs one round trip.
+async fn note_if_ended(gate: &Gate, to: &Destination, out: &Outgoing, began: Time) {
+    let has_ended = has_ended(&to.addr).await;
+    let (name, same) = (to.name.as_str(), out.same.caller);
+    let word = if has_ended { "has ended" } else { "still runs" };
+    log::warn!(
+        upstream = name, same:display, content:display = out.same.content, has_ended;
+        "attempt: broken off, {name} {word}"
+    );
+    if has_ended {
+        let now = gate.now();
+        let end = End { upstream: NameId::of(name), began, ended: now };
+        gate.suspects.ended(out.same, end, now);
+    }
 }
 
 /// Returns the identity of an attempt: the caller's, or one of our own.
@@ -264,7 +284,8 @@
         guard.ended(Outcome::Wrong);
         return Err(Failure::Unknown { why: "the answer lacks its proof".to_owned() });
     }
-    policy.answered(guard.key, !r.status().is_server_error(), now);
+    guard.good = !r.status().is_server_error();
+    policy.answered(guard.key, guard.good, now);
     Ok(())
 }
 
--- a/crates/honeypulley_proxy/src/fingerprint.rs
+++ b/crates/honeypulley_proxy/src/fingerprint.rs
@@ -6,7 +6,7 @@
 //! another's.
 
 use crate::body::Source;
-use honeypulley_policy::quarantine::Fingerprint;
+use honeypulley_policy::quarantine::{Fingerprint, Fingerprints};
 use http::Method;
 use std::fmt;
 use std::net::IpAddr;
@@ -43,23 +43,33 @@
         Self(key)
     }
 
-    /// Returns the fingerprint of a request.
+    /// Returns the fingerprints of a request.
     ///
     /// A body that is streamed counts with its beginning and its length, if that is told.
     #[must_use]
-    pub fn of(&self, id: &Identity<'_>, body: &Source) -> Fingerprint {
+    pub fn of(&self, id: &Identity<'_>, body: &Source) -> Fingerprints {
         let mut hasher = blake3::Hasher::new_keyed(&self.0);
-        let caller = id.caller.map_or_else(String::new, |ip| ip.to_string());
-        let parts = [id.method.as_str(), id.host, id.path, &caller, id.named.unwrap_or_default()];
-        for part in parts {
-            // The length keeps two parts from being told as one.
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part.as_bytes());
-        }
+        add(&mut hasher, id.method.as_str().as_bytes());
+        add(&mut hasher, id.host.as_bytes());
+        add(&mut hasher, id.path.as_bytes());
         hasher.update(&body.length().unwrap_or(u64::MAX).to_le_bytes());
-        hasher.update(body.beginning());
-        let digest = hasher.finalize();
-        let (first, _) = digest.as_bytes().split_first_chunk().expect("a digest has 32 bytes");
-        Fingerprint(u64::from_le_bytes(*first))
+        add(&mut hasher, body.beginning());
+        let content = finish(&hasher);
+        let address = id.caller.map_or_else(String::new, |ip| ip.to_string());
+        add(&mut hasher, address.as_bytes());
+        add(&mut hasher, id.named.unwrap_or_default().as_bytes());
+        Fingerprints { caller: finish(&hasher), content }
     }
 }
+
+/// Adds a part with its length, which keeps two parts from being told as one.
+fn add(hasher: &mut blake3::Hasher, part: &[u8]) {
+    hasher.update(&(part.len() as u64).to_le_bytes());
+    hasher.update(part);
+}
+
+fn finish(hasher: &blake3::Hasher) -> Fingerprint {
+    let digest = hasher.finalize();
+    let (first, _) = digest.as_bytes().split_first_chunk().expect("a digest has 32 bytes");
+    Fingerprint(u64::from_le_bytes(*first))
+}
--- a/crates/honeypulley_proxy/src/gate.rs
+++ b/crates/honeypulley_proxy/src/gate.rs
@@ -3,6 +3,7 @@
 use crate::answer::OwnAnswer;
 use crate::dialect::Dialect;
 use crate::fingerprint::Fingerprinter;
+use crate::suspects::Suspects;
 use cadence::{Counted, CountedExt, StatsdClient, Timed};
 use futures::future::BoxFuture;
 use honeypulley_policy::chooser::{Ask, Chooser};
@@ -93,6 +94,8 @@
     pub dialect: Dialect,
     /// What tells requests that are the same.
     pub fingerprints: Fingerprinter,
+    /// Requests under which upstreams ended.
+    pub suspects: Arc<dyn Suspects>,
     /// Client towards upstreams.
     pub client: reqwest::Client,
     /// The process's clock.
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -9,7 +9,7 @@
 use crate::race::Race;
 use crate::upgrade;
 use async_trait::async_trait;
-use honeypulley_policy::quarantine::Fingerprint;
+use honeypulley_policy::quarantine::{Fingerprint, Fingerprints, Standing};
 use http::{HeaderValue, Method, StatusCode, Version, header};
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -69,7 +69,8 @@
             caller: req.remote_addr().ip(),
             named: headers::text(req.headers(), &dialect.caller),
         };
-        out.fingerprint = self.gate.fingerprints.of(&identity, &source);
+        out.same = self.gate.fingerprints.of(&identity, &source);
+        self.admit(&id, out.same)?;
         let broken = source.broken();
         let service = routed.service.clone();
         let race = Race {
@@ -96,6 +97,24 @@
         Ok(())
     }
 
+    /// Refuses a request that is held since upstreams ended under it.
+    fn admit(&self, id: &str, same: Fingerprints) -> Result<(), OwnAnswer> {
+        let now = self.gate.now();
+        let Standing::Held { left } = self.gate.suspects.standing(same, now) else {
+            return Ok(());
+        };
+        self.gate.suspects.refused(same, now);
+        self.gate.count("requests.held");
+        log::warn!(
+            request = id, same:display = same.caller, content:display = same.content,
+            left_ms = left.as_millis() as u64;
+            "route: refused, upstreams ended under this request"
+        );
+        let wait = left.mul_f64(1.0 + fastrand::f64() / 10.0);
+        let why = "upstreams ended while they ran this request, so it is not sent on".to_owned();
+        Err(OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, Some(wait), why))
+    }
+
     /// Books an upstream's answer that is passed on.
     fn ended(&self, id: &str, service: &str, status: StatusCode, took: Duration) {
         let outcome = if status.is_server_error() { "failed" } else { "served" };
@@ -151,7 +170,7 @@
             headers: h,
             upgrade: is_upgrade,
             collect: false,
-            fingerprint: Fingerprint(0),
+            same: Fingerprints { caller: Fingerprint(0), content: Fingerprint(0) },
         }
     }
 
--- a/crates/honeypulley_proxy/src/lib.rs
+++ b/crates/honeypulley_proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod liveness;
 pub mod race;
 pub mod shared;
+pub mod suspects;
 pub mod upgrade;
 
 /// The names most users of this crate need.
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -8,6 +8,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use honeypulley_policy::balance::Resend;
 use honeypulley_policy::chooser::Ask;
+use honeypulley_policy::quarantine::Standing;
 use honeypulley_policy::router::{AttemptKey, Refusal, UpstreamKey};
 use http::StatusCode;
 use std::sync::Arc;
@@ -152,7 +153,7 @@
         drop(policy);
         self.gate.count_for("attempts", &[("service", service), ("kind", kind)]);
         log::info!(
-            request = self.id.as_str(), same:display = self.out.fingerprint, service,
+            request = self.id.as_str(), same:display = self.out.same.caller, service,
             upstream = to.name.as_str(), reason:debug = pick.reason, version,
             attempts = self.routed.attempts, repeatable = self.routed.ask.repeatable,
             near = known.near, sick = known.sick as f32, path = known.path as f32, busy = known.busy as f32,
@@ -160,7 +161,7 @@
             list = known.list.version, list_age_ms = known.list.age.map(|d| d.as_millis() as u64);
             "route: {kind} sent to {}", to.name
         );
-        let guard = AttemptGuard::new(&self.gate, pick);
+        let guard = AttemptGuard::new(&self.gate, pick, self.out.same);
         tally.tried.push(pick.upstream);
         tally.open.push(OpenAttempt {
             key: pick.attempt,
@@ -193,7 +194,10 @@
             newest.and_then(|a| policy.hedge(&self.routed.ask, a.key, now))
         };
         let Some(stuck) = stuck else { return };
-        if self.may_send_again(tally) && self.spend(Resend::Overdue { stuck }) {
+        if self.standing() == Standing::Clear
+            && self.may_send_again(tally)
+            && self.spend(Resend::Overdue { stuck })
+        {
             self.gate.count("attempts.hedged");
             // Finding no other upstream is no loss: the first attempt still runs.
             let _ = self.start(running, tally, "hedge");
@@ -207,7 +211,13 @@
 
     /// Tells whether a repeatable request may be sent once more, and still in time.
     fn may_send_again(&self, tally: &Tally) -> bool {
-        self.routed.ask.repeatable && self.has_retry(tally) && self.is_in_time()
+        let may_repeat = self.routed.ask.repeatable && self.standing() < Standing::Single;
+        may_repeat && self.has_retry(tally) && self.is_in_time()
+    }
+
+    /// Returns how the request may be treated, by the upstreams that ended under it.
+    fn standing(&self) -> Standing {
+        self.gate.suspects.standing(self.out.same, self.gate.now())
     }
 
     fn is_in_time(&self) -> bool {
@@ -224,12 +234,16 @@
         if !self.has_retry(tally) || !self.is_in_time() {
             return false;
         }
+        let standing = self.standing();
+        let is_single = standing >= Standing::Single;
         let safe = self.routed.ask.repeatable || tally.unknown.is_none();
         match failure {
             // Nothing reached an upstream, so this is no retry to it.
-            Failure::NotSent { .. } => safe,
-            Failure::NotRun { .. } => safe && self.spend(Resend::Failed),
-            Failure::Unknown { .. } => self.routed.ask.repeatable && self.spend(Resend::Failed),
+            Failure::NotSent { .. } => safe && !matches!(standing, Standing::Held { .. }),
+            Failure::NotRun { .. } => !is_single && safe && self.spend(Resend::Failed),
+            Failure::Unknown { .. } => {
+                !is_single && self.routed.ask.repeatable && self.spend(Resend::Failed)
+            }
         }
     }
 
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -6,6 +6,7 @@
 use crate::fingerprint::Fingerprinter;
 use crate::gate::{Gate, Reuse, Routed, Routes, Wanted, client};
 use crate::headers;
+use crate::suspects::OwnSuspects;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_trait::async_trait;
 use cadence::{Gauged, StatsdClient};
@@ -143,6 +144,7 @@
             routes: Arc::<BundleRoutes>::clone(&routes),
             dialect,
             fingerprints,
+            suspects: Arc::<OwnSuspects>::default(),
             client: client(source, Reuse::Pooled)?,
             clock,
             metrics,
