An upstream that starts again under its name is another one

Cause: beliefs, load, open attempts, cold start and news went by the name alone, so a new life kept the record of its former one, and what was open there waited for its deadline.

A life is the name and the time of its start, wherever boxes speak of it: news, beliefs and open attempts of a former life then are of an upstream that nobody knows. Attempts of a former life are broken off at the next look, and count as an end under their requests. A start that goes back or lies far ahead makes another life as well: times are only compared for being the same.

--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -58,6 +58,10 @@
         self.balancer.place(k)
     }
 
+    fn has_ended(&self, k: UpstreamKey) -> bool {
+        self.balancer.has_ended(k)
+    }
+
     fn inputs(&self, k: UpstreamKey, now: Time) -> Inputs {
         Inputs { list: self.mesh.list_now(), ..self.balancer.inputs(k, now) }
     }
--- a/crates/honeypulley_mesh/tests/boxes/support.rs
+++ b/crates/honeypulley_mesh/tests/boxes/support.rs
@@ -24,8 +24,8 @@
 /// Prefix of upstreams in the store.
 const UPSTREAMS: &str = "u/";
 
-/// Reads an upstream's entry, whose value is `live` or `leaving`, and a routing table,
-/// whose value is its number.
+/// Reads an upstream's entry, whose value is `live` or `leaving` (no other is one), and a
+/// routing table, whose value is its number.
 #[derive(Debug)]
 struct TestDecoder(StoreKeys);
 
@@ -44,8 +44,14 @@
     }
 
     fn upstream(&self, o: &Object) -> Result<Listed, DecodeError> {
-        let state =
-            if &o.value[..] == b"leaving" { MemberState::Leaving } else { MemberState::Live };
+        let state = match &o.value[..] {
+            b"live" => MemberState::Live,
+            b"leaving" => MemberState::Leaving,
+            _ => {
+                let cause = "no entry of an upstream".to_owned();
+                return Err(DecodeError { key: o.key.clone(), version: o.version, cause });
+            }
+        };
         let member = Member {
             name: o.key.trim_start_matches(UPSTREAMS).to_owned(),
             service: "s".to_owned(),
@@ -53,7 +59,7 @@
             hall: "hall-a".to_owned(),
             state,
         };
-        Ok(Listed { member, slots: 3, cold: Duration::ZERO })
+        Ok(Listed { member, slots: 3, cold: Duration::ZERO, born: None })
     }
 }
 
--- a/crates/honeypulley_mesh/tests/list.rs
+++ b/crates/honeypulley_mesh/tests/list.rs
@@ -18,7 +18,7 @@
         hall: "h".to_owned(),
         state,
     };
-    Listed { member, slots: 3, cold: Duration::ZERO }
+    Listed { member, slots: 3, cold: Duration::ZERO, born: None }
 }
 
 fn live(name: &str, version: u64) -> Entry {
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -156,6 +156,8 @@
     leaving @7 :Bool;
     slots @8 :UInt16;
     coldMs @9 :UInt32;
+    # Milliseconds since 1970 at which it started; zero if it does not say.
+    born @10 :UInt64;
   }
 
   struct Item {
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -67,6 +67,7 @@
                 row.set_leaving(l.member.state == MemberState::Leaving);
                 row.set_slots(u16::try_from(l.slots).unwrap_or(u16::MAX));
                 row.set_cold_ms(l.cold.as_millis() as u32);
+                row.set_born(l.born.unwrap_or(0));
             }
         }
     }
@@ -93,6 +94,7 @@
             },
             slots: r.get_slots().into(),
             cold: Duration::from_millis(r.get_cold_ms().into()),
+            born: Some(r.get_born()).filter(|&ms| ms > 0),
         })
     };
     Ok(Entry { name, version: r.get_version(), state })
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -2335,6 +2335,10 @@
             pub fn get_cold_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(4)
             }
+            #[inline]
+            pub fn get_born(self) -> u64 {
+                self.reader.get_data_field::<u64>(3)
+            }
         }
 
         pub struct Builder<'a> {
@@ -2342,7 +2346,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
+                ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2574,6 +2578,14 @@
             pub fn set_cold_ms(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(4, value);
             }
+            #[inline]
+            pub fn get_born(self) -> u64 {
+                self.builder.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn set_born(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(3, value);
+            }
         }
 
         pub struct Pipeline {
@@ -2586,17 +2598,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 168] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 183] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(34, 120, 191, 243, 108, 243, 251, 228),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 111, 2, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -2604,77 +2616,84 @@
                 ::capnp::word(114, 97, 109, 46, 69, 110, 116, 114),
                 ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 1, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(53, 1, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(57, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(61, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(7, 0, 0, 0, 65, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 1, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 1, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(73, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2755,6 +2774,14 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 111, 114, 110, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -2768,6 +2795,7 @@
                     7 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     8 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2786,9 +2814,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 9, 2, 6, 3, 7, 0, 4, 8, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 10, 9, 2, 6, 3, 7, 0, 4, 8, 1];
             pub(crate) const TYPE_ID: u64 = 0xe4fb_f36c_f3bf_7822;
         }
     }
--- a/crates/honeypulley_policy/benches/pick.rs
+++ b/crates/honeypulley_policy/benches/pick.rs
@@ -27,7 +27,7 @@
             hall: "h".to_owned(),
             state: MemberState::Live,
         };
-        b.set_upstream(Listed { member, slots: 3, cold: Duration::ZERO }, Time::ZERO);
+        b.set_upstream(Listed { member, slots: 3, cold: Duration::ZERO, born: None }, Time::ZERO);
     }
     b
 }
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -32,13 +32,18 @@
 use retry::RetryWindow;
 pub use retry::{BudgetUse, Past, Reach, Resend, RetryRule};
 use slotmap::SlotMap;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use work::WorkTimes;
 
 /// Aim taken where a route names none.
 const DEFAULT_AIM: Duration = Duration::from_secs(1);
 
+/// Lives of upstreams that are remembered as over, while attempts there may be open.
+///
+/// All of a service of 200 that start again together, within the time of one request.
+const MOST_ENDED: usize = 256;
+
 /// One upstream with what the list says of its size and age.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
@@ -48,6 +53,22 @@
     pub slots: usize,
     /// How much longer it is slow from its start.
     pub cold: Duration,
+    /// When its process started, in milliseconds since 1970, if it says.
+    pub born: Option<u64>,
+}
+
+impl Listed {
+    /// Returns the id of this life of the upstream.
+    ///
+    /// One that starts again under its name knows nothing of before, and nothing that was
+    /// learnt of the former life holds for it. Boxes that speak of a former life then speak of
+    /// an upstream that the others do not know. The times are only compared for being the
+    /// same: a clock that was set back makes a new life as well.
+    #[must_use]
+    pub fn life(&self) -> NameId {
+        let name = &self.member.name;
+        self.born.map_or_else(|| NameId::of(name), |born| NameId::of(&format!("{name} {born}")))
+    }
 }
 
 /// Attempts that another box of this data hall has open.
@@ -191,6 +212,8 @@
     /// Boxes that did not reach an upstream which answered others, and when it did.
     contradicted: BTreeMap<NameId, Time>,
     listed: BTreeMap<String, Listed>,
+    /// Upstreams that have started again since, the last of them.
+    ended: VecDeque<UpstreamKey>,
     news: Vec<News>,
     rng: fastrand::Rng,
     /// What sets this box's draws apart from those of others.
@@ -217,6 +240,7 @@
             illness: Illness::default(),
             contradicted: BTreeMap::new(),
             listed: BTreeMap::new(),
+            ended: VecDeque::new(),
             news: Vec::new(),
             rng: fastrand::Rng::with_seed(seed),
             seed,
@@ -274,6 +298,10 @@
     /// Takes one entry of the list, new or changed.
     pub fn set_upstream(&mut self, l: Listed, now: Time) {
         let name = l.member.name.clone();
+        let former = self.listed.get(&name).map(Listed::life).filter(|&id| id != l.life());
+        if let Some(k) = former.and_then(|id| self.by_id.get(&id).copied()) {
+            self.end(k);
+        }
         if let Some(&k) = self.by_name.get(&l.member.service) {
             self.add(k, &l, now);
         }
@@ -282,18 +310,32 @@
 
     /// Takes that an entry is gone from the list: its upstream gets no new work.
     pub fn remove_upstream(&mut self, name: &str) {
-        self.listed.remove(name);
-        let Some(k) = self.by_id.get(&NameId::of(name)).copied() else { return };
+        let Some(l) = self.listed.remove(name) else { return };
+        let Some(k) = self.by_id.get(&l.life()).copied() else { return };
+        self.leave_service(k);
+        self.forget(k);
+    }
+
+    /// Takes that an upstream has started again: what was open there is over.
+    fn end(&mut self, k: UpstreamKey) {
+        self.leave_service(k);
+        self.forget(k);
+        self.ended.push_back(k);
+        if self.ended.len() > MOST_ENDED {
+            self.ended.pop_front();
+        }
+    }
+
+    fn leave_service(&mut self, k: UpstreamKey) {
         if let Some(u) = self.upstreams.get(k)
             && let Some(s) = self.services.get_mut(u.service)
         {
             s.upstreams.retain(|&x| x != k);
         }
-        self.forget(k);
     }
 
     fn add(&mut self, service: ServiceKey, l: &Listed, now: Time) {
-        let id = NameId::of(&l.member.name);
+        let id = l.life();
         let leaving = l.member.state == MemberState::Leaving;
         if let Some(u) = self.by_id.get(&id).and_then(|&k| self.upstreams.get_mut(k)) {
             u.leaving = leaving;
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -99,6 +99,10 @@
         self.upstreams.get(k).map(|u| Place { name: &u.name, addr: &u.addr })
     }
 
+    fn has_ended(&self, k: UpstreamKey) -> bool {
+        self.ended.contains(&k)
+    }
+
     fn inputs(&self, k: UpstreamKey, now: Time) -> Inputs {
         self.upstreams.get(k).map_or_else(Inputs::default, |u| Inputs {
             sick: self.shared_chance(k, now),
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -77,6 +77,10 @@
     fn pick(&mut self, ask: &Ask, tried: &[UpstreamKey], now: Time) -> Result<Pick, Refusal>;
     /// Returns where an upstream is, if it is still known.
     fn place(&self, k: UpstreamKey) -> Option<Place<'_>>;
+    /// Tells whether an upstream has started again, so that what was open there is over.
+    fn has_ended(&self, _: UpstreamKey) -> bool {
+        false
+    }
     /// Returns what is known of an upstream, for the log.
     fn inputs(&self, _: UpstreamKey, _: Time) -> Inputs {
         Inputs::default()
--- a/crates/honeypulley_policy/tests/balance/main.rs
+++ b/crates/honeypulley_policy/tests/balance/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod choice;
+mod lives;
 mod open_attempts;
 mod trials;
 
@@ -27,7 +28,7 @@
         hall: hall.to_owned(),
         state,
     };
-    Listed { member, slots: 3, cold: Duration::ZERO }
+    Listed { member, slots: 3, cold: Duration::ZERO, born: None }
 }
 
 /// A box in hall `h` of a fleet that starts for the first time, before `n` upstreams of
--- a/crates/honeypulley_policy/tests/floor.rs
+++ b/crates/honeypulley_policy/tests/floor.rs
@@ -148,7 +148,7 @@
             hall: "h".to_owned(),
             state: MemberState::Live,
         };
-        b.set_upstream(Listed { member, slots: 2, cold: Duration::ZERO }, Time::ZERO);
+        b.set_upstream(Listed { member, slots: 2, cold: Duration::ZERO, born: None }, Time::ZERO);
     }
     b
 }
--- a/crates/honeypulley_policy/tests/load/hall.rs
+++ b/crates/honeypulley_policy/tests/load/hall.rs
@@ -457,7 +457,10 @@
             hall: "h".to_owned(),
             state: MemberState::Live,
         };
-        b.set_upstream(Listed { member, slots: plan.slots, cold: Duration::ZERO }, Time::ZERO);
+        b.set_upstream(
+            Listed { member, slots: plan.slots, cold: Duration::ZERO, born: None },
+            Time::ZERO,
+        );
     }
     b
 }
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -4,11 +4,12 @@
 use crate::attempt::{Answer, AttemptGuard, Destination, Failure, Outgoing, send};
 use crate::body::Source;
 use crate::gate::{Gate, Routed};
-use futures::future::BoxFuture;
+use futures::future::{AbortHandle, Abortable, BoxFuture};
 use futures::stream::{FuturesUnordered, StreamExt};
 use honeypulley_policy::balance::Resend;
 use honeypulley_policy::chooser::Ask;
-use honeypulley_policy::quarantine::Standing;
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::quarantine::{End, Standing};
 use honeypulley_policy::router::{AttemptKey, Refusal, UpstreamKey};
 use http::StatusCode;
 use std::sync::Arc;
@@ -22,6 +23,9 @@
 /// When to come back after every upstream tried was proven not to have run it.
 const UNRUN_WAIT: Duration = Duration::from_millis(250);
 
+/// What is said of an attempt whose upstream started again meanwhile.
+const RESTARTED: &str = "its upstream has started again";
+
 /// One request on its way.
 #[derive(Debug)]
 pub struct Race {
@@ -42,11 +46,15 @@
 type Running = FuturesUnordered<BoxFuture<'static, Result<Answer, (UpstreamKey, Failure)>>>;
 
 /// An attempt that was sent, and when.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct OpenAttempt {
     key: AttemptKey,
     upstream: UpstreamKey,
+    /// The upstream's name, which may not be known any more.
+    name: NameId,
     began: Instant,
+    /// Breaks it off.
+    abort: AbortHandle,
 }
 
 /// What the attempts so far have shown.
@@ -163,14 +171,21 @@
         );
         let guard = AttemptGuard::new(&self.gate, pick, self.out.same);
         tally.tried.push(pick.upstream);
+        let (abort, registration) = AbortHandle::new_pair();
         tally.open.push(OpenAttempt {
             key: pick.attempt,
             upstream: pick.upstream,
+            name: NameId::of(&to.name),
             began: Instant::now(),
+            abort,
         });
         let body = self.source.take().expect("checked before each attempt");
         let attempt = send(Arc::clone(&self.gate), guard, to, Arc::clone(&self.out), body, left);
-        running.push(Box::pin(attempt));
+        let upstream = pick.upstream;
+        running.push(Box::pin(async move {
+            let done = Abortable::new(attempt, registration).await;
+            done.unwrap_or_else(|_| Err((upstream, Failure::Unknown { why: RESTARTED.to_owned() })))
+        }));
         Ok(())
     }
 
@@ -187,6 +202,7 @@
     /// Tells the policy what is still open and sends another if that is worth while.
     fn look(&mut self, running: &mut Running, tally: &mut Tally) {
         let now = self.gate.now();
+        self.end_lost(tally);
         let stuck = {
             let mut policy = self.gate.chooser.lock();
             tally.open.iter().for_each(|a| policy.still_open(a.key, now));
@@ -204,6 +220,23 @@
         }
     }
 
+    /// Breaks off the attempts whose upstreams have started again: they are not answered.
+    ///
+    /// Behind a cut no packet says so, and each would wait for its deadline.
+    fn end_lost(&self, tally: &Tally) {
+        let policy = self.gate.chooser.lock();
+        let lost: Vec<&OpenAttempt> =
+            tally.open.iter().filter(|a| policy.has_ended(a.upstream)).collect();
+        drop(policy);
+        let now = self.gate.now();
+        for a in lost {
+            let began = now.before(a.began.elapsed());
+            let end = End { upstream: a.name, began, ended: now };
+            self.gate.suspects.ended(self.out.same, end, now);
+            a.abort.abort();
+        }
+    }
+
     /// Tells whether a request that got a failure answer should be tried elsewhere.
     fn should_retry(&self, tally: &Tally) -> bool {
         self.may_send_again(tally) && self.spend(Resend::Failed)
--- a/tools/trial/src/model.rs
+++ b/tools/trial/src/model.rs
@@ -211,7 +211,7 @@
     x.set_services(std::slice::from_ref(spec), Time::ZERO);
     x.set_reach(Reach { boxes: s.size.boxes, in_touch: true });
     for m in members {
-        let l = Listed { member: m.clone(), slots: s.size.slots, cold: Duration::ZERO };
+        let l = Listed { member: m.clone(), slots: s.size.slots, cold: Duration::ZERO, born: None };
         x.set_upstream(l, Time::ZERO);
     }
     x
