Entries of another writer name no upstream and hold up nothing

One checked decoding with a typed reason; such an entry is told like a gone one with its version, costs a line and a count, and ends no other.

--- a/crates/honeypulley_mesh/src/admin.rs
+++ b/crates/honeypulley_mesh/src/admin.rs
@@ -48,7 +48,8 @@
              honeypulley_list_age_ms {}\nhoneypulley_list_missed {}\n\
              honeypulley_reader {}\nhoneypulley_read_age_ms {}\n\
              honeypulley_news_dropped_total {}\n\
-             honeypulley_requests_suspected {suspected}\nhoneypulley_requests_on_hold {held}\n",
+             honeypulley_requests_suspected {suspected}\nhoneypulley_requests_on_hold {held}\n\
+             honeypulley_entries_foreign_total {}\n",
             self.registry.text(),
             b.table,
             b.list,
@@ -57,6 +58,7 @@
             u8::from(b.reader),
             b.read_age.as_millis(),
             self.news_in.dropped() + self.news_out.dropped(),
+            self.foreign_entries(),
         )
     }
 
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -197,16 +197,18 @@
     fn entries(&self, c: &Changes, hold: Duration) -> Vec<Entry> {
         let prefix = &self.decoder.keys().upstreams;
         let name = |key: &str| key.strip_prefix(prefix.as_str()).unwrap_or(key).to_owned();
-        let present = c.objects.iter().filter_map(|o| match self.decoder.upstream(o) {
-            Ok(l) => Some(Entry {
-                name: name(&o.key),
-                version: o.version,
-                state: EntryState::Present(l),
-            }),
-            Err(e) => {
-                log::warn!("list: entry left out, {e}");
-                None
-            }
+        // What another writer left there names no upstream to use. It is told like a gone
+        // one, so that every box knows as much by that version.
+        let present = c.objects.iter().map(|o| {
+            let state = match self.decoder.upstream(o) {
+                Ok(l) => EntryState::Present(l),
+                Err(e) => {
+                    self.foreign.fetch_add(1, Ordering::Relaxed);
+                    log::warn!("list: the entry names no upstream, {e}");
+                    EntryState::Gone { hold: Duration::ZERO }
+                }
+            };
+            Entry { name: name(&o.key), version: o.version, state }
         });
         let gone = c.removed.iter().map(|r| Entry {
             name: name(&r.key),
@@ -216,6 +218,12 @@
         present.chain(gone).collect()
     }
 
+    /// Returns how many entries this box read that name no upstream.
+    #[must_use]
+    pub fn foreign_entries(&self) -> u64 {
+        self.foreign.load(Ordering::Relaxed)
+    }
+
     /// Takes entries that did not come back in time.
     pub fn expire_list(&self) {
         let mut lists = self.lists.lock();
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -25,7 +25,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -129,6 +129,8 @@
     missed: Mutex<Option<MissedTable>>,
     catch_up: Mutex<CatchUp>,
     pub(crate) quarantine: Mutex<Quarantine>,
+    /// Entries read that name no upstream.
+    pub(crate) foreign: AtomicU64,
 }
 
 /// A routing table that this box has heard of and does not have.
@@ -185,6 +187,7 @@
             next_table: Mutex::new(None),
             missed: Mutex::new(None),
             quarantine: Mutex::default(),
+            foreign: AtomicU64::new(0),
             settings,
         }
     }
--- a/crates/honeypulley_mesh/tests/boxes/main.rs
+++ b/crates/honeypulley_mesh/tests/boxes/main.rs
@@ -1,5 +1,6 @@
 //! Boxes that talk over loopback: what each gets to know, and by which way.
 
 mod departures;
+mod foreign;
 mod join;
 mod support;
