The process's clock counts a suspension of the machine

One place reads the clock since boot; deadlines of requests go by it, and are looked at whenever an attempt is.

--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -19,7 +19,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Longest time a caller's whole small body may take to come.
 const BODY_TIME: Duration = Duration::from_secs(10);
@@ -39,7 +38,7 @@
 
     async fn run(&self, req: &mut Request, res: &mut Response) -> Result<(), OwnAnswer> {
         let open = OpenGuard::new(&self.gate);
-        let began = Instant::now();
+        let began = self.gate.now();
         let dialect = &self.gate.dialect;
         let id = self.request_id(req);
         check_framing(req)?;
@@ -86,7 +85,7 @@
             let fault = broken.is_some_and(|b| b.load(Ordering::Relaxed));
             if fault { bad_request("the body can't be read") } else { own }
         })?;
-        let took = began.elapsed();
+        let took = self.gate.now().since(began);
         self.ended(&id, &service, answer.head.status, took);
         match switch {
             Some(caller) if answer.head.status == StatusCode::SWITCHING_PROTOCOLS => {
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -11,10 +11,10 @@
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::quarantine::{End, Standing};
 use honeypulley_policy::router::{AttemptKey, Refusal, UpstreamKey};
+use honeypulley_policy::time::Time;
 use http::StatusCode;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Most sends of one request beyond those that may have run.
 const MAX_UNRUN: usize = 3;
@@ -40,7 +40,7 @@
     /// Body.
     pub source: Source,
     /// When it must be answered, if route or caller say.
-    pub deadline: Option<Instant>,
+    pub deadline: Option<Time>,
 }
 
 type Running = FuturesUnordered<BoxFuture<'static, Result<Answer, (UpstreamKey, Failure)>>>;
@@ -52,7 +52,7 @@
     upstream: UpstreamKey,
     /// The upstream's name, which may not be known any more.
     name: NameId,
-    began: Instant,
+    began: Time,
     /// Breaks it off.
     abort: AbortHandle,
 }
@@ -91,8 +91,12 @@
             let ended = tokio::select! {
                 biased;
                 Some(ended) = running.next() => ended,
-                () = at(self.deadline) => return self.out_of_time(tally),
-                () = at(look_at) => {
+                () = self.at(self.deadline) => return self.out_of_time(tally),
+                () = self.at(look_at) => {
+                    // Timers do not count a suspension of the machine.
+                    if self.left().is_some_and(|left| left.is_zero()) {
+                        return self.out_of_time(tally);
+                    }
                     self.look(&mut running, &mut tally);
                     continue;
                 }
@@ -176,7 +180,7 @@
             key: pick.attempt,
             upstream: pick.upstream,
             name: NameId::of(&to.name),
-            began: Instant::now(),
+            began: now,
             abort,
         });
         let body = self.source.take().expect("checked before each attempt");
@@ -190,12 +194,10 @@
     }
 
     /// Returns when the attempts are to be looked at again.
-    fn next_look(&self, tally: &Tally) -> Option<Instant> {
+    fn next_look(&self, tally: &Tally) -> Option<Time> {
         let policy = self.gate.chooser.lock();
-        let next = |a: &OpenAttempt| {
-            let now = Instant::now();
-            now + policy.look_after(&self.routed.ask, now - a.began)
-        };
+        let now = self.gate.now();
+        let next = |a: &OpenAttempt| now + policy.look_after(&self.routed.ask, now.since(a.began));
         tally.open.iter().map(next).min()
     }
 
@@ -230,8 +232,7 @@
         drop(policy);
         let now = self.gate.now();
         for a in lost {
-            let began = now.before(a.began.elapsed());
-            let end = End { upstream: a.name, began, ended: now };
+            let end = End { upstream: a.name, began: a.began, ended: now };
             self.gate.suspects.ended(self.out.same, end, now);
             a.abort.abort();
         }
@@ -260,7 +261,7 @@
 
     /// Returns the time until the request must be answered.
     fn left(&self) -> Option<Duration> {
-        self.deadline.map(|d| d.saturating_duration_since(Instant::now()))
+        self.deadline.map(|d| d.since(self.gate.now()))
     }
 
     fn may_repeat(&self, failure: &Failure, tally: &Tally) -> bool {
@@ -370,12 +371,12 @@
         );
         OwnAnswer::unknown(StatusCode::GATEWAY_TIMEOUT, UNKNOWN_WAIT, why)
     }
-}
 
-/// Waits until a point, or forever if there is none.
-async fn at(t: Option<Instant>) {
-    match t {
-        Some(t) => tokio::time::sleep_until(t).await,
-        None => std::future::pending().await,
+    /// Waits until a point, or forever if there is none.
+    async fn at(&self, t: Option<Time>) {
+        match t {
+            Some(t) => tokio::time::sleep(t.since(self.gate.now())).await,
+            None => std::future::pending().await,
+        }
     }
 }
