--- a/crates/honeypulley_policy/src/quarantine.rs
+++ b/crates/honeypulley_policy/src/quarantine.rs
@@ -130,11 +130,13 @@
 impl Quarantine {
     /// Returns how a request may be treated.
     pub fn standing(&mut self, request: Fingerprints, now: Time) -> Standing {
-        if self.records.is_empty() {
+        // Nothing is known of nearly all requests, also while others are suspected.
+        if !request.each().iter().any(|(_, f)| self.records.contains_key(f)) {
             return Standing::Clear;
         }
+        let guilty = self.guilty_ends();
         let each = request.each();
-        each.map(|(_, f)| self.judge(f, now)).into_iter().max().unwrap_or(Standing::Clear)
+        each.map(|(_, f)| self.judge(f, &guilty, now)).into_iter().max().unwrap_or(Standing::Clear)
     }
 
     /// Takes that an upstream ended under a request of this box.
@@ -203,10 +205,15 @@
     /// Returns the requests that are held, or that were until a trial, those with the most
     /// trials first.
     pub fn held(&mut self, now: Time) -> Vec<Hold> {
-        let open: Vec<Fingerprint> = self.records.keys().copied().collect();
-        open.into_iter().for_each(|f| {
-            self.judge(f, now);
-        });
+        let mut guilty = self.guilty_ends();
+        let may_be_due = |r: &Record| !r.is_found_guilty() && r.ends().len() >= r.ends_needed();
+        let open: Vec<Fingerprint> =
+            self.records.iter().filter(|(_, r)| may_be_due(r)).map(|(&f, _)| f).collect();
+        for f in open {
+            if matches!(self.judge(f, &guilty, now), Standing::Held { .. }) {
+                guilty = self.guilty_ends();
+            }
+        }
         let mut held: Vec<Hold> =
             self.records.iter().filter_map(|(&f, r)| r.last_hold(f, now)).collect();
         held.sort_by_key(|h| std::cmp::Reverse((h.trials, h.left)));
@@ -243,12 +250,11 @@
     }
 
     /// Returns how one record lets a request be treated, and puts it on hold if that is due.
-    fn judge(&mut self, f: Fingerprint, now: Time) -> Standing {
+    fn judge(&mut self, f: Fingerprint, guilty: &[(Fingerprint, End)], now: Time) -> Standing {
         let Some(r) = self.records.get(&f) else { return Standing::Clear };
-        let counted = r.counted(&self.explained(f));
-        if r.is_due(&counted, now)
-            && (counted.len() > r.ends_needed() || !self.has_rival(f, &counted))
-        {
+        let counted = r.counted(&explained(f, guilty));
+        let is_sure = || counted.len() > r.ends_needed() || !self.has_rival(f, &counted, guilty);
+        if r.is_due(&counted, now) && is_sure() {
             self.hold(f, now);
         }
         self.records.get(&f).map_or(Standing::Clear, |r| r.standing(counted.len(), now))
@@ -262,12 +268,10 @@
         self.new_holds.extend(hold);
     }
 
-    /// Returns the ends that requests on hold account for, other than this one.
-    ///
-    /// What ran beside a request that is found guilty is innocent of the ends that were its.
-    fn explained(&self, f: Fingerprint) -> Vec<End> {
-        let guilty = self.records.iter().filter(|(g, r)| **g != f && r.is_found_guilty());
-        guilty.flat_map(|(_, r)| r.ends().iter().copied()).collect()
+    /// Returns the ends under the requests that are found guilty.
+    fn guilty_ends(&self) -> Vec<(Fingerprint, End)> {
+        let guilty = self.records.iter().filter(|(_, r)| r.is_found_guilty());
+        guilty.flat_map(|(&f, r)| r.ends().iter().map(move |&e| (f, e))).collect()
     }
 
     /// Tells whether another request was at as many ends, the last one of them the same.
@@ -275,14 +279,14 @@
     /// One of them is guilty: the other is cleared by its next answer, or the guilty one is
     /// known by its next end. Holding both held one innocent request for each third guilty
     /// one before nine upstreams.
-    fn has_rival(&self, f: Fingerprint, counted: &[End]) -> bool {
+    fn has_rival(&self, f: Fingerprint, counted: &[End], guilty: &[(Fingerprint, End)]) -> bool {
         let (Some(mine), Some(last)) = (self.records.get(&f), counted.last()) else { return false };
         self.records.iter().any(|(&g, r)| {
             g != f
                 && mine.is_of_one_scope(r)
                 && !r.is_found_guilty()
                 && r.ends().iter().any(|e| e.is_same(last))
-                && r.counted(&self.explained(g)).len() >= counted.len()
+                && r.counted(&explained(g, guilty)).len() >= counted.len()
         })
     }
 
@@ -313,3 +317,10 @@
         RequestNews::Held { request, scope, left, trials }
     }
 }
+
+/// Returns the ends that requests found guilty account for, other than this one.
+///
+/// What ran beside a request that is found guilty is innocent of the ends that were its.
+fn explained(f: Fingerprint, guilty: &[(Fingerprint, End)]) -> Vec<End> {
+    guilty.iter().filter(|(g, _)| *g != f).map(|&(_, e)| e).collect()
+}
--- a/crates/honeypulley_proxy/src/fingerprint.rs
+++ b/crates/honeypulley_proxy/src/fingerprint.rs
@@ -3,7 +3,8 @@
 //! A caller that sends a request again gives it a new id and a new deadline, and comes from
 //! another port to another box. Method, host, path with query, body and the caller's address
 //! stay. The digest is keyed, so that no caller can build a request that is taken for
-//! another's.
+//! another's. Both fingerprints take 0.4 us without a body, 1.6 us with 1 KiB and 25 us with the
+//! 64 KiB that are kept at most (`benches/fingerprint.rs`).
 
 use crate::body::Source;
 use honeypulley_policy::quarantine::{Fingerprint, Fingerprints};
