--- a/crates/honeypulley_daemon/src/admin.rs
+++ b/crates/honeypulley_daemon/src/admin.rs
@@ -1,6 +1,9 @@
 //! Readiness and liveness over HTTP, on a port of its own.
 
 use eyre::{Result, WrapErr};
+use honeypulley_policy::quarantine::{Fingerprint, Hold, Scope};
+use honeypulley_policy::time::Time;
+use honeypulley_proxy::suspects::Suspects;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
 use salvo::async_trait;
 use salvo::conn::tcp::TcpAcceptor;
@@ -22,14 +25,10 @@
     fn status(&self) -> Vec<u8>;
     /// Returns the box's metrics as text.
     fn metrics(&self) -> String;
-    /// Returns the requests that are held as JSON, if this box knows of such.
-    fn held(&self) -> Vec<u8> {
-        b"[]".to_vec()
-    }
-    /// Lifts the hold of a request, named by its fingerprint; returns whether there was one.
-    fn lift(&self, _request: &str) -> bool {
-        false
-    }
+    /// Returns who knows which requests are held.
+    fn suspects(&self) -> &dyn Suspects;
+    /// Returns the time now.
+    fn now(&self) -> Time;
 }
 
 /// Answers `/ready`, `/live`, `/status`, `/metrics` and `/held`, and lifts holds.
@@ -72,7 +71,7 @@
         match req.uri().path() {
             "/live" => res.render(Text::Plain("live\n")),
             "/status" => json(res, self.0.status()),
-            "/held" => json(res, self.0.held()),
+            "/held" => json(res, held_page(&self.0.suspects().held(self.0.now()))),
             "/metrics" => res.render(Text::Plain(self.0.metrics())),
             "/ready" => match self.0.readiness() {
                 Ok(()) => res.render(Text::Plain("ready\n")),
@@ -95,8 +94,11 @@
 #[async_trait]
 impl Handler for Lift {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let request: String = req.param("request").unwrap_or_default();
-        if self.0.lift(&request) {
+        let named: String = req.param("request").unwrap_or_default();
+        let request = u64::from_str_radix(&named, 16).map(Fingerprint);
+        let lift = |r| self.0.suspects().lift(r, self.0.now());
+        if request.is_ok_and(lift) {
+            log::info!(same = named.as_str(); "quarantine: request {named} is lifted");
             res.render(Text::Plain("lifted\n"));
         } else {
             res.status_code(StatusCode::NOT_FOUND);
@@ -109,3 +111,17 @@
     res.add_header("content-type", "application/json", true).expect("a fixed header is fine");
     res.body(body);
 }
+
+/// Returns the held requests as JSON, for operators.
+fn held_page(holds: &[Hold]) -> Vec<u8> {
+    let row = |h: &Hold| {
+        serde_json::json!({
+            "request": h.request.to_string(),
+            "scope": if h.scope == Scope::Caller { "caller" } else { "content" },
+            "ends": h.ends,
+            "trials": h.trials,
+            "left_ms": h.left.as_millis() as u64,
+        })
+    };
+    serde_json::Value::from_iter(holds.iter().map(row)).to_string().into_bytes()
+}
--- a/crates/honeypulley_daemon/src/context.rs
+++ b/crates/honeypulley_daemon/src/context.rs
@@ -15,6 +15,7 @@
 use honeypulley_policy::placement::{self, RELAYS, Role};
 use honeypulley_policy::time::Time;
 use honeypulley_proxy::shared::{Members, Shared};
+use honeypulley_proxy::suspects::Suspects;
 use honeypulley_supervisor::ring::{Full, Ring};
 use parking_lot::{Mutex, MutexGuard};
 use std::collections::HashMap;
@@ -323,4 +324,12 @@
         // A box without a platform sends its metrics over StatsD.
         String::new()
     }
+
+    fn suspects(&self) -> &dyn Suspects {
+        &*self.shared.gate.suspects
+    }
+
+    fn now(&self) -> Time {
+        self.shared.now()
+    }
 }
--- a/crates/honeypulley_mesh/src/admin.rs
+++ b/crates/honeypulley_mesh/src/admin.rs
@@ -2,7 +2,8 @@
 
 use crate::state::Mesh;
 use honeypulley_daemon::admin::AdminView;
-use honeypulley_policy::quarantine::{Fingerprint, Hold, Scope};
+use honeypulley_policy::time::Time;
+use honeypulley_proxy::suspects::Suspects;
 use std::sync::atomic::Ordering;
 
 impl AdminView for Mesh {
@@ -62,21 +63,11 @@
         )
     }
 
-    fn held(&self) -> Vec<u8> {
-        let row = |h: &Hold| {
-            serde_json::json!({
-                "request": h.request.to_string(),
-                "scope": if h.scope == Scope::Caller { "caller" } else { "content" },
-                "ends": h.ends,
-                "trials": h.trials,
-                "left_ms": h.left.as_millis() as u64,
-            })
-        };
-        let rows: Vec<_> = self.held_requests().iter().map(row).collect();
-        serde_json::Value::from(rows).to_string().into_bytes()
+    fn suspects(&self) -> &dyn Suspects {
+        self
     }
 
-    fn lift(&self, request: &str) -> bool {
-        u64::from_str_radix(request, 16).is_ok_and(|f| self.lift_hold(Fingerprint(f)))
+    fn now(&self) -> Time {
+        self.clock.now()
     }
 }
--- a/crates/honeypulley_mesh/src/suspects.rs
+++ b/crates/honeypulley_mesh/src/suspects.rs
@@ -23,13 +23,21 @@
     fn refused(&self, request: Fingerprints, now: Time) {
         self.update_suspects(|q| q.refused(request, now));
     }
+
+    fn held(&self, now: Time) -> Vec<Hold> {
+        self.update_suspects(|q| q.held(now))
+    }
+
+    fn lift(&self, request: Fingerprint, now: Time) -> bool {
+        self.update_suspects(|q| q.clear(request, now))
+    }
 }
 
 impl Mesh {
     /// Returns the requests that are held.
     #[must_use]
     pub fn held_requests(&self) -> Vec<Hold> {
-        self.update_suspects(|q| q.held(self.now()))
+        self.held(self.now())
     }
 
     /// Returns how many requests are suspected or held.
@@ -44,13 +52,6 @@
         self.update_suspects(|q| items.into_iter().for_each(|news| q.heard(news, now)));
     }
 
-    /// Clears a request that an operator takes for harmless; returns whether it was suspected.
-    pub(crate) fn lift_hold(&self, request: Fingerprint) -> bool {
-        let was_suspected = self.update_suspects(|q| q.clear(request, self.now()));
-        log::info!(same:display = request, was_suspected; "quarantine: request {request} is lifted");
-        was_suspected
-    }
-
     /// Changes what is known, logs new holds and hands the news to the peers' duty.
     fn update_suspects<T>(&self, f: impl FnOnce(&mut Quarantine) -> T) -> T {
         let mut quarantine = self.quarantine.lock();
--- a/crates/honeypulley_proxy/src/suspects.rs
+++ b/crates/honeypulley_proxy/src/suspects.rs
@@ -1,6 +1,6 @@
 //! What the serving path asks and tells about requests under which upstreams end.
 
-use honeypulley_policy::quarantine::{End, Fingerprints, Hold, Quarantine, Standing};
+use honeypulley_policy::quarantine::{End, Fingerprint, Fingerprints, Hold, Quarantine, Standing};
 use honeypulley_policy::time::Time;
 use parking_lot::Mutex;
 use std::fmt::Debug;
@@ -15,6 +15,10 @@
     fn served(&self, request: Fingerprints, now: Time);
     /// Takes that a held request was refused.
     fn refused(&self, request: Fingerprints, now: Time);
+    /// Returns the requests that are held.
+    fn held(&self, now: Time) -> Vec<Hold>;
+    /// Clears a request that an operator takes for harmless; returns whether it was suspected.
+    fn lift(&self, request: Fingerprint, now: Time) -> bool;
 }
 
 /// Suspects that one box knows by itself.
@@ -48,6 +52,14 @@
     fn refused(&self, request: Fingerprints, now: Time) {
         self.update(|q| q.refused(request, now));
     }
+
+    fn held(&self, now: Time) -> Vec<Hold> {
+        self.update(|q| q.held(now))
+    }
+
+    fn lift(&self, request: Fingerprint, now: Time) -> bool {
+        self.update(|q| q.clear(request, now))
+    }
 }
 
 /// Logs that a request is held, with the evidence.
--- /dev/null
+++ b/crates/honeypulley_proxy/tests/race/support.rs
@@ -0,0 +1,112 @@
+//! A box before some upstreams, and one request of it.
+
+use bytes::Bytes;
+use cadence::{NopMetricSink, StatsdClient};
+use honeypulley_policy::balance::{Balancer, Listed, RetryRule};
+use honeypulley_policy::chooser::{Ask, Chooser};
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::quarantine::{Fingerprint, Fingerprints};
+use honeypulley_policy::router::ServiceKey;
+use honeypulley_policy::spec::{Member, MemberState, ServiceSpec};
+use honeypulley_policy::time::Time;
+use honeypulley_proxy::answer::OwnAnswer;
+use honeypulley_proxy::attempt::Outgoing;
+use honeypulley_proxy::body::Source;
+use honeypulley_proxy::dialect::Dialect;
+use honeypulley_proxy::fingerprint::Fingerprinter;
+use honeypulley_proxy::gate::{Gate, Reuse, Routed, Routes, Wanted, client};
+use honeypulley_proxy::race::Race;
+use honeypulley_proxy::suspects::OwnSuspects;
+use honeypulley_supervisor::clock::Clock;
+use http::{HeaderMap, Method};
+use parking_lot::Mutex;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::time::Duration;
+
+/// The one request of these tests.
+pub const REQUEST: Fingerprints = Fingerprints { caller: Fingerprint(1), content: Fingerprint(2) };
+
+#[derive(Debug)]
+struct NoRoutes;
+
+impl Routes for NoRoutes {
+    fn route(&self, _: &Wanted<'_>, _: Time) -> Result<Routed, OwnAnswer> {
+        unreachable!("the race is begun by hand")
+    }
+}
+
+/// The serving path of a box, and the service that its upstreams are of.
+pub struct TestGate {
+    pub gate: Arc<Gate>,
+    service: ServiceKey,
+}
+
+/// Builds a box before upstreams at these addresses.
+pub fn boxed(addrs: &[String], clock: Clock) -> TestGate {
+    let mut balancer = Balancer::new("h", RetryRule::default(), 7);
+    balancer.set_services(&[ServiceSpec::builder().name("s").build()], Time::ZERO);
+    for (i, addr) in addrs.iter().enumerate() {
+        let member = Member {
+            name: format!("u{i}"),
+            service: "s".to_owned(),
+            addr: addr.clone(),
+            hall: "h".to_owned(),
+            state: MemberState::Live,
+        };
+        let listed = Listed { member, slots: 3, cold: Duration::ZERO, born: None };
+        balancer.set_upstream(listed, Time::ZERO);
+    }
+    let service = balancer.service("s").expect("set up");
+    let chooser: Arc<Mutex<dyn Chooser>> = Arc::new(Mutex::new(balancer));
+    let gate = Gate {
+        chooser,
+        routes: Arc::new(NoRoutes),
+        dialect: Dialect::default(),
+        fingerprints: Fingerprinter::new([0; 32]),
+        suspects: Arc::<OwnSuspects>::default(),
+        client: client(None, Reuse::Fresh).expect("it can be set up"),
+        clock,
+        metrics: Arc::new(StatsdClient::from_sink("test", NopMetricSink)),
+        open: AtomicUsize::new(0),
+        leaving: Arc::new(AtomicBool::new(false)),
+    };
+    TestGate { gate: Arc::new(gate), service }
+}
+
+/// Builds one try of the request, which may not be repeated.
+pub fn race(on: &TestGate, left: Duration) -> Race {
+    let ask = Ask {
+        service: on.service,
+        repeatable: false,
+        bulky: false,
+        aim: Some(Duration::from_millis(200)),
+        left: None,
+        route: NameId::of("r"),
+    };
+    let routed = Routed {
+        ask,
+        service: "s".to_owned(),
+        timeout: None,
+        attempts: 1,
+        version: 1,
+        collect: false,
+        body_bytes: 1_000,
+    };
+    let out = Outgoing {
+        method: Method::POST,
+        path: "/".to_owned(),
+        headers: HeaderMap::new(),
+        upgrade: false,
+        collect: false,
+        same: REQUEST,
+    };
+    Race {
+        gate: Arc::clone(&on.gate),
+        routed,
+        id: "r-1".to_owned(),
+        out: Arc::new(out),
+        source: Source::Kept(Bytes::new()),
+        deadline: Some(on.gate.now() + left),
+    }
+}
