One way to change what is known of suspects; ends of attempts are aged in one place

The two holders of suspects wrapped six methods each; the trait now has them over one. What the pace of news does to an end that was held stood twice, in the mesh and in the simulated halls.

--- a/crates/honeypulley_mesh/src/pace.rs
+++ b/crates/honeypulley_mesh/src/pace.rs
@@ -44,8 +44,7 @@
     #[must_use]
     pub fn due(&self, boxes: usize) -> Option<Time> {
         let first = self.waiting.first()?;
-        let is_end = |w: &Waiting| matches!(w.news, News::Ended { .. });
-        if self.waiting.len() >= MAX_ITEMS || !self.waiting.iter().all(is_end) {
+        if self.waiting.len() >= MAX_ITEMS || !self.waiting.iter().all(|w| w.news.is_end()) {
             return Some(first.at);
         }
         let hold = HOLD_A_BOX.saturating_mul(boxes.try_into().unwrap_or(u32::MAX));
@@ -55,12 +54,6 @@
     /// Takes what fits one datagram, oldest first, with the time that each end waited.
     pub fn take(&mut self, now: Time) -> Vec<News> {
         let most = self.waiting.len().min(MAX_ITEMS);
-        let aged = |w: Waiting| match w.news {
-            News::Ended { upstream, count, served, far, .. } => {
-                News::Ended { upstream, count, served, far, ago: now.since(w.at) }
-            }
-            news => news,
-        };
-        self.waiting.drain(..most).map(aged).collect()
+        self.waiting.drain(..most).map(|w| w.news.aged(now.since(w.at))).collect()
     }
 }
--- a/crates/honeypulley_policy/src/balance/news.rs
+++ b/crates/honeypulley_policy/src/balance/news.rs
@@ -80,4 +80,21 @@
     pub const fn is_for_hall(&self) -> bool {
         matches!(self, Self::Open { .. } | Self::Ended { .. })
     }
+
+    /// Tells whether it says that an attempt ended, which may be told a little later.
+    #[must_use]
+    pub const fn is_end(&self) -> bool {
+        matches!(self, Self::Ended { .. })
+    }
+
+    /// Returns it as it is told so long after it was made.
+    #[must_use]
+    pub const fn aged(self, waited: Duration) -> Self {
+        match self {
+            Self::Ended { upstream, count, served, far, .. } => {
+                Self::Ended { upstream, count, served, far, ago: waited }
+            }
+            news => news,
+        }
+    }
 }
--- a/crates/honeypulley_policy/tests/load/hall.rs
+++ b/crates/honeypulley_policy/tests/load/hall.rs
@@ -352,10 +352,10 @@
         for (from, b) in self.boxes.iter_mut().enumerate() {
             let held = &mut self.held[from];
             held.extend(b.take_news().into_iter().map(|n| (now, n)));
-            let is_end = |n: &News| matches!(n, News::Ended { .. });
             let waits = held.first().is_none_or(|&(at, _)| now < at + hold);
-            if !waits || !held.iter().all(|(_, n)| is_end(n)) {
-                let news = held.drain(..).map(|(at, n)| aged(n, now - at)).collect();
+            if !waits || !held.iter().all(|(_, n)| n.is_end()) {
+                let aged = |(at, n): (u64, News)| n.aged(Duration::from_millis(now - at));
+                let news = held.drain(..).map(aged).collect();
                 self.news.push_back((now + NEWS_MS, from, news));
             }
         }
@@ -428,17 +428,6 @@
     }
 }
 
-/// Returns news as it is told so many ms after it was made.
-fn aged(news: News, waited: u64) -> News {
-    match news {
-        News::Ended { upstream, count, served, far, .. } => {
-            let ago = Duration::from_millis(waited);
-            News::Ended { upstream, count, served, far, ago }
-        }
-        news => news,
-    }
-}
-
 fn name(i: usize) -> String {
     format!("u{i}")
 }
--- a/crates/honeypulley_proxy/src/suspects.rs
+++ b/crates/honeypulley_proxy/src/suspects.rs
@@ -7,58 +7,57 @@
 
 /// Knows which requests ended upstreams.
 pub trait Suspects: Debug + Send + Sync {
-    /// Returns how a request may be treated.
-    fn standing(&self, request: Fingerprints, now: Time) -> Standing;
-    /// Takes that an upstream ended under a request.
-    fn ended(&self, request: Fingerprints, end: End, now: Time);
-    /// Takes that a request was answered well.
-    fn served(&self, request: Fingerprints, now: Time);
-    /// Takes that a held request was refused.
-    fn refused(&self, request: Fingerprints, now: Time);
-    /// Returns the requests that are held.
-    fn held(&self, now: Time) -> Vec<Hold>;
-    /// Clears a request that an operator takes for harmless; returns whether it was suspected.
-    fn lift(&self, request: Fingerprint, now: Time) -> bool;
-}
+    /// Changes what is known, logs the holds that are new by it and tells whoever is to know.
+    fn update(&self, change: &mut dyn FnMut(&mut Quarantine));
 
-/// Suspects that one box knows by itself.
-#[derive(Debug, Default)]
-pub struct OwnSuspects(Mutex<Quarantine>);
-
-impl OwnSuspects {
-    fn update<T>(&self, f: impl FnOnce(&mut Quarantine) -> T) -> T {
-        let mut quarantine = self.0.lock();
-        let done = f(&mut quarantine);
-        quarantine.take_holds().iter().for_each(log_hold);
-        // There is nobody to tell.
-        drop(quarantine.take_news());
-        done
-    }
-}
-
-impl Suspects for OwnSuspects {
+    /// Returns how a request may be treated.
     fn standing(&self, request: Fingerprints, now: Time) -> Standing {
-        self.update(|q| q.standing(request, now))
+        let mut standing = Standing::Clear;
+        self.update(&mut |q| standing = q.standing(request, now));
+        standing
     }
 
+    /// Takes that an upstream ended under a request.
     fn ended(&self, request: Fingerprints, end: End, now: Time) {
-        self.update(|q| q.ended(request, end, now));
+        self.update(&mut |q| q.ended(request, end, now));
     }
 
+    /// Takes that a request was answered well.
     fn served(&self, request: Fingerprints, now: Time) {
-        self.update(|q| q.served(request, now));
+        self.update(&mut |q| q.served(request, now));
     }
 
+    /// Takes that a held request was refused.
     fn refused(&self, request: Fingerprints, now: Time) {
-        self.update(|q| q.refused(request, now));
+        self.update(&mut |q| q.refused(request, now));
     }
 
+    /// Returns the requests that are held.
     fn held(&self, now: Time) -> Vec<Hold> {
-        self.update(|q| q.held(now))
+        let mut held = Vec::new();
+        self.update(&mut |q| held = q.held(now));
+        held
     }
 
+    /// Clears a request that an operator takes for harmless; returns whether it was suspected.
     fn lift(&self, request: Fingerprint, now: Time) -> bool {
-        self.update(|q| q.clear(request, now))
+        let mut was_suspected = false;
+        self.update(&mut |q| was_suspected = q.clear(request, now));
+        was_suspected
+    }
+}
+
+/// Suspects that one box knows by itself.
+#[derive(Debug, Default)]
+pub struct OwnSuspects(Mutex<Quarantine>);
+
+impl Suspects for OwnSuspects {
+    fn update(&self, change: &mut dyn FnMut(&mut Quarantine)) {
+        let mut quarantine = self.0.lock();
+        change(&mut quarantine);
+        quarantine.take_holds().iter().for_each(log_hold);
+        // There is nobody to tell.
+        drop(quarantine.take_news());
     }
 }
 
