--- a/crates/honeypulley_mesh/src/held.rs
+++ b/crates/honeypulley_mesh/src/held.rs
@@ -4,7 +4,7 @@
 //! writes all holds as one object when they change, a few times for each request that ends
 //! upstreams; each box that begins to read reads it once and tells the others.
 
-use crate::store::StoreDuty;
+use crate::store::{FIRST_WAIT, StoreDuty, pause};
 use bytes::Bytes;
 use honeypulley_platform::api::{Expect, PlatformError};
 use honeypulley_policy::quarantine::{Fingerprint, Hold, RequestNews, Scope};
@@ -48,6 +48,7 @@
     /// Reads the holds when this box begins to read, and writes those that are new.
     pub(crate) async fn keep_held(&self) {
         let mut stored: Option<Stored> = None;
+        let mut wait = FIRST_WAIT;
         loop {
             if !self.mesh.readers().is_reading() {
                 stored = None;
@@ -58,11 +59,17 @@
                 Some(s) => self.write_held(s).await,
             };
             match done {
-                Ok(s) => stored = Some(s),
+                Ok(s) => {
+                    stored = Some(s);
+                    wait = FIRST_WAIT;
+                    tokio::time::sleep(LOOK_GAP).await;
+                }
                 // It is read again: the write may have been done, or another box has written.
-                Err(e) => log::info!("quarantine: the stored holds are not known: {e}"),
+                Err(e) => {
+                    log::info!("quarantine: the stored holds are not known: {e}");
+                    pause(&mut wait).await;
+                }
             }
-            tokio::time::sleep(LOOK_GAP).await;
         }
     }
 
--- a/crates/honeypulley_proxy/src/suspects.rs
+++ b/crates/honeypulley_proxy/src/suspects.rs
@@ -66,7 +66,7 @@
     let left_ms = h.left.as_millis() as u64;
     log::warn!(
         same:display = h.request, scope:debug = h.scope, ends = h.ends, trials = h.trials, left_ms;
-        "quarantine: request {} is held, {} upstreams ended under it one after the other",
+        "quarantine: request {} is held, this box knows of {} upstreams that ended under it",
         h.request, h.ends
     );
 }
