--- a/crates/honeypulley_mesh/src/book.rs
+++ b/crates/honeypulley_mesh/src/book.rs
@@ -72,7 +72,7 @@
         self.last = self.last.max(now);
     }
 
-    /// Tells whether there are other boxes and none was heard for [`ALONE_TIME`].
+    /// Tells whether there are other boxes and none was heard for 1.5 s.
     #[must_use]
     pub fn is_alone(&self, now: Time) -> bool {
         !self.boxes.is_empty() && now.since(self.last) > ALONE_TIME
