--- /dev/null
+++ b/crates/honeypulley_policy/benches/keys.rs
@@ -0,0 +1,45 @@
+//! Look-ups of callers' keys among as many organisations as the size to build towards has.
+//!
+//! `cargo bench -p honeypulley_policy --bench keys`
+
+use cap::Cap;
+use honeypulley_policy::organisations::{KeyDigest, OrganisationSpec, Organisations};
+use std::alloc::System;
+use std::hint::black_box;
+use std::time::Instant;
+
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+
+/// Organisations at full size.
+const ORGANISATIONS: usize = 580_000;
+/// Look-ups timed of each kind.
+const LOOKUPS: usize = 1_000_000;
+
+fn main() {
+    let key = |i: usize| format!("key-of-organisation-{i:08}");
+    let spec = |i: usize| {
+        OrganisationSpec::builder()
+            .name(format!("organisation-{i:08}"))
+            .keys(vec![key(i)])
+            .rate(10.0)
+            .burst(10.0)
+            .build()
+    };
+    let before = ALLOCATOR.allocated();
+    let specs = (0..ORGANISATIONS).map(spec).collect();
+    let began = Instant::now();
+    let all = Organisations::new(specs).expect("keys and names differ");
+    println!("built in {:?}", began.elapsed());
+    println!("{} bytes each", (ALLOCATOR.allocated() - before) / ORGANISATIONS);
+    let held: Vec<String> = (0..1_000).map(|i| key(i * 500)).collect();
+    let unknown: Vec<String> = (0..1_000).map(|i| key(ORGANISATIONS + i)).collect();
+    for (what, keys) in [("held", &held), ("unknown", &unknown)] {
+        let began = Instant::now();
+        for i in 0..LOOKUPS {
+            let digest = KeyDigest::of(keys[i % keys.len()].as_bytes());
+            black_box(all.holder(black_box(digest)));
+        }
+        println!("{what}: {:.0} ns", began.elapsed().as_nanos() as f64 / LOOKUPS as f64);
+    }
+}
--- a/crates/honeypulley_policy/src/organisations/directory.rs
+++ b/crates/honeypulley_policy/src/organisations/directory.rs
@@ -113,7 +113,8 @@
 
 /// All organisations of one table.
 ///
-/// A key takes 32 bytes and an organisation 64 and its name.
+/// One of them with one key takes 133 bytes, its name of 21 included: 77 MB for the 580,000 to
+/// build towards. A look-up takes 0.2 us, whether the key is held or not (`benches/keys.rs`).
 #[derive(Clone, Debug, Default)]
 pub struct Organisations {
     all: Vec<Organisation>,
@@ -126,7 +127,9 @@
     /// # Errors
     /// Returns the first organisation that can't be served; a table is taken whole or not.
     pub fn new(specs: Vec<OrganisationSpec>) -> Result<Self, OrganisationError> {
-        let mut built = Self::default();
+        let keys = specs.iter().map(|s| s.keys.len()).sum();
+        let mut built =
+            Self { all: Vec::with_capacity(specs.len()), by_key: HashMap::with_capacity(keys) };
         let mut names = HashSet::with_capacity(specs.len());
         for spec in specs {
             if !names.insert(spec.name.clone()) {
