What data halls tell each other is a count, in a module of its own; names only

The rule of limits and the scope they are shared in stand apart, so that no module needs one that needs it. Behaviour is unchanged: types, fields and comments are renamed and moved.

--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -62,7 +62,7 @@
     fn admit(&mut self, organisation: NameId, now: Time) -> Result<(), Duration> {
         self.set_scope(now);
         let admitted = self.limits.admit(organisation, now);
-        self.word_limits(now);
+        self.tell_limits(now);
         admitted
     }
 
@@ -77,15 +77,15 @@
             News::Admitted { organisation, sum } => {
                 self.limits.heard_box(from, organisation, sum, now);
             }
-            News::HallAdmitted { organisation, word } => {
-                self.limits.heard_hall(from, organisation, word, now);
+            News::HallAdmitted { organisation, count } => {
+                self.limits.heard_hall(from, organisation, count, now);
             }
             _ => {}
         }
     }
 
-    /// Words what the other data halls are to know of the limits, to be announced next.
-    fn word_limits(&mut self, now: Time) {
+    /// Makes what the other data halls are to know of the limits, to be announced next.
+    fn tell_limits(&mut self, now: Time) {
         for organisation in self.limits.due(now) {
             if let Some(rank) = self.mesh.teller_rank(organisation, now) {
                 self.limits.tell(organisation, rank, now);
@@ -348,7 +348,7 @@
             }
             next = self.mesh.news_in.pop();
         }
-        policy.word_limits(now);
+        policy.tell_limits(now);
         policy.announce();
         if beliefs > 0 {
             log::info!(beliefs; "news: {beliefs} beliefs of another box are taken");
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -4,7 +4,7 @@
 use honeypulley_policy::balance::{Listed, News};
 use honeypulley_policy::belief::Observation;
 use honeypulley_policy::collector::NameId;
-use honeypulley_policy::organisations::HallWord;
+use honeypulley_policy::organisations::HallCount;
 use honeypulley_policy::spec::{Member, MemberState};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
@@ -157,11 +157,11 @@
                 (upstream, wire::NewsKind::Belief, u16::from_be_bytes(phases.map(parts)))
             }
             News::Admitted { organisation, sum } => (organisation, wire::NewsKind::Admitted, sum),
-            News::HallAdmitted { organisation, word } => {
-                row.set_hall(word.hall.0);
-                row.set_latest(word.latest);
-                row.set_level(word.level);
-                (organisation, wire::NewsKind::HallAdmitted, word.sum)
+            News::HallAdmitted { organisation, count } => {
+                row.set_hall(count.hall.0);
+                row.set_latest(count.latest);
+                row.set_level(count.level);
+                (organisation, wire::NewsKind::HallAdmitted, count.sum)
             }
         };
         row.set_subject(subject.0);
@@ -207,13 +207,13 @@
             wire::NewsKind::Admitted => News::Admitted { organisation: id, sum: r.get_count() },
             wire::NewsKind::HallAdmitted => {
                 let hall = NameId(r.get_hall());
-                let word = HallWord {
+                let count = HallCount {
                     hall,
                     sum: r.get_count(),
                     latest: r.get_latest(),
                     level: r.get_level(),
                 };
-                News::HallAdmitted { organisation: id, word }
+                News::HallAdmitted { organisation: id, count }
             }
         })
     };
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -7,7 +7,7 @@
 use honeypulley_policy::balance::News;
 use honeypulley_policy::belief::Observation;
 use honeypulley_policy::collector::{Judgement, NameId, Report, ReportItem, Verdict};
-use honeypulley_policy::organisations::HallWord;
+use honeypulley_policy::organisations::HallCount;
 use honeypulley_policy::quarantine::{Fingerprint, RequestNews, Scope};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -52,13 +52,13 @@
                 8 => News::Admitted { organisation: upstream, sum: id as u16 },
                 9 => {
                     let hall = NameId(id.rotate_left(7));
-                    let word = HallWord {
+                    let count = HallCount {
                         hall,
                         sum: id as u16,
                         latest: (id >> 16) as u16,
                         level: (id >> 32) as i16,
                     };
-                    News::HallAdmitted { organisation: upstream, word }
+                    News::HallAdmitted { organisation: upstream, count }
                 }
                 5 => News::Denied { service: upstream, seen: id as u16, spent: id as u8 },
                 _ => News::Retry { service: upstream, seen: id as u16, spent: id as u8 },
--- a/crates/honeypulley_policy/src/balance/news.rs
+++ b/crates/honeypulley_policy/src/balance/news.rs
@@ -2,7 +2,7 @@
 
 use crate::belief::Observation;
 use crate::collector::NameId;
-use crate::organisations::HallWord;
+use crate::organisations::HallCount;
 use std::time::Duration;
 
 /// What this box tells the others.
@@ -85,7 +85,7 @@
         /// The organisation.
         organisation: NameId,
         /// How much, and where.
-        word: HallWord,
+        count: HallCount,
     },
 }
 
--- a/crates/honeypulley_policy/src/organisations.rs
+++ b/crates/honeypulley_policy/src/organisations.rs
@@ -4,13 +4,15 @@
 //! is admitted over all boxes together.
 
 mod directory;
+mod hall_count;
 mod limits;
 mod recent;
+mod rule;
 mod usage;
-mod word;
 
 pub use directory::{
     KeyDigest, Organisation, OrganisationError, OrganisationSpec, Organisations, RateLimit,
 };
-pub use limits::{FleetLimits, LimitRule, LimitUse, Scope};
-pub use word::HallWord;
+pub use hall_count::HallCount;
+pub use limits::{FleetLimits, LimitUse};
+pub use rule::{LimitRule, Scope};
--- a/crates/honeypulley_policy/src/organisations/word.rs
+++ b/crates/honeypulley_policy/src/organisations/hall_count.rs
@@ -1,17 +1,17 @@
 //! What one data hall tells the others of an organisation.
 
 use super::directory::RateLimit;
-use super::limits::Scope;
+use super::rule::Scope;
 use crate::collector::NameId;
 use crate::time::Time;
 use std::time::Duration;
 
-/// Part of the window that [`HallWord::latest`] counts at the most.
+/// Part of the window that [`HallCount::latest`] counts at the most.
 pub(super) const LATEST_SHARE: f64 = 0.2;
 
 /// What one data hall tells the others of an organisation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HallWord {
+pub struct HallCount {
     /// The data hall.
     pub hall: NameId,
     /// Requests that its boxes admitted, as the one that tells has counted them, round.
@@ -22,7 +22,7 @@
     pub level: i16,
 }
 
-impl HallWord {
+impl HallCount {
     /// Returns what a data hall that had said nothing admitted beyond its even share.
     ///
     /// What it admitted within that share, the limit's rate has made good. The count may be
@@ -35,7 +35,7 @@
 
     /// Returns about how many of the latest were admitted within the last of the window.
     ///
-    /// For the first word of another box than before, whose sum goes on from nothing known.
+    /// For the first count of another box than before, whose sum goes on from nothing known.
     pub(super) fn lately(self, span: Duration, window: Duration) -> f64 {
         let part = span.as_secs_f64() / (LATEST_SHARE * window.as_secs_f64());
         f64::from(self.latest) * part.min(1.0)
--- a/crates/honeypulley_policy/src/organisations/limits.rs
+++ b/crates/honeypulley_policy/src/organisations/limits.rs
@@ -13,8 +13,9 @@
 //! were cut off from each other are charged for what the other one admitted.
 
 use super::directory::{Organisations, RateLimit};
-use super::usage::{MOST_DEBT, Usage, WORD_GAP};
-use super::word::{FarHall, HallWord};
+use super::hall_count::{FarHall, HallCount};
+use super::rule::{LimitRule, Scope};
+use super::usage::{MOST_DEBT, TELL_GAP, Usage};
 use crate::balance::{News, Past};
 use crate::collector::NameId;
 use crate::time::Time;
@@ -32,12 +33,12 @@
 const UNKNOWN_SHARE: f64 = 0.5;
 /// Part of the slack that it has beside it.
 const UNKNOWN_SLACK: f64 = 0.25;
-/// Most admissions of another box that one word of it makes good.
+/// Most admissions of another box that one count of it makes good.
 ///
 /// Each life of a box counts from a number drawn at random, so that a sum which is further
 /// ahead or behind is that of a new life, or of a box that was not heard for long.
 const MOST_MISSED: u16 = 64;
-/// How far behind the last one a word of a data hall is when it was overtaken on its way.
+/// How far behind the last one a count of a data hall is when it was overtaken on its way.
 const MOST_BEHIND: u16 = 256;
 /// Organisations of which a box keeps what was admitted, before those that have not asked
 /// within a window are forgotten; each takes 0.4 kB and 24 bytes for each box of the hall.
@@ -45,39 +46,6 @@
 /// Least time that a refused caller is told to wait.
 const LEAST_WAIT: Duration = Duration::from_millis(20);
 
-/// Over which time a limit is judged, and what is left beside it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitRule {
-    /// Time over which what was admitted is summed.
-    pub window: Duration,
-    /// Requests that may be admitted beyond a limit within it.
-    pub slack: f64,
-}
-
-impl Default for LimitRule {
-    /// Returns five seconds and twenty requests.
-    fn default() -> Self {
-        Self { window: Duration::from_secs(5), slack: 20.0 }
-    }
-}
-
-/// With whom this box shares the limits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Scope {
-    /// Boxes of the fleet, this one included.
-    pub boxes: usize,
-    /// Data halls.
-    pub halls: usize,
-    /// Whether this box hears nobody.
-    pub alone: bool,
-}
-
-impl Default for Scope {
-    fn default() -> Self {
-        Self { boxes: 1, halls: 1, alone: false }
-    }
-}
-
 /// What a box knew of an organisation's limit, for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LimitUse {
@@ -89,7 +57,7 @@
     pub hall: u32,
     /// Requests admitted in the others within a fifth of the window, as far as they told.
     pub others: u32,
-    /// Age of the oldest of their words, if there is one.
+    /// Age of the oldest of their counts, if there is one.
     pub age: Option<Duration>,
 }
 
@@ -185,7 +153,7 @@
     }
 
     /// Takes what a data hall admitted, as one of its boxes tells.
-    pub fn heard_hall(&mut self, from: NameId, id: NameId, told: HallWord, now: Time) {
+    pub fn heard_hall(&mut self, from: NameId, id: NameId, told: HallCount, now: Time) {
         let Some(&limit) = self.limits.get(&id) else { return };
         let (scope, window) = (self.scope, self.rule.window);
         let near = told.hall == self.hall;
@@ -194,17 +162,17 @@
         u.heard = now;
         u.correct(told.level);
         if near {
-            u.word = Some(now);
+            u.told_at = Some(now);
             return;
         }
-        let HallWord { hall, sum, latest, .. } = told;
-        let word = FarHall { teller: from, sum, latest, heard: now };
+        let HallCount { hall, sum, latest, .. } = told;
+        let told_now = FarHall { teller: from, sum, latest, heard: now };
         let known = u.far.get(&hall).copied().filter(|f| now.since(f.heard) < window);
         let same = known.filter(|f| f.teller == from);
         if same.is_some_and(|f| f.sum != sum && f.sum.wrapping_sub(sum) <= MOST_BEHIND) {
             return;
         }
-        u.far.insert(hall, word);
+        u.far.insert(hall, told_now);
         let more = same.map(|f| sum.wrapping_sub(f.sum)).filter(|&n| n <= latest);
         u.bucket.level -= match (more, known) {
             (Some(n), _) => n.into(),
@@ -232,15 +200,15 @@
     pub fn tell(&mut self, id: NameId, rank: usize, now: Time) {
         let hall = self.hall;
         let Some(u) = self.usages.get_mut(&id) else { return };
-        let is_told = u.word.is_some_and(|at| now.since(at) < WORD_GAP * SECOND_GAPS);
+        let is_told = u.told_at.is_some_and(|at| now.since(at) < TELL_GAP * SECOND_GAPS);
         if rank > 0 && is_told {
             return;
         }
-        u.word = (rank == 0).then_some(now).or(u.word);
+        u.told_at = (rank == 0).then_some(now).or(u.told_at);
         u.untold = false;
         let latest = u16::try_from(u.near.latest(now)).unwrap_or(u16::MAX);
-        let word = HallWord { hall, sum: u.hall_sum, latest, level: u.told_level() };
-        self.news.push(News::HallAdmitted { organisation: id, word });
+        let count = HallCount { hall, sum: u.hall_sum, latest, level: u.told_level() };
+        self.news.push(News::HallAdmitted { organisation: id, count });
     }
 
     /// Takes what there is to tell the other boxes.
--- /dev/null
+++ b/crates/honeypulley_policy/src/organisations/rule.rs
@@ -0,0 +1,36 @@
+//! How limits are judged, and with whom a box shares them.
+
+use std::time::Duration;
+
+/// Over which time a limit is judged, and what is left beside it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitRule {
+    /// Time over which what was admitted is summed.
+    pub window: Duration,
+    /// Requests that may be admitted beyond a limit within it.
+    pub slack: f64,
+}
+
+impl Default for LimitRule {
+    /// Returns five seconds and twenty requests.
+    fn default() -> Self {
+        Self { window: Duration::from_secs(5), slack: 20.0 }
+    }
+}
+
+/// With whom this box shares the limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Scope {
+    /// Boxes of the fleet, this one included.
+    pub boxes: usize,
+    /// Data halls.
+    pub halls: usize,
+    /// Whether this box hears nobody.
+    pub alone: bool,
+}
+
+impl Default for Scope {
+    fn default() -> Self {
+        Self { boxes: 1, halls: 1, alone: false }
+    }
+}
--- a/crates/honeypulley_policy/src/organisations/usage.rs
+++ b/crates/honeypulley_policy/src/organisations/usage.rs
@@ -1,9 +1,9 @@
 //! What one box knows of what was admitted of one organisation.
 
 use super::directory::RateLimit;
-use super::limits::{LimitRule, Scope};
+use super::hall_count::{FarHall, LATEST_SHARE};
 use super::recent::Recent;
-use super::word::{FarHall, LATEST_SHARE};
+use super::rule::{LimitRule, Scope};
 use crate::collector::NameId;
 use crate::time::Time;
 use std::collections::BTreeMap;
@@ -19,12 +19,12 @@
 /// With a quarter of the slack beside it instead of all of it, a middle organisation in calm
 /// cost a box 16.5 datagrams a second instead of 5.6, and bounds were kept as well.
 const SURGE_SHARE: f64 = 0.15;
-/// Wait between two words of a data hall on one organisation.
+/// Wait between two counts that a data hall tells of one organisation.
 ///
 /// An organisation that sends 7.5 times its usual, 4.7 times its limit, is admitted 0.24 of a
 /// second's limit too much in that time; a tenth of five seconds' is 0.5.
-pub(super) const WORD_GAP: Duration = Duration::from_millis(50);
-/// Time for which a word of another data hall keeps this one telling.
+pub(super) const TELL_GAP: Duration = Duration::from_millis(50);
+/// Time for which a count of another data hall keeps this one telling.
 const ECHO_TIME: Duration = Duration::from_secs(2);
 /// Part of the burst under which an organisation counts as near its limit.
 const TIGHT_SHARE: f64 = 0.25;
@@ -68,7 +68,7 @@
     /// When it was last looked at whether the others are to be told.
     pub(super) looked: Option<Time>,
     /// When a box of this data hall last told the others.
-    pub(super) word: Option<Time>,
+    pub(super) told_at: Option<Time>,
     /// Whether something was admitted here that the others were not told.
     pub(super) untold: bool,
     /// When another box last told of it.
@@ -118,7 +118,7 @@
             hall_sum: first,
             far: BTreeMap::new(),
             looked: None,
-            word: None,
+            told_at: None,
             untold: false,
             heard: now,
             tight: false,
@@ -171,7 +171,7 @@
 
     /// Tells whether it is time to tell the other data halls; asks once in each gap.
     pub(super) fn is_due(&mut self, rule: LimitRule, scope: Scope, now: Time) -> bool {
-        let waits = self.looked.is_some_and(|at| now.since(at) < WORD_GAP);
+        let waits = self.looked.is_some_and(|at| now.since(at) < TELL_GAP);
         if scope.halls < 2 || !self.untold || waits {
             return false;
         }
--- a/crates/honeypulley_policy/tests/limits/ways.rs
+++ b/crates/honeypulley_policy/tests/limits/ways.rs
@@ -83,8 +83,8 @@
             News::Admitted { organisation, sum } => {
                 self.limits.heard_box(from, organisation, sum, now);
             }
-            News::HallAdmitted { organisation, word } => {
-                self.limits.heard_hall(from, organisation, word, now);
+            News::HallAdmitted { organisation, count } => {
+                self.limits.heard_hall(from, organisation, count, now);
             }
             _ => {}
         }
