A test's box has its port for itself: ports that were given out are not tried again

Cause, by reading: free_port bound a random port to see whether it is free before it looked whether it had given that port out. Change: what was given out is left out before anything is tried. Ruled out: the kernel's own ports for outgoing connections begin at 32768, above these. The race itself was not brought about again.

--- a/tools/fleet/src/lib.rs
+++ b/tools/fleet/src/lib.rs
@@ -375,15 +375,28 @@
 /// Returns an error if none can be bound.
 pub fn free_port() -> Result<SocketAddr> {
     let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
-    for _ in 0..1_000 {
-        let port = fastrand::u16(PORTS);
-        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        let free = TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok();
-        if free && given.insert(port) {
-            return Ok(addr);
-        }
-    }
-    bail!("no free port")
+    let loopback = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    let is_free = |port| {
+        let addr = loopback(port);
+        TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok()
+    };
+    let port = choose_port(&mut given, || fastrand::u16(PORTS), is_free);
+    port.map(loopback).ok_or_else(|| eyre!("no free port"))
+}
+
+/// Chooses a port that was not given out before; `None` if a thousand draws find none.
+///
+/// A port that was given out is never tried: for that moment the program that it was given
+/// to could not bind it.
+pub fn choose_port(
+    given: &mut BTreeSet<u16>,
+    mut draw: impl FnMut() -> u16,
+    mut is_free: impl FnMut(u16) -> bool,
+) -> Option<u16> {
+    (0..1_000).find_map(|_| {
+        let port = draw();
+        (given.insert(port) && is_free(port)).then_some(port)
+    })
 }
 
 /// Returns a path as text.
