--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -162,7 +162,7 @@
             return Err((upstream, failure));
         }
     };
-    if let Err(f) = judge(&gate, &mut guard, &out, &response, id.as_ref()) {
+    if let Err(f) = judge(&gate, &mut guard, (&to, &out), &response, id.as_ref()) {
         return Err((upstream, f));
     }
     let head = AnswerHead { status: response.status(), headers: response.headers().clone() };
@@ -250,11 +250,12 @@
 fn judge(
     gate: &Gate,
     guard: &mut AttemptGuard,
-    out: &Outgoing,
+    (to, out): (&Destination, &Outgoing),
     r: &reqwest::Response,
     id: Option<&HeaderValue>,
 ) -> Result<(), Failure> {
     let (now, h, d) = (gate.now(), r.headers(), &gate.dialect);
+    note_limit(gate, to, h);
     let mut policy = gate.chooser.lock();
     if h.contains_key(&d.drain) {
         policy.drained(guard.upstream, now);
@@ -292,6 +293,25 @@
     Ok(())
 }
 
+/// Notes what an answer says of the requests that its upstream takes from all boxes.
+fn note_limit(gate: &Gate, to: &Destination, h: &HeaderMap) {
+    let upstream = to.name.as_str();
+    match gate.dialect.limit(h) {
+        Ok(None) => {}
+        Ok(Some(limit)) => {
+            gate.count("limits.named");
+            log::info!(
+                upstream, limit;
+                "attempt: {upstream} names a limit of {limit} requests a second from all boxes"
+            );
+        }
+        Err(fault) => {
+            gate.count("limits.refused");
+            log::warn!(upstream, fault:% = fault; "attempt: a limit that {upstream} names is not taken");
+        }
+    }
+}
+
 /// Takes a body whole, or its beginning if it is long.
 async fn collect(mut r: reqwest::Response) -> Result<AnswerBody, String> {
     let mut taken = BytesMut::new();
--- a/crates/honeypulley_proxy/src/dialect.rs
+++ b/crates/honeypulley_proxy/src/dialect.rs
@@ -4,6 +4,7 @@
 
 use crate::gate::Belongs;
 use crate::headers;
+use crate::named_limit::{self, LimitFault};
 use honeypulley_policy::chooser::LoadReport;
 use honeypulley_policy::organisations::KeyDigest;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
@@ -56,6 +57,9 @@
     /// Form of the load.
     #[builder(default)]
     pub load_form: LoadForm,
+    /// On an upstream's answer: requests a second that it takes from all boxes together, if the
+    /// dialect knows that.
+    pub limit: Option<HeaderName>,
     /// On an upstream's answer: it is leaving.
     #[builder(default = headers::DRAIN)]
     pub drain: HeaderName,
@@ -131,6 +135,14 @@
         }
     }
 
+    /// Reads the requests a second that an upstream takes from all boxes together, if it says.
+    ///
+    /// # Errors
+    /// Returns why a limit that it names is not taken.
+    pub fn limit(&self, h: &HeaderMap) -> Result<Option<f64>, LimitFault> {
+        self.limit.as_ref().map_or(Ok(None), |name| named_limit::read(h, name))
+    }
+
     /// Tells whether an answer proves that the request did not run.
     #[must_use]
     pub fn is_not_run(&self, status: StatusCode, h: &HeaderMap) -> bool {
--- a/crates/honeypulley_proxy/src/lib.rs
+++ b/crates/honeypulley_proxy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod handler;
 pub mod headers;
 pub mod liveness;
+pub mod named_limit;
 pub mod race;
 pub mod shared;
 pub mod suspects;
