--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -8,7 +8,8 @@
 use honeypulley_policy::balance::{Balancer, BudgetUse, News, Resend};
 use honeypulley_policy::chooser::{Ask, Chooser, Inputs, LoadReport, Place};
 use honeypulley_policy::collector::NameId;
-use honeypulley_policy::organisations::{FleetLimits, LimitUse, Organisation};
+use honeypulley_policy::fleet_limits::{FleetLimits, LimitUse};
+use honeypulley_policy::organisations::{Organisation, Organisations};
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, Refusal, ServiceKey, UpstreamKey};
 use honeypulley_policy::routes::{RequestKind, Route, RouteTable};
 use honeypulley_policy::time::Time;
@@ -74,11 +75,11 @@
     /// Takes what another box told of an organisation.
     fn heard_limit(&mut self, from: NameId, news: News, now: Time) {
         match news {
-            News::Admitted { organisation, sum } => {
-                self.limits.heard_box(from, organisation, sum, now);
+            News::Admitted { subject, sum } => {
+                self.limits.heard_box(from, subject, sum, now);
             }
-            News::HallAdmitted { organisation, count } => {
-                self.limits.heard_hall(from, organisation, count, now);
+            News::HallAdmitted { subject, count } => {
+                self.limits.heard_hall(from, subject, count, now);
             }
             _ => {}
         }
@@ -361,7 +362,8 @@
         // Services first, so that no route leads to one that is not set up.
         if let Some(table) = self.mesh.next_table() {
             policy.balancer().set_services(&table.services, now);
-            policy.limits().set_organisations(table.organisations.as_ref());
+            let limits = table.organisations.iter().flat_map(Organisations::limits);
+            policy.limits().set_limits(limits);
             log::info!(version = table.version; "table: version {} is in force", table.version);
             self.mesh.in_force.store(Some(table));
         }
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -16,7 +16,7 @@
 use honeypulley_platform::api::Object;
 use honeypulley_policy::balance::{News, Reach};
 use honeypulley_policy::collector::NameId;
-use honeypulley_policy::organisations::Scope;
+use honeypulley_policy::fleet_limits::Scope;
 use honeypulley_policy::quarantine::{Quarantine, RequestNews};
 use honeypulley_policy::routes::RouteTable;
 use honeypulley_policy::time::Time;
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -4,7 +4,7 @@
 use honeypulley_policy::balance::{Listed, News};
 use honeypulley_policy::belief::Observation;
 use honeypulley_policy::collector::NameId;
-use honeypulley_policy::organisations::HallCount;
+use honeypulley_policy::fleet_limits::HallCount;
 use honeypulley_policy::spec::{Member, MemberState};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
@@ -156,12 +156,12 @@
             News::Belief { upstream, phases } => {
                 (upstream, wire::NewsKind::Belief, u16::from_be_bytes(phases.map(parts)))
             }
-            News::Admitted { organisation, sum } => (organisation, wire::NewsKind::Admitted, sum),
-            News::HallAdmitted { organisation, count } => {
+            News::Admitted { subject, sum } => (subject, wire::NewsKind::Admitted, sum),
+            News::HallAdmitted { subject, count } => {
                 row.set_hall(count.hall.0);
                 row.set_latest(count.latest);
                 row.set_level(count.level);
-                (organisation, wire::NewsKind::HallAdmitted, count.sum)
+                (subject, wire::NewsKind::HallAdmitted, count.sum)
             }
         };
         row.set_subject(subject.0);
@@ -204,7 +204,7 @@
             wire::NewsKind::Belief => {
                 News::Belief { upstream: id, phases: r.get_count().to_be_bytes().map(part) }
             }
-            wire::NewsKind::Admitted => News::Admitted { organisation: id, sum: r.get_count() },
+            wire::NewsKind::Admitted => News::Admitted { subject: id, sum: r.get_count() },
             wire::NewsKind::HallAdmitted => {
                 let hall = NameId(r.get_hall());
                 let count = HallCount {
@@ -213,7 +213,7 @@
                     latest: r.get_latest(),
                     level: r.get_level(),
                 };
-                News::HallAdmitted { organisation: id, count }
+                News::HallAdmitted { subject: id, count }
             }
         })
     };
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -7,7 +7,7 @@
 use honeypulley_policy::balance::News;
 use honeypulley_policy::belief::Observation;
 use honeypulley_policy::collector::{Judgement, NameId, Report, ReportItem, Verdict};
-use honeypulley_policy::organisations::HallCount;
+use honeypulley_policy::fleet_limits::HallCount;
 use honeypulley_policy::quarantine::{Fingerprint, RequestNews, Scope};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -49,7 +49,7 @@
                 2 => News::Well { upstream },
                 3 => News::Belief { upstream, phases: [a, b] },
                 4 => News::Spent { service: upstream, sum: id as u16 },
-                8 => News::Admitted { organisation: upstream, sum: id as u16 },
+                8 => News::Admitted { subject: upstream, sum: id as u16 },
                 9 => {
                     let hall = NameId(id.rotate_left(7));
                     let count = HallCount {
@@ -58,7 +58,7 @@
                         latest: (id >> 16) as u16,
                         level: (id >> 32) as i16,
                     };
-                    News::HallAdmitted { organisation: upstream, count }
+                    News::HallAdmitted { subject: upstream, count }
                 }
                 5 => News::Denied { service: upstream, seen: id as u16, spent: id as u8 },
                 _ => News::Retry { service: upstream, seen: id as u16, spent: id as u8 },
--- a/crates/honeypulley_policy/src/balance/news.rs
+++ b/crates/honeypulley_policy/src/balance/news.rs
@@ -2,7 +2,7 @@
 
 use crate::belief::Observation;
 use crate::collector::NameId;
-use crate::organisations::HallCount;
+use crate::fleet_limits::HallCount;
 use std::time::Duration;
 
 /// What this box tells the others.
@@ -73,17 +73,17 @@
         /// Requests of it that the sender sent again within that window, at least.
         spent: u8,
     },
-    /// The sender admitted a request of an organisation; for its own data hall.
+    /// The sender admitted a request that a limit over all boxes counts; for its data hall.
     Admitted {
-        /// The organisation.
-        organisation: NameId,
+        /// What has the limit: an organisation.
+        subject: NameId,
         /// Requests of it that the sender admitted since it started, counted round.
         sum: u16,
     },
-    /// What the boxes of the sender's data hall admitted of an organisation.
+    /// What the boxes of the sender's data hall admitted of such requests.
     HallAdmitted {
-        /// The organisation.
-        organisation: NameId,
+        /// What has the limit.
+        subject: NameId,
         /// How much, and where.
         count: HallCount,
     },
--- a/crates/honeypulley_policy/src/organisations/limits.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/buckets.rs
@@ -1,20 +1,19 @@
-//! What each organisation may send to all boxes together.
+//! What all boxes together may admit of each subject that has a limit.
 //!
-//! A box sees a hundredth of an organisation's requests, so it can't know from its own that a
-//! limit is met. Each holds one token bucket an organisation, which it draws on for whatever
-//! any box admits, as far as it hears of that:
+//! A box sees a hundredth of a subject's requests, so it can't know from its own that a limit is
+//! met. Each holds one token bucket a subject, which it draws on for whatever any box admits,
+//! as far as it hears of that:
 //!
 //! - The boxes of its data hall tell each admission with the attempt that follows it, so that
 //!   this costs no datagram and is known within some milliseconds.
 //! - Of a whole data hall one box tells the others what was admitted there, and only while
-//!   the organisation is near its limit. One far from it costs nothing between data halls.
+//!   the subject is near its limit. One far from it costs nothing between data halls.
 //!
 //! What is told are sums, so that a lost datagram is made good by the next one, and sides that
 //! were cut off from each other are charged for what the other one admitted.
 
-use super::directory::{Organisations, RateLimit};
 use super::hall_count::{FarHall, HallCount};
-use super::rule::{LimitRule, Scope};
+use super::rule::{LimitRule, RateLimit, Scope};
 use super::usage::{MOST_DEBT, TELL_GAP, Usage};
 use crate::balance::{News, Past};
 use crate::collector::NameId;
@@ -26,10 +25,9 @@
 const SECOND_GAPS: u32 = 3;
 /// Part of the burst that a box has where it does not know what was admitted before.
 ///
-/// Boxes that all lost power and came back within half a second would else give a second
-/// burst, each data hall for itself until it hears of the others: 1.04 of what may be admitted
-/// (`tests/limits`), with this 0.98. With a tenth of the burst instead, 343 requests of a second
-/// in which callers that had waited came back together were refused below their limits.
+/// Boxes that all lost power and came back together would else give a second burst, each data
+/// hall for itself until it hears of the others. With much less, callers that waited meanwhile
+/// and come back together would be refused below their limits.
 const UNKNOWN_SHARE: f64 = 0.5;
 /// Part of the slack that it has beside it.
 const UNKNOWN_SLACK: f64 = 0.25;
@@ -40,13 +38,13 @@
 const MOST_MISSED: u16 = 64;
 /// How far behind the last one a count of a data hall is when it was overtaken on its way.
 const MOST_BEHIND: u16 = 256;
-/// Organisations of which a box keeps what was admitted, before those that have not asked
+/// Subjects of which a box keeps what was admitted, before those that have not asked
 /// within a window are forgotten; each takes 0.4 kB and 24 bytes for each box of the hall.
 const MOST_KEPT: usize = 4_096;
 /// Least time that a refused caller is told to wait.
 const LEAST_WAIT: Duration = Duration::from_millis(20);
 
-/// What a box knew of an organisation's limit, for the log.
+/// What a box knew of a subject's limit, for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LimitUse {
     /// Requests a second that it may send.
@@ -61,7 +59,7 @@
     pub age: Option<Duration>,
 }
 
-/// Limits of the organisations that asked lately, as one box knows them.
+/// Limits of the subjects that asked lately, as one box knows them.
 #[derive(Debug)]
 pub struct FleetLimits {
     rule: LimitRule,
@@ -72,7 +70,7 @@
     began: Time,
     limits: BTreeMap<NameId, RateLimit>,
     usages: BTreeMap<NameId, Usage>,
-    /// Organisations of which something was admitted since it was last asked who is due.
+    /// Subjects of which something was admitted since it was last asked who is due.
     touched: BTreeSet<NameId>,
     news: Vec<News>,
     rng: fastrand::Rng,
@@ -96,10 +94,9 @@
         }
     }
 
-    /// Takes the organisations of a table; what was admitted of those that stay is kept.
-    pub fn set_organisations(&mut self, all: Option<&Organisations>) {
-        let limited = all.into_iter().flat_map(Organisations::iter);
-        self.limits = limited.filter_map(|o| Some((o.id, o.limit?))).collect();
+    /// Takes all limits; what was admitted of the subjects that stay is kept.
+    pub fn set_limits(&mut self, limits: impl IntoIterator<Item = (NameId, RateLimit)>) {
+        self.limits = limits.into_iter().collect();
         self.usages.retain(|id, _| self.limits.contains_key(id));
         for (id, u) in &mut self.usages {
             u.limit = self.limits[id];
@@ -111,7 +108,7 @@
         self.scope = scope;
     }
 
-    /// Takes one request of an organisation, if its limit allows that.
+    /// Takes one request of a subject, if its limit allows that.
     ///
     /// # Errors
     /// Returns the time until a request fits; nothing is taken then.
@@ -132,7 +129,7 @@
         u.took(1, now);
         u.told = u.told.wrapping_add(1);
         let sum = u.told;
-        self.news.push(News::Admitted { organisation: id, sum });
+        self.news.push(News::Admitted { subject: id, sum });
         Ok(())
     }
 
@@ -181,7 +178,7 @@
         };
     }
 
-    /// Returns the organisations of which the other data halls may have to be told now, of
+    /// Returns the subjects of which the other data halls may have to be told now, of
     /// those that asked or were told of since the last call.
     #[must_use]
     pub fn due(&mut self, now: Time) -> Vec<NameId> {
@@ -208,7 +205,7 @@
         u.untold = false;
         let latest = u16::try_from(u.near.latest(now)).unwrap_or(u16::MAX);
         let count = HallCount { hall, sum: u.hall_sum, latest, level: u.told_level() };
-        self.news.push(News::HallAdmitted { organisation: id, count });
+        self.news.push(News::HallAdmitted { subject: id, count });
     }
 
     /// Takes what there is to tell the other boxes.
@@ -216,7 +213,7 @@
         std::mem::take(&mut self.news)
     }
 
-    /// Returns what is known of an organisation's limit, for the log.
+    /// Returns what is known of a subject's limit, for the log.
     #[must_use]
     pub fn usage_of(&mut self, id: NameId, now: Time) -> Option<LimitUse> {
         let u = self.usages.get_mut(&id)?;
@@ -230,13 +227,13 @@
         })
     }
 
-    /// Returns what was admitted of an organisation, which something is about to change.
+    /// Returns what was admitted of a subject, which something is about to change.
     fn usage(&mut self, id: NameId, limit: RateLimit, now: Time) -> &mut Usage {
         self.touched.insert(id);
         if self.usages.len() >= MOST_KEPT && !self.usages.contains_key(&id) {
             self.usages.retain(|_, u| u.near.sum(now) > 0);
         }
-        // An organisation that asks for the first time long after this box has started has
+        // A subject that asks for the first time long after this box has started has
         // asked nobody in its hall before.
         let is_known = self.past == Past::Empty || now.since(self.began) > self.rule.window;
         let guess = UNKNOWN_SHARE.mul_add(limit.burst, UNKNOWN_SLACK * self.rule.slack);
--- a/crates/honeypulley_policy/src/organisations/hall_count.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/hall_count.rs
@@ -1,7 +1,6 @@
-//! What one data hall tells the others of an organisation.
+//! What one data hall tells the others of a subject.
 
-use super::directory::RateLimit;
-use super::rule::Scope;
+use super::rule::{RateLimit, Scope};
 use crate::collector::NameId;
 use crate::time::Time;
 use std::time::Duration;
@@ -9,7 +8,7 @@
 /// Part of the window that [`HallCount::latest`] counts at the most.
 pub(super) const LATEST_SHARE: f64 = 0.2;
 
-/// What one data hall tells the others of an organisation.
+/// What one data hall tells the others of a subject.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HallCount {
     /// The data hall.
@@ -18,7 +17,7 @@
     pub sum: u16,
     /// Those of them that they admitted within the last fifth of the window.
     pub latest: u16,
-    /// What is left of the organisation's burst, as the one that tells has it.
+    /// What is left of the subject's burst, as the one that tells has it.
     pub level: i16,
 }
 
--- a/crates/honeypulley_policy/src/organisations/rule.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/rule.rs
@@ -2,6 +2,15 @@
 
 use std::time::Duration;
 
+/// Requests that all boxes together may admit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateLimit {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests on top of that at one time.
+    pub burst: f64,
+}
+
 /// Over which time a limit is judged, and what is left beside it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitRule {
--- a/crates/honeypulley_policy/src/organisations/usage.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/usage.rs
@@ -1,9 +1,8 @@
-//! What one box knows of what was admitted of one organisation.
+//! What one box knows of what was admitted of one subject.
 
-use super::directory::RateLimit;
 use super::hall_count::{FarHall, LATEST_SHARE};
 use super::recent::Recent;
-use super::rule::{LimitRule, Scope};
+use super::rule::{LimitRule, RateLimit, Scope};
 use crate::collector::NameId;
 use crate::time::Time;
 use std::collections::BTreeMap;
@@ -15,31 +14,27 @@
 /// a limit a hall stays under it with a swing of a quarter.
 const QUIET_SHARE: f64 = 0.8;
 /// Part of the burst that a data hall may admit at one time beyond that share unsaid.
-///
-/// With a quarter of the slack beside it instead of all of it, a middle organisation in calm
-/// cost a box 16.5 datagrams a second instead of 5.6, and bounds were kept as well.
 const SURGE_SHARE: f64 = 0.15;
-/// Wait between two counts that a data hall tells of one organisation.
+/// Wait between two counts that a data hall tells of one subject.
 ///
-/// An organisation that sends 7.5 times its usual, 4.7 times its limit, is admitted 0.24 of a
-/// second's limit too much in that time; a tenth of five seconds' is 0.5.
+/// What is admitted too much meanwhile is a small part of what may be beside the limit.
 pub(super) const TELL_GAP: Duration = Duration::from_millis(50);
 /// Time for which a count of another data hall keeps this one telling.
 const ECHO_TIME: Duration = Duration::from_secs(2);
-/// Part of the burst under which an organisation counts as near its limit.
+/// Part of the burst under which a subject counts as near its limit.
 const TIGHT_SHARE: f64 = 0.25;
-/// Part of its own share that a box admits while it hears nobody, of an organisation that was
+/// Part of its own share that a box admits while it hears nobody, of a subject that was
 /// near its limit.
 ///
 /// The others admit the whole limit, so that a third of the boxes cut off would admit a third
 /// more than it; with this a ninth, which the tenth and the slack bear.
 const CUT_SHARE: f64 = 0.33;
-/// Requests' worth of silence on an organisation near its limit by which a box knows that it
+/// Requests' worth of silence on a subject near its limit by which a box knows that it
 /// does not hear the others; in a data hall of three a third of them would be told.
 const SILENT_REQUESTS: f64 = 12.0;
 /// Longest time of such a silence.
 const MOST_SILENCE: Duration = Duration::from_millis(1_500);
-/// Silence after which a box that is cut off knows it, so that the organisation has just
+/// Silence after which a box that is cut off knows it, so that the subject has just
 /// stopped asking where it does not.
 const KNOWN_SILENCE: Duration = Duration::from_millis(2_000);
 /// Least time of such a silence.
@@ -48,7 +43,7 @@
 /// others left unused.
 pub(super) const MOST_DEBT: f64 = -1.0;
 
-/// What was admitted of one organisation.
+/// What was admitted of one subject.
 #[derive(Debug)]
 pub(super) struct Usage {
     pub(super) limit: RateLimit,
@@ -153,7 +148,7 @@
 
     /// Tells whether this box does not hear what the others admit.
     ///
-    /// Of an organisation near its limit, others would tell all the time.
+    /// Of a subject near its limit, others would tell all the time.
     pub(super) fn is_alone(&self, scope: Scope, now: Time) -> bool {
         let least = (SILENT_REQUESTS / self.limit.rate).min(MOST_SILENCE.as_secs_f64());
         let least = Duration::from_secs_f64(least).max(LEAST_SILENCE);
--- a/crates/honeypulley_policy/src/organisations/directory.rs
+++ b/crates/honeypulley_policy/src/organisations/directory.rs
@@ -1,6 +1,7 @@
 //! Which organisation holds a key.
 
 use crate::collector::NameId;
+use crate::fleet_limits::RateLimit;
 use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
 use std::fmt;
@@ -29,15 +30,6 @@
     }
 }
 
-/// Requests that an organisation may send to all boxes together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RateLimit {
-    /// Requests a second.
-    pub rate: f64,
-    /// Requests on top of that at one time.
-    pub burst: f64,
-}
-
 /// One organisation as a table states it.
 #[derive(Clone, PartialEq, bon::Builder)]
 pub struct OrganisationSpec {
@@ -182,6 +174,11 @@
         self.all.iter()
     }
 
+    /// Returns the limits of those that have one.
+    pub fn limits(&self) -> impl Iterator<Item = (NameId, RateLimit)> {
+        self.all.iter().filter_map(|o| Some((o.id, o.limit?)))
+    }
+
     /// Returns how many there are.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/honeypulley_policy/tests/limits/fleet.rs
+++ b/crates/honeypulley_policy/tests/limits/fleet.rs
@@ -5,7 +5,7 @@
 use crate::ways::{Batches, EqualShare, Limiter, Told};
 use honeypulley_policy::balance::{News, Past};
 use honeypulley_policy::collector::NameId;
-use honeypulley_policy::organisations::RateLimit;
+use honeypulley_policy::fleet_limits::RateLimit;
 use honeypulley_policy::placement::weight;
 use honeypulley_policy::time::Time;
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/honeypulley_policy/tests/limits/main.rs
+++ b/crates/honeypulley_policy/tests/limits/main.rs
@@ -9,7 +9,7 @@
 mod ways;
 
 use fleet::{Outcome, Plan, Way, play};
-use honeypulley_policy::organisations::RateLimit;
+use honeypulley_policy::fleet_limits::RateLimit;
 use rstest::rstest;
 
 /// Requests a second of a large organisation and of a middle one.
--- a/crates/honeypulley_policy/tests/limits/ways.rs
+++ b/crates/honeypulley_policy/tests/limits/ways.rs
@@ -3,9 +3,7 @@
 use crate::fleet::{BoxId, Fleet, Message};
 use honeypulley_policy::balance::{News, Past};
 use honeypulley_policy::collector::NameId;
-use honeypulley_policy::organisations::{
-    FleetLimits, LimitRule, OrganisationSpec, Organisations, RateLimit, Scope,
-};
+use honeypulley_policy::fleet_limits::{FleetLimits, LimitRule, RateLimit, Scope};
 use honeypulley_policy::time::Time;
 
 /// The one organisation of these fleets.
@@ -13,16 +11,6 @@
     NameId::of("acme")
 }
 
-pub fn directory(limit: RateLimit) -> Organisations {
-    let spec = OrganisationSpec::builder()
-        .name("acme")
-        .keys(vec!["key".to_owned()])
-        .rate(limit.rate)
-        .burst(limit.burst)
-        .build();
-    Organisations::new(vec![spec]).expect("it is well formed")
-}
-
 /// What one box does about the limit.
 pub trait Limiter {
     /// Tells whether a request is admitted; what is to be told goes to `out`.
@@ -43,7 +31,7 @@
     pub fn new(me: BoxId, fleet: &Fleet, limit: RateLimit, past: Past, now: Time) -> Self {
         let mut limits =
             FleetLimits::new(&fleet.hall_name(me), LimitRule::default(), past, me.0 as u64, now);
-        limits.set_organisations(Some(&directory(limit)));
+        limits.set_limits([(organisation(), limit)]);
         Self { me, limits }
     }
 
@@ -80,11 +68,11 @@
         let from = fleet.id(m.from);
         self.set_scope(fleet, now);
         match m.news {
-            News::Admitted { organisation, sum } => {
-                self.limits.heard_box(from, organisation, sum, now);
+            News::Admitted { subject, sum } => {
+                self.limits.heard_box(from, subject, sum, now);
             }
-            News::HallAdmitted { organisation, count } => {
-                self.limits.heard_hall(from, organisation, count, now);
+            News::HallAdmitted { subject, count } => {
+                self.limits.heard_hall(from, subject, count, now);
             }
             _ => {}
         }
@@ -92,7 +80,7 @@
     }
 
     fn set(&mut self, limit: RateLimit) {
-        self.limits.set_organisations(Some(&directory(limit)));
+        self.limits.set_limits([(organisation(), limit)]);
     }
 }
 
@@ -164,7 +152,7 @@
             return;
         }
         self.asked = Some(now);
-        let news = News::Admitted { organisation: organisation(), sum: 0 };
+        let news = News::Admitted { subject: organisation(), sum: 0 };
         out.push(Message { from: self.me, to: fleet.home(now), news });
     }
 }
@@ -189,7 +177,7 @@
             self.asked = None;
         } else if fleet.home(now) == self.me {
             let granted = (0..BATCH).take_while(|_| self.bucket.take(1.0, now)).count() as u16;
-            let news = News::Admitted { organisation: organisation(), sum: granted };
+            let news = News::Admitted { subject: organisation(), sum: granted };
             if granted > 0 {
                 out.push(Message { from: self.me, to: m.from, news });
             }
