Silence on a small limit over all boxes is not taken for being cut off

Ways to keep a limit that an upstream names, in simulated time, and what the organisations' buckets do with limits of 0.2 to 200 a second. Found there: a subject of which nothing is told for 1.5 s was taken for one that this box does not hear, so that each box spent a share of its own. Limits from 8 a second on are kept as before (tests/limits).

--- a/crates/honeypulley_policy/src/fleet_limits/usage.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/usage.rs
@@ -32,7 +32,7 @@
 /// Requests' worth of silence on a subject near its limit by which a box knows that it
 /// does not hear the others; in a data hall of three a third of them would be told.
 const SILENT_REQUESTS: f64 = 12.0;
-/// Longest time of such a silence.
+/// Longest such silence; of a limit so small that it takes longer, none says anything.
 const MOST_SILENCE: Duration = Duration::from_millis(1_500);
 /// Silence after which a box that is cut off knows it, so that the subject has just
 /// stopped asking where it does not.
@@ -148,13 +148,19 @@
 
     /// Tells whether this box does not hear what the others admit.
     ///
-    /// Of a subject near its limit, others would tell all the time.
+    /// Of a subject near its limit, others would tell all the time, unless the limit is so small
+    /// that they have nothing to tell for a while: a box that took that for being cut off would
+    /// spend a share of its own beside them.
     pub(super) fn is_alone(&self, scope: Scope, now: Time) -> bool {
-        let least = (SILENT_REQUESTS / self.limit.rate).min(MOST_SILENCE.as_secs_f64());
-        let least = Duration::from_secs_f64(least).max(LEAST_SILENCE);
+        if scope.alone || scope.boxes < 2 || !self.tight {
+            return scope.alone;
+        }
+        let least = SILENT_REQUESTS / self.limit.rate;
+        if least > MOST_SILENCE.as_secs_f64() {
+            return false;
+        }
         let silence = now.since(self.heard);
-        let is_cut = silence > least && silence < KNOWN_SILENCE;
-        scope.alone || (scope.boxes > 1 && self.tight && is_cut)
+        silence > Duration::from_secs_f64(least).max(LEAST_SILENCE) && silence < KNOWN_SILENCE
     }
 
     pub(super) fn took(&mut self, n: u32, now: Time) {
--- a/crates/honeypulley_policy/tests/limits/fleet.rs
+++ b/crates/honeypulley_policy/tests/limits/fleet.rs
@@ -2,7 +2,7 @@
 //!
 //! No sockets, no clock, the same course for a seed.
 
-use crate::ways::{Batches, EqualShare, Limiter, Told};
+use crate::ways::{Alone, Batches, Drawn, EqualShare, Hall, HallPart, Limiter, Told};
 use honeypulley_policy::balance::{News, Past};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::fleet_limits::RateLimit;
@@ -15,10 +15,29 @@
 /// Silence after which a box goes by what it knows alone, and by which others count it as gone.
 const ALONE_MS: u64 = 1_500;
 const SILENT_MS: u64 = 5_000;
-/// Window over which the bound is judged, its overage and its slack.
-const WINDOW_MS: u64 = 5_000;
-const OVERAGE: f64 = 1.1;
-const SLACK: f64 = 20.0;
+/// How much a window may admit.
+#[derive(Clone, Copy, Debug)]
+pub struct Bound {
+    pub window_ms: u64,
+    /// Times the limit, the burst included where `counts_burst` says so.
+    pub times: f64,
+    /// Requests beside that.
+    pub slack: f64,
+    pub counts_burst: bool,
+}
+
+/// The users' bound on what an organisation is admitted.
+pub const ORGANISATION: Bound =
+    Bound { window_ms: 5_000, times: 1.1, slack: 20.0, counts_burst: true };
+/// The users' bound on what an upstream gets that names a limit.
+pub const UPSTREAM: Bound = Bound { window_ms: 4_000, times: 1.5, slack: 5.0, counts_burst: false };
+
+impl Bound {
+    fn allows(&self, l: RateLimit) -> f64 {
+        let burst = if self.counts_burst { l.burst } else { 0.0 };
+        (l.rate * (self.window_ms as f64 / 1e3) + burst).mul_add(self.times, self.slack)
+    }
+}
 /// Length of a course, in ms.
 const LENGTH_MS: u64 = 20_000;
 
@@ -38,6 +57,14 @@
     Told,
     EqualShare,
     Batches,
+    /// Each box for itself.
+    Alone,
+    /// The boxes of one data hall, each admission told there; the others leave it.
+    OneHall,
+    /// The boxes of each data hall keep to its share, each admission told there.
+    HallShares,
+    /// Some boxes drawn by hashing have a share each; the others leave it.
+    Drawn,
 }
 
 /// From when to when, in ms.
@@ -47,6 +74,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
     pub way: Way,
+    pub bound: Bound,
     pub boxes: usize,
     pub halls: usize,
     pub limit: RateLimit,
@@ -64,6 +92,8 @@
     pub lowered: Option<(u64, RateLimit)>,
     /// Share of the requests that the first tenth of the boxes gets.
     pub skew: f64,
+    /// Share of the requests that the first data hall gets, if it isn't an even one.
+    pub home: Option<f64>,
     pub seed: u64,
 }
 
@@ -106,6 +136,10 @@
         format!("hall-{}", self.hall(b))
     }
 
+    pub fn is_home(&self, b: BoxId) -> bool {
+        self.hall(b) == 0
+    }
+
     pub fn id(&self, b: BoxId) -> NameId {
         self.ids[b.0]
     }
@@ -147,9 +181,29 @@
         Way::Told => Box::new(Told::new(b, fleet, limit, past, Time::from_millis(fleet.now_ms))),
         Way::EqualShare => Box::new(EqualShare::new(fleet, limit)),
         Way::Batches => Box::new(Batches::new(b, limit)),
+        Way::Alone => Box::new(Alone::new(limit)),
+        Way::OneHall | Way::HallShares => {
+            let hall = fleet.hall(b);
+            let part = match (fleet.plan.way, hall) {
+                (Way::HallShares, hall) => part_of(limit.rate, hall, fleet.plan.halls),
+                (_, 0) => 1.0,
+                _ => 0.0,
+            };
+            let now = Time::from_millis(fleet.now_ms);
+            Box::new(Hall::new(b, fleet, HallPart { limit, part }, past, now))
+        }
+        Way::Drawn => Box::new(Drawn::new(b, fleet, limit)),
     }
 }
 
+/// Returns the part of a limit that a data hall has where several have one.
+fn part_of(rate: f64, hall: usize, halls: usize) -> f64 {
+    const LEAST_RATE: f64 = 0.5;
+    const MOST_HALLS: usize = 4;
+    let sharing = ((rate / LEAST_RATE) as usize).clamp(1, MOST_HALLS).min(halls);
+    if hall < sharing { 1.0 / sharing as f64 } else { 0.0 }
+}
+
 /// Plays a course.
 pub fn play(plan: Plan) -> Outcome {
     let mut rng = fastrand::Rng::with_seed(plan.seed);
@@ -205,7 +259,11 @@
                 ideal_sum += 1.0;
             }
             let few = (n / 10).max(1);
-            let i = if rng.f64() < plan.skew { rng.usize(..few) } else { rng.usize(..n) };
+            let i = match plan.home {
+                Some(home) => at_home(plan, home, &mut rng),
+                None if rng.f64() < plan.skew => rng.usize(..few),
+                None => rng.usize(..n),
+            };
             if down_until[i] <= ms && boxes[i].admit(&fleet, now, &mut out) {
                 admitted.push(ms);
             }
@@ -222,6 +280,15 @@
     }
 }
 
+/// Draws the box that a request comes to, by the part of them that the first hall gets.
+fn at_home(plan: Plan, home: f64, rng: &mut fastrand::Rng) -> usize {
+    let is_home = plan.halls < 2 || rng.f64() < home;
+    let mut draw = || rng.usize(..plan.boxes);
+    std::iter::repeat_with(&mut draw)
+        .find(|i| (i % plan.halls == 0) == is_home)
+        .expect("each hall has boxes")
+}
+
 /// Draws how many arrive within a step.
 fn arrivals(mean: f64, rng: &mut fastrand::Rng) -> usize {
     let (mut n, mut p, floor) = (0, rng.f64(), (-mean).exp());
@@ -236,17 +303,17 @@
 ///
 /// A limit that is lowered binds one window after the boxes have it.
 fn worst(admitted: &[u64], plan: Plan) -> f64 {
-    let may = |l: RateLimit| (l.rate * (WINDOW_MS as f64 / 1e3) + l.burst).mul_add(OVERAGE, SLACK);
+    let bound = plan.bound;
     let mut window = VecDeque::new();
     let mut worst = 0.0_f64;
     for &ms in admitted {
         window.push_back(ms);
-        while window.front().is_some_and(|&t| t + WINDOW_MS <= ms) {
+        while window.front().is_some_and(|&t| t + bound.window_ms <= ms) {
             window.pop_front();
         }
-        let lowered = plan.lowered.filter(|(at, _)| ms >= at + WINDOW_MS);
+        let lowered = plan.lowered.filter(|(at, _)| ms >= at + bound.window_ms);
         let limit = lowered.map_or(plan.limit, |(_, l)| l);
-        worst = worst.max(window.len() as f64 / may(limit));
+        worst = worst.max(window.len() as f64 / bound.allows(limit));
     }
     worst
 }
--- a/crates/honeypulley_policy/tests/limits/main.rs
+++ b/crates/honeypulley_policy/tests/limits/main.rs
@@ -6,9 +6,10 @@
 //! boxes cut off or killed; 3 to 30 in 100 datagrams lost.
 
 mod fleet;
+mod upstreams;
 mod ways;
 
-use fleet::{Outcome, Plan, Way, play};
+use fleet::{ORGANISATION, Outcome, Plan, Way, play};
 use honeypulley_policy::fleet_limits::RateLimit;
 use rstest::rstest;
 
@@ -29,6 +30,7 @@
 fn calm(way: Way, usual: f64) -> Plan {
     Plan {
         way,
+        bound: ORGANISATION,
         boxes: 113,
         halls: 3,
         limit: limit(usual),
@@ -40,6 +42,7 @@
         killed: (0.0, 0),
         lowered: None,
         skew: 0.0,
+        home: None,
         seed: 0,
     }
 }
--- a/crates/honeypulley_policy/tests/limits/ways.rs
+++ b/crates/honeypulley_policy/tests/limits/ways.rs
@@ -1,10 +1,12 @@
-//! Ways to bound an organisation over all boxes: the one that boxes use, and two beside it.
+//! Ways to bound what all boxes admit together: those that boxes use, and others beside them.
 
 use crate::fleet::{BoxId, Fleet, Message};
 use honeypulley_policy::balance::{News, Past};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::fleet_limits::{FleetLimits, LimitRule, RateLimit, Scope};
+use honeypulley_policy::placement::weight;
 use honeypulley_policy::time::Time;
+use std::time::Duration;
 
 /// The one organisation of these fleets.
 pub fn organisation() -> NameId {
@@ -188,3 +190,123 @@
         self.bucket.limit = limit;
     }
 }
+
+/// Each box admits the whole limit and tells nobody.
+pub struct Alone(Bucket);
+
+impl Alone {
+    pub fn new(limit: RateLimit) -> Self {
+        Self(Bucket { limit, level: limit.burst, at: Time::ZERO })
+    }
+}
+
+impl Limiter for Alone {
+    fn admit(&mut self, _: &Fleet, now: Time, _: &mut Vec<Message>) -> bool {
+        self.0.take(1.0, now)
+    }
+
+    fn heard(&mut self, _: &Fleet, _: &Message, _: Time, _: &mut Vec<Message>) {}
+
+    fn set(&mut self, limit: RateLimit) {
+        self.0.limit = limit;
+    }
+}
+
+/// What a data hall may admit.
+#[derive(Clone, Copy)]
+pub struct HallPart {
+    pub limit: RateLimit,
+    pub part: f64,
+}
+
+impl HallPart {
+    fn limit(self) -> RateLimit {
+        RateLimit { rate: self.limit.rate * self.part, burst: self.limit.burst * self.part }
+    }
+}
+
+/// How limits of upstreams are kept.
+const UPSTREAM_RULE: LimitRule = LimitRule { window: Duration::from_secs(4), slack: 5.0 };
+
+/// Each data hall keeps to its part, which may be nothing; admissions are told there alone.
+pub struct Hall {
+    me: BoxId,
+    part: HallPart,
+    limits: FleetLimits,
+}
+
+impl Hall {
+    pub fn new(me: BoxId, fleet: &Fleet, part: HallPart, past: Past, now: Time) -> Self {
+        let mut limits =
+            FleetLimits::new(&fleet.hall_name(me), UPSTREAM_RULE, past, me.0 as u64, now);
+        limits.set_limits([(organisation(), part.limit())]);
+        Self { me, part, limits }
+    }
+
+    fn set_scope(&mut self, fleet: &Fleet, now: Time) {
+        let boxes = fleet.boxes() / fleet.halls();
+        self.limits.set_scope(Scope { boxes, halls: 1, alone: fleet.is_alone(self.me, now) });
+    }
+}
+
+impl Limiter for Hall {
+    fn admit(&mut self, fleet: &Fleet, now: Time, out: &mut Vec<Message>) -> bool {
+        if self.part.part == 0.0 {
+            return false;
+        }
+        self.set_scope(fleet, now);
+        let admitted = self.limits.admit(organisation(), now).is_ok();
+        for news in self.limits.take_news() {
+            out.extend(fleet.hall_mates(self.me).map(|to| Message { from: self.me, to, news }));
+        }
+        admitted
+    }
+
+    fn heard(&mut self, fleet: &Fleet, m: &Message, now: Time, _: &mut Vec<Message>) {
+        self.set_scope(fleet, now);
+        if let News::Admitted { subject, sum } = m.news {
+            self.limits.heard_box(fleet.id(m.from), subject, sum, now);
+        }
+    }
+
+    fn set(&mut self, limit: RateLimit) {
+        self.part.limit = limit;
+        self.limits.set_limits([(organisation(), self.part.limit())]);
+    }
+}
+
+/// Boxes that send to an upstream at all, where boxes are drawn.
+const DRAWN: usize = 3;
+
+/// Some boxes of the first data hall, drawn by hashing, have an equal share each.
+pub struct Drawn(Option<Bucket>);
+
+impl Drawn {
+    pub fn new(me: BoxId, fleet: &Fleet, limit: RateLimit) -> Self {
+        let mut home: Vec<BoxId> =
+            fleet.others(me).chain([me]).filter(|b| fleet.is_home(*b)).collect();
+        home.sort_by_key(|&b| weight(fleet.id(b).0, 7));
+        let is_drawn = home.iter().take(DRAWN).any(|&b| b == me);
+        let bucket = Bucket { limit: Self::share(limit), level: 1.0, at: Time::ZERO };
+        Self(is_drawn.then_some(bucket))
+    }
+
+    fn share(limit: RateLimit) -> RateLimit {
+        let n = DRAWN as f64;
+        RateLimit { rate: limit.rate / n, burst: (limit.burst / n).max(1.0) }
+    }
+}
+
+impl Limiter for Drawn {
+    fn admit(&mut self, _: &Fleet, now: Time, _: &mut Vec<Message>) -> bool {
+        self.0.as_mut().is_some_and(|b| b.take(1.0, now))
+    }
+
+    fn heard(&mut self, _: &Fleet, _: &Message, _: Time, _: &mut Vec<Message>) {}
+
+    fn set(&mut self, limit: RateLimit) {
+        if let Some(b) = &mut self.0 {
+            b.limit = Self::share(limit);
+        }
+    }
+}
