--- a/crates/honeypulley_mesh/src/book.rs
+++ b/crates/honeypulley_mesh/src/book.rs
@@ -8,7 +8,7 @@
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::placement::weight;
 use honeypulley_policy::time::Time;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,8 +29,8 @@
     heard: BTreeMap<NameId, Time>,
     /// When any other box was last heard.
     last: Time,
-    /// Data halls that boxes are known of.
-    halls: BTreeSet<String>,
+    /// Boxes of each data hall, this one included.
+    halls: BTreeMap<NameId, usize>,
 }
 
 impl Book {
@@ -38,7 +38,7 @@
     #[must_use]
     pub fn new(me: NameId, hall: &str) -> Self {
         let (boxes, heard) = (BTreeMap::new(), BTreeMap::new());
-        let halls = BTreeSet::from([hall.to_owned()]);
+        let halls = BTreeMap::from([(NameId::of(hall), 1)]);
         Self { me, hall: hall.to_owned(), boxes, heard, last: Time::ZERO, halls }
     }
 
@@ -47,18 +47,17 @@
         if b.id == self.me {
             return false;
         }
-        if !b.hall.is_empty() && !self.halls.contains(&b.hall) {
-            self.halls.insert(b.hall.clone());
-        }
         match self.boxes.get_mut(&b.id) {
             None => {
+                move_box(&mut self.halls, "", &b.hall);
                 self.boxes.insert(b.id, b);
                 true
             }
             Some(known) => {
                 let news = known.hall.is_empty() && !b.hall.is_empty();
                 known.addr = b.addr;
-                if !b.hall.is_empty() {
+                if !b.hall.is_empty() && known.hall != b.hall {
+                    move_box(&mut self.halls, &known.hall, &b.hall);
                     known.hall = b.hall;
                 }
                 news
@@ -78,10 +77,10 @@
         !self.boxes.is_empty() && now.since(self.last) > ALONE_TIME
     }
 
-    /// Returns the number of data halls that boxes are known of, this one included.
+    /// Returns how many boxes of each data hall are known, this one included.
     #[must_use]
-    pub fn halls(&self) -> usize {
-        self.halls.len()
+    pub const fn halls(&self) -> &BTreeMap<NameId, usize> {
+        &self.halls
     }
 
     /// Returns the place of this box in the order of its data hall's boxes for a subject.
@@ -163,3 +162,13 @@
         self.boxes.len() + 1
     }
 }
+
+/// Counts a box in another data hall than before; an empty name is of none.
+fn move_box(halls: &mut BTreeMap<NameId, usize>, from: &str, to: &str) {
+    if let Some(n) = halls.get_mut(&NameId::of(from)) {
+        *n = n.saturating_sub(1);
+    }
+    if !to.is_empty() {
+        *halls.entry(NameId::of(to)).or_default() += 1;
+    }
+}
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -158,6 +158,12 @@
         self.balancer.reported_load(k, load, now);
     }
 
+    fn named_limit(&mut self, k: AttemptKey, limit: Option<f64>, now: Time) -> bool {
+        let is_new = self.balancer.named_limit(k, limit, now);
+        self.announce();
+        is_new
+    }
+
     fn drained(&mut self, k: UpstreamKey, now: Time) {
         self.balancer.drained(k, now);
     }
@@ -192,13 +198,13 @@
             return Err(self.unknown(wanted, table.version, now));
         };
         let organisation = self.organisation(&table, route, wanted, now)?;
+        let rank = organisation.as_ref().and_then(|o| o.priority).unwrap_or(route.priority);
         let name = route.target(fastrand::f64());
         let mut policy = self.policy.lock();
         let Some(service) = policy.balancer().service(name) else {
             return Err(not_yet(format!("service {name} is not set up on this box yet")));
         };
-        policy.balancer().set_reach(self.mesh.reach(now));
-        policy.balancer().set_hall(self.mesh.book().near().count() + 1);
+        self.mesh.share(policy.balancer(), now);
         policy.balancer().arrived(service, now);
         if let Some(o) = &organisation
             && let Err(wait) = policy.admit(o.id, now)
@@ -216,6 +222,7 @@
             ask: Ask {
                 service,
                 repeatable: route.kind.is_repeatable(),
+                priority: rank,
                 bulky: route.kind == RequestKind::Download,
                 aim: route.aim,
                 left: None,
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -14,7 +14,7 @@
 use honeypulley_peer::listing::BoxAddress;
 use honeypulley_peer::server::Held;
 use honeypulley_platform::api::Object;
-use honeypulley_policy::balance::{News, Reach};
+use honeypulley_policy::balance::{Balancer, News, Reach};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::fleet_limits::Scope;
 use honeypulley_policy::quarantine::{Quarantine, RequestNews};
@@ -238,18 +238,18 @@
         self.book.lock().learn(b)
     }
 
-    /// Returns with which boxes this one shares what is counted over the whole fleet.
-    #[must_use]
-    pub fn reach(&self, now: Time) -> Reach {
+    /// Tells a balancer with which boxes this one shares what is counted over the whole fleet.
+    pub fn share(&self, balancer: &mut Balancer, now: Time) {
         let book = self.book.lock();
-        Reach { boxes: book.count(), in_touch: book.hears_others(now) }
+        balancer.set_reach(Reach { boxes: book.count(), in_touch: book.hears_others(now) });
+        balancer.set_halls(book.halls(), book.is_alone(now));
     }
 
     /// Returns with which boxes this one shares the organisations' limits.
     #[must_use]
     pub fn limit_scope(&self, now: Time) -> Scope {
         let book = self.book.lock();
-        Scope { boxes: book.count(), halls: book.halls(), alone: book.is_alone(now) }
+        Scope { boxes: book.count(), halls: book.halls().len(), alone: book.is_alone(now) }
     }
 
     /// Returns this box's turn in telling other data halls of a subject, if it has one.
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -104,8 +104,10 @@
     # Of what a data hall admitted: which hall, and the requests of the window's last fifth.
     hall @6 :UInt64;
     latest @7 :UInt16;
-    # Of the same, what is left of the organisation's burst.
+    # Of the same, what is left of the subject's burst.
     level @8 :Int16;
+    # Of a limit that an upstream names, requests a second; zero if it names none any more.
+    rate @9 :Float32;
   }
 
   enum NewsKind {
@@ -125,10 +127,12 @@
     # Count is the extra sends of all boxes within the window.
     spent @13;
     ended @14;
-    # Count is the requests of an organisation that the sender admitted since it started.
+    # Count is the requests of a subject with a limit that the sender admitted since it started.
     admitted @15;
-    # Count is the requests of an organisation that a data hall admitted, as the sender counts.
+    # Count is the requests of such a subject that a data hall admitted, as the sender counts.
     hallAdmitted @16;
+    # An upstream names a limit over all boxes, or none any more.
+    limit @17;
   }
 
   struct RequestItem {
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -156,6 +156,10 @@
             News::Belief { upstream, phases } => {
                 (upstream, wire::NewsKind::Belief, u16::from_be_bytes(phases.map(parts)))
             }
+            News::Limit { upstream, rate } => {
+                row.set_rate(rate.unwrap_or(0.0));
+                (upstream, wire::NewsKind::Limit, 0)
+            }
             News::Admitted { subject, sum } => (subject, wire::NewsKind::Admitted, sum),
             News::HallAdmitted { subject, count } => {
                 row.set_hall(count.hall.0);
@@ -204,6 +208,10 @@
             wire::NewsKind::Belief => {
                 News::Belief { upstream: id, phases: r.get_count().to_be_bytes().map(part) }
             }
+            wire::NewsKind::Limit => {
+                let rate = Some(r.get_rate()).filter(|r| r.is_finite() && *r > 0.0);
+                News::Limit { upstream: id, rate }
+            }
             wire::NewsKind::Admitted => News::Admitted { subject: id, sum: r.get_count() },
             wire::NewsKind::HallAdmitted => {
                 let hall = NameId(r.get_hall());
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -1167,6 +1167,10 @@
             pub fn get_level(self) -> i16 {
                 self.reader.get_data_field::<i16>(13)
             }
+            #[inline]
+            pub fn get_rate(self) -> f32 {
+                self.reader.get_data_field::<f32>(7)
+            }
         }
 
         pub struct Builder<'a> {
@@ -1325,6 +1329,14 @@
             pub fn set_level(&mut self, value: i16) {
                 self.builder.set_data_field::<i16>(13, value);
             }
+            #[inline]
+            pub fn get_rate(self) -> f32 {
+                self.builder.get_data_field::<f32>(7)
+            }
+            #[inline]
+            pub fn set_rate(&mut self, value: f32) {
+                self.builder.set_data_field::<f32>(7, value);
+            }
         }
 
         pub struct Pipeline {
@@ -1337,7 +1349,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 153] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 168] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(163, 147, 255, 11, 1, 113, 61, 247),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
@@ -1347,7 +1359,7 @@
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -1355,70 +1367,77 @@
                 ::capnp::word(114, 97, 109, 46, 78, 101, 119, 115),
                 ::capnp::word(73, 116, 101, 109, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(245, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 96, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(249, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 13, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(253, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(25, 1, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(5, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(33, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(7, 0, 0, 0, 12, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(8, 0, 0, 0, 13, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 117, 98, 106, 101, 99, 116, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1491,6 +1510,14 @@
                 ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 97, 116, 101, 0, 0, 0, 0),
+                ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -1503,6 +1530,7 @@
                     6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     7 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     8 => <i16 as ::capnp::introspect::Introspect>::introspect(),
+                    9 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -1521,9 +1549,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 2, 4, 6, 1, 7, 8, 3, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 2, 4, 6, 1, 7, 8, 9, 3, 0];
             pub(crate) const TYPE_ID: u64 = 0xf73d_7101_0bff_93a3;
         }
     }
@@ -1548,6 +1576,7 @@
         Ended = 14,
         Admitted = 15,
         HallAdmitted = 16,
+        Limit = 17,
     }
 
     impl ::capnp::introspect::Introspect for NewsKind {
@@ -1596,6 +1625,7 @@
                 14 => ::core::result::Result::Ok(Self::Ended),
                 15 => ::core::result::Result::Ok(Self::Admitted),
                 16 => ::core::result::Result::Ok(Self::HallAdmitted),
+                17 => ::core::result::Result::Ok(Self::Limit),
                 n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
             }
         }
@@ -1610,7 +1640,7 @@
         const TYPE_ID: u64 = 0xc99a_765c_1a31_51cbu64;
     }
     mod news_kind {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 90] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(203, 81, 49, 26, 92, 118, 154, 201),
             ::capnp::word(20, 0, 0, 0, 2, 0, 0, 0),
@@ -1620,7 +1650,7 @@
             ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 159, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 183, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -1628,57 +1658,60 @@
             ::capnp::word(114, 97, 109, 46, 78, 101, 119, 115),
             ::capnp::word(75, 105, 110, 100, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(72, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(121, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(93, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 117, 99, 99, 101, 115, 115, 0),
             ::capnp::word(102, 97, 105, 108, 117, 114, 101, 0),
@@ -1701,6 +1734,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(104, 97, 108, 108, 65, 100, 109, 105),
             ::capnp::word(116, 116, 101, 100, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 0, 0, 0),
         ];
         pub(crate) fn get_annotation_types(
             child_index: Option<u16>,
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -34,7 +34,7 @@
         Just(Observation::Hung),
     ];
     let news =
-        (any::<u64>(), seen, chance(), chance(), 0u8..10).prop_map(|(id, what, a, b, kind)| {
+        (any::<u64>(), seen, chance(), chance(), 0u8..11).prop_map(|(id, what, a, b, kind)| {
             let upstream = NameId(id);
             match kind {
                 0 => News::Seen { upstream, what },
@@ -49,6 +49,10 @@
                 2 => News::Well { upstream },
                 3 => News::Belief { upstream, phases: [a, b] },
                 4 => News::Spent { service: upstream, sum: id as u16 },
+                10 => {
+                    let rate = (id % 5 > 0).then_some(id as u16 as f32 / 8.0 + 0.125);
+                    News::Limit { upstream, rate }
+                }
                 8 => News::Admitted { subject: upstream, sum: id as u16 },
                 9 => {
                     let hall = NameId(id.rotate_left(7));
--- a/crates/honeypulley_policy/benches/pick.rs
+++ b/crates/honeypulley_policy/benches/pick.rs
@@ -47,6 +47,7 @@
     let ask = Ask {
         service,
         repeatable: true,
+        priority: 0,
         bulky: false,
         aim: Some(Duration::from_secs(1)),
         left: None,
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -14,6 +14,7 @@
 mod heard;
 pub(crate) mod illness;
 mod learn;
+mod named;
 mod news;
 mod retry;
 mod sizes;
@@ -29,6 +30,8 @@
 use failing::Failing;
 pub use heard::Doubt;
 use illness::Illness;
+pub use named::NamedLimit;
+use named::NamedLimits;
 pub use news::News;
 use retry::RetryWindow;
 pub use retry::{BudgetUse, Past, Reach, Resend, RetryRule};
@@ -112,6 +115,7 @@
     addr: String,
     id: NameId,
     service: ServiceKey,
+    hall: NameId,
     near: bool,
     leaving: bool,
     /// Its own word that it is leaving, or another instance at its address.
@@ -197,6 +201,8 @@
     pub path: f64,
     /// Attempts of this box that are open.
     pub open: usize,
+    /// The limit that it names.
+    pub limit: Option<NamedLimit>,
 }
 
 /// One box's routing state.
@@ -206,6 +212,10 @@
     reach: Reach,
     /// Boxes of this data hall, this one included.
     hall_boxes: usize,
+    /// Boxes of each data hall.
+    halls: BTreeMap<NameId, usize>,
+    /// Whether this box hears no other one.
+    alone: bool,
     rule: RetryRule,
     past: Past,
     services: SlotMap<ServiceKey, Service>,
@@ -221,6 +231,8 @@
     /// Requests that a byte is worth which leaves the data hall.
     hall_price: f64,
     illness: Illness,
+    /// Limits that upstreams name.
+    limits: NamedLimits,
     /// Boxes that did not reach an upstream which answered others, and when it did.
     contradicted: BTreeMap<NameId, Time>,
     listed: BTreeMap<String, Listed>,
@@ -240,6 +252,9 @@
             hall: hall.to_owned(),
             reach: Reach { boxes: 1, in_touch: true },
             hall_boxes: 1,
+            halls: BTreeMap::from([(NameId::of(hall), 1)]),
+            alone: false,
+            limits: NamedLimits::new(hall, Past::Unknown, seed),
             rule,
             past: Past::Unknown,
             services: SlotMap::with_key(),
@@ -263,8 +278,9 @@
 
     /// Takes what is known of the extra sends before this box started.
     #[must_use]
-    pub const fn with_past(mut self, past: Past) -> Self {
+    pub fn with_past(mut self, past: Past) -> Self {
         self.past = past;
+        self.limits = NamedLimits::new(&self.hall, past, self.seed);
         self
     }
 
@@ -276,14 +292,24 @@
     }
 
     /// Takes the boxes among which the retry budget is shared.
-    pub const fn set_reach(&mut self, reach: Reach) {
+    ///
+    /// They stand in this data hall unless [`Self::set_halls`] names others.
+    pub fn set_reach(&mut self, reach: Reach) {
         self.reach = reach;
-        self.hall_boxes = reach.boxes;
+        if self.halls.len() < 2 {
+            self.hall_boxes = reach.boxes;
+            self.halls.insert(NameId::of(&self.hall), reach.boxes);
+        }
     }
 
-    /// Takes how many of those boxes stand in this data hall, this one included.
-    pub const fn set_hall(&mut self, boxes: usize) {
-        self.hall_boxes = boxes;
+    /// Takes how many of those boxes stand in each data hall, this one included, and whether
+    /// this one hears none of them.
+    pub fn set_halls(&mut self, halls: &BTreeMap<NameId, usize>, alone: bool) {
+        self.alone = alone;
+        if self.halls != *halls {
+            self.halls.clone_from(halls);
+            self.hall_boxes = halls.get(&NameId::of(&self.hall)).copied().unwrap_or(1);
+        }
     }
 
     /// Takes the services of a table; what was learnt of kept ones stays.
@@ -369,6 +395,7 @@
             addr: l.member.addr.clone(),
             id,
             service,
+            hall: NameId::of(&l.member.hall),
             near: l.member.hall == self.hall,
             leaving,
             closed: false,
@@ -396,6 +423,7 @@
     fn forget(&mut self, k: UpstreamKey) {
         if let Some(u) = self.upstreams.remove(k) {
             self.by_id.remove(&u.id);
+            self.limits.forget(u.id);
         }
     }
 
@@ -420,15 +448,16 @@
     /// Returns the state of every upstream, for operators.
     #[must_use]
     pub fn status(&self, now: Time) -> Vec<BalanceStatus> {
-        let row = |u: &Upstream| BalanceStatus {
+        let row = |(k, u): (UpstreamKey, &Upstream)| BalanceStatus {
             service: self.services.get(u.service).map_or_else(String::new, |s| s.spec.name.clone()),
             upstream: u.name.clone(),
             leaving: u.is_leaving(),
             sick: u.shared.chance(now),
             path: u.path.chance(now),
             open: u.mine.len(),
+            limit: self.limit_of(k, now),
         };
-        self.upstreams.values().map(row).collect()
+        self.upstreams.iter().map(row).collect()
     }
 }
 
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -65,6 +65,7 @@
         };
         let open: Vec<UpstreamKey> = s.upstreams.iter().filter(usable).copied().collect();
         let rule = TrialRule::of(s, ask, now);
+        let open = self.with_room(open, ask, now)?;
         // A request that failed once is no trial.
         let starved = if tried.is_empty() { self.starved(&open, rule, now) } else { None };
         let starved = starved.map(|u| (u, Reason::Canary));
@@ -76,6 +77,7 @@
             return Err(self.refuse(RefusalKind::NoUpstream, EMPTY_WAIT));
         };
         self.admit(upstream, ask, tried.is_empty(), now)?;
+        self.count_send(upstream, now);
         let u = &self.upstreams[upstream];
         let attempt = self.attempts.insert(Attempt {
             upstream,
@@ -108,6 +110,7 @@
             busy: u.busy(now),
             near: u.near,
             load_age: u.far.map(|f| now.since(f.at)),
+            limit: self.limit_of(k, now),
             ..Inputs::default()
         })
     }
@@ -162,6 +165,10 @@
         }
     }
 
+    fn named_limit(&mut self, k: AttemptKey, limit: Option<f64>, now: Time) -> bool {
+        self.named(k, limit, now)
+    }
+
     fn drained(&mut self, k: UpstreamKey, _: Time) {
         if let Some(u) = self.upstreams.get_mut(k) {
             u.closed = true;
--- a/crates/honeypulley_policy/src/balance/news.rs
+++ b/crates/honeypulley_policy/src/balance/news.rs
@@ -40,6 +40,13 @@
         /// The upstream.
         upstream: NameId,
     },
+    /// An upstream names a limit over all boxes in its answers.
+    Limit {
+        /// The upstream.
+        upstream: NameId,
+        /// Requests a second; `None` if it names no limit any more.
+        rate: Option<f32>,
+    },
     /// What the sender believes of an upstream, for a box that has just started.
     Belief {
         /// The upstream.
@@ -75,7 +82,7 @@
     },
     /// The sender admitted a request that a limit over all boxes counts; for its data hall.
     Admitted {
-        /// What has the limit: an organisation.
+        /// What has the limit: an organisation, or an upstream that names one.
         subject: NameId,
         /// Requests of it that the sender admitted since it started, counted round.
         sum: u16,
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -1,6 +1,6 @@
 //! What the serving path asks of a policy, whichever that is.
 
-use crate::balance::{BudgetUse, Resend};
+use crate::balance::{BudgetUse, NamedLimit, Resend};
 use crate::collector::NameId;
 use crate::router::{AttemptKey, Outcome, Pick, Refusal, Router, ServiceKey, UpstreamKey};
 use crate::time::Time;
@@ -14,6 +14,8 @@
     pub service: ServiceKey,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// Rank of it; zero goes first.
+    pub priority: u8,
     /// Whether its answer is large.
     pub bulky: bool,
     /// Time within which an answer is wanted, if the route says.
@@ -55,6 +57,8 @@
     pub near: bool,
     /// Age of the upstream's last load report, if there was one.
     pub load_age: Option<Duration>,
+    /// The limit that the upstream names.
+    pub limit: Option<NamedLimit>,
     /// The list of upstreams at the choice.
     pub list: ListNow,
 }
@@ -115,6 +119,13 @@
     fn sized(&mut self, _: AttemptKey, _: u64) {}
     /// Takes the load that an upstream reported.
     fn reported_load(&mut self, k: UpstreamKey, load: LoadReport, now: Time);
+    /// Takes the requests a second that an upstream takes from all boxes together, as its
+    /// answer names them, or that it names none.
+    ///
+    /// Returns whether that is another limit than before.
+    fn named_limit(&mut self, _: AttemptKey, _: Option<f64>, _: Time) -> bool {
+        false
+    }
     /// Takes an upstream's own word that it is leaving.
     fn drained(&mut self, k: UpstreamKey, now: Time);
     /// Closes an attempt.
--- a/crates/honeypulley_policy/src/fleet_limits/buckets.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/buckets.rs
@@ -103,6 +103,20 @@
         }
     }
 
+    /// Takes the limit of one subject, or that it has none any more.
+    pub fn set_limit(&mut self, id: NameId, limit: Option<RateLimit>) {
+        let Some(limit) = limit else {
+            self.limits.remove(&id);
+            self.usages.remove(&id);
+            self.touched.remove(&id);
+            return;
+        };
+        self.limits.insert(id, limit);
+        if let Some(u) = self.usages.get_mut(&id) {
+            u.limit = limit;
+        }
+    }
+
     /// Takes with whom this box shares the limits.
     pub const fn set_scope(&mut self, scope: Scope) {
         self.scope = scope;
@@ -113,6 +127,17 @@
     /// # Errors
     /// Returns the time until a request fits; nothing is taken then.
     pub fn admit(&mut self, id: NameId, now: Time) -> Result<(), Duration> {
+        self.room(id, 1.0, now)?;
+        self.take(id, now);
+        Ok(())
+    }
+
+    /// Tells whether one more request of a subject fits, where so many tokens are wanted, or
+    /// all that its bucket holds.
+    ///
+    /// # Errors
+    /// Returns the time until it fits.
+    pub fn room(&mut self, id: NameId, wanted: f64, now: Time) -> Result<(), Duration> {
         let Some(&limit) = self.limits.get(&id) else { return Ok(()) };
         let (scope, draw) = (self.scope, self.rng.f64());
         let u = self.usage(id, limit, now);
@@ -122,15 +147,29 @@
             if u.own.level <= draw {
                 return Err(u.own.wait(limit.rate / scope.boxes.max(1) as f64).max(LEAST_WAIT));
             }
-        } else if u.bucket.level < 1.0 {
+        } else if u.bucket.level < wanted.min(limit.burst.max(1.0)) {
             return Err(u.bucket.wait(limit.rate).max(LEAST_WAIT));
         }
+        Ok(())
+    }
+
+    /// Counts one request of a subject, which this box sends on.
+    pub fn take(&mut self, id: NameId, now: Time) {
+        let Some(&limit) = self.limits.get(&id) else { return };
+        let scope = self.scope;
+        let u = self.usage(id, limit, now);
+        u.refill(scope, now);
         u.own.level = (u.own.level - 1.0).max(MOST_DEBT);
         u.took(1, now);
         u.told = u.told.wrapping_add(1);
         let sum = u.told;
         self.news.push(News::Admitted { subject: id, sum });
-        Ok(())
+    }
+
+    /// Returns the tokens that a subject has left, as they were when it was last looked at.
+    #[must_use]
+    pub fn level(&self, id: NameId) -> Option<f64> {
+        self.usages.get(&id).map(|u| u.bucket.level)
     }
 
     /// Takes what a box of this data hall admitted since it started.
--- a/crates/honeypulley_policy/src/router.rs
+++ b/crates/honeypulley_policy/src/router.rs
@@ -68,6 +68,9 @@
     /// The whole service is so slow that requests would miss their deadline.
     #[error("the service is overloaded")]
     Overload,
+    /// Every live upstream names a limit, and none of them has room.
+    #[error("the limits that the upstreams name are used up")]
+    Limited,
     /// The service's rate is used up.
     #[error("the service's rate is used up")]
     Rate,
--- a/crates/honeypulley_policy/tests/balance/main.rs
+++ b/crates/honeypulley_policy/tests/balance/main.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod halls;
 mod lives;
+mod named;
 mod open_attempts;
 mod trials;
 
@@ -49,6 +50,7 @@
     Ask {
         service,
         repeatable,
+        priority: 0,
         bulky: false,
         aim: Some(Duration::from_secs(1)),
         left: Some(Duration::from_secs(2)),
--- a/crates/honeypulley_policy/tests/floor.rs
+++ b/crates/honeypulley_policy/tests/floor.rs
@@ -78,6 +78,7 @@
         let ask = Ask {
             service,
             repeatable,
+            priority: 0,
             bulky: false,
             aim: Some(Duration::from_millis(800)),
             left: Some(Duration::from_millis(TIMEOUT_MS)),
--- a/crates/honeypulley_policy/tests/load/hall.rs
+++ b/crates/honeypulley_policy/tests/load/hall.rs
@@ -60,6 +60,23 @@
     pub upstreams: usize,
 }
 
+/// The first upstreams of a hall, which name a limit in their answers from a moment on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Need {
+    pub upstreams: usize,
+    /// Requests a second that each of them takes from all boxes together.
+    pub rate: f64,
+    /// From when, in ms.
+    pub from: u64,
+}
+
+impl Need {
+    /// Returns the limit that the answer of an upstream names.
+    fn limit(&self, upstream: usize, now: u64) -> Option<f64> {
+        (upstream < self.upstreams && now >= self.from).then_some(self.rate)
+    }
+}
+
 /// What a hall is and what troubles it.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -84,6 +101,7 @@
     pub fails_ms: u64,
     pub sheds: Sheds,
     pub cut: Cut,
+    pub need: Need,
     pub seed: u64,
 }
 
@@ -118,6 +136,11 @@
     pub reads: Count,
     /// Least share of the upstreams that were well which got work in two seconds.
     pub floor: f64,
+    /// Most requests that an upstream in need got in four seconds, from a while after it
+    /// first named its limit.
+    pub most_sent: usize,
+    /// Requests that all of them got since, of those that their limits allow.
+    pub limit_used: f64,
 }
 
 #[derive(Debug, Default)]
@@ -181,6 +204,8 @@
     key: Option<AttemptKey>,
     ends: u64,
     end: End,
+    /// The limit that its answer names.
+    limit: Option<f64>,
 }
 
 #[derive(Debug)]
@@ -225,6 +250,7 @@
         }
     }
     hall.report.floor = hall.floor(until);
+    (hall.report.most_sent, hall.report.limit_used) = hall.limits(until);
     hall.report
 }
 
@@ -274,6 +300,7 @@
         Ask {
             service: self.boxes[r.from].service("s").expect("set up"),
             repeatable: r.repeatable,
+            priority: 0,
             bulky: false,
             aim: Some(Duration::from_millis(AIM_MS)),
             left: Some(Duration::from_millis((r.began + self.limit()).saturating_sub(now))),
@@ -291,7 +318,8 @@
         let Some((worker, key)) = chosen else { return false };
         let (ends, end) = self.work(r.from, worker, now);
         r.tried.push(worker);
-        r.open = Some(Sent { key, ends, end });
+        let limit = self.plan.need.limit(worker, ends);
+        r.open = Some(Sent { key, ends, end, limit });
         true
     }
 
@@ -423,12 +451,31 @@
             End::Hung => Outcome::Late,
             End::Served | End::Fails => {
                 b.answered(key, sent.end == End::Served, at);
+                b.named_limit(key, sent.limit, at);
                 Outcome::Whole
             }
         };
         b.finish(key, outcome, at);
     }
 
+    /// Returns the most that an upstream in need got in four seconds, and how much of what
+    /// their limits allow all of them got.
+    fn limits(&self, until: u64) -> (usize, f64) {
+        const WINDOW_MS: u64 = 4_000;
+        const CONTACT_MS: u64 = 3_000;
+        let need = self.plan.need;
+        let from = need.from + CONTACT_MS;
+        let sent = |w: &Worker| -> Vec<u64> {
+            w.sent.iter().copied().filter(|t| (from..until).contains(t)).collect()
+        };
+        let all: Vec<Vec<u64>> = self.workers[..need.upstreams].iter().map(sent).collect();
+        let within =
+            |s: &[u64], last: u64| s.iter().filter(|&&t| t <= last && t + WINDOW_MS > last).count();
+        let most = all.iter().flat_map(|s| s.iter().map(|&t| within(s, t))).max().unwrap_or(0);
+        let allowed = need.upstreams as f64 * need.rate * until.saturating_sub(from) as f64 / 1e3;
+        (most, all.iter().map(Vec::len).sum::<usize>() as f64 / allowed.max(1.0))
+    }
+
     /// Returns the least share of upstreams that were well which got work in two seconds.
     fn floor(&self, until: u64) -> f64 {
         let share = |from: u64| {
--- a/crates/honeypulley_policy/tests/load/main.rs
+++ b/crates/honeypulley_policy/tests/load/main.rs
@@ -5,7 +5,7 @@
 
 mod hall;
 
-use hall::{Cut, Plan, Policy, Report, Sheds, play};
+use hall::{Cut, Need, Plan, Policy, Report, Sheds, play};
 use rstest::rstest;
 
 /// Seconds that each plan is played.
@@ -34,6 +34,7 @@
     fails_ms: 0,
     sheds: Sheds { from: 0, to: 0, share: 0.0 },
     cut: Cut { boxes: 0, upstreams: 0 },
+    need: Need { upstreams: 0, rate: 0.0, from: 0 },
     seed: 1,
 };
 /// The same in a hall of a small fleet, where nearly all upstreams are needed for the floor.
@@ -67,6 +68,26 @@
     ..CALM
 };
 
+/// A small hall, two of whose upstreams take 2.2 requests a second, somewhat over half of their work.
+///
+/// Seen on a fleet of forty boxes: 2 and 3.1 a second named, 6 and 10 sent.
+const IN_NEED: Plan = Plan {
+    boxes: 12,
+    upstreams: 10,
+    orders: 30.0,
+    reads: 6.0,
+    need: Need { upstreams: 2, rate: 2.2, from: 10_000 },
+    ..CALM
+};
+/// The same where each takes one a second.
+const IN_GREAT_NEED: Plan =
+    Plan { need: Need { upstreams: 2, rate: 1.0, from: 10_000 }, ..IN_NEED };
+/// A hall of a large fleet where all upstreams take half of what they are asked for.
+const ALL_IN_NEED: Plan = Plan { need: Need { upstreams: 57, rate: 1.0, from: 10_000 }, ..CALM };
+/// The same with a tenth of it: each box has a request an upstream in nearly a minute.
+const ALL_IN_GREAT_NEED: Plan =
+    Plan { need: Need { upstreams: 57, rate: 0.2, from: 10_000 }, ..CALM };
+
 /// Means over the seeds, but for the floor, which is the least.
 struct Means {
     /// Orders that were not served.
@@ -122,6 +143,34 @@
     assert!(ours.lost <= oracle.lost + 0.035, "{} and {}", ours.lost, oracle.lost);
 }
 
+/// The users' bound: in four seconds half of a limit again, and five requests. What a limit
+/// allows is used, since those who name one are in need and not ill.
+#[rstest]
+#[case::two(IN_NEED, SECS, 0.6)]
+#[case::two_more(IN_GREAT_NEED, SECS, 0.6)]
+#[case::all(ALL_IN_NEED, SECS, 0.9)]
+#[case::all_more(ALL_IN_GREAT_NEED, 2 * SECS, 0.9)]
+fn upstreams_that_name_a_limit_get_it_and_no_more(
+    #[case] plan: Plan,
+    #[case] secs: u64,
+    #[case] least: f64,
+) {
+    for seed in 1..=SEEDS {
+        let r = play(Plan { seed, ..plan }, secs);
+        let allowed = plan.need.rate.mul_add(1.5 * 4.0, 5.0) as usize;
+        println!("{:?} {} of {allowed}, used {:.2}", plan.need, r.most_sent, r.limit_used);
+        assert!(r.most_sent <= allowed, "{} in four seconds, {allowed} allowed", r.most_sent);
+        assert!(r.limit_used >= least, "{} of what the limits allow", r.limit_used);
+    }
+}
+
+#[test]
+fn upstreams_in_need_cost_the_others_callers_next_to_nothing() {
+    let plan = Plan { need: Need::default(), ..IN_NEED };
+    let (calm, need) = (means(plan), means(IN_NEED));
+    assert!(need.lost <= calm.lost + 0.01, "{} and {}", need.lost, calm.lost);
+}
+
 /// Prints what twelve seeds of each load lose, for comparisons of ways to choose.
 #[test]
 #[ignore = "prints figures, and plays for half a minute"]
--- a/crates/honeypulley_proxy/src/answer.rs
+++ b/crates/honeypulley_proxy/src/answer.rs
@@ -36,9 +36,10 @@
     pub fn refusal(r: Refusal) -> Self {
         let status = match r.kind {
             RefusalKind::Rate | RefusalKind::CallerRate => StatusCode::TOO_MANY_REQUESTS,
-            RefusalKind::NoUpstream | RefusalKind::Full | RefusalKind::Overload => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            RefusalKind::NoUpstream
+            | RefusalKind::Full
+            | RefusalKind::Overload
+            | RefusalKind::Limited => StatusCode::SERVICE_UNAVAILABLE,
         };
         Self::not_run(status, Some(r.retry_after), r.kind.to_string())
     }
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -4,6 +4,7 @@
 use crate::gate::Gate;
 use crate::liveness::has_ended;
 use bytes::{Bytes, BytesMut};
+use honeypulley_policy::chooser::Chooser;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::quarantine::{End, Fingerprints};
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, UpstreamKey};
@@ -255,7 +256,6 @@
     id: Option<&HeaderValue>,
 ) -> Result<(), Failure> {
     let (now, h, d) = (gate.now(), r.headers(), &gate.dialect);
-    note_limit(gate, to, h);
     let mut policy = gate.chooser.lock();
     if h.contains_key(&d.drain) {
         policy.drained(guard.upstream, now);
@@ -267,6 +267,9 @@
         guard.ended(Outcome::Wrong);
         return Err(Failure::Unknown { why: "the answer belongs to another request".to_owned() });
     }
+    if !d.is_misdirected(r.status()) {
+        take_limit(gate, &mut *policy, (guard, to), r);
+    }
     if d.is_not_run(r.status(), h) {
         let moved = d.is_misdirected(r.status());
         guard.ended(if moved { Outcome::Misdirected } else { Outcome::NotRun });
@@ -293,22 +296,40 @@
     Ok(())
 }
 
-/// Notes what an answer says of the requests that its upstream takes from all boxes.
-fn note_limit(gate: &Gate, to: &Destination, h: &HeaderMap) {
+/// Takes what an answer says of the requests that its upstream takes from all boxes.
+///
+/// A limit is taken from any answer to the attempt; that there is none any more only from one
+/// that the upstream itself has surely made.
+fn take_limit(
+    gate: &Gate,
+    policy: &mut dyn Chooser,
+    (guard, to): (&AttemptGuard, &Destination),
+    r: &reqwest::Response,
+) {
     let upstream = to.name.as_str();
-    match gate.dialect.limit(h) {
-        Ok(None) => {}
-        Ok(Some(limit)) => {
-            gate.count("limits.named");
-            log::info!(
-                upstream, limit;
-                "attempt: {upstream} names a limit of {limit} requests a second from all boxes"
-            );
-        }
+    let limit = match gate.dialect.limit(r.headers()) {
+        Ok(limit) => limit,
         Err(fault) => {
             gate.count("limits.refused");
             log::warn!(upstream, fault:% = fault; "attempt: a limit that {upstream} names is not taken");
+            return;
         }
+    };
+    let is_proven = gate.dialect.proof.as_ref().is_none_or(|p| r.headers().contains_key(p));
+    if limit.is_none() && !is_proven {
+        return;
+    }
+    let is_new = policy.named_limit(guard.key, limit, gate.now());
+    if limit.is_some() {
+        gate.count("limits.named");
+    }
+    match limit {
+        Some(limit) if is_new => log::info!(
+            upstream, limit;
+            "attempt: {upstream} names a limit of {limit} requests a second from all boxes"
+        ),
+        None if is_new => log::info!(upstream; "attempt: {upstream} names no limit any more"),
+        _ => {}
     }
 }
 
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -287,6 +287,7 @@
             ask: Ask {
                 service,
                 repeatable,
+                priority: 0,
                 bulky: false,
                 aim: None,
                 left: None,
--- a/crates/honeypulley_proxy/tests/race/support.rs
+++ b/crates/honeypulley_proxy/tests/race/support.rs
@@ -79,6 +79,7 @@
     let ask = Ask {
         service: on.service,
         repeatable: false,
+        priority: 0,
         bulky: false,
         aim: Some(Duration::from_millis(200)),
         left: None,
--- a/tools/trial/src/model/traffic.rs
+++ b/tools/trial/src/model/traffic.rs
@@ -97,6 +97,7 @@
                 let ask = Ask {
                     service: self.services[b],
                     repeatable: self.s.repeatable,
+                    priority: 0,
                     bulky: false,
                     aim: Some(self.s.size.deadline / 5),
                     left: Some(self.s.size.deadline),
