A box that hears nobody tells callers to wait for what it admits

Where a limit was nearly met when a box last heard the others it admits a third of its share, but told callers when the whole share would have room: they came back three times too soon and were refused again. One method gives the rate to both now. tests/limits/alone.rs failed first (refused after the 2 s that it was told).

--- a/crates/honeypulley_policy/src/fleet_limits/buckets.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/buckets.rs
@@ -145,7 +145,7 @@
         if u.is_alone(scope, now) {
             // A share below one request is drawn for, so that all shares sum up to the limit.
             if u.own.level <= draw {
-                return Err(u.own.wait(limit.rate / scope.boxes.max(1) as f64).max(LEAST_WAIT));
+                return Err(u.own.wait(u.own_rate(scope)).max(LEAST_WAIT));
             }
         } else if u.bucket.level < wanted.min(limit.burst.max(1.0)) {
             return Err(u.bucket.wait(limit.rate).max(LEAST_WAIT));
--- a/crates/honeypulley_policy/src/fleet_limits/usage.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/usage.rs
@@ -137,15 +137,19 @@
 
     pub(super) fn refill(&mut self, scope: Scope, now: Time) {
         let RateLimit { rate, burst } = self.limit;
-        let boxes = scope.boxes.max(1) as f64;
         self.bucket.refill(rate, burst, now);
-        let share = if self.tight { CUT_SHARE } else { 1.0 };
-        self.own.refill(rate * share / boxes, burst / boxes, now);
+        self.own.refill(self.own_rate(scope), burst / scope.boxes.max(1) as f64, now);
         if !self.is_alone(scope, now) {
             self.tight = self.bucket.level < TIGHT_SHARE * burst;
         }
     }
 
+    /// Returns what this box may admit a second while it hears nobody.
+    pub(super) fn own_rate(&self, scope: Scope) -> f64 {
+        let share = if self.tight { CUT_SHARE } else { 1.0 };
+        self.limit.rate * share / scope.boxes.max(1) as f64
+    }
+
     /// Tells whether this box does not hear what the others admit.
     ///
     /// Of a subject near its limit, others would tell all the time, unless the limit is so small
--- a/crates/honeypulley_policy/tests/limits/main.rs
+++ b/crates/honeypulley_policy/tests/limits/main.rs
@@ -5,6 +5,7 @@
 //! organisation that sends 3 to 7.5 times its usual; a limit cut to a quarter; a third of the
 //! boxes cut off or killed; 3 to 30 in 100 datagrams lost.
 
+mod alone;
 mod fleet;
 mod upstreams;
 mod ways;
