Only a whole answer takes a limit back that its upstream named

An answer that is cut in disturbance, with a proven head that names no limit, lifted it on all boxes. What names one counts from its head on, as before; that there is none counts once the body is whole. platform/tests/named_limits.rs::a_cut_answer_takes_no_limit_back.

--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -171,6 +171,7 @@
     match body {
         Ok(body) => {
             if matches!(body, AnswerBody::Whole(_)) {
+                take_no_limit(&gate, &guard, &to, &head);
                 guard.ended(Outcome::Whole);
             }
             Ok(Answer { head, body, guard })
@@ -296,10 +297,7 @@
     Ok(())
 }
 
-/// Takes what an answer says of the requests that its upstream takes from all boxes.
-///
-/// A limit is taken from any answer to the attempt; that there is none any more only from one
-/// that the upstream itself has surely made.
+/// Takes the limit that an answer names: the requests that its upstream takes from all boxes.
 fn take_limit(
     gate: &Gate,
     policy: &mut dyn Chooser,
@@ -307,29 +305,37 @@
     r: &reqwest::Response,
 ) {
     let upstream = to.name.as_str();
-    let limit = match gate.dialect.limit(r.headers()) {
-        Ok(limit) => limit,
+    match gate.dialect.limit(r.headers()) {
+        Ok(None) => {}
+        Ok(Some(limit)) => {
+            gate.count("limits.named");
+            if policy.named_limit(guard.key, Some(limit), gate.now()) {
+                log::info!(
+                    upstream, limit;
+                    "attempt: {upstream} names a limit of {limit} requests a second from all boxes"
+                );
+            }
+        }
         Err(fault) => {
             gate.count("limits.refused");
             log::warn!(upstream, fault:% = fault; "attempt: a limit that {upstream} names is not taken");
-            return;
         }
-    };
-    let is_proven = gate.dialect.proof.as_ref().is_none_or(|p| r.headers().contains_key(p));
-    if limit.is_none() && !is_proven {
-        return;
     }
-    let is_new = policy.named_limit(guard.key, limit, gate.now());
-    if limit.is_some() {
-        gate.count("limits.named");
+}
+
+/// Takes that a whole answer names no limit.
+///
+/// One that is cut, or that the upstream has not surely made, takes back no limit.
+fn take_no_limit(gate: &Gate, guard: &AttemptGuard, to: &Destination, head: &AnswerHead) {
+    let d = &gate.dialect;
+    let is_proven = d.proof.as_ref().is_none_or(|p| head.headers.contains_key(p));
+    if d.limit.is_none() || !is_proven || d.limit(&head.headers) != Ok(None) {
+        return;
     }
-    match limit {
-        Some(limit) if is_new => log::info!(
-            upstream, limit;
-            "attempt: {upstream} names a limit of {limit} requests a second from all boxes"
-        ),
-        None if is_new => log::info!(upstream; "attempt: {upstream} names no limit any more"),
-        _ => {}
+    let is_lifted = gate.chooser.lock().named_limit(guard.key, None, gate.now());
+    if is_lifted {
+        let upstream = to.name.as_str();
+        log::info!(upstream; "attempt: {upstream} names no limit any more");
     }
 }
 
