--- a/crates/honeypulley_mesh/src/held.rs
+++ b/crates/honeypulley_mesh/src/held.rs
@@ -16,7 +16,7 @@
 ///
 /// A loss of power within it after a hold forgets that hold: the request then ends up to three
 /// more upstreams.
-const LOOK_GAP: Duration = Duration::from_millis(300);
+const STORE_GAP: Duration = Duration::from_millis(300);
 
 /// All holds as they stand in the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,7 +62,7 @@
                 Ok(s) => {
                     stored = Some(s);
                     wait = FIRST_WAIT;
-                    tokio::time::sleep(LOOK_GAP).await;
+                    tokio::time::sleep(STORE_GAP).await;
                 }
                 // It is read again: the write may have been done, or another box has written.
                 Err(e) => {
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -106,8 +106,8 @@
         self.balancer.place(k)
     }
 
-    fn has_ended(&self, k: UpstreamKey) -> bool {
-        self.balancer.has_ended(k)
+    fn has_restarted(&self, k: UpstreamKey) -> bool {
+        self.balancer.has_restarted(k)
     }
 
     fn inputs(&self, k: UpstreamKey, now: Time) -> Inputs {
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -99,7 +99,7 @@
         self.upstreams.get(k).map(|u| Place { name: &u.name, addr: &u.addr })
     }
 
-    fn has_ended(&self, k: UpstreamKey) -> bool {
+    fn has_restarted(&self, k: UpstreamKey) -> bool {
         self.ended.contains(&k)
     }
 
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -82,7 +82,7 @@
     /// Returns where an upstream is, if it is still known.
     fn place(&self, k: UpstreamKey) -> Option<Place<'_>>;
     /// Tells whether an upstream has started again, so that what was open there is over.
-    fn has_ended(&self, _: UpstreamKey) -> bool {
+    fn has_restarted(&self, _: UpstreamKey) -> bool {
         false
     }
     /// Returns what is known of an upstream, for the log.
--- a/crates/honeypulley_policy/src/quarantine.rs
+++ b/crates/honeypulley_policy/src/quarantine.rs
@@ -203,8 +203,18 @@
     }
 
     /// Returns the requests that are held, or that were until a trial, those with the most
-    /// trials first.
+    /// trials first; puts on hold first what is due.
     pub fn held(&mut self, now: Time) -> Vec<Hold> {
+        self.settle(now);
+        let mut held: Vec<Hold> =
+            self.records.iter().filter_map(|(&f, r)| r.last_hold(f, now)).collect();
+        held.sort_by_key(|h| std::cmp::Reverse((h.trials, h.left)));
+        held.truncate(MOST_HELD);
+        held
+    }
+
+    /// Puts on hold each request whose ends nothing else accounts for.
+    fn settle(&mut self, now: Time) {
         let mut guilty = self.guilty_ends();
         let may_be_due = |r: &Record| !r.is_found_guilty() && r.ends().len() >= r.ends_needed();
         let open: Vec<Fingerprint> =
@@ -214,11 +224,6 @@
                 guilty = self.guilty_ends();
             }
         }
-        let mut held: Vec<Hold> =
-            self.records.iter().filter_map(|(&f, r)| r.last_hold(f, now)).collect();
-        held.sort_by_key(|h| std::cmp::Reverse((h.trials, h.left)));
-        held.truncate(MOST_HELD);
-        held
     }
 
     /// Returns how many requests are suspected or held.
--- a/crates/honeypulley_policy/tests/balance/lives.rs
+++ b/crates/honeypulley_policy/tests/balance/lives.rs
@@ -97,9 +97,9 @@
 fn an_attempt_of_the_former_life_is_over_and_says_nothing_of_the_new_one() {
     let mut b = two();
     let pick = pick_first(&mut b, Time::ZERO);
-    assert!(!b.has_ended(pick.upstream));
+    assert!(!b.has_restarted(pick.upstream));
     b.set_upstream(life("u0", 2_000), at(100));
-    assert!(b.has_ended(pick.upstream));
+    assert!(b.has_restarted(pick.upstream));
     b.finish(pick.attempt, Outcome::Failed, at(110));
     assert!(share(&mut b, 111) > 0.3);
 }
@@ -109,7 +109,7 @@
     let mut b = two();
     let pick = pick_first(&mut b, Time::ZERO);
     b.remove_upstream("u0");
-    assert!(!b.has_ended(pick.upstream), "it serves what it has to the end");
+    assert!(!b.has_restarted(pick.upstream), "it serves what it has to the end");
 }
 
 #[test]
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -231,7 +231,7 @@
     fn end_lost(&self, tally: &Tally) {
         let policy = self.gate.chooser.lock();
         let lost: Vec<&OpenAttempt> =
-            tally.open.iter().filter(|a| policy.has_ended(a.upstream)).collect();
+            tally.open.iter().filter(|a| policy.has_restarted(a.upstream)).collect();
         drop(policy);
         let now = self.gate.now();
         for a in lost {
