--- a/crates/honeypulley_policy/benches/pick.rs
+++ b/crates/honeypulley_policy/benches/pick.rs
@@ -41,7 +41,16 @@
     }
 }
 
-fn main() {
+/// Has the first upstreams name a limit that they are far from.
+fn name_limits(b: &mut Balancer, upstreams: usize, now: Time) {
+    for i in 0..upstreams {
+        let news = News::Limit { upstream: NameId::of(&format!("u{i}")), rate: Some(9e5) };
+        b.heard(NameId::of("peer0"), news, now);
+    }
+}
+
+/// Returns the middle time of a pick, in nanoseconds, where some upstreams name limits.
+fn pick_time(limited: usize) -> u64 {
     let mut b = balancer();
     let service = b.service("s").expect("set up");
     let ask = Ask {
@@ -57,6 +66,7 @@
     for round in 0..ROUNDS as u64 {
         let from = Time::from_millis(round * 1_000);
         open_by_peers(&mut b, from);
+        name_limits(&mut b, limited, from);
         let mut picks = Duration::ZERO;
         for i in 0..PICKS {
             let now = from + Duration::from_micros(i * 100);
@@ -70,5 +80,14 @@
         took.push(picks.as_nanos() as u64 / PICKS);
     }
     took.sort_unstable();
-    println!("pick: {} ns at {UPSTREAMS} upstreams and {PEERS} peers", took[ROUNDS / 2]);
+    took[ROUNDS / 2]
+}
+
+fn main() {
+    for limited in [0, 4, UPSTREAMS] {
+        let ns = pick_time(limited);
+        println!(
+            "pick: {ns} ns at {UPSTREAMS} upstreams, {limited} of which name limits, and {PEERS} peers"
+        );
+    }
 }
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -209,6 +209,7 @@
 #[derive(Debug)]
 pub struct Balancer {
     hall: String,
+    hall_id: NameId,
     reach: Reach,
     /// Boxes of this data hall, this one included.
     hall_boxes: usize,
@@ -250,6 +251,7 @@
     pub fn new(hall: &str, rule: RetryRule, seed: u64) -> Self {
         Self {
             hall: hall.to_owned(),
+            hall_id: NameId::of(hall),
             reach: Reach { boxes: 1, in_touch: true },
             hall_boxes: 1,
             halls: BTreeMap::from([(NameId::of(hall), 1)]),
@@ -298,7 +300,7 @@
         self.reach = reach;
         if self.halls.len() < 2 {
             self.hall_boxes = reach.boxes;
-            self.halls.insert(NameId::of(&self.hall), reach.boxes);
+            self.halls.insert(self.hall_id, reach.boxes);
         }
     }
 
@@ -308,7 +310,7 @@
         self.alone = alone;
         if self.halls != *halls {
             self.halls.clone_from(halls);
-            self.hall_boxes = halls.get(&NameId::of(&self.hall)).copied().unwrap_or(1);
+            self.hall_boxes = halls.get(&self.hall_id).copied().unwrap_or(1);
         }
     }
 
--- a/crates/honeypulley_policy/src/balance/named.rs
+++ b/crates/honeypulley_policy/src/balance/named.rs
@@ -257,11 +257,15 @@
     ///
     /// Its own hall comes first, then halls drawn by hashing; each by how many boxes it has.
     fn hall_part(&self, u: &Upstream, rate: f64, division: Division) -> f64 {
+        let me = self.hall_id;
         let most = match division {
+            Division::OwnHall if self.halls.contains_key(&u.hall) => {
+                return if u.hall == me { 1.0 } else { 0.0 };
+            }
+            // Its own hall has no box, so another one takes its place.
             Division::OwnHall => 1,
             Division::Halls => ((rate / LEAST_PART) as usize).clamp(1, MOST_HALLS),
         };
-        let me = NameId::of(&self.hall);
         let mut halls: Vec<(bool, u64, NameId, usize)> = self
             .halls
             .iter()
