--- a/crates/honeypulley_policy/tests/load/hall.rs
+++ b/crates/honeypulley_policy/tests/load/hall.rs
@@ -10,6 +10,7 @@
 use honeypulley_policy::spec::{Member, MemberState, ServiceSpec};
 use honeypulley_policy::time::Time;
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::Range;
 use std::time::Duration;
 
 /// Step of the simulated time, in ms.
@@ -136,6 +137,9 @@
     pub reads: Count,
     /// Least share of the upstreams that were well which got work in two seconds.
     pub floor: f64,
+    /// The same of the spans in which much is lost, as the users count the floor: more than a
+    /// tenth of the requests sent in it, and less than half.
+    pub floor_in_trouble: f64,
     /// Most requests that an upstream in need got in four seconds, from a while after it
     /// first named its limit.
     pub most_sent: usize,
@@ -230,6 +234,8 @@
     /// Ends of attempts that each box has not told yet, and when they came.
     held: Vec<Vec<(u64, News)>>,
     requests: Vec<Request>,
+    /// When each request came, and whether it was served.
+    outcomes: Vec<(u64, bool)>,
     rng: fastrand::Rng,
     report: Report,
 }
@@ -249,7 +255,8 @@
             }
         }
     }
-    hall.report.floor = hall.floor(until);
+    hall.report.floor = hall.floor(until, |_| true);
+    hall.report.floor_in_trouble = hall.floor(until, |lost| lost > 0.1 && lost < 0.5);
     (hall.report.most_sent, hall.report.limit_used) = hall.limits(until);
     hall.report
 }
@@ -265,6 +272,7 @@
             news: VecDeque::new(),
             held: vec![Vec::new(); plan.boxes],
             requests: Vec::new(),
+            outcomes: Vec::new(),
             report: Report::default(),
             rng,
             plan,
@@ -288,6 +296,7 @@
             self.requests.push(r);
         } else {
             self.count(&r, |c| c.refused += 1);
+            self.outcomes.push((r.began, false));
         }
     }
 
@@ -416,6 +425,7 @@
         self.end(r.from, &sent, at);
         if sent.end == End::Served {
             let is_late = now - r.began > AIM_MS;
+            self.outcomes.push((r.began, true));
             self.count(&r, |c| if is_late { c.late += 1 } else { c.in_aim += 1 });
             return;
         }
@@ -424,6 +434,7 @@
             self.requests.push(r);
             return;
         }
+        self.outcomes.push((r.began, false));
         let is_unrun = matches!(sent.end, End::Shed | End::Unreached);
         self.count(&r, |c| if is_unrun { c.refused += 1 } else { c.failed += 1 });
     }
@@ -476,8 +487,17 @@
         (most, all.iter().map(Vec::len).sum::<usize>() as f64 / allowed.max(1.0))
     }
 
-    /// Returns the least share of upstreams that were well which got work in two seconds.
-    fn floor(&self, until: u64) -> f64 {
+    /// Returns the share of the requests of a span that were not served.
+    fn lost(&self, span: &Range<u64>) -> f64 {
+        let came = self.outcomes.iter().filter(|(began, _)| span.contains(began));
+        let (sent, lost) =
+            came.fold((0, 0), |(n, lost), (_, served)| (n + 1, lost + u32::from(!served)));
+        f64::from(lost) / f64::from(sent).max(1.0)
+    }
+
+    /// Returns the least share of upstreams that were well which got work in two seconds, of the
+    /// spans whose share of lost requests counts.
+    fn floor(&self, until: u64, counts: impl Fn(f64) -> bool) -> f64 {
         let share = |from: u64| {
             let span = from..from + 2_000;
             let sound = self.workers.iter().filter(|w| w.is_sound(span.start, span.end));
@@ -485,7 +505,8 @@
                 sound.map(|w| (w, w.sent.iter().any(|t| span.contains(t)))).unzip();
             busy.iter().filter(|b| **b).count() as f64 / sound.len().max(1) as f64
         };
-        (WARM_MS..until - 2_000).step_by(500).map(share).fold(1.0, f64::min)
+        let counted = |from: &u64| counts(self.lost(&(*from..from + 2_000)));
+        (WARM_MS..until - 2_000).step_by(500).filter(counted).map(share).fold(1.0, f64::min)
     }
 }
 
--- a/crates/honeypulley_policy/tests/load/main.rs
+++ b/crates/honeypulley_policy/tests/load/main.rs
@@ -68,6 +68,22 @@
     ..CALM
 };
 
+/// Downloads of a fleet whose route has no time of its own, so that they hang for all that
+/// their callers wait.
+///
+/// 113 boxes before 16 upstreams of three slots, a third of them busy by 77 downloads a second of
+/// 200 ms; three in four of a spell hang for eight seconds. Sheet of the deployment whose
+/// upstreams hang when they fall ill.
+const DOWNLOADS: Plan = Plan {
+    boxes: 113,
+    upstreams: 16,
+    orders: 0.0,
+    reads: 77.0,
+    work_ms: 200.0,
+    fails_ms: 8_000,
+    ..CALM
+};
+
 /// A small hall, two of whose upstreams take 2.2 requests a second, somewhat over half of their work.
 ///
 /// Seen on a fleet of forty boxes: 2 and 3.1 a second named, 6 and 10 sent.
@@ -171,6 +187,21 @@
     assert!(need.lost <= calm.lost + 0.01, "{} and {}", need.lost, calm.lost);
 }
 
+/// Upstreams of few slots that hang when they fall ill, before callers that wait for eight
+/// seconds: some are well again for two seconds and more and get nothing for two, while more than
+/// a tenth of the requests are lost.
+///
+/// Two or three requests still hang on each, from its spell. One with a free slot rests for two
+/// to four seconds from when the hang was noticed, which is seconds after the request was sent;
+/// one whose slots all hang gets no trial at all.
+#[rstest]
+#[case::every_18_s(13.0, 1)]
+#[case::every_12_s(7.0, 3)]
+fn downloads_that_hang_leave_the_floor(#[case] gap_s: f64, #[case] seed: u64) {
+    let r = play(Plan { gap_s, seed, ..DOWNLOADS }, SECS + 10);
+    assert!(r.floor_in_trouble >= 0.7, "{} of those that were well had work", r.floor_in_trouble);
+}
+
 /// Prints what twelve seeds of each load lose, for comparisons of ways to choose.
 #[test]
 #[ignore = "prints figures, and plays for half a minute"]
