Only a good answer takes a limit back

A failure that names no limit, while the upstream's good answers name one, lifted it on all boxes until the next answer. only_a_good_answer_takes_a_limit_back::case_2_failure failed first.

--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -323,13 +323,15 @@
     }
 }
 
-/// Takes that a whole answer names no limit.
+/// Takes that a whole, good answer names no limit.
 ///
-/// One that is cut, or that the upstream has not surely made, takes back no limit.
+/// One that is cut, or a failure, which may not be the upstream's own word on itself, takes
+/// back no limit: all boxes would send freely until the next answer names it again.
 fn take_no_limit(gate: &Gate, guard: &AttemptGuard, to: &Destination, head: &AnswerHead) {
     let d = &gate.dialect;
     let is_proven = d.proof.as_ref().is_none_or(|p| head.headers.contains_key(p));
-    if d.limit.is_none() || !is_proven || d.limit(&head.headers) != Ok(None) {
+    let is_word = is_proven && head.status.is_success();
+    if d.limit.is_none() || !is_word || d.limit(&head.headers) != Ok(None) {
         return;
     }
     let is_lifted = gate.chooser.lock().named_limit(guard.key, None, gate.now());
