--- a/crates/honeypulley_policy/src/balance/named.rs
+++ b/crates/honeypulley_policy/src/balance/named.rs
@@ -47,8 +47,8 @@
     pub rate: f64,
     /// Part of them that this data hall may send.
     pub part: f64,
-    /// Requests that fit now, as far as this box knows.
-    pub level: f64,
+    /// Requests that fitted when this box last looked, as far as it knows.
+    pub left: Option<f64>,
 }
 
 /// A limit that an upstream names.
@@ -292,7 +292,7 @@
     pub fn limit_of(&self, k: UpstreamKey, now: Time) -> Option<NamedLimit> {
         let id = self.upstreams.get(k)?.id;
         let n = self.limits.in_force(id, now)?;
-        let level = self.limits.buckets.level(id).unwrap_or(f64::NAN);
-        Some(NamedLimit { rate: n.rate, part: n.part, level })
+        let left = self.limits.buckets.level(id);
+        Some(NamedLimit { rate: n.rate, part: n.part, left })
     }
 }
--- a/crates/honeypulley_proxy/src/named_limit.rs
+++ b/crates/honeypulley_proxy/src/named_limit.rs
@@ -5,6 +5,9 @@
 /// Most requests a second that are believed of one upstream.
 const MOST_RATE: f64 = 1_000_000.0;
 
+/// Characters of an odd limit that its error shows, since it is logged.
+const MOST_SHOWN: usize = 40;
+
 /// Why a named limit is not taken.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum LimitFault {
@@ -33,8 +36,7 @@
     if others > 0 {
         return Err(LimitFault::Several(others + 1));
     }
-    let text = String::from_utf8_lossy(one.as_bytes());
-    decimal(text.trim()).map(Some)
+    decimal(String::from_utf8_lossy(one.as_bytes()).trim()).map(Some)
 }
 
 fn decimal(text: &str) -> Result<f64, LimitFault> {
@@ -43,13 +45,12 @@
         Some((whole, fraction)) => is_digits(whole) && is_digits(fraction),
         None => is_digits(text),
     };
+    let shown = || text.chars().take(MOST_SHOWN).collect::<String>();
     let rate = text.parse::<f64>().ok().filter(|_| is_decimal);
-    let rate = rate.ok_or_else(|| LimitFault::NotDecimal(text.to_owned()))?;
-    if rate == 0.0 {
-        return Err(LimitFault::Zero(text.to_owned()));
-    }
-    if rate > MOST_RATE {
-        return Err(LimitFault::Huge(text.to_owned()));
+    match rate {
+        None => Err(LimitFault::NotDecimal(shown())),
+        Some(0.0) => Err(LimitFault::Zero(shown())),
+        Some(rate) if rate > MOST_RATE => Err(LimitFault::Huge(shown())),
+        Some(rate) => Ok(rate),
     }
-    Ok(rate)
 }
--- a/crates/honeypulley_proxy/tests/named_limit.rs
+++ b/crates/honeypulley_proxy/tests/named_limit.rs
@@ -46,6 +46,13 @@
     assert_eq!(read(&[text]), Err(fault));
 }
 
+#[test]
+fn an_odd_value_is_shown_by_its_beginning() {
+    let long = "x".repeat(4_000);
+    let Err(LimitFault::NotDecimal(shown)) = read(&[&long]) else { panic!("it is no number") };
+    assert!(shown.len() < 100, "{} characters go into the log", shown.len());
+}
+
 #[test]
 fn two_limits_in_one_answer_are_refused() {
     assert_eq!(read(&["1", "2"]), Err(LimitFault::Several(2)));
