--- a/crates/honeypulley_policy/tests/load/main.rs
+++ b/crates/honeypulley_policy/tests/load/main.rs
@@ -4,6 +4,7 @@
 //! spell as it begins, so that a figure says how much of what can be had is had.
 
 mod hall;
+mod worker;
 
 use hall::{Cut, Need, Plan, Policy, Report, Sheds, play};
 use rstest::rstest;
