--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::dialect::Dialect;
 use crate::gate::Gate;
 use crate::liveness::has_ended;
+use crate::signals::{may_ask_backoff, read_backoff, read_leaving};
 use bytes::{Bytes, BytesMut};
 use honeypulley_policy::chooser::Chooser;
 use honeypulley_policy::collector::NameId;
@@ -270,6 +271,7 @@
     }
     if !d.is_misdirected(r.status()) {
         take_limit(gate, &mut *policy, (guard, to), r);
+        log_signals(gate, to, r);
     }
     if d.is_not_run(r.status(), h) {
         let moved = d.is_misdirected(r.status());
@@ -297,6 +299,32 @@
     Ok(())
 }
 
+/// Logs what an answer says of its upstream's shutdown and backoff.
+fn log_signals(gate: &Gate, to: &Destination, r: &reqwest::Response) {
+    let (d, upstream) = (&gate.dialect, to.name.as_str());
+    let leaving = d.leaving.as_ref().map_or(Ok(false), |name| read_leaving(r.headers(), name));
+    match leaving {
+        Ok(false) => {}
+        Ok(true) => log::info!(upstream; "attempt: {upstream} announced its shutdown"),
+        Err(fault) => {
+            log::warn!(upstream, fault:% = fault; "attempt: ignored a signal of {upstream}");
+        }
+    }
+    if !may_ask_backoff(d, r.status(), r.headers()) {
+        return;
+    }
+    match read_backoff(r.headers(), &header::RETRY_AFTER) {
+        Ok(None) => {}
+        Ok(Some(wait)) => {
+            let backoff_ms = wait.as_millis() as u64;
+            log::info!(upstream, backoff_ms; "attempt: {upstream} asked for a backoff of {wait:?}");
+        }
+        Err(fault) => {
+            log::warn!(upstream, fault:% = fault; "attempt: ignored a signal of {upstream}");
+        }
+    }
+}
+
 /// Takes the limit that an answer names: the requests that its upstream takes from all boxes.
 fn take_limit(
     gate: &Gate,
--- a/crates/honeypulley_proxy/src/dialect.rs
+++ b/crates/honeypulley_proxy/src/dialect.rs
@@ -63,6 +63,8 @@
     /// On an upstream's answer: it is leaving.
     #[builder(default = headers::DRAIN)]
     pub drain: HeaderName,
+    /// On an upstream's answer: it will shut down, if the dialect knows that.
+    pub leaving: Option<HeaderName>,
     /// On a request: the only instance that may run it, if the dialect knows that.
     pub expect: Option<HeaderName>,
     /// On an upstream's success: must be there.
--- a/crates/honeypulley_proxy/src/lib.rs
+++ b/crates/honeypulley_proxy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod named_limit;
 pub mod race;
 pub mod shared;
+pub mod signals;
 pub mod suspects;
 pub mod upgrade;
 
