Load and drain headers of an answer are read once it is known to be the upstream's own

An answer to another request, or a 421 of another incarnation at the address, closed the asked upstream for good and set its load. Both headers are now read after these two checks, as the rate limit already was.

--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -259,17 +259,17 @@
 ) -> Result<(), Failure> {
     let (now, h, d) = (gate.now(), r.headers(), &gate.dialect);
     let mut policy = gate.chooser.lock();
-    if h.contains_key(&d.drain) {
-        policy.drained(guard.upstream, now);
-    }
-    if let Some(load) = d.load(h) {
-        policy.reported_load(guard.upstream, load, now);
-    }
     if id.is_some() && h.get(&d.attempt).is_some_and(|echo| Some(echo) != id) {
         guard.ended(Outcome::Wrong);
         return Err(Failure::Unknown { why: "the answer belongs to another request".to_owned() });
     }
     if !d.is_misdirected(r.status()) {
+        if h.contains_key(&d.drain) {
+            policy.drained(guard.upstream, now);
+        }
+        if let Some(load) = d.load(h) {
+            policy.reported_load(guard.upstream, load, now);
+        }
         take_limit(gate, &mut *policy, (guard, to), r);
         log_signals(gate, to, r);
     }
