An announced shutdown binds the box that received it, and all others

Callers' requests went on to upstreams that had announced their shutdown, until the store's list showed it: 13 s while the store was away. No part of the platform's path read the header. Each signal of an answer had a reader of its own, so one that nobody had written was forwarded and forgotten.

All signals of an answer's head (load, rate limit, shutdown) are now read in one place, once the answer is known to be the upstream's own, and reach the policy as one type in one call. A shutdown is kept by incarnation: an older list, or an entry that goes and comes back, does not revert it; a restart begins with nothing. It is broadcast to all boxes and handed to boxes that start, since in a fleet of thousands each box would learn of it by itself only after its own request there. Odd values are ignored with a logged reason.

--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -6,12 +6,13 @@
 use async_trait::async_trait;
 use futures::future::BoxFuture;
 use honeypulley_policy::balance::{Balancer, BudgetUse, News, Resend};
-use honeypulley_policy::chooser::{Ask, Chooser, Inputs, LoadReport, Place};
+use honeypulley_policy::chooser::{Ask, Chooser, Inputs, Place};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::fleet_limits::{FleetLimits, LimitUse};
 use honeypulley_policy::organisations::{Organisation, Organisations};
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, Refusal, ServiceKey, UpstreamKey};
 use honeypulley_policy::routes::{RequestKind, Route, RouteTable};
+use honeypulley_policy::signals::{SignalChanges, Signals};
 use honeypulley_policy::time::Time;
 use honeypulley_proxy::answer::OwnAnswer;
 use honeypulley_proxy::gate::{Belongs, Routed, Routes, Wanted};
@@ -154,18 +155,16 @@
         self.balancer.sized(k, bytes);
     }
 
-    fn reported_load(&mut self, k: UpstreamKey, load: LoadReport, now: Time) {
-        self.balancer.reported_load(k, load, now);
-    }
-
-    fn named_limit(&mut self, k: AttemptKey, limit: Option<f64>, now: Time) -> bool {
-        let is_new = self.balancer.named_limit(k, limit, now);
+    fn signalled(&mut self, k: AttemptKey, s: &Signals, now: Time) -> SignalChanges {
+        let changes = self.balancer.signalled(k, s, now);
         self.announce();
-        is_new
+        changes
     }
 
-    fn drained(&mut self, k: UpstreamKey, now: Time) {
-        self.balancer.drained(k, now);
+    fn limit_withdrawn(&mut self, k: AttemptKey) -> bool {
+        let is_lifted = self.balancer.limit_withdrawn(k);
+        self.announce();
+        is_lifted
     }
 
     fn finish(&mut self, k: AttemptKey, outcome: Outcome, now: Time) {
@@ -351,6 +350,11 @@
         while let Some((from, news)) = next {
             beliefs += usize::from(matches!(news, News::Belief { .. }));
             policy.heard_limit(from, news, now);
+            if let News::Leaving { upstream } = news
+                && let Some(upstream) = policy.balancer().heard_leaving(upstream)
+            {
+                log::info!(upstream, from = from.0; "news: {upstream} announced its shutdown");
+            }
             if let Some(doubt) = policy.balancer().heard(from, news, now) {
                 self.doubts.lock().note(from, &doubt, now);
             }
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -133,6 +133,8 @@
     hallAdmitted @16;
     # An upstream names a limit over all boxes, or none any more.
     limit @17;
+    # An upstream announced its shutdown.
+    leaving @18;
   }
 
   struct RequestItem {
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -160,6 +160,7 @@
                 row.set_rate(rate.unwrap_or(0.0));
                 (upstream, wire::NewsKind::Limit, 0)
             }
+            News::Leaving { upstream } => (upstream, wire::NewsKind::Leaving, 0),
             News::Admitted { subject, sum } => (subject, wire::NewsKind::Admitted, sum),
             News::HallAdmitted { subject, count } => {
                 row.set_hall(count.hall.0);
@@ -212,6 +213,7 @@
                 let rate = Some(r.get_rate()).filter(|r| r.is_finite() && *r > 0.0);
                 News::Limit { upstream: id, rate }
             }
+            wire::NewsKind::Leaving => News::Leaving { upstream: id },
             wire::NewsKind::Admitted => News::Admitted { subject: id, sum: r.get_count() },
             wire::NewsKind::HallAdmitted => {
                 let hall = NameId(r.get_hall());
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -34,7 +34,7 @@
         Just(Observation::Hung),
     ];
     let news =
-        (any::<u64>(), seen, chance(), chance(), 0u8..11).prop_map(|(id, what, a, b, kind)| {
+        (any::<u64>(), seen, chance(), chance(), 0u8..12).prop_map(|(id, what, a, b, kind)| {
             let upstream = NameId(id);
             match kind {
                 0 => News::Seen { upstream, what },
@@ -64,6 +64,7 @@
                     };
                     News::HallAdmitted { subject: upstream, count }
                 }
+                11 => News::Leaving { upstream },
                 5 => News::Denied { service: upstream, seen: id as u16, spent: id as u8 },
                 _ => News::Retry { service: upstream, seen: id as u16, spent: id as u8 },
             }
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -17,6 +17,7 @@
 mod named;
 mod news;
 mod retry;
+mod signals;
 mod sizes;
 mod trial;
 pub mod work;
@@ -35,6 +36,7 @@
 pub use news::News;
 use retry::RetryWindow;
 pub use retry::{BudgetUse, Past, Reach, Resend, RetryRule};
+use signals::{Declared, Unlisted};
 use sizes::AnswerSizes;
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -118,8 +120,10 @@
     hall: NameId,
     near: bool,
     leaving: bool,
-    /// Its own word that it is leaving, or another instance at its address.
-    closed: bool,
+    /// Another incarnation answered at its address.
+    misdirected: bool,
+    /// What it says of itself in its answers.
+    declared: Declared,
     slots: f64,
     cold_until: Time,
     /// Open attempts of this box.
@@ -234,6 +238,7 @@
     illness: Illness,
     /// Limits that upstreams name.
     limits: NamedLimits,
+    unlisted: Unlisted,
     /// Boxes that did not reach an upstream which answered others, and when it did.
     contradicted: BTreeMap<NameId, Time>,
     listed: BTreeMap<String, Listed>,
@@ -269,6 +274,7 @@
             sizes: AnswerSizes::default(),
             hall_price: DEFAULT_HALL_PRICE / BYTES_A_MB,
             illness: Illness::default(),
+            unlisted: Unlisted::default(),
             contradicted: BTreeMap::new(),
             listed: BTreeMap::new(),
             ended: VecDeque::new(),
@@ -400,7 +406,8 @@
             hall: NameId::of(&l.member.hall),
             near: l.member.hall == self.hall,
             leaving,
-            closed: false,
+            misdirected: false,
+            declared: self.unlisted.take(id),
             slots: l.slots.max(1) as f64,
             cold_until: now + l.cold,
             mine: Vec::new(),
@@ -425,6 +432,7 @@
     fn forget(&mut self, k: UpstreamKey) {
         if let Some(u) = self.upstreams.remove(k) {
             self.by_id.remove(&u.id);
+            self.unlisted.keep(u.id, u.declared);
             self.limits.forget(u.id);
         }
     }
@@ -465,7 +473,7 @@
 
 impl Upstream {
     const fn is_leaving(&self) -> bool {
-        self.leaving || self.closed
+        self.leaving || self.declared.leaving || self.misdirected
     }
 }
 
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -2,12 +2,13 @@
 
 use super::doubt::assumed;
 use super::trial::TrialRule;
-use super::{Attempt, Balancer, BudgetUse, DEFAULT_AIM, FarLoad, Resend, Service, Upstream};
+use super::{Attempt, Balancer, BudgetUse, DEFAULT_AIM, Resend, Service, Upstream};
 use crate::belief::FAILS_SICK;
-use crate::chooser::{Ask, Chooser, Inputs, LoadReport, Place};
+use crate::chooser::{Ask, Chooser, Inputs, Place};
 use crate::router::{
     AttemptKey, Outcome, Pick, Reason, Refusal, RefusalKind, ServiceKey, UpstreamKey, jitter,
 };
+use crate::signals::{SignalChanges, Signals};
 use crate::time::Time;
 use std::time::Duration;
 
@@ -157,22 +158,12 @@
         }
     }
 
-    fn reported_load(&mut self, k: UpstreamKey, load: LoadReport, now: Time) {
-        if let Some(u) = self.upstreams.get_mut(k) {
-            // The report counts the request that it answers.
-            let count = (load.busy - u.known(now)).max(0.0);
-            u.far = Some(FarLoad { count, at: now });
-        }
-    }
-
-    fn named_limit(&mut self, k: AttemptKey, limit: Option<f64>, now: Time) -> bool {
-        self.named(k, limit, now)
+    fn signalled(&mut self, k: AttemptKey, s: &Signals, now: Time) -> SignalChanges {
+        self.record_signals(k, s, now)
     }
 
-    fn drained(&mut self, k: UpstreamKey, _: Time) {
-        if let Some(u) = self.upstreams.get_mut(k) {
-            u.closed = true;
-        }
+    fn limit_withdrawn(&mut self, k: AttemptKey) -> bool {
+        self.withdraw_limit(k)
     }
 
     fn finish(&mut self, k: AttemptKey, outcome: Outcome, now: Time) {
@@ -239,7 +230,7 @@
     }
 
     /// Returns requests of this data hall that are open there.
-    fn known(&self, now: Time) -> f64 {
+    pub(super) fn known(&self, now: Time) -> f64 {
         self.mine.len() as f64 + self.peers_open(now)
     }
 }
--- a/crates/honeypulley_policy/src/balance/heard.rs
+++ b/crates/honeypulley_policy/src/balance/heard.rs
@@ -77,6 +77,9 @@
                 self.heard_spent(service, Spending { from, seen, spent, again: false }, now);
             }
             News::Limit { upstream, rate } => self.heard_limit(upstream, rate, now),
+            News::Leaving { upstream } => {
+                self.heard_leaving(upstream);
+            }
             // Of an organisation, this and the next are not the balancer's matter.
             News::Admitted { subject, sum } => self.limits.heard_sent(from, subject, sum, now),
             News::HallAdmitted { .. } => {}
@@ -178,14 +181,15 @@
         turned.then(|| Doubt { upstream: u.name.clone(), what, before, after })
     }
 
-    /// Returns what this box believes and the limits in force, for one that has just started.
+    /// Returns what this box believes, the limits in force and the announced shutdowns, for one
+    /// that has just started.
     ///
     /// What nobody has seen anything of is left out.
     #[must_use]
     pub fn beliefs(&self, now: Time) -> Vec<News> {
         let told = |u: &Upstream| News::Belief { upstream: u.id, phases: u.shared.phases(now) };
         let taught = self.upstreams.values().filter(|u| u.taught);
-        taught.map(told).chain(self.limits_in_force(now)).collect()
+        taught.map(told).chain(self.limits_in_force(now)).chain(self.announced()).collect()
     }
 
     /// Returns what all boxes spent of the retry budget, for one that has just started.
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -152,7 +152,7 @@
             Outcome::Unreachable => Observation::Unreachable,
             Outcome::Misdirected => {
                 if let Some(u) = self.upstreams.get_mut(a.upstream) {
-                    u.closed = true;
+                    u.misdirected = true;
                 }
                 return;
             }
--- a/crates/honeypulley_policy/src/balance/named.rs
+++ b/crates/honeypulley_policy/src/balance/named.rs
@@ -128,29 +128,31 @@
 }
 
 impl Balancer {
-    /// Takes the limit that an answer to an attempt named, or that it named none.
+    /// Records the limit that an answer to an attempt advertised; tells whether it changed.
+    pub(super) fn named(&mut self, k: AttemptKey, rate: f64, now: Time) -> bool {
+        let Some((id, _)) = self.asked(k) else { return false };
+        let is_new = self.limits.set(id, rate, now);
+        self.tell_limit(id, is_new, now);
+        is_new
+    }
+
+    /// Records that an answer to an attempt advertised no limit; tells whether one is lifted.
     ///
-    /// Returns whether that is another one than before. An answer to an attempt that began
-    /// before the limit was named takes none back: it may have been under way.
-    pub(super) fn named(&mut self, k: AttemptKey, limit: Option<f64>, now: Time) -> bool {
-        let Some(a) = self.attempts.get(k) else { return false };
-        let (began, upstream) = (a.started, a.upstream);
-        let Some(id) = self.upstreams.get(upstream).map(|u| u.id) else { return false };
-        match limit {
-            Some(rate) => {
-                let is_new = self.limits.set(id, rate, now);
-                self.tell_limit(id, is_new, now);
-                is_new
-            }
-            None => {
-                let is_lifted = self.limits.named.get(&id).is_some_and(|n| began > n.at);
-                if is_lifted {
-                    self.limits.forget(id);
-                    self.news.push(News::Limit { upstream: id, rate: None });
-                }
-                is_lifted
-            }
+    /// An attempt that began before the limit was known lifts none: it may have been in flight.
+    pub(super) fn withdraw_limit(&mut self, k: AttemptKey) -> bool {
+        let Some((id, began)) = self.asked(k) else { return false };
+        let is_lifted = self.limits.named.get(&id).is_some_and(|n| began > n.at);
+        if is_lifted {
+            self.limits.forget(id);
+            self.news.push(News::Limit { upstream: id, rate: None });
         }
+        is_lifted
+    }
+
+    /// Returns the incarnation that an attempt went to, and when it began.
+    fn asked(&self, k: AttemptKey) -> Option<(NameId, Time)> {
+        let a = self.attempts.get(k)?;
+        Some((self.upstreams.get(a.upstream)?.id, a.started))
     }
 
     /// Tells the others of a limit that is new, or that they were not told for some time.
--- a/crates/honeypulley_policy/src/balance/news.rs
+++ b/crates/honeypulley_policy/src/balance/news.rs
@@ -47,6 +47,11 @@
         /// Requests a second; `None` if it names no limit any more.
         rate: Option<f32>,
     },
+    /// An upstream announced its shutdown.
+    Leaving {
+        /// The upstream.
+        upstream: NameId,
+    },
     /// What the sender believes of an upstream, for a box that has just started.
     Belief {
         /// The upstream.
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -3,6 +3,7 @@
 use crate::balance::{BudgetUse, NamedLimit, Resend};
 use crate::collector::NameId;
 use crate::router::{AttemptKey, Outcome, Pick, Refusal, Router, ServiceKey, UpstreamKey};
+use crate::signals::{SignalChanges, Signals};
 use crate::time::Time;
 use std::fmt::Debug;
 use std::time::Duration;
@@ -117,17 +118,12 @@
     fn answered(&mut self, k: AttemptKey, ok: bool, now: Time);
     /// Takes how long the body of an answer is, once its head says so, in bytes.
     fn sized(&mut self, _: AttemptKey, _: u64) {}
-    /// Takes the load that an upstream reported.
-    fn reported_load(&mut self, k: UpstreamKey, load: LoadReport, now: Time);
-    /// Takes the requests a second that an upstream takes from all boxes together, as its
-    /// answer names them, or that it names none.
-    ///
-    /// Returns whether that is another limit than before.
-    fn named_limit(&mut self, _: AttemptKey, _: Option<f64>, _: Time) -> bool {
+    /// Records what an upstream said of itself in the head of an answer to an attempt.
+    fn signalled(&mut self, k: AttemptKey, s: &Signals, now: Time) -> SignalChanges;
+    /// Records that a whole, good answer carried no rate limit; tells whether one is lifted.
+    fn limit_withdrawn(&mut self, _: AttemptKey) -> bool {
         false
     }
-    /// Takes an upstream's own word that it is leaving.
-    fn drained(&mut self, k: UpstreamKey, now: Time);
     /// Closes an attempt.
     fn finish(&mut self, k: AttemptKey, outcome: Outcome, now: Time);
 }
@@ -156,12 +152,8 @@
         Self::answered(self, k, ok, now);
     }
 
-    fn reported_load(&mut self, k: UpstreamKey, load: LoadReport, now: Time) {
-        Self::reported_load(self, k, load.busy / load.slots.max(1.0), now);
-    }
-
-    fn drained(&mut self, k: UpstreamKey, now: Time) {
-        Self::drained(self, k, now);
+    fn signalled(&mut self, k: AttemptKey, s: &Signals, now: Time) -> SignalChanges {
+        Self::signalled(self, k, s, now)
     }
 
     fn finish(&mut self, k: AttemptKey, outcome: Outcome, now: Time) {
--- a/crates/honeypulley_policy/src/lib.rs
+++ b/crates/honeypulley_policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod quarantine;
 pub mod router;
 pub mod routes;
+pub mod signals;
 pub mod spec;
 pub mod spread;
 pub mod time;
--- a/crates/honeypulley_policy/src/router/evidence.rs
+++ b/crates/honeypulley_policy/src/router/evidence.rs
@@ -3,6 +3,7 @@
 use super::{AttemptKey, Outcome, Router, UpstreamKey};
 use crate::collector::{Report, ReportItem};
 use crate::ledger::Evidence;
+use crate::signals::{SignalChanges, Signals};
 use crate::spec::Lean;
 use crate::time::Time;
 use std::time::Duration;
@@ -57,6 +58,21 @@
         self.witness(k, if slow { Evidence::Slow } else { Evidence::Good }, now);
     }
 
+    /// Records what an upstream said of itself in the head of an answer to an attempt.
+    pub fn signalled(&mut self, k: AttemptKey, s: &Signals, now: Time) -> SignalChanges {
+        let Some(upstream) = self.attempts.get(k).map(|a| a.upstream) else {
+            return SignalChanges::default();
+        };
+        if let Some(load) = s.load {
+            self.reported_load(upstream, load.busy / load.slots.max(1.0), now);
+        }
+        let is_gone = self.upstreams.get(upstream).is_none_or(|u| u.is_gone(now));
+        if s.leaving {
+            self.drained(upstream, now);
+        }
+        SignalChanges { leaving: s.leaving && !is_gone, ..SignalChanges::default() }
+    }
+
     /// Takes the load that an upstream reported with an answer.
     ///
     /// `load` is busy slots over all slots; over 1.0 something waits there.
--- a/crates/honeypulley_policy/tests/balance/halls.rs
+++ b/crates/honeypulley_policy/tests/balance/halls.rs
@@ -4,10 +4,10 @@
 //! slots are busy; at 31 requests a MB that crosses, each that leaves costs 2.8 of the one
 //! that it is worth. Of 72 a second 15 left while some near ones were in doubt.
 
-use crate::{RULE, ask, listed};
+use crate::{RULE, ask, listed, report_load};
 use honeypulley_policy::balance::{Balancer, News, Past};
 use honeypulley_policy::belief::Observation;
-use honeypulley_policy::chooser::{Ask, Chooser, LoadReport};
+use honeypulley_policy::chooser::{Ask, Chooser};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::router::Outcome;
 use honeypulley_policy::spec::{MemberState, ServiceSpec};
@@ -111,7 +111,7 @@
     let near: Vec<_> = (0..40).filter_map(|_| b.pick(&ask, &[], now).ok()).collect();
     for p in &near {
         if b.place(p.upstream).expect("known").name.starts_with("near") {
-            b.reported_load(p.upstream, LoadReport { busy: 30.0, slots: 3.0 }, now);
+            report_load(&mut b, &p, 30.0, now);
         }
     }
     let pick = b.pick(&ask, &[], now).expect("there are upstreams");
--- a/crates/honeypulley_policy/tests/balance/lives.rs
+++ b/crates/honeypulley_policy/tests/balance/lives.rs
@@ -1,9 +1,9 @@
 //! Upstreams that start again under their names: nothing of the former life holds.
 
-use crate::{ask, balancer, failure, listed, send};
+use crate::{ask, balancer, failure, listed, report_load, send};
 use honeypulley_policy::balance::{Balancer, Listed, News};
 use honeypulley_policy::belief::Observation;
-use honeypulley_policy::chooser::{Chooser, LoadReport};
+use honeypulley_policy::chooser::Chooser;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::router::{Outcome, Pick};
 use honeypulley_policy::spec::MemberState;
@@ -75,7 +75,7 @@
 fn the_load_of_the_former_life_is_forgotten() {
     let mut b = two();
     let pick = pick_first(&mut b, Time::ZERO);
-    b.reported_load(pick.upstream, LoadReport { busy: 40.0, slots: 3.0 }, Time::ZERO);
+    report_load(&mut b, &pick, 40.0, Time::ZERO);
     b.finish(pick.attempt, Outcome::Whole, Time::ZERO);
     b.set_upstream(life("u0", 2_000), at(1));
     assert!(share(&mut b, 2) > 0.3);
--- a/crates/honeypulley_policy/tests/balance/main.rs
+++ b/crates/honeypulley_policy/tests/balance/main.rs
@@ -6,13 +6,15 @@
 mod lives;
 mod named;
 mod open_attempts;
+mod signals;
 mod trials;
 
 use honeypulley_policy::balance::{Balancer, Listed, News, Past, RetryRule};
 use honeypulley_policy::belief::Observation;
-use honeypulley_policy::chooser::{Ask, Chooser};
+use honeypulley_policy::chooser::{Ask, Chooser, LoadReport};
 use honeypulley_policy::collector::NameId;
-use honeypulley_policy::router::Outcome;
+use honeypulley_policy::router::{Outcome, Pick};
+use honeypulley_policy::signals::Signals;
 use honeypulley_policy::spec::{Member, MemberState, ServiceSpec};
 use honeypulley_policy::time::Time;
 use std::collections::BTreeMap;
@@ -72,6 +74,18 @@
     picks
 }
 
+/// Has the answer to an attempt report this load of three slots.
+fn report_load(b: &mut Balancer, pick: &Pick, busy: f64, now: Time) {
+    let load = Some(LoadReport { busy, slots: 3.0 });
+    b.signalled(pick.attempt, &Signals { load, ..Signals::default() }, now);
+}
+
+/// Has a whole answer to an attempt advertise a limit or none; tells whether that is a change.
+fn advertise(b: &mut Balancer, pick: &Pick, limit: Option<f64>, now: Time) -> bool {
+    let changes = b.signalled(pick.attempt, &Signals { limit, ..Signals::default() }, now);
+    if limit.is_none() { b.limit_withdrawn(pick.attempt) } else { changes.limit }
+}
+
 /// Word of another box that an upstream failed at once.
 fn failure(name: &str) -> News {
     News::Seen { upstream: NameId::of(name), what: Observation::Failure }
--- a/crates/honeypulley_policy/tests/balance/named.rs
+++ b/crates/honeypulley_policy/tests/balance/named.rs
@@ -1,6 +1,6 @@
 //! Limits that upstreams name: what one box keeps to, learns and tells.
 
-use super::{RULE, ask, balancer, listed};
+use super::{RULE, advertise, ask, balancer, listed};
 use honeypulley_policy::balance::{Balancer, Listed, News, Past, Reach};
 use honeypulley_policy::chooser::{Ask, Chooser};
 use honeypulley_policy::collector::NameId;
@@ -26,7 +26,7 @@
     let name = name(b, &p);
     b.answered(p.attempt, true, at(ms + 1));
     if tried.is_empty() || tried.contains(&name.as_str()) {
-        b.named_limit(p.attempt, limit, at(ms + 1));
+        advertise(b, &p, limit, at(ms + 1));
     }
     b.finish(p.attempt, Outcome::Whole, at(ms + 1));
     Some(name)
@@ -129,7 +129,7 @@
     let ask = ask(&b, false);
     let early = b.pick(&ask, &[], at(0)).expect("there is one");
     told(&mut b, Some(1.0), 10);
-    assert!(!b.named_limit(early.attempt, None, at(20)), "it was sent before");
+    assert!(!advertise(&mut b, &early, None, at(20)), "it was sent before");
     let limit = b.limit_of(early.upstream, at(20)).expect("it stands");
     assert!((limit.rate - 1.0).abs() < 1e-9);
 }
@@ -235,7 +235,7 @@
             match b.pick(&ask, &[], at(ms)) {
                 Ok(p) => {
                     served[i] += 1;
-                    b.named_limit(p.attempt, Some(4.0), at(ms + 1));
+                    advertise(&mut b, &p, Some(4.0), at(ms + 1));
                     b.finish(p.attempt, Outcome::Whole, at(ms + 1));
                 }
                 Err(r) => {
@@ -283,7 +283,7 @@
         for (i, ask) in [low, usual].into_iter().enumerate() {
             if let Ok(p) = b.pick(&ask, &[], at(ms)) {
                 served[i] += 1;
-                b.named_limit(p.attempt, Some(4.0), at(ms + 1));
+                advertise(&mut b, &p, Some(4.0), at(ms + 1));
                 b.finish(p.attempt, Outcome::Whole, at(ms + 1));
             }
         }
--- a/crates/honeypulley_policy/tests/balance/open_attempts.rs
+++ b/crates/honeypulley_policy/tests/balance/open_attempts.rs
@@ -1,9 +1,9 @@
 //! What open attempts and load say, and which requests are refused for load.
 
-use crate::{ask, balancer, send};
+use crate::{ask, balancer, report_load, send};
 use honeypulley_policy::balance::{Balancer, News};
 use honeypulley_policy::belief::Observation;
-use honeypulley_policy::chooser::{Ask, Chooser, LoadReport};
+use honeypulley_policy::chooser::{Ask, Chooser};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::router::{Outcome, RefusalKind};
 use honeypulley_policy::time::Time;
@@ -25,7 +25,7 @@
     let ask = ask(&b, true);
     let pick = b.pick(&ask, &[], Time::ZERO).expect("there are two");
     let name = b.place(pick.upstream).expect("known").name.to_owned();
-    b.reported_load(pick.upstream, LoadReport { busy: 15.0, slots: 3.0 }, Time::ZERO);
+    report_load(&mut b, &pick, 15.0, Time::ZERO);
     b.finish(pick.attempt, Outcome::Whole, Time::ZERO);
     assert_eq!(send(&mut b, 20, 1, true).get(&name), None);
     assert!(send(&mut b, 50, 15_000, true).contains_key(&name));
@@ -155,7 +155,7 @@
     let ask = ask(&b, true);
     let now = Time::from_millis(100);
     let pick = b.pick(&ask, &[], Time::ZERO).expect("there is one");
-    b.reported_load(pick.upstream, LoadReport { busy: 4.0, slots: 3.0 }, now);
+    report_load(&mut b, &pick, 4.0, now);
     b.answered(pick.attempt, true, now);
     b.finish(pick.attempt, Outcome::Whole, now);
     let upstream = NameId::of("u0");
--- a/crates/honeypulley_policy/tests/load/hall.rs
+++ b/crates/honeypulley_policy/tests/load/hall.rs
@@ -8,6 +8,7 @@
 use honeypulley_policy::chooser::{Ask, Chooser};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::router::{AttemptKey, Outcome, Reason, UpstreamKey};
+use honeypulley_policy::signals::Signals;
 use honeypulley_policy::spec::{Member, MemberState, ServiceSpec};
 use honeypulley_policy::time::Time;
 use std::collections::{BTreeMap, VecDeque};
@@ -420,7 +421,10 @@
             End::Hung => Outcome::Late,
             End::Served | End::Fails => {
                 b.answered(key, sent.end == End::Served, at);
-                b.named_limit(key, sent.limit, at);
+                b.signalled(key, &Signals { limit: sent.limit, ..Signals::default() }, at);
+                if sent.limit.is_none() {
+                    b.limit_withdrawn(key);
+                }
                 Outcome::Whole
             }
         };
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -3,9 +3,8 @@
 use crate::dialect::Dialect;
 use crate::gate::Gate;
 use crate::liveness::has_ended;
-use crate::signals::{may_ask_backoff, read_backoff, read_leaving};
+use crate::signals::{self, Heard};
 use bytes::{Bytes, BytesMut};
-use honeypulley_policy::chooser::Chooser;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::quarantine::{End, Fingerprints};
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, UpstreamKey};
@@ -172,7 +171,9 @@
     match body {
         Ok(body) => {
             if matches!(body, AnswerBody::Whole(_)) {
-                take_no_limit(&gate, &guard, &to, &head);
+                let (status, headers) = (head.status, &head.headers);
+                let heard = Heard { from: &to.name, attempt: guard.key, status, headers };
+                signals::record_whole(&gate, &heard);
                 guard.ended(Outcome::Whole);
             }
             Ok(Answer { head, body, guard })
@@ -264,14 +265,8 @@
         return Err(Failure::Unknown { why: "the answer belongs to another request".to_owned() });
     }
     if !d.is_misdirected(r.status()) {
-        if h.contains_key(&d.drain) {
-            policy.drained(guard.upstream, now);
-        }
-        if let Some(load) = d.load(h) {
-            policy.reported_load(guard.upstream, load, now);
-        }
-        take_limit(gate, &mut *policy, (guard, to), r);
-        log_signals(gate, to, r);
+        let heard = Heard { from: &to.name, attempt: guard.key, status: r.status(), headers: h };
+        signals::record(gate, &mut *policy, &heard, now);
     }
     if d.is_not_run(r.status(), h) {
         let moved = d.is_misdirected(r.status());
@@ -299,76 +294,6 @@
     Ok(())
 }
 
-/// Logs what an answer says of its upstream's shutdown and backoff.
-fn log_signals(gate: &Gate, to: &Destination, r: &reqwest::Response) {
-    let (d, upstream) = (&gate.dialect, to.name.as_str());
-    let leaving = d.leaving.as_ref().map_or(Ok(false), |name| read_leaving(r.headers(), name));
-    match leaving {
-        Ok(false) => {}
-        Ok(true) => log::info!(upstream; "attempt: {upstream} announced its shutdown"),
-        Err(fault) => {
-            log::warn!(upstream, fault:% = fault; "attempt: ignored a signal of {upstream}");
-        }
-    }
-    if !may_ask_backoff(d, r.status(), r.headers()) {
-        return;
-    }
-    match read_backoff(r.headers(), &header::RETRY_AFTER) {
-        Ok(None) => {}
-        Ok(Some(wait)) => {
-            let backoff_ms = wait.as_millis() as u64;
-            log::info!(upstream, backoff_ms; "attempt: {upstream} asked for a backoff of {wait:?}");
-        }
-        Err(fault) => {
-            log::warn!(upstream, fault:% = fault; "attempt: ignored a signal of {upstream}");
-        }
-    }
-}
-
-/// Takes the limit that an answer names: the requests that its upstream takes from all boxes.
-fn take_limit(
-    gate: &Gate,
-    policy: &mut dyn Chooser,
-    (guard, to): (&AttemptGuard, &Destination),
-    r: &reqwest::Response,
-) {
-    let upstream = to.name.as_str();
-    match gate.dialect.limit(r.headers()) {
-        Ok(None) => {}
-        Ok(Some(limit)) => {
-            gate.count("limits.named");
-            if policy.named_limit(guard.key, Some(limit), gate.now()) {
-                log::info!(
-                    upstream, limit;
-                    "attempt: {upstream} names a limit of {limit} requests a second from all boxes"
-                );
-            }
-        }
-        Err(fault) => {
-            gate.count("limits.refused");
-            log::warn!(upstream, fault:% = fault; "attempt: a limit that {upstream} names is not taken");
-        }
-    }
-}
-
-/// Takes that a whole, good answer names no limit.
-///
-/// One that is cut, or a failure, which may not be the upstream's own word on itself, takes
-/// back no limit: all boxes would send freely until the next answer names it again.
-fn take_no_limit(gate: &Gate, guard: &AttemptGuard, to: &Destination, head: &AnswerHead) {
-    let d = &gate.dialect;
-    let is_proven = d.proof.as_ref().is_none_or(|p| head.headers.contains_key(p));
-    let is_word = is_proven && head.status.is_success();
-    if d.limit.is_none() || !is_word || d.limit(&head.headers) != Ok(None) {
-        return;
-    }
-    let is_lifted = gate.chooser.lock().named_limit(guard.key, None, gate.now());
-    if is_lifted {
-        let upstream = to.name.as_str();
-        log::info!(upstream; "attempt: {upstream} names no limit any more");
-    }
-}
-
 /// Takes a body whole, or its beginning if it is long.
 async fn collect(mut r: reqwest::Response) -> Result<AnswerBody, String> {
     let mut taken = BytesMut::new();
--- a/crates/honeypulley_proxy/src/dialect.rs
+++ b/crates/honeypulley_proxy/src/dialect.rs
@@ -5,6 +5,7 @@
 use crate::gate::Belongs;
 use crate::headers;
 use crate::named_limit::{self, LimitFault};
+use crate::signals::{self, LeavingFault};
 use honeypulley_policy::chooser::LoadReport;
 use honeypulley_policy::organisations::KeyDigest;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
@@ -60,11 +61,9 @@
     /// On an upstream's answer: requests a second that it takes from all boxes together, if the
     /// dialect knows that.
     pub limit: Option<HeaderName>,
-    /// On an upstream's answer: it is leaving.
-    #[builder(default = headers::DRAIN)]
-    pub drain: HeaderName,
-    /// On an upstream's answer: it will shut down, if the dialect knows that.
-    pub leaving: Option<HeaderName>,
+    /// On an upstream's answer: it will shut down.
+    #[builder(default = headers::LEAVING)]
+    pub leaving: HeaderName,
     /// On a request: the only instance that may run it, if the dialect knows that.
     pub expect: Option<HeaderName>,
     /// On an upstream's success: must be there.
@@ -82,7 +81,7 @@
     /// Whether own answers say what is known of the request's run.
     #[builder(default = true)]
     pub tells_outcome: bool,
-    /// Whether the load and identity headers of upstreams reach the caller.
+    /// Whether the load, identity and shutdown headers of upstreams reach the caller.
     #[builder(default)]
     pub keeps_headers: bool,
     /// Whether an answer without a length may be passed on.
@@ -145,6 +144,14 @@
         self.limit.as_ref().map_or(Ok(None), |name| named_limit::read(h, name))
     }
 
+    /// Reads whether an upstream announces its shutdown.
+    ///
+    /// # Errors
+    /// Returns why the announcement is ignored.
+    pub fn leaving(&self, h: &HeaderMap) -> Result<bool, LeavingFault> {
+        signals::read_leaving(h, &self.leaving)
+    }
+
     /// Tells whether an answer proves that the request did not run.
     #[must_use]
     pub fn is_not_run(&self, status: StatusCode, h: &HeaderMap) -> bool {
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -182,8 +182,8 @@
         let dialect = &self.gate.dialect;
         let mut h = head.headers;
         headers::strip_hop_by_hop(&mut h);
-        h.remove(&dialect.drain);
         if !dialect.keeps_headers {
+            h.remove(&dialect.leaving);
             h.remove(&dialect.attempt);
             h.remove(&dialect.load);
         }
--- a/crates/honeypulley_proxy/src/headers.rs
+++ b/crates/honeypulley_proxy/src/headers.rs
@@ -10,8 +10,8 @@
 pub const NOT_RUN: HeaderName = HeaderName::from_static("honeypulley-not-run");
 /// On an answer of ours: `not-run` or `unknown`.
 pub const OUTCOME: HeaderName = HeaderName::from_static("honeypulley-outcome");
-/// On an upstream's answer: it is leaving.
-pub const DRAIN: HeaderName = HeaderName::from_static("honeypulley-drain");
+/// On an upstream's answer: it will shut down.
+pub const LEAVING: HeaderName = HeaderName::from_static("honeypulley-drain");
 /// On an upstream's answer: busy slots over all slots, as a decimal.
 pub const LOAD: HeaderName = HeaderName::from_static("honeypulley-load");
 /// Who asks, for limits.
--- a/crates/honeypulley_proxy/src/signals.rs
+++ b/crates/honeypulley_proxy/src/signals.rs
@@ -1,8 +1,11 @@
 //! What an upstream says of itself in the head of an answer.
 
+mod record;
+
 use crate::dialect::Dialect;
 use crate::named_limit::LimitFault;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+pub(crate) use record::{Heard, record, record_whole};
 use std::time::Duration;
 
 /// Longest backoff that an upstream may ask for.
--- a/crates/honeypulley_standin/src/upstream.rs
+++ b/crates/honeypulley_standin/src/upstream.rs
@@ -230,7 +230,7 @@
             r.headers_mut().insert(headers::ATTEMPT, a);
         }
         if s.drain {
-            r.headers_mut().insert(headers::DRAIN, HeaderValue::from_static("1"));
+            r.headers_mut().insert(headers::LEAVING, HeaderValue::from_static("1"));
         }
         let thousandths =
             s.claim_load.map_or_else(|| self.reported.load(Ordering::Relaxed), u64::from);
