A backoff that an upstream asks for binds the box that it rejected

Boxes sent three and four more requests to upstreams inside the Retry-After of their 503. The time was kept for the caller of that one request. The choice knew only that a rejection makes an upstream doubtful, which fades within a second and does not matter where the others are as doubtful.

The time is now one of the signals of an answer: kept by incarnation, until the later of two ends, lengthened by up to a tenth at random so that boxes return one after the other. Every send of the policy (first sends, trials, retries, hedges) passes one filter of shutdown, backoff and rate limit. Where all upstreams of a service back off, the request is refused at once, with when the first may be sent something. It binds one box only: broadcast, one rejection would stop a fleet. Callers are told when this box may send again, no longer what an upstream told the box. The product's own router keeps backoffs as well.

--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -207,6 +207,8 @@
     pub open: usize,
     /// The limit that it names.
     pub limit: Option<NamedLimit>,
+    /// How long this box sends it nothing, as it asked for.
+    pub backoff: Option<Duration>,
 }
 
 /// One box's routing state.
@@ -466,6 +468,7 @@
             path: u.path.chance(now),
             open: u.mine.len(),
             limit: self.limit_of(k, now),
+            backoff: u.backoff_left(now),
         };
         self.upstreams.iter().map(row).collect()
     }
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -61,12 +61,8 @@
         };
         let aim = ask.aim.unwrap_or(DEFAULT_AIM);
         let work = s.work.within(0.5, assumed(aim));
-        let usable = |k: &&UpstreamKey| {
-            !tried.contains(k) && self.upstreams.get(**k).is_some_and(|u| !u.is_leaving())
-        };
-        let open: Vec<UpstreamKey> = s.upstreams.iter().filter(usable).copied().collect();
         let rule = TrialRule::of(s, ask, now);
-        let open = self.with_room(open, ask, now)?;
+        let open = self.sendable(ask, tried, now)?;
         // A request that failed once is no trial.
         let starved = if tried.is_empty() { self.starved(&open, rule, now) } else { None };
         let starved = starved.map(|u| (u, Reason::Canary));
--- a/crates/honeypulley_policy/src/balance/named.rs
+++ b/crates/honeypulley_policy/src/balance/named.rs
@@ -12,7 +12,7 @@
 use crate::collector::NameId;
 use crate::fleet_limits::{FleetLimits, LimitRule, RateLimit, Scope};
 use crate::placement::weight;
-use crate::router::{AttemptKey, Refusal, RefusalKind, UpstreamKey};
+use crate::router::{AttemptKey, UpstreamKey};
 use crate::time::Time;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -37,8 +37,6 @@
 const TURN_SPREAD: f64 = 0.75;
 /// Tokens that less urgent requests leave, where every upstream of a service names a limit.
 const URGENT_SHARE: f64 = 0.5;
-/// Shortest and longest wait told to a caller where no upstream has room.
-const WAIT_BOUNDS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
 /// What a box knows of the limit of one upstream, for operators and the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -185,20 +183,19 @@
         all.map(|(&upstream, n)| News::Limit { upstream, rate: Some(n.rate as f32) })
     }
 
-    /// Leaves the upstreams whose limit has room for a request.
+    /// Filters out upstreams whose rate limit is exhausted.
     ///
-    /// # Errors
-    /// Refuses the request if none is left, with when the first of them has room again.
+    /// Returns with the others when the first of those filtered out has capacity again.
     pub(super) fn with_room(
         &mut self,
         open: Vec<UpstreamKey>,
         ask: &Ask,
         now: Time,
-    ) -> Result<Vec<UpstreamKey>, Refusal> {
+    ) -> (Vec<UpstreamKey>, Option<Duration>) {
         if self.limits.named.is_empty() || open.is_empty() {
-            return Ok(open);
+            return (open, None);
         }
-        let Some(s) = self.services.get(ask.service) else { return Ok(open) };
+        let Some(s) = self.services.get(ask.service) else { return (open, None) };
         let division = self.division(s, now);
         let boxes = self.hall_boxes;
         self.limits.buckets.set_scope(Scope { boxes, halls: 1, alone: self.alone });
@@ -210,13 +207,7 @@
                 Err(w) => wait = Some(wait.map_or(w, |least| least.min(w))),
             }
         }
-        match wait {
-            Some(wait) if left.is_empty() => {
-                let (shortest, longest) = WAIT_BOUNDS;
-                Err(self.refuse(RefusalKind::Limited, wait.clamp(shortest, longest)))
-            }
-            _ => Ok(left),
-        }
+        (left, wait)
     }
 
     /// Tells whether an upstream has room for a request, or else when.
--- a/crates/honeypulley_policy/src/balance/signals.rs
+++ b/crates/honeypulley_policy/src/balance/signals.rs
@@ -4,20 +4,39 @@
 //! entry that goes and comes back changes nothing.
 
 use super::{Balancer, FarLoad, News, Upstream};
+use crate::chooser::Ask;
 use crate::collector::NameId;
-use crate::router::AttemptKey;
+use crate::router::{AttemptKey, Refusal, RefusalKind, UpstreamKey};
 use crate::signals::{SignalChanges, Signals};
 use crate::time::Time;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 /// Incarnations without a list entry that are remembered.
 const MOST_UNLISTED: usize = 1_024;
+/// Part by which a backoff is lengthened at random, so that boxes return one after the other.
+const BACKOFF_SPREAD: f64 = 0.1;
+/// Shortest and longest wait of a caller that no upstream may be sent.
+const WAIT_BOUNDS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
 /// What one incarnation of an upstream declared.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Declared {
     /// It announced its shutdown, which nothing takes back.
     pub(super) leaving: bool,
+    /// When this box may send it something again.
+    pub(super) backoff: Option<Time>,
+}
+
+impl Declared {
+    /// Records a requested backoff; tells whether it ends later than one before.
+    fn back_off(&mut self, until: Time) -> bool {
+        let is_later = self.backoff.is_none_or(|t| t < until);
+        if is_later {
+            self.backoff = Some(until);
+        }
+        is_later
+    }
 }
 
 /// Declarations of incarnations that are not listed, oldest first.
@@ -65,8 +84,44 @@
         if leaving {
             self.news.push(News::Leaving { upstream: u.id });
         }
+        let rng = &mut self.rng;
+        let until = s.backoff.map(|wait| now + wait.mul_f64(1.0 + rng.f64() * BACKOFF_SPREAD));
+        let backoff = until.is_some_and(|t| u.declared.back_off(t));
         let limit = s.limit.is_some_and(|rate| self.named(k, rate, now));
-        SignalChanges { limit, leaving }
+        SignalChanges { limit, leaving, backoff }
+    }
+
+    /// Returns the upstreams that a request may be sent to now.
+    ///
+    /// Every send passes here: first sends, trials, retries and hedges.
+    ///
+    /// # Errors
+    /// Refuses the request if there is none, with when the first of them may be sent something.
+    pub(super) fn sendable(
+        &mut self,
+        ask: &Ask,
+        tried: &[UpstreamKey],
+        now: Time,
+    ) -> Result<Vec<UpstreamKey>, Refusal> {
+        let listed = self.services.get(ask.service).map_or(&[][..], |s| &s.upstreams);
+        let (mut open, mut wait) = (Vec::with_capacity(listed.len()), None);
+        for &k in listed.iter().filter(|k| !tried.contains(k)) {
+            let u = &self.upstreams[k];
+            match u.backoff_left(now) {
+                _ if u.is_leaving() => {}
+                None => open.push(k),
+                Some(left) => wait = sooner(wait, left),
+            }
+        }
+        let is_backoff = open.is_empty() && wait.is_some();
+        let (open, limited) = self.with_room(open, ask, now);
+        let kind = if is_backoff { RefusalKind::Backoff } else { RefusalKind::Limited };
+        match limited.map_or(wait, |w| sooner(wait, w)) {
+            Some(wait) if open.is_empty() => {
+                Err(self.refuse(kind, wait.clamp(WAIT_BOUNDS.0, WAIT_BOUNDS.1)))
+            }
+            _ => Ok(open),
+        }
     }
 
     /// Records an announced shutdown that a peer received; returns the upstream's name if that
@@ -74,7 +129,8 @@
     pub fn heard_leaving(&mut self, id: NameId) -> Option<&str> {
         let Some(u) = self.by_id.get(&id).and_then(|&k| self.upstreams.get_mut(k)) else {
             // Its entry may be late.
-            self.unlisted.keep(id, Declared { leaving: true });
+            let before = self.unlisted.take(id);
+            self.unlisted.keep(id, Declared { leaving: true, ..before });
             return None;
         };
         u.declare_leaving().then_some(u.name.as_str())
@@ -88,7 +144,17 @@
     }
 }
 
+/// Returns the shorter of two waits.
+fn sooner(a: Option<Duration>, b: Duration) -> Option<Duration> {
+    Some(a.map_or(b, |a| a.min(b)))
+}
+
 impl Upstream {
+    /// Returns how long this box may still send it nothing, if it asked for that.
+    pub(super) fn backoff_left(&self, now: Time) -> Option<Duration> {
+        self.declared.backoff.map(|until| until.since(now)).filter(|left| !left.is_zero())
+    }
+
     /// Records its announced shutdown; tells whether that is new.
     const fn declare_leaving(&mut self) -> bool {
         let is_new = !self.declared.leaving;
--- a/crates/honeypulley_policy/src/router.rs
+++ b/crates/honeypulley_policy/src/router.rs
@@ -5,6 +5,7 @@
 
 mod choice;
 mod evidence;
+mod refusal;
 
 use crate::collector::{Judgement, NameId, Verdict};
 use crate::ledger::Ledger;
@@ -14,6 +15,7 @@
 use crate::spec::{Member, MemberState, ServiceSpec};
 use crate::spread::Spread;
 use crate::time::Time;
+pub use refusal::{Refusal, RefusalKind};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -56,39 +58,6 @@
     pub reason: Reason,
 }
 
-/// Why no upstream was picked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum RefusalKind {
-    /// The service has no live upstream.
-    #[error("no live upstream")]
-    NoUpstream,
-    /// Every live upstream holds all the connections this box may open.
-    #[error("every upstream is full")]
-    Full,
-    /// The whole service is so slow that requests would miss their deadline.
-    #[error("the service is overloaded")]
-    Overload,
-    /// Every live upstream names a limit, and none of them has room.
-    #[error("the limits that the upstreams name are used up")]
-    Limited,
-    /// The service's rate is used up.
-    #[error("the service's rate is used up")]
-    Rate,
-    /// The caller's rate is used up.
-    #[error("the caller's rate is used up")]
-    CallerRate,
-}
-
-/// A refusal: the request was not run, and when to come back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{kind}; come back in {retry_after:?}")]
-pub struct Refusal {
-    /// Why.
-    pub kind: RefusalKind,
-    /// Earliest time at which asking again makes sense.
-    pub retry_after: Duration,
-}
-
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -147,6 +116,8 @@
     near: bool,
     leaving: bool,
     drained: Option<Time>,
+    /// When this box may send it something again, as it asked for.
+    backoff: Option<Time>,
     joined: Time,
     out: usize,
     load: Option<(f64, Time)>,
@@ -322,6 +293,7 @@
             near: m.hall == self.hall,
             leaving,
             drained: None,
+            backoff: None,
             joined: now,
             out: 0,
             load: None,
--- a/crates/honeypulley_policy/src/router/choice.rs
+++ b/crates/honeypulley_policy/src/router/choice.rs
@@ -60,6 +60,11 @@
         if open.is_empty() {
             return Err(self.refuse(RefusalKind::NoUpstream, Duration::from_secs(1)));
         }
+        let least = open.iter().map(|(u, _)| self.upstreams[*u].backoff_left(now)).min();
+        open.retain(|(u, _)| self.upstreams[*u].backoff_left(now).is_zero());
+        if let (true, Some(wait)) = (open.is_empty(), least) {
+            return Err(self.refuse(RefusalKind::Backoff, wait));
+        }
         let share = s.share;
         let middle = s.spread.middle();
         let may_try = repeatable || s.spec.repeat == crate::spec::Repeat::Never;
@@ -176,6 +181,11 @@
         self.leaving || self.drained.is_some_and(|at| now.since(at) < DRAIN_MEMORY)
     }
 
+    /// Returns how long it still wants nothing from this box.
+    fn backoff_left(&self, now: Time) -> Duration {
+        self.backoff.map_or(Duration::ZERO, |until| until.since(now))
+    }
+
     fn class(&self, valid: bool, now: Time) -> Class {
         match self.permit {
             Some(Hold::Ejected) if valid => return Class::Ejected,
--- a/crates/honeypulley_policy/src/router/evidence.rs
+++ b/crates/honeypulley_policy/src/router/evidence.rs
@@ -66,11 +66,14 @@
         if let Some(load) = s.load {
             self.reported_load(upstream, load.busy / load.slots.max(1.0), now);
         }
-        let is_gone = self.upstreams.get(upstream).is_none_or(|u| u.is_gone(now));
+        let Some(u) = self.upstreams.get_mut(upstream) else { return SignalChanges::default() };
+        let leaving = s.leaving && !u.is_gone(now);
+        let until = s.backoff.map(|wait| now + wait).filter(|t| u.backoff.is_none_or(|b| b < *t));
+        u.backoff = until.or(u.backoff);
         if s.leaving {
             self.drained(upstream, now);
         }
-        SignalChanges { leaving: s.leaving && !is_gone, ..SignalChanges::default() }
+        SignalChanges { leaving, backoff: until.is_some(), ..SignalChanges::default() }
     }
 
     /// Takes the load that an upstream reported with an answer.
--- a/crates/honeypulley_policy/src/signals.rs
+++ b/crates/honeypulley_policy/src/signals.rs
@@ -1,6 +1,7 @@
 //! What an upstream says of itself in one answer.
 
 use crate::chooser::LoadReport;
+use std::time::Duration;
 
 /// Signals in the head of an answer, each absent if the answer has none.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -11,6 +12,8 @@
     pub limit: Option<f64>,
     /// Whether the upstream announced its shutdown.
     pub leaving: bool,
+    /// Time for which the upstream wants nothing from the box that it answers.
+    pub backoff: Option<Duration>,
 }
 
 /// Which signals of an answer changed what a policy knew.
@@ -20,4 +23,6 @@
     pub limit: bool,
     /// The announcement of a shutdown.
     pub leaving: bool,
+    /// The end of a backoff, which is later now.
+    pub backoff: bool,
 }
--- a/crates/honeypulley_policy/tests/balance/halls.rs
+++ b/crates/honeypulley_policy/tests/balance/halls.rs
@@ -111,7 +111,7 @@
     let near: Vec<_> = (0..40).filter_map(|_| b.pick(&ask, &[], now).ok()).collect();
     for p in &near {
         if b.place(p.upstream).expect("known").name.starts_with("near") {
-            report_load(&mut b, &p, 30.0, now);
+            report_load(&mut b, p, 30.0, now);
         }
     }
     let pick = b.pick(&ask, &[], now).expect("there are upstreams");
--- a/crates/honeypulley_policy/tests/balance/signals.rs
+++ b/crates/honeypulley_policy/tests/balance/signals.rs
@@ -9,8 +9,9 @@
 use honeypulley_policy::spec::{MemberState, ServiceSpec};
 use honeypulley_policy::time::Time;
 use rstest::rstest;
+use std::time::Duration;
 
-const LEAVING: Signals = Signals { load: None, limit: None, leaving: true };
+const LEAVING: Signals = Signals { load: None, limit: None, leaving: true, backoff: None };
 
 fn at(ms: u64) -> Time {
     Time::from_millis(ms)
@@ -129,3 +130,118 @@
     assert!(!b.has_restarted(p.upstream));
     assert!(b.place(p.upstream).is_some());
 }
+
+fn backoff(ms: u64) -> Signals {
+    Signals { backoff: Some(Duration::from_millis(ms)), ..Signals::default() }
+}
+
+/// Has `u0` reject a request and ask for a backoff; tells whether that ends later than before.
+fn reject(b: &mut Balancer, from_ms: u64, backoff_ms: u64) -> bool {
+    let p = pick(b, "u0", from_ms);
+    let is_later = b.signalled(p.attempt, &backoff(backoff_ms), at(from_ms)).backoff;
+    b.finish(p.attempt, Outcome::NotRun, at(from_ms));
+    is_later
+}
+
+/// Sends requests each 10 ms in a time, rejected ones included, and counts those to `u0`.
+fn count_u0(b: &mut Balancer, repeatable: bool, (from, to): (u64, u64)) -> usize {
+    let ask = ask(b, repeatable);
+    let mut count = 0;
+    for ms in (from..to).step_by(10) {
+        let Ok(p) = b.pick(&ask, &[], at(ms)) else { continue };
+        count += usize::from(b.place(p.upstream).expect("known").name == "u0");
+        b.answered(p.attempt, true, at(ms));
+        b.finish(p.attempt, Outcome::Whole, at(ms));
+    }
+    count
+}
+
+/// Guards against trials, retries and least-loss picks inside a requested backoff.
+#[rstest]
+#[case::repeatable_of_three(3, true)]
+#[case::single_use_of_three(3, false)]
+#[case::the_only_one(1, true)]
+fn nothing_is_sent_during_a_backoff_and_work_returns_after_it(
+    #[case] upstreams: usize,
+    #[case] repeatable: bool,
+) {
+    let mut b = balancer(upstreams);
+    assert!(reject(&mut b, 0, 3_000));
+    assert_eq!(count_u0(&mut b, repeatable, (10, 3_000)), 0);
+    // A tenth of the time is added at random.
+    assert!(count_u0(&mut b, repeatable, (3_300, 9_000)) > 0);
+}
+
+/// Guards against retries and hedges, which leave out the upstreams already tried.
+#[test]
+fn a_second_send_goes_to_no_upstream_that_backs_off() {
+    let mut b = balancer(2);
+    reject(&mut b, 0, 3_000);
+    let ask = ask(&b, true);
+    let first = b.pick(&ask, &[], at(10)).expect("u1 is left");
+    let refused = b.pick(&ask, &[first.upstream], at(20)).expect_err("u0 backs off");
+    assert_eq!(refused.kind, RefusalKind::Backoff);
+}
+
+#[test]
+fn a_service_whose_upstreams_all_back_off_is_refused_until_the_first_may_be_sent_something() {
+    let mut b = balancer(2);
+    let ask = ask(&b, true);
+    for (wait, ms) in [(1_000, 0), (700, 1)] {
+        let p = b.pick(&ask, &[], at(ms)).expect("one is left");
+        b.signalled(p.attempt, &backoff(wait), at(ms));
+        b.finish(p.attempt, Outcome::NotRun, at(ms));
+    }
+    let refused = b.pick(&ask, &[], at(2)).expect_err("both back off");
+    assert_eq!(refused.kind, RefusalKind::Backoff);
+    let ms = refused.retry_after.as_millis();
+    assert!((699..1_160).contains(&ms), "{ms} ms");
+    assert!(b.pick(&ask, &[], at(800)).is_ok());
+}
+
+#[rstest]
+#[case::longer(500, 3_000, true)]
+#[case::shorter(3_000, 500, false)]
+fn of_two_backoffs_the_later_end_holds(
+    #[case] first: u64,
+    #[case] second: u64,
+    #[case] is_later: bool,
+) {
+    let mut b = balancer(1);
+    let [p, q] = [pick(&mut b, "u0", 0), pick(&mut b, "u0", 0)];
+    assert!(b.signalled(p.attempt, &backoff(first), at(0)).backoff);
+    assert_eq!(b.signalled(q.attempt, &backoff(second), at(10)).backoff, is_later);
+    assert_eq!(count_u0(&mut b, true, (20, 3_000)), 0);
+}
+
+#[test]
+fn a_backoff_outlasts_its_list_entry_but_not_a_restart() {
+    let mut b = balancer(1);
+    reject(&mut b, 0, 3_000);
+    b.remove_upstream("u0");
+    b.set_upstream(listed("u0", "h", MemberState::Live), at(100));
+    assert_eq!(count_u0(&mut b, true, (100, 3_000)), 0);
+    reject(&mut b, 4_000, 3_000);
+    b.set_upstream(Listed { born: Some(7), ..listed("u0", "h", MemberState::Live) }, at(4_100));
+    assert!(count_u0(&mut b, true, (4_200, 5_000)) > 0);
+}
+
+/// Guards against a whole fleet that stays away for what one box was asked.
+#[test]
+fn a_backoff_is_not_broadcast() {
+    let mut b = balancer(1);
+    b.take_news();
+    let p = pick(&mut b, "u0", 0);
+    b.take_news();
+    b.signalled(p.attempt, &backoff(3_000), at(0));
+    assert!(b.take_news().is_empty());
+}
+
+#[test]
+fn operators_see_how_long_a_backoff_lasts() {
+    let mut b = balancer(1);
+    reject(&mut b, 0, 3_600_000);
+    let left = b.status(at(60_000))[0].backoff.expect("it lasts");
+    assert!(left >= Duration::from_secs(3_540), "{left:?}");
+    assert_eq!(b.status(at(4_000_000))[0].backoff, None);
+}
--- a/crates/honeypulley_policy/tests/load/hall.rs
+++ b/crates/honeypulley_policy/tests/load/hall.rs
@@ -103,6 +103,8 @@
     /// Time after which those end, in ms: at once, or hanging until their time is up.
     pub fails_ms: u64,
     pub sheds: Sheds,
+    /// Backoff that each rejection asks for, in ms; zero for none.
+    pub backoff_ms: u64,
     pub cut: Cut,
     pub need: Need,
     pub seed: u64,
@@ -139,6 +141,10 @@
     pub reads: Count,
     /// Least share of the upstreams that were well which got work in two seconds.
     pub floor: f64,
+    /// Most sends of one box between half a second after a rejection and the end of its backoff.
+    pub most_in_backoff: usize,
+    /// Sends that were rejected.
+    pub rejected: usize,
     /// The same of the spans in which much is lost, as the users count the floor: more than a
     /// tenth of the requests sent in it, and less than half.
     pub floor_in_trouble: f64,
@@ -169,6 +175,7 @@
     end: End,
     /// The limit that its answer names.
     limit: Option<f64>,
+    worker: usize,
 }
 
 #[derive(Debug)]
@@ -216,6 +223,9 @@
     }
     hall.report.floor = hall.floor(until, |_| true);
     hall.report.floor_in_trouble = hall.floor(until, |lost| lost > 0.1 && lost < 0.5);
+    hall.report.most_in_backoff =
+        hall.workers.iter().map(Worker::most_in_backoff).max().unwrap_or(0);
+    hall.report.rejected = hall.workers.iter().map(|w| w.rejected).sum();
     (hall.report.most_sent, hall.report.limit_used) = hall.limits(until);
     hall.report
 }
@@ -287,7 +297,7 @@
         let (ends, end) = self.work(r.from, worker, now);
         r.tried.push(worker);
         let limit = self.plan.need.limit(worker, ends);
-        r.open = Some(Sent { key, ends, end, limit });
+        r.open = Some(Sent { key, ends, end, limit, worker });
         true
     }
 
@@ -325,6 +335,7 @@
         }
         let w = &mut self.workers[i];
         w.sent.push(now);
+        w.count_backoff(from, now);
         w.ends.retain(|&e| e > now);
         let sheds = (plan.sheds.from..plan.sheds.to).contains(&now);
         if sheds && self.rng.f64() < plan.sheds.share || w.ends.len() >= plan.slots + QUEUE {
@@ -416,7 +427,13 @@
         let Some(key) = sent.key else { return };
         let b = &mut self.boxes[from];
         let outcome = match sent.end {
-            End::Shed => Outcome::NotRun,
+            End::Shed => {
+                let backoff =
+                    (self.plan.backoff_ms > 0).then(|| Duration::from_millis(self.plan.backoff_ms));
+                b.signalled(key, &Signals { backoff, ..Signals::default() }, at);
+                self.workers[sent.worker].reject(from, at.as_micros() / 1_000, &self.plan);
+                Outcome::NotRun
+            }
             End::Unreached => Outcome::Unreachable,
             End::Hung => Outcome::Late,
             End::Served | End::Fails => {
--- a/crates/honeypulley_policy/tests/load/main.rs
+++ b/crates/honeypulley_policy/tests/load/main.rs
@@ -34,6 +34,7 @@
     fails: 0.75,
     fails_ms: 0,
     sheds: Sheds { from: 0, to: 0, share: 0.0 },
+    backoff_ms: 0,
     cut: Cut { boxes: 0, upstreams: 0 },
     need: Need { upstreams: 0, rate: 0.0, from: 0 },
     seed: 1,
@@ -203,6 +204,42 @@
     assert!(r.floor_in_trouble >= 0.7, "{} of those that were well had work", r.floor_in_trouble);
 }
 
+/// Requests a second that the upstreams of a plan can work on.
+fn capacity(plan: &Plan) -> f64 {
+    // One request in 33 takes two and a half times as long.
+    (plan.upstreams * plan.slots) as f64 * 1e3 / (plan.work_ms * 1.045)
+}
+
+/// Prints what is served where rejections ask for a backoff, by load and length.
+#[test]
+#[ignore = "prints figures, and plays for minutes"]
+fn figures_of_backoffs() {
+    const MANY: u64 = 3;
+    for (name, base) in [("hall of 58", CALM), ("hall of 12", SMALL)] {
+        for load in [0.9, 1.0, 1.5, 2.0, 4.0] {
+            for backoff_ms in [0, 200, 1_000, 3_000, 10_000] {
+                let rate = capacity(&base) * load;
+                let plan = Plan { orders: rate * 0.5, reads: rate * 0.5, backoff_ms, ..base };
+                let reports: Vec<Report> =
+                    (1..=MANY).map(|seed| play(Plan { seed, ..plan }, SECS)).collect();
+                let mean = |f: fn(&Report) -> f64| reports.iter().map(f).sum::<f64>() / MANY as f64;
+                let served = mean(|r| {
+                    (r.orders.in_aim + r.reads.in_aim + r.orders.late + r.reads.late) as f64
+                });
+                let in_aim = mean(|r| (r.orders.in_aim + r.reads.in_aim) as f64);
+                let owed = capacity(&base).min(rate) * (SECS - 8) as f64;
+                let rejected = mean(|r| r.rejected as f64) / (rate * SECS as f64);
+                let most = reports.iter().map(|r| r.most_in_backoff).max().unwrap_or(0);
+                println!(
+                    "{name} x{load} backoff {backoff_ms}: served {:.3} in aim {:.3} of what could be, rejected {rejected:.3}, most in one {most}",
+                    served / owed,
+                    in_aim / owed
+                );
+            }
+        }
+    }
+}
+
 /// Prints what twelve seeds of each load lose, for comparisons of ways to choose.
 #[test]
 #[ignore = "prints figures, and plays for half a minute"]
--- a/crates/honeypulley_policy/tests/load/worker.rs
+++ b/crates/honeypulley_policy/tests/load/worker.rs
@@ -9,8 +9,25 @@
     /// When each request there ends.
     pub ends: Vec<u64>,
     pub sent: Vec<u64>,
+    /// Sends that it rejected.
+    pub rejected: usize,
+    /// Backoffs that it asked boxes for.
+    backoffs: Vec<Backoff>,
 }
 
+/// A backoff that a rejection asked one box for.
+#[derive(Debug)]
+struct Backoff {
+    from: usize,
+    /// From when a send counts, in ms.
+    since: u64,
+    until: u64,
+    sends: usize,
+}
+
+/// Time after a rejection in which what is in flight may still come, in ms.
+const IN_FLIGHT_MS: u64 = 500;
+
 impl Worker {
     pub fn new(plan: &Plan, until: u64, rng: &mut fastrand::Rng) -> Self {
         let mut spells = Vec::new();
@@ -24,6 +41,24 @@
         Self { spells, ..Self::default() }
     }
 
+    /// Rejects a request of a box.
+    pub fn reject(&mut self, from: usize, now: u64, plan: &Plan) {
+        self.rejected += 1;
+        let (since, until) = (now + IN_FLIGHT_MS, now + plan.backoff_ms);
+        self.backoffs.push(Backoff { from, since, until, sends: 0 });
+    }
+
+    /// Counts a send of a box against the backoffs that it was asked for.
+    pub fn count_backoff(&mut self, from: usize, now: u64) {
+        let bound = |b: &&mut Backoff| b.from == from && (b.since..b.until).contains(&now);
+        self.backoffs.iter_mut().rev().take(4_000).filter(bound).for_each(|b| b.sends += 1);
+    }
+
+    /// Returns the most sends within one backoff.
+    pub fn most_in_backoff(&self) -> usize {
+        self.backoffs.iter().map(|b| b.sends).max().unwrap_or(0)
+    }
+
     pub fn busy(&self, now: u64) -> usize {
         self.ends.iter().filter(|&&e| e > now).count()
     }
--- a/crates/honeypulley_policy/tests/router.rs
+++ b/crates/honeypulley_policy/tests/router.rs
@@ -5,6 +5,7 @@
 use honeypulley_policy::router::{
     AttemptKey, Outcome, Pick, Reason, RefusalKind, Router, ServiceKey, UpstreamKey,
 };
+use honeypulley_policy::signals::Signals;
 use honeypulley_policy::spec::{Floor, Lean, Member, MemberState, Repeat, ServiceSpec};
 use honeypulley_policy::time::Time;
 use proptest::prelude::*;
@@ -374,3 +375,27 @@
         }
     }
 }
+
+/// Guards against requests inside the backoff that an upstream's rejection asked for.
+#[test]
+fn a_router_sends_nothing_during_a_backoff() {
+    let (mut r, s) = router(Repeat::Always);
+    r.set_members(&[member(0), member(1)], 1, Time::ZERO);
+    let backoff = Some(Duration::from_secs(3));
+    let p = r.pick(s, true, &[], Time::ZERO).expect("there are two");
+    let changes = r.signalled(p.attempt, &Signals { backoff, ..Signals::default() }, Time::ZERO);
+    r.finish(p.attempt, Outcome::NotRun, Time::ZERO);
+    assert!(changes.backoff);
+    for ms in (0..3_000).step_by(10) {
+        let q = r.pick(s, true, &[], Time::from_millis(ms)).expect("one is left");
+        assert_ne!(q.upstream, p.upstream, "at {ms} ms");
+        r.finish(q.attempt, Outcome::Whole, Time::from_millis(ms));
+    }
+    let q = r.pick(s, true, &[], Time::ZERO).expect("one is left");
+    let refused = r.pick(s, true, &[q.upstream], Time::from_millis(1_000));
+    let refused = refused.expect_err("the other one backs off");
+    assert_eq!(refused.kind, RefusalKind::Backoff);
+    assert!(refused.retry_after >= Duration::from_secs(2), "{:?}", refused.retry_after);
+    let after = Time::from_millis(3_000);
+    assert!(r.pick(s, true, &[q.upstream], after).is_ok());
+}
--- a/crates/honeypulley_proxy/src/answer.rs
+++ b/crates/honeypulley_proxy/src/answer.rs
@@ -39,7 +39,8 @@
             RefusalKind::NoUpstream
             | RefusalKind::Full
             | RefusalKind::Overload
-            | RefusalKind::Limited => StatusCode::SERVICE_UNAVAILABLE,
+            | RefusalKind::Limited
+            | RefusalKind::Backoff => StatusCode::SERVICE_UNAVAILABLE,
         };
         Self::not_run(status, Some(r.retry_after), r.kind.to_string())
     }
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -85,8 +85,6 @@
     NotRun {
         /// What happened.
         why: String,
-        /// When the upstream said to come back.
-        retry_after: Option<Duration>,
     },
     /// Something left and nothing is proven.
     Unknown {
@@ -273,7 +271,7 @@
         guard.ended(if moved { Outcome::Misdirected } else { Outcome::NotRun });
         let why =
             if moved { "another instance has the address" } else { "the upstream sheds load" };
-        return Err(Failure::NotRun { why: why.to_owned(), retry_after: d.retry_after(h) });
+        return Err(Failure::NotRun { why: why.to_owned() });
     }
     if !out.upgrade && !d.unbounded && !is_bounded(r, &out.method) {
         guard.ended(Outcome::Wrong);
--- a/crates/honeypulley_proxy/src/dialect.rs
+++ b/crates/honeypulley_proxy/src/dialect.rs
@@ -5,7 +5,7 @@
 use crate::gate::Belongs;
 use crate::headers;
 use crate::named_limit::{self, LimitFault};
-use crate::signals::{self, LeavingFault};
+use crate::signals::{self, BackoffFault, LeavingFault};
 use honeypulley_policy::chooser::LoadReport;
 use honeypulley_policy::organisations::KeyDigest;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
@@ -164,12 +164,19 @@
         self.expect.is_some() && status == StatusCode::MISDIRECTED_REQUEST
     }
 
-    /// Reads when an upstream said to come back.
-    #[must_use]
-    pub fn retry_after(&self, h: &HeaderMap) -> Option<Duration> {
-        let ms = headers::number(h, &headers::RETRY_AFTER_MS).map(Duration::from_millis);
-        let secs = headers::number::<f64>(h, &header::RETRY_AFTER);
-        ms.or_else(|| secs.and_then(|s| Duration::try_from_secs_f64(s).ok()))
+    /// Reads the time for which an upstream wants nothing from this box.
+    ///
+    /// # Errors
+    /// Returns why the time is ignored.
+    pub fn backoff(
+        &self,
+        status: StatusCode,
+        h: &HeaderMap,
+    ) -> Result<Option<Duration>, BackoffFault> {
+        if !signals::may_ask_backoff(self, status, h) {
+            return Ok(None);
+        }
+        signals::read_backoff(h)
     }
 
     /// Writes when a caller may come back.
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -68,7 +68,8 @@
     last: String,
     /// An upstream's failure answer, to be passed on if nothing better comes.
     failure: Option<Answer>,
-    retry_after: Option<Duration>,
+    /// When to come back, as the last refusal of a send said.
+    wait: Option<Duration>,
 }
 
 impl Tally {
@@ -156,6 +157,7 @@
                     expected_ms = expected.map(|d| d.as_millis() as u64);
                     "route: {kind} not sent, {}", r.kind
                 );
+                tally.wait = Some(r.retry_after);
                 return Err(r);
             }
         };
@@ -332,11 +334,10 @@
                 tally.unrun += 1;
                 tally.last.clone_from(why);
             }
-            Failure::NotRun { why, retry_after } => {
+            Failure::NotRun { why } => {
                 log::warn!(request, service, upstream = name; "attempt: {name} did not run it: {why}");
                 tally.unrun += 1;
                 tally.last.clone_from(why);
-                tally.retry_after = retry_after.or(tally.retry_after);
             }
             Failure::Unknown { why } => {
                 log::warn!(
@@ -353,7 +354,8 @@
         if let Some(why) = &tally.unknown {
             return OwnAnswer::unknown(StatusCode::BAD_GATEWAY, UNKNOWN_WAIT, why.clone());
         }
-        let wait = tally.retry_after.unwrap_or(UNRUN_WAIT).mul_f64(1.0 + fastrand::f64() / 2.0);
+        let usual = || UNRUN_WAIT.mul_f64(1.0 + fastrand::f64() / 2.0);
+        let wait = tally.wait.unwrap_or_else(usual);
         OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, Some(wait), tally.last.clone())
     }
 
--- a/crates/honeypulley_proxy/src/signals.rs
+++ b/crates/honeypulley_proxy/src/signals.rs
@@ -3,8 +3,9 @@
 mod record;
 
 use crate::dialect::Dialect;
+use crate::headers;
 use crate::named_limit::LimitFault;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 pub(crate) use record::{Heard, record, record_whole};
 use std::time::Duration;
 
@@ -57,14 +58,18 @@
     }
 }
 
-/// Reads a backoff in seconds; `None` if the answer asks for none, or for zero seconds.
+/// Reads a backoff; `None` if the answer asks for none, or for zero seconds.
 ///
-/// It is at most [`MAX_BACKOFF`].
+/// The product's header in milliseconds takes precedence. It is at most [`MAX_BACKOFF`].
 ///
 /// # Errors
 /// Returns a [`BackoffFault`] if there are several, or if it is no decimal number.
-pub fn read_backoff(h: &HeaderMap, name: &HeaderName) -> Result<Option<Duration>, BackoffFault> {
-    let all: Vec<String> = h.get_all(name).iter().map(text).collect();
+pub fn read_backoff(h: &HeaderMap) -> Result<Option<Duration>, BackoffFault> {
+    if let Some(ms) = headers::number(h, &headers::RETRY_AFTER_MS) {
+        let wait = Duration::from_millis(ms).min(MAX_BACKOFF);
+        return Ok(Some(wait).filter(|w| !w.is_zero()));
+    }
+    let all: Vec<String> = h.get_all(header::RETRY_AFTER).iter().map(text).collect();
     let [one] = all.as_slice() else {
         return if all.is_empty() { Ok(None) } else { Err(BackoffFault::Several(all.len())) };
     };
--- a/crates/honeypulley_proxy/src/signals/record.rs
+++ b/crates/honeypulley_proxy/src/signals/record.rs
@@ -1,15 +1,18 @@
 //! Hands the signals of an answer to the policy, and logs what changed.
 
-use super::{BackoffFault, SignalFault, may_ask_backoff, read_backoff};
+use super::SignalFault;
 use crate::dialect::Dialect;
 use crate::gate::Gate;
 use honeypulley_policy::chooser::Chooser;
 use honeypulley_policy::router::AttemptKey;
 use honeypulley_policy::signals::Signals;
 use honeypulley_policy::time::Time;
-use http::{HeaderMap, StatusCode, header};
+use http::{HeaderMap, StatusCode};
 use std::time::Duration;
 
+/// Backoff from which on an operator should look into it.
+const LONG_BACKOFF: Duration = Duration::from_secs(60);
+
 /// The head of an answer that is known to be the asked upstream's own.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Heard<'a> {
@@ -36,14 +39,11 @@
             Ok(leaving) => signals.leaving = leaving,
             Err(fault) => faults.push(fault.into()),
         }
-        (signals, faults)
-    }
-
-    fn backoff(&self, d: &Dialect) -> Result<Option<Duration>, BackoffFault> {
-        if !may_ask_backoff(d, self.status, self.headers) {
-            return Ok(None);
+        match d.backoff(self.status, self.headers) {
+            Ok(backoff) => signals.backoff = backoff,
+            Err(fault) => faults.push(fault.into()),
         }
-        read_backoff(self.headers, &header::RETRY_AFTER)
+        (signals, faults)
     }
 }
 
@@ -70,15 +70,13 @@
         gate.count("upstreams.leaving");
         log::info!(upstream; "attempt: {upstream} announced its shutdown, no new requests there");
     }
-    match heard.backoff(&gate.dialect) {
-        Ok(None) => {}
-        Ok(Some(wait)) => {
-            let backoff_ms = wait.as_millis() as u64;
-            log::info!(upstream, backoff_ms; "attempt: {upstream} asked for a backoff of {wait:?}");
-        }
-        Err(fault) => {
-            log::warn!(upstream, fault:% = fault; "attempt: ignored a signal of {upstream}");
-        }
+    if let Some(wait) = signals.backoff.filter(|_| changes.backoff) {
+        gate.count("upstreams.backoff");
+        let level = if wait >= LONG_BACKOFF { log::Level::Warn } else { log::Level::Info };
+        log::log!(
+            level, upstream, backoff_ms = wait.as_millis() as u64;
+            "attempt: {upstream} asked for a backoff of {wait:?}, no requests there until then"
+        );
     }
 }
 
--- a/crates/honeypulley_proxy/tests/signals.rs
+++ b/crates/honeypulley_proxy/tests/signals.rs
@@ -24,7 +24,7 @@
 }
 
 fn backoff(values: &[&str]) -> Result<Option<Duration>, BackoffFault> {
-    read_backoff(&head(&header::RETRY_AFTER, values), &header::RETRY_AFTER)
+    read_backoff(&head(&header::RETRY_AFTER, values))
 }
 
 #[rstest]
@@ -88,6 +88,13 @@
     assert_eq!(may_ask_backoff(&d, status, &h), expected);
 }
 
+#[test]
+fn milliseconds_take_precedence_over_seconds() {
+    let mut h = head(&headers::RETRY_AFTER_MS, &["1500"]);
+    h.append(header::RETRY_AFTER, HeaderValue::from_static("2"));
+    assert_eq!(read_backoff(&h), Ok(Some(Duration::from_millis(1_500))));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         failure_persistence: None,
@@ -108,7 +115,7 @@
                 h.append(&d.leaving, v);
             }
         }
-        if let Ok(Some(wait)) = read_backoff(&h, &header::RETRY_AFTER) {
+        if let Ok(Some(wait)) = read_backoff(&h) {
             prop_assert!(!wait.is_zero() && wait <= MAX_BACKOFF);
         }
         let _ = d.leaving(&h);
