A rate limit outlasts the list entry of its upstream

A limit was dropped with the entry, which goes at times while the store is away and comes back with the same incarnation; until the next answer every box sent freely. It is kept by incarnation now, until it lapses or the upstream restarts. Lapsed limits are dropped when another is set.

--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -373,9 +373,12 @@
         self.forget(k);
     }
 
-    /// Takes that an upstream has started again: what was open there is over.
+    /// Records that an upstream has restarted: what was open there is over.
     fn end(&mut self, k: UpstreamKey) {
         self.leave_service(k);
+        if let Some(u) = self.upstreams.get(k) {
+            self.limits.forget(u.id);
+        }
         self.forget(k);
         self.ended.push_back(k);
         if self.ended.len() > MOST_ENDED {
@@ -435,7 +438,6 @@
         if let Some(u) = self.upstreams.remove(k) {
             self.by_id.remove(&u.id);
             self.unlisted.keep(u.id, u.declared);
-            self.limits.forget(u.id);
         }
     }
 
--- a/crates/honeypulley_policy/src/balance/named.rs
+++ b/crates/honeypulley_policy/src/balance/named.rs
@@ -61,6 +61,12 @@
     part: f64,
 }
 
+impl Named {
+    fn is_in_force(&self, now: Time) -> bool {
+        now.since(self.told) < LAPSE_TIME
+    }
+}
+
 /// How an upstream's limit is divided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Division {
@@ -95,11 +101,12 @@
 
     /// Returns a limit in force.
     fn in_force(&self, id: NameId, now: Time) -> Option<&Named> {
-        self.named.get(&id).filter(|n| now.since(n.told) < LAPSE_TIME)
+        self.named.get(&id).filter(|n| n.is_in_force(now))
     }
 
     /// Takes a limit; tells whether it is another one than before.
     fn set(&mut self, id: NameId, rate: f64, now: Time) -> bool {
+        self.drop_lapsed(now);
         let before = self.in_force(id, now).copied();
         let part = before.map_or(1.0, |n| n.part);
         let told = before.map_or(now, |n| n.told);
@@ -109,6 +116,14 @@
         before.is_none_or(|n| n.rate as f32 != rate as f32)
     }
 
+    /// Drops limits that have lapsed, also those of upstreams that are listed no more.
+    fn drop_lapsed(&mut self, now: Time) {
+        let lapsed = self.named.iter().filter(|(_, n)| !n.is_in_force(now)).map(|(&id, _)| id);
+        for id in lapsed.collect::<Vec<NameId>>() {
+            self.forget(id);
+        }
+    }
+
     fn set_part(&mut self, id: NameId, part: f64) {
         let Some(n) = self.named.get_mut(&id) else { return };
         if n.part != part {
@@ -179,7 +194,7 @@
 
     /// Returns the limits in force, for a box that has just started.
     pub(super) fn limits_in_force(&self, now: Time) -> impl Iterator<Item = News> {
-        let all = self.limits.named.iter().filter(move |(_, n)| now.since(n.told) < LAPSE_TIME);
+        let all = self.limits.named.iter().filter(move |(_, n)| n.is_in_force(now));
         all.map(|(&upstream, n)| News::Limit { upstream, rate: Some(n.rate as f32) })
     }
 
@@ -233,7 +248,7 @@
     }
 
     /// Returns this box's turn at an upstream, drawn anew after each send there.
-    fn turn(&self, u: &Upstream) -> f64 {
+    pub(super) fn turn(&self, u: &Upstream) -> f64 {
         let worked = u.worked.unwrap_or(u.joined).as_micros();
         fastrand::Rng::with_seed(self.seed ^ u.id.0 ^ worked).f64()
     }
--- a/crates/honeypulley_policy/tests/balance/named.rs
+++ b/crates/honeypulley_policy/tests/balance/named.rs
@@ -290,3 +290,17 @@
     }
     assert!(served[1] > 2 * served[0], "{served:?}");
 }
+
+/// Guards against a burst of all boxes at an upstream whose list entry lapses for a moment.
+#[test]
+fn a_limit_outlasts_its_list_entry() {
+    let mut b = balancer(2);
+    told(&mut b, Some(1.0), 0);
+    count_u0(&mut b, 0, 3_000, Some(1.0));
+    b.remove_upstream("u0");
+    b.set_upstream(listed("u0", "h", MemberState::Live), at(3_100));
+    let ask = ask(&b, false);
+    let picks: Vec<Pick> = (0..20).filter_map(|_| b.pick(&ask, &[], at(3_110)).ok()).collect();
+    let got = picks.iter().filter(|p| name(&b, p) == "u0").count();
+    assert!(got <= 3, "{got} at once before any answer, at one a second");
+}
