--- a/crates/honeypulley_policy/src/balance/trial.rs
+++ b/crates/honeypulley_policy/src/balance/trial.rs
@@ -130,9 +130,7 @@
         if rest <= most.mul_f64(1.0 - TURN_SHARE) {
             return false;
         }
-        let worked = u.worked.unwrap_or(u.joined).as_micros();
-        let turn = fastrand::Rng::with_seed(self.seed ^ u.id.0 ^ worked).f64();
-        rest > most.mul_f64(1.0 - TURN_SHARE * turn)
+        rest > most.mul_f64(1.0 - TURN_SHARE * self.turn(u))
     }
 
     /// Returns the less doubted of two drawn at random.
