--- a/crates/honeypulley_policy/tests/load/main.rs
+++ b/crates/honeypulley_policy/tests/load/main.rs
@@ -258,3 +258,16 @@
         println!("{name}: lost {lost:.4}, in aim {in_aim:.4}, floor {floor:.2}");
     }
 }
+
+/// Prints the least floor while much fails, of downloads that hang.
+#[test]
+#[ignore = "prints figures"]
+fn figures_of_downloads() {
+    for gap_s in [13.0, 7.0] {
+        let floors: Vec<String> = (1..=12)
+            .map(|seed| play(Plan { gap_s, seed, ..DOWNLOADS }, SECS + 10))
+            .map(|r| format!("{:.2}/{:.3}", r.floor_in_trouble, r.reads.lost()))
+            .collect();
+        println!("gap {gap_s}: {}", floors.join(" "));
+    }
+}
