--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -64,10 +64,10 @@
     }
 }
 
-/// Bounds what entries that went are waited for by what this box itself would wait.
+/// Bounds the hold of departed entries by the hold that this box would apply.
 ///
-/// A box that was cut off takes its own absence for the platform's when it is back. Told
-/// to others, its wait kept departed upstreams at work on 34 of 36 boxes for 2.3 s.
+/// A box that was isolated takes that for an outage of the platform, and would have its peers
+/// keep departed upstreams at work.
 fn held_for(mut entries: Vec<Entry>, most: Duration) -> Vec<Entry> {
     for e in &mut entries {
         if let EntryState::Gone { hold } = &mut e.state {
@@ -148,8 +148,7 @@
 
     /// Takes the whole list as the platform showed it.
     ///
-    /// A reader tells the others what changed by that, as it does with changes that it
-    /// watched: 54 of 87 boxes that were left to pull it took 0.2 to 1.9 s.
+    /// A reader broadcasts what changed by that, as it does with changes that it watched.
     pub fn take_list(&self, c: &Changes, from: &str) {
         let hold = self.readers().hold(self.now());
         let entries = self.entries(c, hold);
--- a/crates/honeypulley_mesh/src/pace.rs
+++ b/crates/honeypulley_mesh/src/pace.rs
@@ -1,24 +1,21 @@
-//! When ends of attempts are told to the data hall.
+//! When ends of attempts are announced to the data hall.
 //!
-//! What one box begins keeps the others from the same upstream, so it is told at once. That
-//! it ended can wait a moment and go with the next news: each datagram goes to every box of
-//! the hall, and two a request were most of what a box sends and hears. In a hall of 61 boxes
-//! of four requests a second 1.4 are left (`tests/pace.rs`); on a day of 293 boxes the
-//! processor time of all fell by 14 in 100, and as much was served.
+//! The start of an attempt keeps the peers from the same upstream, so it is announced at once.
+//! Its end can wait for the next datagram: each goes to every box of the hall, and two a request
+//! would be most of a box's control traffic.
 
 use honeypulley_peer::codec::MAX_ITEMS;
 use honeypulley_policy::balance::News;
 use honeypulley_policy::time::Time;
 use std::time::Duration;
 
-/// Longest time that the end of an attempt waits, for each other box of the data hall.
+/// Maximum delay before a finished attempt is announced, for each peer of the data hall.
 ///
-/// So a small hall, where a datagram to all costs little, hears of it nearly at once.
+/// In a small hall, where a broadcast is cheap, it is announced nearly at once.
 const HOLD_A_BOX: Duration = Duration::from_micros(2_500);
-/// Longest time that the end of an attempt waits, in a data hall of any size.
+/// Maximum delay before a finished attempt is announced, in a data hall of any size.
 ///
-/// It lengthens each request by that for the others, in a hall of 61 boxes by half of an
-/// answer's usual time.
+/// To its peers, each request seems longer by that.
 const MOST_HOLD: Duration = Duration::from_millis(150);
 
 /// News for the data hall that is to be sent.
--- a/crates/honeypulley_mesh/src/peers/greet.rs
+++ b/crates/honeypulley_mesh/src/peers/greet.rs
@@ -13,9 +13,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Boxes that one which has just started asks for their beliefs, or says hello to.
+/// Peers that a starting box asks for their beliefs, or sends a hello.
 ///
-/// With a third of the boxes gone unnoticed, all three are gone in 4 of 100.
+/// More than one, since some may have left unnoticed.
 const ASKED_BOXES: usize = 3;
 /// Time between two hellos to the seeds while no other box is known.
 const HELLO_GAP: Duration = Duration::from_millis(500);
--- a/crates/honeypulley_mesh/src/peers/tell.rs
+++ b/crates/honeypulley_mesh/src/peers/tell.rs
@@ -19,9 +19,9 @@
 /// The next one in turn may be half a second away, a quarter of the smallest bound on a
 /// departure; a release brings thirty changes a second, which one beacon sums up.
 const FOLLOW_GAP: Duration = Duration::from_millis(150);
-/// Boxes of each other data hall that send on what concerns tables and lists.
+/// Boxes of each other data hall that forward what concerns tables and lists.
 ///
-/// With a third of the boxes gone unnoticed, all three are gone in 4 of 100.
+/// More than one, since some may have left unnoticed.
 pub(super) const NEWS_OF_LISTS: usize = 3;
 /// Boxes of each other data hall that send on what was seen of upstreams.
 const NEWS_OF_UPSTREAMS: usize = 2;
--- a/crates/honeypulley_mesh/src/readers.rs
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -14,17 +14,14 @@
 use std::time::Duration;
 
 /// Readers wanted in a fleet.
-///
-/// Three are struck together by a fault of a third of the boxes in 4 of 100.
 pub const WANTED: usize = 3;
 /// Time between two beacons of a reader.
 pub const BEACON_GAP: Duration = Duration::from_millis(500);
 /// Time that a watch waits at the platform, so that its silence is noticed soon.
 pub const WATCH_WAIT: Duration = Duration::from_millis(600);
-/// Time without a beacon of any reader after which a box takes it that all are lost.
+/// Time without a beacon of any reader after which all are taken for lost.
 ///
-/// Two beacons of each of three readers, by three ways to another data hall: at three
-/// packets lost in ten, one box in 100,000 is wrong about it.
+/// Two beacons of each reader, so that lost packets alone seldom cause it.
 pub const SILENCE: Duration = Duration::from_millis(1_100);
 /// Time from the start of a box in which it takes silence for the others' starts.
 const START_TIME: Duration = Duration::from_secs(3);
@@ -53,9 +50,7 @@
 const YIELD_CHANCE: f64 = 0.3;
 /// Highest chance of beginning to read at one look if no reader is heard at all.
 const ALONE_CHANCE: f64 = 0.4;
-/// Boxes that begin to read at one round of looks then, as reckoned.
-///
-/// None of a fleet begins in 3 of 10,000 rounds; the first that does is heard at once.
+/// Boxes expected to begin to read in one round then; the first that does is heard at once.
 const ALONE_STARTS: f64 = 8.0;
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/honeypulley_policy/src/balance/admit.rs
+++ b/crates/honeypulley_policy/src/balance/admit.rs
@@ -12,31 +12,21 @@
 use crate::time::Time;
 use std::time::Duration;
 
-/// Times the aim within which an answer has to be expected while a queue comes and goes.
-///
-/// Such a queue is worth its wait: held to the lower bound at all times, the
-/// herbarium's standard days lost 0.012 of worth, most of it requests never served.
+/// Expected answer time, in aims, above which a request is rejected while queues are transient.
 const PASSING_AIMS: f64 = 1.25;
-/// Time over which it is taken whether requests have to queue.
+/// Time constant of the average that tells a standing queue from a transient one.
 ///
-/// RFC 8289 takes a tenth of it for packets; a box sees a request of a service each 100
-/// to 300 ms.
+/// Longer than the interval of RFC 8289, since a box sees few requests of a service.
 const PRESSURE_TIME: Duration = Duration::from_secs(1);
-/// Part of it with a queue from which on the queue counts as standing.
+/// Share of requests that had to queue above which the queue counts as standing.
 const STANDING_SHARE: f64 = 0.5;
-/// Times the aim within which an answer has to be expected while a queue stands.
-///
-/// At 3.5 times the usual traffic, with callers that repeat, on the herbarium's sheet:
-/// 324 requests served in time each two seconds at 0.65, 237 at 0.9, 161 at 1.25, and
-/// 178 where none was refused.
+/// Expected answer time, in aims, above which a request is rejected while a queue stands.
 const MOST_AIMS: f64 = 0.65;
-/// Part of the time beyond the aim, for which the route holds a request, that is granted.
+/// Share of the time beyond the aim that is granted where a route holds requests longer.
 ///
-/// A route that holds requests for much longer than its aim still wants late answers:
-/// at 0.65 of the aim alone, Vakatoro's sheet (held for 2.5 aims and more, late answers
-/// worth half and more) lost 0.02 of worth in the same overload.
+/// Such a route wants late answers too.
 const LATE_SHARE: f64 = 0.5;
-/// Part of that time for a second send while a queue stands: those end first.
+/// Share of that time granted to a retry while a queue stands: retries are rejected first.
 const AGAIN_SHARE: f64 = 0.5;
 /// Shortest and longest wait told to a caller that is refused.
 const WAIT_BOUNDS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -24,13 +24,9 @@
 const HALL_LOSS: f64 = 0.015;
 /// Loss of an upstream that is still slow from its start.
 const COLD_LOSS: f64 = 0.06;
-/// Loss above the least one up to which an upstream is as good, and may be drawn.
+/// Loss above the least one up to which upstreams are equivalent, and one is drawn at random.
 ///
-/// Boxes believe the same, so all took the same upstream at once, and before they had heard
-/// of its first failure as much again was lost there. In halls of 58 boxes (`tests/load`) 1.7
-/// in 100 orders were lost to spells with a random part of 0.01 in place of this, 1.4 to 1.6
-/// with 0.03 to 0.2; where upstreams fall ill twice as often 3.9, and 2.9 to 2.7. A narrow band
-/// keeps out an upstream that answered one trial well, which then needs another one soon.
+/// All boxes hold similar beliefs, and would otherwise send to the same upstream at once.
 const ALIKE_LOSS: f64 = 0.06;
 /// Time in which a report of other halls' requests loses most of its meaning.
 const LOAD_LIFE: Duration = Duration::from_millis(500);
--- a/crates/honeypulley_policy/src/balance/failing.rs
+++ b/crates/honeypulley_policy/src/balance/failing.rs
@@ -8,9 +8,6 @@
 use std::time::Duration;
 
 /// Time over which failures of a service are counted: as long as the floor is.
-///
-/// Counted over one second and against the traffic of one box, half of the seconds of a calm
-/// hall of 58 boxes counted as failing: 7 in 100 of its orders were lost, 5 now.
 const SPAN: Duration = Duration::from_secs(2);
 /// Time for which a service counts as failing after it was seen to: as long as the
 /// floor is counted.
@@ -19,7 +16,7 @@
 const RATE_TIME: Duration = Duration::from_secs(4);
 /// Share of a service's requests that fail from which on it counts as failing.
 ///
-/// The floor is counted from a tenth on; in calm two to five in 100 fail.
+/// Just below the tenth from which on the floor is counted.
 const SHARE: f64 = 0.09;
 /// Requests that are assumed of which none was turned away, before any was seen.
 const PRIOR: f64 = 10.0;
--- a/crates/honeypulley_policy/src/balance/floor.rs
+++ b/crates/honeypulley_policy/src/balance/floor.rs
@@ -2,9 +2,7 @@
 //!
 //! The floor asks for work on a share of a service's upstreams that are well, not on all of
 //! them. Those that nobody needs are left alone, since the first request that meets a spell
-//! of failures is lost if it may not be repeated: of a hall of 57 upstreams before 110
-//! orders a second 4.6 in 100 were lost when each had to get work, 3.1 since; where spells
-//! are twice as frequent 7.6 and 5.1 (mean of sixteen seeds, `tests/load`).
+//! of failures is lost if it may not be repeated.
 
 use super::Balancer;
 use crate::router::UpstreamKey;
@@ -23,8 +21,7 @@
 const SOUND_AFTER: Duration = Duration::from_secs(2);
 /// Share of the upstreams that are well by which more have work than the floor asks for.
 ///
-/// To it comes the spread of a count of so many upstreams, since which of them are well is
-/// known by chances alone: 0.07 together at 287 upstreams, 0.16 at sixteen.
+/// The standard deviation of such a count comes on top, since health is known by chances alone.
 const MARGIN: f64 = 0.04;
 
 /// What the floor asks of the upstreams of one service.
--- a/crates/honeypulley_policy/src/balance/heard.rs
+++ b/crates/honeypulley_policy/src/balance/heard.rs
@@ -11,14 +11,11 @@
 use std::time::Duration;
 
 /// Chance of sickness from which an upstream is in doubt, for the log.
-///
-/// A line for each news was 80 lines a second on each of 88 boxes.
 const DOUBTED: f64 = 0.5;
-/// Time for which the word of a box is not taken that it can't reach an upstream, after
-/// another was answered by one that it had not reached.
+/// Time for which a peer's reports of unreachable upstreams are ignored, after another box was
+/// answered by one of them.
 ///
-/// It has lost its own paths. Without this, two cut boxes of twenty bore each other
-/// out, and seven of twenty upstreams that were well got nothing for two seconds.
+/// That peer has lost its own paths, and two such peers would confirm each other.
 pub(super) const CONTRADICTED_TIME: Duration = Duration::from_secs(5);
 
 /// What another box's news put in doubt.
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -223,11 +223,9 @@
         u16::try_from(self.mine.len()).unwrap_or(u16::MAX)
     }
 
-    /// Takes what was seen there, by whichever box.
+    /// Records what was seen there, by whichever box.
     ///
-    /// A request that is turned away says the less of one upstream, the more of them are
-    /// turned away by all: where each turned away 45 in 100, though it had room, all were
-    /// doubted in turn, work waited at the few that were not, and 9 in 100 answers came late.
+    /// A rejection says the less of one upstream, the more requests all of them reject.
     pub(super) fn learn(&mut self, what: Observation, shed_share: f64, now: Time) {
         self.taught = true;
         if what != Observation::Shed {
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -166,12 +166,11 @@
         self.drop_old(rule, now);
     }
 
-    /// Takes what another box told of its requests within the window, and how many of
-    /// them it `spent` a further send on; `again` if it has just sent one again.
+    /// Records what a peer reported of its requests within the window, and how many of
+    /// them it `spent` a retry on; `again` if it has just retried one.
     ///
-    /// What it spent beyond what was heard of it was told in vain, as while boxes were
-    /// cut off from each other. Taken for nothing, it broke the bound by 1 to 5 in 100
-    /// with 45 in 100 boxes cut off for four seconds.
+    /// Retries beyond those received one by one were lost on the way, as during a partition, and
+    /// count as well.
     pub(super) fn heard(&mut self, rule: &RetryRule, told: Spending, now: Time) {
         self.drop_old(rule, now);
         let known = self.others.iter().filter(|(_, from)| *from == told.from).count();
--- a/crates/honeypulley_policy/src/balance/trial.rs
+++ b/crates/honeypulley_policy/src/balance/trial.rs
@@ -25,25 +25,16 @@
 const YOUNG: Duration = Duration::from_secs(5);
 /// How failed upstreams are spared trials while a service is mostly well.
 ///
-/// Measured on the deployments: of trials 3, 4, 5 and 6 s after a failure 63, 41, 29
-/// and 12 in 100 failed. Where the others may rest, a rest of 4, 5 and 7 s costs the same
-/// within one order in 1,000, and more upstreams have work at 4 s. The users count an upstream again two seconds after its spell,
-/// so a longer rest breaks the floor when all boxes are lost at such a moment: one of
-/// 15 s did in three of 96 losses, one that doubled after the second failure of a spell
-/// in four of 288; this one did in none of 144.
+/// The floor counts an upstream again soon after its failures end, so a longer backoff could break
+/// it when all boxes are lost at such a moment.
 const USUAL_SPARING: Sparing = Sparing { rest: Duration::from_secs(4), borne: 2, doublings: 1 };
 /// The same while much of a service fails: the floor is counted then.
 ///
-/// When 43 of 53 upstreams were in trouble, six of the ten others got nothing, as they
-/// rested. The users count a failed one again after two seconds, so it has to be tried
-/// within four.
+/// A failed upstream counts again after two seconds, so it has to be tried within four.
 const FAILING_SPARING: Sparing = Sparing { rest: Duration::from_secs(2), borne: 2, doublings: 1 };
-/// Last part of the longest time without work, in which boxes have their turns.
+/// Last part of the longest time without work, over which the boxes' trials are spread.
 ///
-/// Boxes that all found an upstream due at once met there before they heard of each other:
-/// a quarter of the trials in a hall of a large fleet. Where upstreams fall ill every twelve
-/// seconds (`tests/load`) 2.1 in 100 orders were lost to such company, 0.8 with turns, and
-/// 0.8 with a part of 0.25; of all orders 8.3, 7.0 and 7.0.
+/// Boxes that find an upstream due at once would meet there before they hear of each other.
 const TURN_SHARE: f64 = 0.15;
 /// Chance that this box's path is bad, above which the other boxes keep it at work.
 const PATH_BAD: f64 = 0.4;
@@ -135,8 +126,7 @@
 
     /// Returns the less doubted of two drawn at random.
     ///
-    /// Boxes that all took the one that had rested longest met there before they heard of
-    /// each other: 17 in 100 orders of a hall were trials, 8 since.
+    /// Boxes that all took the longest idle one would meet there.
     fn less_doubted(&mut self, due: &[UpstreamKey], now: Time) -> Option<UpstreamKey> {
         if due.is_empty() {
             return None;
--- a/crates/honeypulley_policy/src/balance/work.rs
+++ b/crates/honeypulley_policy/src/balance/work.rs
@@ -17,8 +17,6 @@
 /// Samples before the middle is trusted to place the prior.
 const WARM: f32 = 12.0;
 /// Least share that is thought to take longer than anything seen.
-///
-/// The sheets name one request in 100 at three to five times the usual work.
 const LEAST_SHARE: f64 = 0.005;
 
 /// Histogram of answer times on a logarithmic scale, with a weak prior.
--- a/crates/honeypulley_policy/src/belief.rs
+++ b/crates/honeypulley_policy/src/belief.rs
@@ -9,19 +9,13 @@
 use crate::balance::illness::{HUNG_RATIO, OVERDUE_RATIO};
 use crate::time::Time;
 
-/// Share of requests that fail on a sick upstream, as on the deployments' sheets.
+/// Prior share of requests that fail on a sick upstream.
 pub const FAILS_SICK: f64 = 0.75;
-/// Rate at which an upstream falls sick, per second.
-///
-/// Measured on the deployments: one first failure in 13 s of work, of which some
-/// are base failures; upstreams did not differ in it.
+/// Prior rate at which an upstream falls sick, per second.
 const ONSET: f64 = 1.0 / 19.0;
 /// Rate at which a path from this box falls ill, per second: cuts and the like.
 const PATH_ONSET: f64 = 1.0 / 600.0;
-/// Rate at which a phase of sickness ends, per second.
-///
-/// Measured after a failure: 0.73, 0.68, 0.44 and 0.19 of upstreams were sick after 1, 2,
-/// 4 and 6 s; this gives 0.82, 0.66, 0.41 and 0.27, a failure being met in either phase.
+/// Prior rate at which a phase of sickness ends, per second.
 const PHASE_END: f64 = 1.0 / 2.3;
 /// Most that is believed of the sickness of an upstream that was said to be well.
 const CALM_SICK: f64 = 0.1;
@@ -37,8 +31,7 @@
     Failure,
     /// A failure answer after the usual time of work.
     ///
-    /// It is mostly the request's own fault: where one of 96 was seen, the upstream's
-    /// next request failed in 12 of 100, after one at once in 78 of 100.
+    /// It is mostly the request's own fault, where an immediate one is mostly the upstream's.
     FailedWork,
     /// The connection was refused.
     Refused,
@@ -57,10 +50,8 @@
 impl Observation {
     /// Tells whether a request may be lost by it.
     ///
-    /// One of which nothing was sent goes elsewhere at no cost. Such attempts counted as
-    /// failures of the service: where a fifth of a hall's boxes did not reach two fifths of the
-    /// upstreams it took itself for failing, tried what had failed a moment ago, and lost 4.1
-    /// in 100 orders, 2.7 now, as where nothing is cut (`tests/load`).
+    /// A request of which nothing was sent goes elsewhere at no cost, so it is no failure of
+    /// its service.
     #[must_use]
     pub const fn may_lose(self) -> bool {
         matches!(self, Self::Failure | Self::FailedWork | Self::Hung | Self::Shed)
@@ -68,8 +59,7 @@
 
     /// Returns how likely this is of a well and of a sick upstream.
     ///
-    /// The base rate of failures, 1.2 in 100, is that of the deployments' sheets, and
-    /// nearly all of it comes after work; the others are estimates.
+    /// Nearly all base failures come after work.
     pub(crate) const fn likelihood(self) -> (f64, f64) {
         match self {
             Self::Success => (0.93, 0.25),
