--- a/crates/honeypulley_mesh/src/book.rs
+++ b/crates/honeypulley_mesh/src/book.rs
@@ -1,7 +1,7 @@
 //! Addresses of the other boxes.
 //!
 //! An address that leads nowhere costs a datagram now and then, so entries are
-//! never dropped; a box that comes back replaces its own.
+//! never dropped; a box that returns replaces its own.
 
 use crate::tree::Neighbour;
 use honeypulley_peer::listing::BoxAddress;
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time for which a box that was heard is taken to be there.
+/// Time for which a box counts as reachable after a datagram of it.
 const HEARD_LIFE: Duration = Duration::from_secs(5);
 
 /// Silence of all other boxes after which this one goes by what it knows alone.
@@ -27,7 +27,7 @@
     hall: String,
     boxes: BTreeMap<NameId, BoxAddress>,
     heard: BTreeMap<NameId, Time>,
-    /// When any other box was last heard.
+    /// When the last datagram of any peer arrived.
     last: Time,
     /// Boxes of each data hall, this one included.
     halls: BTreeMap<NameId, usize>,
@@ -71,7 +71,7 @@
         self.last = self.last.max(now);
     }
 
-    /// Tells whether there are other boxes and none was heard for 1.5 s.
+    /// Returns whether this box is isolated: there are peers, and none was heard for 1.5 s.
     #[must_use]
     pub fn is_alone(&self, now: Time) -> bool {
         !self.boxes.is_empty() && now.since(self.last) > ALONE_TIME
@@ -85,7 +85,7 @@
 
     /// Returns the place of this box in the order of its data hall's boxes for a subject.
     ///
-    /// The order is drawn by hashing; boxes that were not heard lately stand last.
+    /// The order is drawn by hashing; boxes that are unreachable stand last.
     #[must_use]
     pub fn rank(&self, subject: NameId, now: Time) -> usize {
         let key = |id: NameId, silent: bool| (silent, weight(id.0, subject.0), id);
@@ -94,7 +94,7 @@
         near.filter(|b| key(b.id, self.is_silent(b.id, now)) < own).count()
     }
 
-    /// Tells whether any other box was heard lately.
+    /// Returns whether any peer is reachable.
     #[must_use]
     pub fn hears_others(&self, now: Time) -> bool {
         self.heard.values().any(|t| now.since(*t) < HEARD_LIFE)
@@ -111,7 +111,7 @@
         self.heard.get(&id).is_none_or(|t| now.since(*t) > HEARD_LIFE)
     }
 
-    /// Returns up to `k` boxes of each other data hall, those heard lately first.
+    /// Returns up to `k` boxes of each other data hall, reachable ones first.
     #[must_use]
     pub fn delegates(&self, k: usize, now: Time, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
         let mut halls: BTreeMap<&str, Vec<(bool, u64, SocketAddr)>> = BTreeMap::new();
--- a/crates/honeypulley_mesh/src/catch_up.rs
+++ b/crates/honeypulley_mesh/src/catch_up.rs
@@ -1,6 +1,6 @@
 //! What a box does about changes of the list that it misses, or may miss.
 //!
-//! A box misses changes when another one has told of a version that it does not hold.
+//! A box misses changes when a peer has announced a version that it does not hold.
 //! It may miss some when its list was last known to be complete some time ago and no
 //! reader has been heard since that the platform answers. It then asks boxes by
 //! datagram, next takes a whole list over a connection, and last reads the platform
@@ -34,7 +34,7 @@
 /// Time of asking in vain after which this box reads the platform itself, and between
 /// two such reads.
 const READ_GAP: Duration = Duration::from_millis(600);
-/// Age of the list at which a box that hears no reader takes it that it misses something.
+/// Age of the list at which a box that can reach no reader assumes that it misses changes.
 ///
 /// A calm list is as old as a watch that waits and a beacon, 1.1 s, at the most.
 const STALE_AGE: Duration = Duration::from_millis(1_150);
@@ -83,11 +83,11 @@
     pub version: u64,
     /// Time since it was last known to be complete, if it ever was.
     pub age: Option<Duration>,
-    /// What was heard of readers for [`SILENCE`].
+    /// Readers' beacons of the last [`SILENCE`].
     pub heard: HeardOf,
 }
 
-/// What a box has heard of readers lately.
+/// What a box has received from readers lately.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeardOf {
     /// A reader that the platform answers.
@@ -112,7 +112,7 @@
 pub struct CatchUp {
     /// Whether the whole fleet starts for the first time with this box.
     first_start: bool,
-    /// Newest version heard of.
+    /// Newest version announced.
     wanted: u64,
     source: Option<Source>,
     /// When this box took it that it misses something.
@@ -156,13 +156,13 @@
         self.wanted > held
     }
 
-    /// Returns the newest version heard of.
+    /// Returns the newest version announced.
     #[must_use]
     pub const fn wanted(&self) -> u64 {
         self.wanted
     }
 
-    /// Returns the box that told of it.
+    /// Returns the box that announced it.
     #[must_use]
     pub const fn source(&self) -> Option<Source> {
         self.source
--- a/crates/honeypulley_mesh/src/held.rs
+++ b/crates/honeypulley_mesh/src/held.rs
@@ -2,7 +2,7 @@
 //!
 //! No box knows anything then, and the caller still comes. The reader that tells changes first
 //! writes all holds as one object when they change, a few times for each request that ends
-//! upstreams; each box that begins to read reads it once and tells the others.
+//! upstreams; each box that becomes a reader reads it once and broadcasts it.
 
 use crate::store::{FIRST_WAIT, StoreDuty, pause};
 use bytes::Bytes;
--- a/crates/honeypulley_mesh/src/join.rs
+++ b/crates/honeypulley_mesh/src/join.rs
@@ -2,7 +2,7 @@
 //!
 //! Answers that may be seconds old will do: they cost a tenth of a call and are outside
 //! the platform's rate, also when the whole fleet starts at once, and what has changed
-//! since is told by the readers. Fresh answers, and a hello to every other box, were four
+//! since is pushed by the readers. Fresh answers, and a hello to every other box, were four
 //! calls and 292 datagrams a box and start, 3,100 of the 4,094 calls of a quiet half minute
 //! of 293 boxes.
 
@@ -17,7 +17,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Wait before a table that was not there is looked for again while no reader is heard.
+/// Retry interval for a missing routing table while no list reader is reachable.
 const ABSENT_WAIT: Duration = Duration::from_secs(2);
 /// Bounds of the wait after which a first start looks once more for the other boxes, in
 /// milliseconds: an old answer does not show those that came in the last seconds.
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Ends once a peer has told of a table, or when the platform is to be asked again.
+    /// Ends once a peer has announced a table, or when the platform is to be asked again.
     async fn until_table(&self) {
         loop {
             let _ = tokio::time::timeout(ABSENT_WAIT, self.mesh.table_reached(1)).await;
--- a/crates/honeypulley_mesh/src/list.rs
+++ b/crates/honeypulley_mesh/src/list.rs
@@ -89,7 +89,7 @@
     }
 }
 
-/// Returns the row of an entry that is heard of for the first time, and the change.
+/// Returns the row of an entry that is new, and the change.
 fn fresh(name: &str, state: EntryState, now: Time) -> (Held, ListChange) {
     match state {
         EntryState::Present(l) => (Held::Present(l.clone()), ListChange::Set(l)),
@@ -269,7 +269,7 @@
         }
     }
 
-    /// Returns entries that went and did not come back in time.
+    /// Returns departed entries whose hold has expired.
     pub fn expire(&mut self, now: Time) -> Vec<ListChange> {
         let mut changes = Vec::new();
         for (name, row) in &mut self.rows {
@@ -286,7 +286,7 @@
         changes
     }
 
-    /// Tells whether an entry is missing that may come back.
+    /// Returns whether an entry is missing that may return.
     #[must_use]
     pub fn has_missing(&self) -> bool {
         self.rows.values().any(|r| matches!(r.held, Held::Missing { .. }))
@@ -298,7 +298,7 @@
         self.rows.iter().map(|(name, row)| row.entry(name, now)).collect()
     }
 
-    /// Returns the upstreams that are there, or may come back.
+    /// Returns the upstreams that are listed, or may return.
     pub fn present(&self) -> impl Iterator<Item = &Listed> {
         self.rows.values().filter_map(|r| match &r.held {
             Held::Present(l) | Held::Missing { listed: l, .. } => Some(l),
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -19,7 +19,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Changes that a reader learnt from the platform and has not told yet.
+/// Changes that a reader watched and has not broadcast yet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Untold {
     /// Version after which they begin.
@@ -30,7 +30,7 @@
     pub entries: Vec<Entry>,
 }
 
-/// The list, what came of told changes, and what is to be done with both.
+/// The list, received fragments of changes, and pending work on both.
 #[derive(Debug, Default)]
 pub(crate) struct Lists {
     pub(crate) list: UpstreamList,
@@ -38,7 +38,7 @@
     /// Changes for the serving thread, the newest of each upstream.
     next: BTreeMap<String, ListChange>,
     untold: Vec<Untold>,
-    /// Highest version up to which another box told changes whole.
+    /// Highest version up to which a peer sent complete changes.
     told: u64,
 }
 
@@ -157,12 +157,12 @@
         let wanted = self.catch_up().wanted();
         let mut lists = self.lists.lock();
         // The platform shows all up to its version, also what only a lost box spoke of.
-        // More than others have heard of is not claimed: they would have to ask for it.
+        // No version is claimed that peers have not received: they would have to pull it.
         let held = lists.list.version();
         lists.list.complete(held, wanted.min(c.version));
         let upto = lists.list.version();
         let tells = before > 0 && upto > before && self.readers().is_reading();
-        // What may be forgotten in part is not told at all; the beacon says what there is.
+        // Changes with a gap are not broadcast; the beacon announces the version.
         if tells && let Some(entries) = lists.list.changes_after(before, self.now()) {
             lists.untold.push(Untold { since: before, upto, entries });
         }
@@ -235,13 +235,13 @@
         self.serving.notify_one();
     }
 
-    /// Returns what this box learnt from the platform and has not told yet.
+    /// Returns what this box watched and has not broadcast yet.
     #[must_use]
     pub fn take_untold(&self) -> Vec<Untold> {
         std::mem::take(&mut self.lists.lock().untold)
     }
 
-    /// Returns the highest version up to which another box told changes whole.
+    /// Returns the highest version up to which a peer sent complete changes.
     #[must_use]
     pub fn told_by_others(&self) -> u64 {
         self.lists.lock().told
@@ -271,7 +271,7 @@
         self.lists.lock().list.is_known()
     }
 
-    /// Returns the number of upstreams that are there, or may come back.
+    /// Returns the number of upstreams that are listed, or may return.
     #[must_use]
     pub fn upstreams(&self) -> usize {
         self.lists.lock().list.present().count()
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -46,7 +46,7 @@
     pulls: Cell<u32>,
     numbers: RefCell<Numbers>,
     seen: RefCell<SeenNumbers>,
-    /// Boxes that said hello, of which the others are still to be told.
+    /// Boxes that sent a hello and are still to be announced.
     newcomers: RefCell<Vec<BoxAddress>>,
     gathering: Notify,
     /// Where the telling of held requests goes on.
--- a/crates/honeypulley_mesh/src/peers/greet.rs
+++ b/crates/honeypulley_mesh/src/peers/greet.rs
@@ -1,7 +1,7 @@
 //! How a box gets to know the others, and takes over what they believe.
 //!
 //! A box whose address the others may not know says hello to its seeds, or to a few boxes.
-//! Whoever hears a newcomer tells all others of it, together with those that came in the
+//! Whoever receives a hello announces the newcomer to all, with those that came in the
 //! same moment: a hello of each box to each other one was 85,000 datagrams at a start of
 //! 293 boxes, of which 19,000 were dropped, and would be 21 million at 4,600.
 
@@ -19,7 +19,7 @@
 const ASKED_BOXES: usize = 3;
 /// Time between two hellos to the seeds while no other box is known.
 const HELLO_GAP: Duration = Duration::from_millis(500);
-/// Time that the platform has to name the other boxes to one that comes back, before the
+/// Time for the platform to list the other boxes to one that returns, before the
 /// seeds are asked.
 ///
 /// It answers in 4 ms, and a process with a tenth of a core takes some 100 ms to start.
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Says hello to some boxes, which tell the others; one of them is asked whom it knows.
+    /// Sends a hello to some boxes, which announce it; one is asked for its address book.
     fn introduce(&self, mut to: Vec<SocketAddr>) {
         log::info!(boxes = to.len(); "peer: {} boxes are told of this one", to.len());
         fastrand::shuffle(&mut to);
@@ -115,7 +115,7 @@
         }
     }
 
-    /// Tells all boxes of those that have come, some moments after the first of them.
+    /// Announces the newcomers to all boxes, some moments after the first of them.
     pub(super) async fn tell_newcomers(&self) {
         loop {
             self.gathering.notified().await;
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -35,7 +35,7 @@
 /// A list of some hundred upstreams took 40 to 330 ms to a box with a tenth of a core
 /// while all others pulled; one that hangs must leave time for another.
 const PULL_TIME: Duration = Duration::from_millis(1_000);
-/// Pulls of the list under way at one time, so that one that hangs holds up none.
+/// Concurrent pulls of the list, so that one that hangs delays none.
 const MAX_PULLS: u32 = 2;
 /// Least wait between two looks at what is missed, so that a late timer costs no loop.
 const LEAST_WAIT: Duration = Duration::from_millis(5);
@@ -129,7 +129,7 @@
         }
     }
 
-    /// Pulls the whole list from one box, beside whatever else is under way.
+    /// Pulls the whole list from one box, concurrently with other pulls.
     fn pull_list(self: &Rc<Self>) {
         let mut from = self.sources();
         fastrand::shuffle(&mut from);
@@ -168,7 +168,7 @@
     }
 
     /// Pulls a newer table from the box before this one in its tree; if that fails, from
-    /// the platform or the box that told of it.
+    /// the platform or the box that announced it.
     async fn pull_table(&self, missed: MissedTable) {
         if self.mesh.readers().is_reading() {
             // Its own watch shows the same.
--- a/crates/honeypulley_mesh/src/peers/tell.rs
+++ b/crates/honeypulley_mesh/src/peers/tell.rs
@@ -1,4 +1,4 @@
-//! What a box tells the others: changes of the list, beacons, and what it sees.
+//! What a box broadcasts: changes of the list, beacons, and its observations.
 
 use super::Node;
 use super::outbox::{Parcel, Urgency};
@@ -14,7 +14,7 @@
 
 /// Time that a reader leaves to one of a lower id to tell changes first.
 const TELL_STEP: Duration = Duration::from_millis(60);
-/// Time from a told change to the beacon by which a box notices that it was lost.
+/// Time from a broadcast change to the beacon that reveals its loss.
 ///
 /// The next one in turn may be half a second away, a quarter of the smallest bound on a
 /// departure; a release brings thirty changes a second, which one beacon sums up.
@@ -27,11 +27,11 @@
 const NEWS_OF_UPSTREAMS: usize = 2;
 /// Age of the platform's last answer above which a box says that it can't read.
 ///
-/// Far above a fresh one, and below what is told when there was none.
+/// Far above a fresh one, and below the value that stands for none.
 const ABLE_AGE: Duration = Duration::from_secs(60);
 
 impl Node {
-    /// Tells the others what this box has, while it is a reader.
+    /// Broadcasts what this box has, while it is a reader.
     pub(super) async fn beacon_on(&self) {
         let (mut was_reader, mut was_able) = (false, false);
         let mut number = 0;
@@ -46,7 +46,7 @@
                 self.tell_held();
             }
             let mut until = tokio::time::Instant::now() + BEACON_GAP;
-            // A new table or a change is told at once, other wakes wait.
+            // A new table or a change is broadcast at once, other wakes wait.
             loop {
                 let woken = tokio::time::timeout_at(until, self.mesh.telling.notified()).await;
                 let b = self.mesh.beacon();
@@ -63,10 +63,10 @@
         }
     }
 
-    /// Tells the others what this box learnt from the platform; tells whether it did.
+    /// Broadcasts what this box watched at the platform; returns whether it did.
     ///
     /// The reader with the lowest id does so at once, the others only if they
-    /// have not heard all of it from another by then.
+    /// have not received all of it from another by then.
     async fn tell_changes(&self) -> bool {
         let untold = self.mesh.take_untold();
         if untold.is_empty() {
@@ -96,7 +96,7 @@
         has_told
     }
 
-    /// Tells the others what this box sees of upstreams, as it sees it.
+    /// Broadcasts what this box observes of upstreams, as it happens.
     pub(super) async fn send_news(&self) {
         let news = &self.mesh.news_out;
         let mut pacer = Pacer::default();
@@ -123,7 +123,7 @@
         }
     }
 
-    /// Tells the others at once what this box learns of requests that end upstreams.
+    /// Broadcasts at once what this box learns of requests that crash upstreams.
     pub(super) async fn send_requests(&self) {
         let news = &self.mesh.requests_out;
         loop {
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Tells the others of the requests that are held, if this reader is the first.
+    /// Broadcasts the held requests, if this reader is the first.
     ///
     /// A box that has just started, was cut off or paused, or lost the news, knows of each
     /// within one beacon, of 256 within 4.5 s. At 34 bytes each they take 2 kB a second.
--- a/crates/honeypulley_mesh/src/readers.rs
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -1,7 +1,7 @@
 //! Who reads the platform's store.
 //!
-//! A few boxes read and tell the others by beacons. Nobody elects them: a box
-//! that hears too few fresh beacons begins to read by chance, and one that hears
+//! A few boxes read and inform their peers by beacons. There is no election: a box
+//! that receives too few fresh beacons begins to read by chance, and one that receives
 //! enough of a lower id stops. A reader that the store turns away or that is cut
 //! off stops being fresh, and another takes its place. Too many readers cost
 //! calls for some moments; too few never last.
@@ -36,21 +36,21 @@
 ///
 /// The platform's owners say about two seconds.
 const RETURN_TIME: Duration = Duration::from_millis(2_300);
-/// Age told while the platform does not answer this box.
+/// Age reported while the platform does not answer this box.
 const NEVER: Duration = Duration::from_secs(3_600);
 /// Failed calls in a row after which a reader says that it can't read.
 const FAILURES: u32 = 2;
 /// Bounds of the time between two looks at who reads, in milliseconds.
 pub const LOOK_GAP: (u64, u64) = (150, 350);
-/// The same while no reader is heard.
+/// The same while no reader is reachable.
 const SILENT_LOOK_GAP: (u64, u64) = (60, 140);
 /// Part of the usual chance at which a box with a narrow link begins to read.
 const RELUCTANCE: f64 = 0.1;
 /// Chance at one look that such a box stops when others suffice without it.
 const YIELD_CHANCE: f64 = 0.3;
-/// Highest chance of beginning to read at one look if no reader is heard at all.
+/// Highest chance of beginning to read at one look if no reader is reachable.
 const ALONE_CHANCE: f64 = 0.4;
-/// Boxes expected to begin to read in one round then; the first that does is heard at once.
+/// Boxes expected to begin to read in one round then; the first that does is known at once.
 const ALONE_STARTS: f64 = 8.0;
 
 #[derive(Clone, Copy, Debug)]
@@ -66,7 +66,7 @@
     me: NameId,
     reading: Option<Time>,
     heard: BTreeMap<NameId, Heard>,
-    /// When a reader was last heard, whether or not the platform answers it.
+    /// When a reader's last beacon arrived, whether or not the platform answers it.
     last_heard: Option<Time>,
     own_read: Option<Time>,
     /// Failed calls since the last answer.
@@ -205,7 +205,7 @@
         self.reading.is_some()
     }
 
-    /// Returns what was heard of readers for [`SILENCE`].
+    /// Returns the readers' beacons of the last [`SILENCE`].
     #[must_use]
     pub fn heard_of(&self, now: Time) -> HeardOf {
         if self.is_silent(now) {
@@ -218,21 +218,21 @@
 
     /// Returns the bounds of the time to the next look at who reads, in milliseconds.
     ///
-    /// It is short while no reader is heard: the bound on departures runs.
+    /// It is short while no reader is reachable: the bound on departures runs.
     #[must_use]
     pub fn look_gap(&self, now: Time) -> (u64, u64) {
         let urgent = self.is_silent(now) && !self.is_reading();
         if urgent { SILENT_LOOK_GAP } else { LOOK_GAP }
     }
 
-    /// Tells whether no reader has been heard for [`SILENCE`].
+    /// Returns whether no beacon has arrived for [`SILENCE`].
     #[must_use]
     pub fn is_silent(&self, now: Time) -> bool {
         let since = |t: Time| now.since(t);
         self.last_heard.map_or(since(Time::ZERO) > START_TIME, |t| since(t) > SILENCE)
     }
 
-    /// Returns the readers that were heard lately, whether or not they can read.
+    /// Returns the reachable readers, whether or not they can read.
     #[must_use]
     pub fn live(&self, now: Time) -> Vec<NameId> {
         let is_live = |h: &&Heard| now.since(h.at) < HEARD_LIFE;
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -23,7 +23,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// When to come back while this box is not set up.
+/// `Retry-After` while this box is not set up.
 const NOT_YET_WAIT: Duration = Duration::from_millis(400);
 
 /// A balancer and the organisations' limits, which hand their news on at once.
@@ -41,12 +41,12 @@
         Self { balancer, limits, mesh }
     }
 
-    /// Gives the balancer to change it by what other duties heard.
+    /// Returns the balancer, to be updated by what other duties received.
     pub const fn balancer(&mut self) -> &mut Balancer {
         &mut self.balancer
     }
 
-    /// Gives the organisations' limits to change them by what other duties heard.
+    /// Returns the organisations' limits, to be updated by what other duties received.
     pub const fn limits(&mut self) -> &mut FleetLimits {
         &mut self.limits
     }
@@ -244,7 +244,7 @@
 impl TableRoutes {
     /// Refuses a request for which the table has no route.
     ///
-    /// A box that has not heard of the platform lately may miss a newer table, so
+    /// A box that is out of touch with the platform may miss a newer table, so
     /// it does not say that there is no such route.
     fn unknown(&self, wanted: &Wanted<'_>, version: u64, now: Time) -> OwnAnswer {
         let (host, path) = (wanted.host, wanted.path);
@@ -301,7 +301,7 @@
         wait_ms = wait.as_millis() as u64;
         "route: refused, its organisation is over its limit"
     );
-    // Callers that were refused together come back one after the other.
+    // Callers that were rejected together return spread out.
     let spread = wait.mul_f64(1.0 + fastrand::f64());
     let why = format!("{} sends more than its limit allows", o.name);
     OwnAnswer::not_run(StatusCode::TOO_MANY_REQUESTS, Some(spread), why)
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -39,13 +39,13 @@
 /// Boxes that ask for beliefs at one time, above those that one box is asked by.
 const ASKED: usize = 64;
 
-/// Boxes of a data hall that may tell others of one subject.
+/// Boxes of a data hall that may announce one subject.
 ///
-/// The second one speaks up where the first is not heard; both are gone for the 5 s in which
+/// The second one stands in where the first is unreachable; both are lost for the 5 s in which
 /// a silent box counts as there only if both were lost within them.
 const TELLERS: usize = 2;
 
-/// Age told of a list that was never complete.
+/// Age reported of a list that was never complete.
 const NEVER: Duration = Duration::from_secs(3_600);
 
 /// Settings of one box of the mesh.
@@ -110,7 +110,7 @@
     pub pulling: Notify,
     /// Wakes the peers' duty to ask for changes of the list that this box misses.
     pub asking: Notify,
-    /// Wakes the store's duty to read the list, since no peer has told this box.
+    /// Wakes the store's duty to read the list, since no peer has sent it.
     pub rereading: Notify,
     /// Wakes the peers' duty when the store has named other boxes.
     pub greeting: Notify,
@@ -140,14 +140,14 @@
     pub(crate) foreign: AtomicU64,
 }
 
-/// A routing table that this box has heard of and does not have.
+/// A routing table that was announced to this box and that it does not have.
 #[derive(Clone, Copy, Debug)]
 pub struct MissedTable {
     /// Its number.
     pub number: u64,
-    /// The reader that told of it.
+    /// The reader that announced it.
     pub origin: NameId,
-    /// The box whose datagram told of it, which may have sent it on.
+    /// The box whose datagram announced it, possibly a forwarder.
     pub via: SocketAddr,
 }
 
@@ -259,7 +259,7 @@
         (rank < TELLERS).then_some(rank)
     }
 
-    /// Returns what this box has, to be told to others.
+    /// Returns what this box has, to be broadcast.
     #[must_use]
     pub fn beacon(&self) -> Beacon {
         let now = self.now();
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -61,7 +61,7 @@
     /// Reads the routing table; returns the version from which to watch.
     pub(crate) async fn read_table(&self, f: Freshness) -> Result<u64, PlatformError> {
         let keys = self.mesh.decoder.keys();
-        // A list, since it tells the platform's version beside the table's own.
+        // A list, since it carries the platform's version beside the table's own.
         let all = self.platform.list(&keys.tables, f).await;
         let all = self.noted("table", f, all)?;
         if let Some(o) = all.objects.iter().find(|o| o.key == keys.table) {
@@ -249,7 +249,7 @@
     }
 }
 
-/// Reads the routing table for a box that has heard of a newer one.
+/// Reads the routing table for a box to which a newer one was announced.
 ///
 /// # Errors
 /// Any error of the platform.
--- a/crates/honeypulley_mesh/src/told.rs
+++ b/crates/honeypulley_mesh/src/told.rs
@@ -1,6 +1,6 @@
-//! Which parts of told changes have come.
+//! Which fragments of broadcast changes have arrived.
 //!
-//! A change that is told in several datagrams is complete with the last of them to
+//! A change sent in several datagrams is complete with the last of them to
 //! arrive, whichever that is. One that was lost leaves the change incomplete, so that
 //! the box knows that it misses something.
 
--- a/crates/honeypulley_mesh/src/tree.rs
+++ b/crates/honeypulley_mesh/src/tree.rs
@@ -3,7 +3,7 @@
 //! A table that every box fetched from the platform cost as many calls as there are
 //! boxes, the largest part of all calls of a fleet of 293. Instead the boxes of a data
 //! hall stand in an order that is drawn by hashing, anew for each table: the first takes
-//! it from the reader that told of it, each other one from the box before it in a tree.
+//! it from the reader that announced it, each other one from the box before it in a tree.
 //! The platform stays the way out for a box whose tree is broken.
 
 use honeypulley_policy::collector::NameId;
@@ -20,7 +20,7 @@
 pub struct Neighbour {
     /// The box.
     pub id: NameId,
-    /// Whether nothing was heard of it lately; it stands behind the others.
+    /// Whether it is unreachable; it stands behind the others.
     pub silent: bool,
 }
 
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -93,7 +93,7 @@
     since: Time,
     /// Whether others waited there when it began.
     queued: bool,
-    /// What that box has told of it, as a ratio sick against well.
+    /// Likelihood ratio that the peer has announced, sick against well.
     told: f64,
 }
 
@@ -135,7 +135,7 @@
     shared: Belief,
     /// What only the path from this box shows.
     path: Belief,
-    /// Whether this box or another has told anything of it.
+    /// Whether anything was observed of it, by this box or a peer.
     taught: bool,
     /// Other boxes that could not reach it, since one was answered.
     unreached: Vec<Unreached>,
@@ -160,7 +160,7 @@
     retries: RetryWindow,
     failing: Failing,
     pressure: Pressure,
-    /// When this box first heard of it.
+    /// When this box first learned of it.
     began: Time,
     upstreams: Vec<UpstreamKey>,
 }
@@ -176,7 +176,7 @@
     left: Option<Duration>,
     /// Whether others waited there when it began, so that its age says little.
     queued: bool,
-    /// What was told of it while it was open, as a ratio sick against well.
+    /// Likelihood ratio announced while it was in flight, sick against well.
     told: f64,
     answer: Option<AnswerKind>,
     /// Requests of other data halls, by the report that came with the answer.
@@ -221,7 +221,7 @@
     hall_boxes: usize,
     /// Boxes of each data hall.
     halls: BTreeMap<NameId, usize>,
-    /// Whether this box hears no other one.
+    /// Whether this box is isolated.
     alone: bool,
     rule: RetryRule,
     past: Past,
@@ -313,7 +313,7 @@
     }
 
     /// Sets how many of those boxes each data hall has, this one included, and whether
-    /// this one hears none of them.
+    /// this box is isolated.
     pub fn set_halls(&mut self, halls: &BTreeMap<NameId, usize>, alone: bool) {
         self.alone = alone;
         if self.halls != *halls {
@@ -325,7 +325,7 @@
     /// Applies the services of a table; what was learnt of kept ones stays.
     pub fn set_services(&mut self, specs: &[ServiceSpec], now: Time) {
         let mut gone: BTreeSet<String> = self.by_name.keys().cloned().collect();
-        // A service of a later table had no requests before this box heard of it.
+        // A service of a later table had no requests before this box learned of it.
         let past = if self.by_name.is_empty() { self.past } else { Past::Empty };
         for spec in specs {
             gone.remove(&spec.name);
--- a/crates/honeypulley_policy/src/balance/admit.rs
+++ b/crates/honeypulley_policy/src/balance/admit.rs
@@ -3,7 +3,7 @@
 //! Where every upstream has so many requests waiting that an answer would come too
 //! late, one more only makes all others later: the work of those that give up is lost,
 //! and a fleet that could serve four fifths in time serves one fifth. Such a request
-//! is refused at once, and told to come back when the queue will have drained.
+//! is rejected at once, with the time at which the queue will have drained.
 
 use super::doubt::assumed;
 use super::{Balancer, DEFAULT_AIM};
@@ -28,7 +28,7 @@
 const LATE_SHARE: f64 = 0.5;
 /// Share of that time granted to a retry while a queue stands: retries are rejected first.
 const AGAIN_SHARE: f64 = 0.5;
-/// Shortest and longest wait told to a caller that is refused.
+/// Bounds of the `Retry-After` of a rejected request.
 const WAIT_BOUNDS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
 /// Returns the time within which an answer has to be expected.
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -12,7 +12,7 @@
 use crate::time::Time;
 use std::time::Duration;
 
-/// Loss of a failed attempt, in requests, if the request may be sent again.
+/// Loss of a failed attempt, in requests, if the request may be retried.
 const REPEATABLE_LOSS: f64 = 0.5;
 /// Loss of a failed attempt if it may not.
 const UNSAFE_LOSS: f64 = 1.0;
@@ -32,7 +32,7 @@
 const LOAD_LIFE: Duration = Duration::from_millis(500);
 /// Share of answers that come faster than a send which is thought to be in time.
 const IN_TIME_SHARE: f64 = 0.3;
-/// Wait told to callers when no upstream is listed.
+/// `Retry-After` when no upstream is listed.
 const EMPTY_WAIT: Duration = Duration::from_millis(500);
 
 /// What a request would lose at one upstream.
--- a/crates/honeypulley_policy/src/balance/doubt.rs
+++ b/crates/honeypulley_policy/src/balance/doubt.rs
@@ -2,7 +2,7 @@
 //!
 //! An attempt that is still open after most answers would have come is evidence
 //! that grows with its age. It is weighed at each choice: for attempts of this box,
-//! and for those of its data hall, whose beginnings are told anyway.
+//! and for those of its data hall, whose starts are announced anyway.
 
 use super::illness::{HUNG_RATIO, HUNG_SURVIVAL, OVERDUE_RATIO};
 use super::work::Assumed;
@@ -16,11 +16,11 @@
 
 /// Part of the aim that work is taken to last before any was seen.
 const ASSUMED_WORK: f64 = 0.3;
-/// Share of answers within whose time a second send is expected to be answered.
+/// Quantile of the answer times within which a hedge is expected to be answered.
 const SECOND_SHARE: f64 = 0.8;
 /// Room for the way there and back, as a part of that time.
 const SECOND_ROOM: f64 = 1.15;
-/// Bounds of the age from which on a second send goes out, as parts of the aim.
+/// Bounds of the age at which a hedge goes out, as parts of the aim.
 const HEDGE_BOUNDS: (f64, f64) = (0.3, 0.6);
 /// Wait between two looks once all levels are passed, as a part of the aim.
 const LOOK_GAP: f64 = 0.25;
@@ -66,7 +66,7 @@
         mine * peers
     }
 
-    /// Returns what the age of an attempt says beyond what was told of it.
+    /// Returns the likelihood ratio by an attempt's age beyond what was announced.
     fn untold(&self, a: &Attempt, now: Time) -> f64 {
         (self.open_ratio(a, now) / a.told).max(1.0)
     }
@@ -97,7 +97,7 @@
         work.survival(now.since(a.started).saturating_sub(waited), assumed(a.aim))
     }
 
-    /// Returns the next steps at which an open attempt has to be told.
+    /// Returns the observations of an attempt in flight that are due to be announced.
     pub(super) fn steps_due(&self, a: &Attempt, now: Time) -> Vec<Observation> {
         let ratio = self.open_ratio(a, now);
         let steps = [(OVERDUE_RATIO, Observation::Overdue), (HUNG_RATIO, Observation::Hung)];
@@ -121,7 +121,7 @@
         next.map_or_else(|| aim.mul_f64(LOOK_GAP), |at| (at - age).max(LEAST_LOOK))
     }
 
-    /// Returns the age at which a second send should go out.
+    /// Returns the age at which a hedge should go out.
     ///
     /// It is the latest at which the second one is likely to be answered within the
     /// aim: earlier costs budget for sends that were not needed.
--- a/crates/honeypulley_policy/src/balance/failing.rs
+++ b/crates/honeypulley_policy/src/balance/failing.rs
@@ -18,7 +18,7 @@
 ///
 /// Just below the tenth from which on the floor is counted.
 const SHARE: f64 = 0.09;
-/// Requests that are assumed of which none was turned away, before any was seen.
+/// Prior number of requests of which none was rejected.
 const PRIOR: f64 = 10.0;
 /// Failures of the span below which a service does not count as failing.
 const LEAST: usize = 5;
@@ -30,7 +30,7 @@
     failures: VecDeque<Time>,
     /// Attempts of this data hall, each fading over [`RATE_TIME`].
     begun: f64,
-    /// Requests that upstreams turned away, for one data hall, fading likewise.
+    /// Requests that upstreams rejected, for one data hall, decaying likewise.
     shed: f64,
     at: Time,
     /// When much was last seen to fail.
@@ -44,13 +44,13 @@
         self.begun += 1.0;
     }
 
-    /// Counts a request that an upstream turned away, which a box of the fleet met.
+    /// Counts a request of any box that an upstream rejected.
     pub(super) fn shed(&mut self, halls: f64, now: Time) {
         self.fade(now);
         self.shed += 1.0 / halls;
     }
 
-    /// Returns the share of requests that upstreams turned away of late.
+    /// Returns the share of recent requests that upstreams rejected.
     pub(super) fn shed_share(&self) -> f64 {
         (self.shed / (self.begun + PRIOR)).min(1.0)
     }
@@ -59,7 +59,7 @@
         let kept = (-now.since(self.at).as_secs_f64() / RATE_TIME.as_secs_f64()).exp();
         self.begun *= kept;
         self.shed *= kept;
-        // What is told late may be older than what was counted last.
+        // A late announcement may be older than what was counted last.
         self.at = self.at.max(now);
     }
 
--- a/crates/honeypulley_policy/src/balance/heard.rs
+++ b/crates/honeypulley_policy/src/balance/heard.rs
@@ -1,4 +1,4 @@
-//! What other boxes tell, and what a box that has just started is told.
+//! Announcements of peers, and the state handed to a box that has just started.
 
 use super::doubt::assumed;
 use super::illness::HUNG_SURVIVAL;
@@ -105,7 +105,7 @@
         let queued = u.busy(at) >= u.slots;
         let before = u.peers.iter().position(|p| p.from == from).map(|i| u.peers.swap_remove(i));
         if count > 0 {
-            // Which of several ended isn't told, so the others count as new.
+            // Which of several ended is unknown, so the others count as new.
             let kept = before.filter(|p| p.count <= count);
             let new = PeerOpen { from, count, since: at, queued, told: 1.0 };
             u.peers.push(kept.map_or(new, |p| PeerOpen { count, ..p }));
@@ -122,7 +122,7 @@
 
     /// Records that an attempt of a box of this data hall ended at `at`.
     ///
-    /// Boxes do not tell each success to all; those of a hall see here which of each
+    /// Not every success is broadcast; boxes of a hall see here which of each
     /// other's attempts were answered, and how long that took.
     fn heard_ended(&mut self, from: NameId, upstream: NameId, count: u16, served: bool, at: Time) {
         let before = self.heard_open(from, upstream, count, at);
--- a/crates/honeypulley_policy/src/balance/illness.rs
+++ b/crates/honeypulley_policy/src/balance/illness.rs
@@ -13,9 +13,9 @@
 /// Most that one open attempt is worth: sick against well.
 const MOST_RATIO: f64 = 60.0;
 
-/// Ratio, sick against well, from which an open attempt is told as overdue.
+/// Likelihood ratio, sick against well, from which an attempt is announced as overdue.
 pub const OVERDUE_RATIO: f64 = 4.0;
-/// Ratio from which it is told as one that hangs, and counts as a failure.
+/// Ratio from which it is announced as hung, and counts as a failure.
 ///
 /// At a usual chance of sickness of one in ten it is then three to one.
 pub const HUNG_RATIO: f64 = 25.0;
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -19,7 +19,7 @@
 const ONE_FAILURE: Duration = Duration::from_millis(500);
 /// Part of the usual time of work below which a failure came at once.
 ///
-/// Base failures were seen after 0.33 of it and more, those of spells within 0.2.
+/// Base failures come later than that, those of sick upstreams sooner.
 const EARLY_SHARE: f64 = 0.3;
 /// The same as a part of the aim, before any work was seen.
 const EARLY_OF_AIM: f64 = 0.08;
@@ -27,7 +27,7 @@
 ///
 /// The upstream may be slow, or the request long; an estimate.
 const LATE_RATIO: f64 = 3.0;
-/// Share of a service's requests that are turned away from which on it is common to all
+/// Share of rejected requests of a service from which on rejection is common to all
 /// upstreams, and makes none of them rest.
 const COMMON_SHEDS: f64 = 0.1;
 /// Part of the time given to an attempt from which on a failure answer is only its end.
@@ -201,7 +201,7 @@
     }
 }
 
-/// Returns what was told of an attempt once this was told as well.
+/// Returns the likelihood ratio announced for an attempt, with one more observation.
 pub(super) fn told_with(told: f64, what: Observation) -> f64 {
     match what {
         Observation::Overdue => told.max(OVERDUE_RATIO),
--- a/crates/honeypulley_policy/src/balance/named.rs
+++ b/crates/honeypulley_policy/src/balance/named.rs
@@ -1,8 +1,8 @@
 //! Limits that upstreams name: the requests a second that one takes from all boxes together.
 //!
 //! An upstream in need says so in its answers to some boxes, and means all of them. Each box
-//! that hears a limit tells the others. Then the boxes of one data hall, the upstream's own,
-//! draw on one bucket, as each tells the others of its hall what it sends there; the boxes of
+//! that receives a limit broadcasts it. Then the boxes of one data hall, the upstream's own,
+//! share one token bucket, as each announces its sends to its hall; the boxes of
 //! other halls leave the upstream. So nothing has to be counted between halls. Where every
 //! upstream of a service names a limit, that would leave the callers of some halls with
 //! nothing, so that a few halls have a part of each limit.
@@ -23,9 +23,9 @@
 const BURST: f64 = 2.5;
 /// Least requests a second that an upstream is asked for, to learn whether it still names one.
 const LEAST_RATE: f64 = 0.1;
-/// Wait between two times that the boxes tell each other of a limit that stays as it is.
+/// Interval at which an unchanged limit is rebroadcast.
 const RENEW_GAP: Duration = Duration::from_secs(2);
-/// Time after which a limit lapses that no box was told again.
+/// Time after which a limit lapses that no box has rebroadcast.
 ///
 /// An upstream that gets nothing says nothing, and boxes of other halls do not ask it.
 const LAPSE_TIME: Duration = Duration::from_secs(30);
@@ -55,7 +55,7 @@
     rate: f64,
     /// When an answer last named it, as far as is known here.
     at: Time,
-    /// When a box last told the others.
+    /// When a box last broadcast it.
     told: Time,
     /// Part that this data hall may send.
     part: f64,
@@ -112,7 +112,7 @@
         let told = before.map_or(now, |n| n.told);
         self.named.insert(id, Named { rate, at: now, told, part });
         self.set_bucket(id);
-        // What is told is rounded.
+        // The broadcast value is rounded.
         before.is_none_or(|n| n.rate as f32 != rate as f32)
     }
 
@@ -168,7 +168,7 @@
         Some((self.upstreams.get(a.upstream)?.id, a.started))
     }
 
-    /// Tells the others of a limit that is new, or that they were not told for some time.
+    /// Broadcasts a new limit, and rebroadcasts an unchanged one every `RENEW_GAP`.
     fn tell_limit(&mut self, id: NameId, is_new: bool, now: Time) {
         let Some(n) = self.limits.named.get_mut(&id) else { return };
         if is_new || now.since(n.told) >= RENEW_GAP {
--- a/crates/honeypulley_policy/src/balance/news.rs
+++ b/crates/honeypulley_policy/src/balance/news.rs
@@ -1,11 +1,11 @@
-//! What boxes tell each other of upstreams and of the retry budget.
+//! What boxes announce to each other about upstreams and the retry budget.
 
 use crate::belief::Observation;
 use crate::collector::NameId;
 use crate::fleet_limits::HallCount;
 use std::time::Duration;
 
-/// What this box tells the others.
+/// One announcement of this box to its peers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum News {
     /// Something was seen of an upstream.
@@ -32,7 +32,7 @@
         served: bool,
         /// Requests of other data halls there, by the report that came with its answer.
         far: Option<u8>,
-        /// Time since it ended, for which the news was held to be told with others.
+        /// Time since it ended, for which the announcement was delayed.
         ago: Duration,
     },
     /// An upstream of this box's data hall answers well again.
@@ -65,10 +65,10 @@
         service: NameId,
         /// Requests for it that the sender got within the budget's window.
         seen: u16,
-        /// Requests of it that the sender sent again within that window, at least.
+        /// Requests of it that the sender retried within that window, at least.
         spent: u8,
     },
-    /// Requests that all boxes sent again within the window, for a box that has just
+    /// Requests that all boxes retried within the window, for a box that has just
     /// started, by one that lived through it.
     Spent {
         /// Their service.
@@ -76,13 +76,13 @@
         /// How many.
         sum: u16,
     },
-    /// A request was not sent again, since the budget was spent as far as is known.
+    /// A request was not retried, since the budget was spent as far as is known.
     Denied {
         /// Its service.
         service: NameId,
         /// Requests for it that the sender got within the budget's window.
         seen: u16,
-        /// Requests of it that the sender sent again within that window, at least.
+        /// Requests of it that the sender retried within that window, at least.
         spent: u8,
     },
     /// The sender admitted a request that a limit over all boxes counts; for its data hall.
@@ -108,7 +108,7 @@
         matches!(self, Self::Open { .. } | Self::Ended { .. } | Self::Admitted { .. })
     }
 
-    /// Tells whether it may be told a little later, with what follows it.
+    /// Returns whether it may be delayed and sent with what follows it.
     ///
     /// An attempt that ended may wait; an admitted request is soon followed by its attempt.
     #[must_use]
@@ -116,7 +116,7 @@
         matches!(self, Self::Ended { .. } | Self::Admitted { .. })
     }
 
-    /// Returns it as it is told so long after it was made.
+    /// Returns it as announced so long after it was made.
     #[must_use]
     pub const fn aged(self, waited: Duration) -> Self {
         match self {
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -5,16 +5,16 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Part of the fleet's budget that is spent, since boxes hear of each other late.
+/// Usable share of the fleet's budget, since boxes learn of each other's retries late.
 const SPENT_SHARE: f64 = 0.8;
-/// Part of it for a second send beside one that is likely to be answered.
+/// Share of it for a hedge of an attempt that is likely to be answered.
 const HEDGE_SHARE: f64 = 0.4;
 /// Part of it more where the first send is sure to fail.
 const STUCK_SHARE: f64 = 0.35;
-/// Part of it that one box may spend while it hears the others.
+/// Share of it that one box may spend while it is in touch with peers.
 const OWN_SHARE: f64 = 0.5;
 
-/// Wait between two times that a box tells its traffic without having sent again.
+/// Interval at which a box announces its traffic without having retried.
 const TELL_GAP: Duration = Duration::from_secs(1);
 
 /// Bound on sends beyond the first of each request, over all boxes.
@@ -47,7 +47,7 @@
     },
 }
 
-/// What a box knows of the extra sends before it started.
+/// What a box knows of the retries before it started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Past {
     /// The fleet starts for the first time, so there were none.
@@ -62,7 +62,7 @@
 pub struct Reach {
     /// Boxes of the fleet, this one included.
     pub boxes: usize,
-    /// Whether this box hears the others.
+    /// Whether this box is in touch with its peers.
     pub in_touch: bool,
 }
 
@@ -73,7 +73,7 @@
     pub seen: usize,
     /// Extra sends of this box.
     pub own: usize,
-    /// Extra sends that other boxes told of.
+    /// Retries that peers announced.
     pub others: usize,
     /// Extra sends that the fleet may make, as this box reckons.
     pub budget: f64,
@@ -81,7 +81,7 @@
     pub past_known: bool,
 }
 
-/// Requests and extra sends of one service within the window.
+/// Requests and retries of one service within the window.
 #[derive(Clone, Debug)]
 pub(super) struct RetryWindow {
     past: Past,
@@ -91,11 +91,11 @@
     own: VecDeque<Time>,
     /// Extra sends of other boxes, and whose they are.
     others: VecDeque<(Time, NameId)>,
-    /// Extra sends that were told in sum to this box at its start, and when.
+    /// Sum of the retries that this box learned of at its start, and when.
     inherited: Option<(usize, Time)>,
-    /// What other boxes told of their traffic.
+    /// Traffic that peers announced.
     traffic: Vec<Traffic>,
-    /// When this box last told its own.
+    /// When this box last announced its own.
     told: Option<Time>,
 }
 
@@ -105,13 +105,13 @@
     pub(super) from: NameId,
     /// Its requests within the window.
     pub(super) seen: u16,
-    /// Those of them that it sent again.
+    /// Those of them that it retried.
     pub(super) spent: u8,
     /// Whether it has just sent one again.
     pub(super) again: bool,
 }
 
-/// What another box told of its traffic.
+/// Traffic that a peer announced.
 #[derive(Clone, Copy, Debug)]
 struct Traffic {
     from: NameId,
@@ -134,7 +134,7 @@
         }
     }
 
-    /// Returns the extra sends of all boxes within the window, for one that has just
+    /// Returns the retries of all boxes within the window, for one that has just
     /// started; `None` if this box does not know them itself.
     pub(super) fn sum(&mut self, rule: &RetryRule, now: Time) -> Option<u16> {
         self.drop_old(rule, now);
@@ -152,7 +152,7 @@
         self.inherited = Some((usize::from(sum).saturating_sub(heard), now));
     }
 
-    /// Tells whether all extra sends within the window are known, as far as boxes tell.
+    /// Returns whether all announced retries within the window are known.
     fn knows_past(&self, rule: &RetryRule, now: Time) -> bool {
         self.past == Past::Empty || now.since(self.began) >= rule.window
     }
@@ -210,14 +210,14 @@
         u16::try_from(self.arrivals.len()).unwrap_or(u16::MAX)
     }
 
-    /// Returns the extra sends of this box within the window.
+    /// Returns the retries of this box within the window.
     pub(super) fn spent(&self) -> u8 {
         u8::try_from(self.own.len()).unwrap_or(u8::MAX)
     }
 
-    /// Spends one extra send; tells whether there was one.
+    /// Consumes one retry token; returns whether there was one.
     ///
-    /// The fleet's bound goes by what this box has heard. One that hears nobody
+    /// The fleet's bound goes by what this box has received. An isolated box
     /// can't know, and keeps to an equal share of the slack and its own traffic.
     pub(super) fn spend(&mut self, rule: &RetryRule, reach: Reach, why: Resend, now: Time) -> bool {
         self.drop_old(rule, now);
@@ -240,9 +240,9 @@
         true
     }
 
-    /// Returns the extra sends that the fleet may make, as far as traffic is known.
+    /// Returns the retries that the fleet may make, as far as traffic is known.
     ///
-    /// It is a lower bound: only those boxes count that told of their traffic, as each
+    /// It is a lower bound: only boxes count that announced their traffic, as each
     /// does when it sends again or is denied. Reckoning from what one box or its data
     /// hall sees gave up to twice the budget where callers are spread unevenly.
     fn budget(&self, rule: &RetryRule, now: Time) -> f64 {
--- a/crates/honeypulley_policy/src/balance/trial.rs
+++ b/crates/honeypulley_policy/src/balance/trial.rs
@@ -19,7 +19,7 @@
 const REST_REPEATABLE: Duration = Duration::from_millis(1_000);
 /// The same on a box that has just started and knows nothing of any upstream.
 ///
-/// Its work is spread until something is known, also while the fleet comes back.
+/// Its work is spread until something is known, also after a full restart.
 const REST_YOUNG: Duration = Duration::from_millis(400);
 /// Time for which a box counts as having just started.
 const YOUNG: Duration = Duration::from_secs(5);
@@ -34,7 +34,7 @@
 const FAILING_SPARING: Sparing = Sparing { rest: Duration::from_secs(2), borne: 2, doublings: 1 };
 /// Last part of the longest time without work, over which the boxes' trials are spread.
 ///
-/// Boxes that find an upstream due at once would meet there before they hear of each other.
+/// Boxes that find an upstream due at once would meet there before they learn of each other.
 const TURN_SHARE: f64 = 0.15;
 /// Chance that this box's path is bad, above which the other boxes keep it at work.
 const PATH_BAD: f64 = 0.4;
@@ -82,7 +82,7 @@
         let upstreams = s.upstreams.len();
         let floor = FloorRule { share: s.spec.floor.share(upstreams), upstreams };
         // While much fails, what is believed of upstreams is least sure and the floor is
-        // counted. A trial of a request that may be repeated costs a second send alone.
+        // counted. A trial with a repeatable request costs no more than a retry.
         let rests = !young && !failing && !ask.repeatable;
         Self { sparing, rest, floor: rests.then_some(floor) }
     }
--- a/crates/honeypulley_policy/src/belief.rs
+++ b/crates/honeypulley_policy/src/belief.rs
@@ -67,7 +67,7 @@
             Self::FailedWork => (0.012, 0.03),
             Self::Refused => (0.002, 0.4),
             Self::Unreachable => (0.01, 0.4),
-            // The ratios at which open attempts are told, in two steps.
+            // The ratios at which attempts in flight are announced, in two steps.
             Self::Overdue => (1.0, OVERDUE_RATIO),
             Self::Hung => (1.0, HUNG_RATIO / OVERDUE_RATIO),
             Self::Shed => (0.05, 0.3),
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -98,7 +98,7 @@
     fn look_after(&self, ask: &Ask, age: Duration) -> Duration;
     /// Records that an attempt is still in flight.
     fn still_open(&mut self, k: AttemptKey, now: Time);
-    /// Tells whether a second send is worth while beside one that is so old.
+    /// Returns whether a hedge is worthwhile beside an attempt of this age.
     ///
     /// `Some` is the chance that the first one will not be answered.
     fn hedge(&self, _: &Ask, _: AttemptKey, _: Time) -> Option<f64> {
--- a/crates/honeypulley_policy/src/fleet_limits.rs
+++ b/crates/honeypulley_policy/src/fleet_limits.rs
@@ -1,7 +1,7 @@
 //! Limits that hold over all boxes together, as each box keeps them.
 //!
 //! [`FleetLimits`] holds a token bucket for each subject that has a limit and draws on it for
-//! whatever any box admits, as far as this one hears of that.
+//! whatever any box admits, as far as this one learns of it.
 
 mod buckets;
 mod hall_count;
--- a/crates/honeypulley_policy/src/fleet_limits/buckets.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/buckets.rs
@@ -2,14 +2,14 @@
 //!
 //! A box sees a hundredth of a subject's requests, so it can't know from its own that a limit is
 //! met. Each holds one token bucket a subject, which it draws on for whatever any box admits,
-//! as far as it hears of that:
+//! as far as it learns of that:
 //!
-//! - The boxes of its data hall tell each admission with the attempt that follows it, so that
+//! - The boxes of its data hall announce each admission with the attempt that follows it, so that
 //!   this costs no datagram and is known within some milliseconds.
-//! - Of a whole data hall one box tells the others what was admitted there, and only while
+//! - For a whole data hall one box announces to the others what was admitted there, and only while
 //!   the subject is near its limit. One far from it costs nothing between data halls.
 //!
-//! What is told are sums, so that a lost datagram is made good by the next one, and sides that
+//! Announcements are sums, so that the next one makes good a lost datagram, and sides that
 //! were cut off from each other are charged for what the other one admitted.
 
 use super::hall_count::{FarHall, HallCount};
@@ -26,7 +26,7 @@
 /// Part of the burst that a box has where it does not know what was admitted before.
 ///
 /// Boxes that all lost power and came back together would else give a second burst, each data
-/// hall for itself until it hears of the others. With much less, callers that waited meanwhile
+/// hall for itself until it learns of the others. With much less, callers that waited meanwhile
 /// and come back together would be refused below their limits.
 const UNKNOWN_SHARE: f64 = 0.5;
 /// Part of the slack that it has beside it.
@@ -34,14 +34,14 @@
 /// Most admissions of another box that one count of it makes good.
 ///
 /// Each life of a box counts from a number drawn at random, so that a sum which is further
-/// ahead or behind is that of a new life, or of a box that was not heard for long.
+/// ahead or behind is that of a restart, or of a box that was isolated for long.
 const MOST_MISSED: u16 = 64;
 /// How far behind the last one a count of a data hall is when it was overtaken on its way.
 const MOST_BEHIND: u16 = 256;
 /// Subjects of which a box keeps what was admitted, before those that have not asked
 /// within a window are forgotten; each takes 0.4 kB and 24 bytes for each box of the hall.
 const MOST_KEPT: usize = 4_096;
-/// Least time that a refused caller is told to wait.
+/// Least `Retry-After` of a rejected caller.
 const LEAST_WAIT: Duration = Duration::from_millis(20);
 
 /// What a box knew of a subject's limit, for the log.
@@ -53,7 +53,7 @@
     pub level: f64,
     /// Requests admitted in this data hall within the window.
     pub hall: u32,
-    /// Requests admitted in the others within a fifth of the window, as far as they told.
+    /// Requests admitted in the others within a fifth of the window, as far as announced.
     pub others: u32,
     /// Age of the oldest of their counts, if there is one.
     pub age: Option<Duration>,
@@ -217,8 +217,8 @@
         };
     }
 
-    /// Returns the subjects of which the other data halls may have to be told now, of
-    /// those that asked or were told of since the last call.
+    /// Returns the subjects whose announcement to the other data halls may be due, of
+    /// those with admissions or announcements since the last call.
     #[must_use]
     pub fn due(&mut self, now: Time) -> Vec<NameId> {
         let (rule, scope) = (self.rule, self.scope);
@@ -230,7 +230,7 @@
         touched.into_iter().filter(is_due).collect()
     }
 
-    /// Tells the other data halls what was admitted in this one.
+    /// Announces to the other data halls what was admitted in this one.
     ///
     /// `rank` is this box's turn among those that may; the second one leaves it to the first.
     pub fn tell(&mut self, id: NameId, rank: usize, now: Time) {
--- a/crates/honeypulley_policy/src/fleet_limits/hall_count.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/hall_count.rs
@@ -1,4 +1,4 @@
-//! What one data hall tells the others of a subject.
+//! What one data hall announces to the others about a subject.
 
 use super::rule::{RateLimit, Scope};
 use crate::collector::NameId;
@@ -8,7 +8,7 @@
 /// Part of the window that [`HallCount::latest`] counts at the most.
 pub(super) const LATEST_SHARE: f64 = 0.2;
 
-/// What one data hall tells the others of a subject.
+/// What one data hall announces to the others about a subject.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HallCount {
     /// The data hall.
@@ -17,7 +17,7 @@
     pub sum: u16,
     /// Those of them that they admitted within the last fifth of the window.
     pub latest: u16,
-    /// What is left of the subject's burst, as the one that tells has it.
+    /// Remaining tokens of the subject, as the sender counts.
     pub level: i16,
 }
 
@@ -41,10 +41,10 @@
     }
 }
 
-/// What another data hall told.
+/// What another data hall announced.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct FarHall {
-    /// The box that told, whose sums go on from each other.
+    /// The announcing box, whose sums are cumulative.
     pub(super) teller: NameId,
     pub(super) sum: u16,
     pub(super) latest: u16,
--- a/crates/honeypulley_policy/src/fleet_limits/rule.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/rule.rs
@@ -11,7 +11,7 @@
     pub burst: f64,
 }
 
-/// Over which time a limit is judged, and what is left beside it.
+/// The window over which a limit is judged, and the slack beside it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitRule {
     /// Time over which what was admitted is summed.
@@ -34,7 +34,7 @@
     pub boxes: usize,
     /// Data halls.
     pub halls: usize,
-    /// Whether this box hears nobody.
+    /// Whether this box is isolated.
     pub alone: bool,
 }
 
--- a/crates/honeypulley_policy/src/fleet_limits/usage.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/usage.rs
@@ -23,14 +23,14 @@
 const ECHO_TIME: Duration = Duration::from_secs(2);
 /// Part of the burst under which a subject counts as near its limit.
 const TIGHT_SHARE: f64 = 0.25;
-/// Part of its own share that a box admits while it hears nobody, of a subject that was
+/// Part of its own share that an isolated box admits, of a subject that was
 /// near its limit.
 ///
 /// The others admit the whole limit, so that a third of the boxes cut off would admit a third
 /// more than it; with this a ninth, which the tenth and the slack bear.
 const CUT_SHARE: f64 = 0.33;
 /// Requests' worth of silence on a subject near its limit by which a box knows that it
-/// does not hear the others; in a data hall of three a third of them would be told.
+/// is isolated; in a data hall of three a third of them would be announced.
 const SILENT_REQUESTS: f64 = 12.0;
 /// Longest such silence; of a limit so small that it takes longer, none says anything.
 const MOST_SILENCE: Duration = Duration::from_millis(1_500);
@@ -50,27 +50,27 @@
     pub(super) bucket: Bucket,
     /// This box's share of the limit, for when it is alone.
     pub(super) own: Bucket,
-    /// Admissions of this box, as they are told.
+    /// Admissions of this box, as announced.
     pub(super) told: u16,
-    /// Sums that the other boxes of this data hall told.
+    /// Sums that peers of this data hall announced.
     pub(super) boxes: BTreeMap<NameId, u16>,
     /// Admissions of this data hall.
     pub(super) near: Recent,
     /// All of them that this box knows of, counted round.
     pub(super) hall_sum: u16,
-    /// What the others told of theirs.
+    /// What the other data halls announced.
     pub(super) far: BTreeMap<NameId, FarHall>,
-    /// When it was last looked at whether the others are to be told.
+    /// When it was last checked whether an announcement is due.
     pub(super) looked: Option<Time>,
-    /// When a box of this data hall last told the others.
+    /// When a box of this data hall last announced to the others.
     pub(super) told_at: Option<Time>,
-    /// Whether something was admitted here that the others were not told.
+    /// Whether something was admitted here that was not announced.
     pub(super) untold: bool,
-    /// When another box last told of it.
+    /// When a peer last announced it.
     pub(super) heard: Time,
-    /// Whether it was near its limit when this box last heard the others.
+    /// Whether it was near its limit when this box last heard of its peers.
     pub(super) tight: bool,
-    /// Whether what is left of the burst is a guess, since this box has just started.
+    /// Whether the remaining tokens are an estimate, since this box has just started.
     pub(super) guessed: bool,
 }
 
@@ -129,7 +129,7 @@
         }
     }
 
-    /// Returns what is left of the burst, as it is told.
+    /// Returns the remaining tokens, as announced.
     pub(super) fn told_level(&self) -> i16 {
         // Whole requests, the sign included, within what the number holds.
         self.bucket.level.floor() as i16
@@ -144,15 +144,15 @@
         }
     }
 
-    /// Returns what this box may admit a second while it hears nobody.
+    /// Returns what this box may admit a second while it is isolated.
     pub(super) fn own_rate(&self, scope: Scope) -> f64 {
         let share = if self.tight { CUT_SHARE } else { 1.0 };
         self.limit.rate * share / scope.boxes.max(1) as f64
     }
 
-    /// Tells whether this box does not hear what the others admit.
+    /// Returns whether this box is isolated from its peers' admissions.
     ///
-    /// Of a subject near its limit, others would tell all the time, unless the limit is so small
+    /// Of a subject near its limit, peers would announce all the time, unless the limit is so small
     /// that they have nothing to tell for a while: a box that took that for being cut off would
     /// spend a share of its own beside them.
     pub(super) fn is_alone(&self, scope: Scope, now: Time) -> bool {
@@ -174,7 +174,7 @@
         self.untold = true;
     }
 
-    /// Tells whether it is time to tell the other data halls; asks once in each gap.
+    /// Returns whether an announcement to the other data halls is due, once in each gap.
     pub(super) fn is_due(&mut self, rule: LimitRule, scope: Scope, now: Time) -> bool {
         let waits = self.looked.is_some_and(|at| now.since(at) < TELL_GAP);
         if scope.halls < 2 || !self.untold || waits {
--- a/crates/honeypulley_policy/src/join.rs
+++ b/crates/honeypulley_policy/src/join.rs
@@ -7,7 +7,7 @@
 use crate::collector::NameId;
 use std::collections::BTreeMap;
 
-/// Peers that must have told their version before a box starts on their word.
+/// Peers whose version must be known before a box starts on their word.
 pub const JOIN_PEERS: usize = 3;
 
 /// By whose word a box starts.
--- a/crates/honeypulley_policy/src/organisations/directory.rs
+++ b/crates/honeypulley_policy/src/organisations/directory.rs
@@ -33,7 +33,7 @@
 /// One organisation as a table states it.
 #[derive(Clone, PartialEq, bon::Builder)]
 pub struct OrganisationSpec {
-    /// Name, which upstreams are told.
+    /// Name, which upstreams receive.
     #[builder(into)]
     pub name: String,
     /// Keys of its callers.
@@ -77,7 +77,7 @@
     /// Two organisations have one name.
     #[error("organisation {0} stands there twice")]
     Twice(String),
-    /// A name could not be told to upstreams.
+    /// A name that fits no header.
     #[error("'{0}' is no name for an organisation: one to 255 visible ASCII characters")]
     Name(String),
     /// Two organisations hold one key.
--- a/crates/honeypulley_policy/src/quarantine.rs
+++ b/crates/honeypulley_policy/src/quarantine.rs
@@ -25,7 +25,7 @@
 /// An end leaves one for each request that was open, some twenty, of which all but one are
 /// cleared by their next answer. At 300 bytes each they take 600 KB.
 pub const MOST_RECORDS: usize = 2_048;
-/// Held requests that are told to boxes that may not know them, and stored.
+/// Held requests that are announced to boxes that may not know them, and stored.
 ///
 /// What the store holds of them fits 32 KB, far below the platform's limit of a value.
 pub const MOST_HELD: usize = 256;
@@ -80,7 +80,7 @@
     pub trials: u8,
 }
 
-/// What boxes tell each other of requests; times are told as spans.
+/// What boxes announce about requests; times are sent as spans.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestNews {
     /// An upstream ended under a request.
@@ -118,7 +118,7 @@
 
 /// One box's knowledge of suspected and held requests.
 ///
-/// What boxes tell each other may come late, twice and in any order: a record keeps the ends
+/// Announcements may arrive late, twice and in any order: a record keeps the crashes
 /// themselves and reckons from all of them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -160,7 +160,7 @@
         }
     }
 
-    /// Clears a request and tells the others; returns whether it was suspected.
+    /// Clears a request and broadcasts that; returns whether it was suspected.
     pub fn clear(&mut self, request: Fingerprint, now: Time) -> bool {
         let was_suspected = self.records.get_mut(&request).is_some_and(|r| r.serve(now));
         if was_suspected {
--- a/crates/honeypulley_policy/src/quarantine/record.rs
+++ b/crates/honeypulley_policy/src/quarantine/record.rs
@@ -16,7 +16,7 @@
 /// fingerprint does not cover. The other's request, which is held as well then, is cleared
 /// by its first good answer after the hold.
 const CONTENT_ENDS: usize = 4;
-/// Time in which all boxes have told of an end what was open there.
+/// Time within which all boxes have announced what was in flight at a crash.
 ///
 /// Before, a request may look like the only one that was at so many ends.
 const SETTLE_TIME: Duration = Duration::from_millis(50);
@@ -51,7 +51,7 @@
     /// When it was last answered well.
     served: Option<Time>,
     held: Option<Held>,
-    /// When a box last told all others that it is held.
+    /// When a box last broadcast that it is held.
     pub(super) told: Time,
     /// When something was last learnt of it.
     touched: Time,
@@ -175,7 +175,7 @@
         }
     }
 
-    /// Tells whether these ends are enough, and old enough that all boxes told of them.
+    /// Returns whether these crashes are enough, and old enough that all boxes announced them.
     pub(super) fn is_due(&self, counted: &[End], now: Time) -> bool {
         let is_settled = counted.last().is_some_and(|e| now.since(e.ended) >= SETTLE_TIME);
         self.held.is_none() && counted.len() >= self.ends_needed() && is_settled
--- a/crates/honeypulley_policy/src/router/evidence.rs
+++ b/crates/honeypulley_policy/src/router/evidence.rs
@@ -99,7 +99,7 @@
     pub fn finish(&mut self, k: AttemptKey, outcome: Outcome, now: Time) {
         match outcome {
             Outcome::Whole | Outcome::Abandoned => {}
-            // An upstream that sheds may be busy; if it alone sheds, it is sick.
+            // An upstream that rejects may be busy; if it alone does, it is sick.
             Outcome::NotRun => self.witness(k, Evidence::Slow, now),
             Outcome::Failed | Outcome::Refused | Outcome::Unreachable | Outcome::Misdirected => {
                 self.witness(k, Evidence::Failure, now);
--- a/crates/honeypulley_policy/src/router/refusal.rs
+++ b/crates/honeypulley_policy/src/router/refusal.rs
@@ -1,4 +1,4 @@
-//! Why a request is sent nowhere, and when its caller may come back.
+//! Why a request is sent nowhere, and when its caller may retry.
 
 use std::time::Duration;
 
--- a/crates/honeypulley_proxy/src/answer.rs
+++ b/crates/honeypulley_proxy/src/answer.rs
@@ -24,7 +24,7 @@
     pub status: StatusCode,
     /// Whether the request may have been run.
     pub ran: Ran,
-    /// When to come back, if that makes sense.
+    /// `Retry-After`, if that makes sense.
     pub retry_after: Option<Duration>,
     /// One sentence for a person.
     pub why: String,
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -57,7 +57,7 @@
         Self { gate, key, upstream, request, outcome: Outcome::Abandoned, good: false }
     }
 
-    /// Says how the attempt ended; the guard's drop tells the policy.
+    /// Sets how the attempt ended; the guard's drop reports it to the policy.
     pub const fn ended(&mut self, outcome: Outcome) {
         self.outcome = outcome;
     }
@@ -136,7 +136,7 @@
 /// Sends one attempt and judges the head of its answer.
 ///
 /// # Errors
-/// Returns a [`Failure`], already told to the policy.
+/// Returns a [`Failure`], already reported to the policy.
 pub async fn send(
     gate: Arc<Gate>,
     mut guard: AttemptGuard,
@@ -187,7 +187,7 @@
 
 /// Finds out whether an upstream that broke an attempt off has ended, and notes it.
 ///
-/// It comes before any second send, so that a request that ends its upstreams is known for it
+/// It comes before any retry, so that a request that crashes upstreams is known for it
 /// by then. Where the upstream runs on, that costs one round trip.
 async fn note_if_ended(gate: &Gate, to: &Destination, out: &Outgoing, began: Time) {
     let has_ended = has_ended(&to.addr).await;
@@ -304,7 +304,7 @@
     Ok(AnswerBody::Whole(taken.freeze()))
 }
 
-/// Tells whether the end of an answer can be told from a cut.
+/// Returns whether the end of an answer can be distinguished from a cut.
 fn is_bounded(r: &reqwest::Response, method: &Method) -> bool {
     let empty = r.status().is_informational()
         || matches!(r.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
--- a/crates/honeypulley_proxy/src/body.rs
+++ b/crates/honeypulley_proxy/src/body.rs
@@ -18,7 +18,7 @@
 /// A request's body: kept whole, or passed on as it comes.
 #[derive(Debug)]
 pub enum Source {
-    /// Small enough to be sent again.
+    /// Small enough to be retried.
     Kept(Bytes),
     /// Sent once; `None` once it is gone.
     Streamed(Option<CallerBody>),
@@ -135,7 +135,7 @@
     }
 }
 
-/// An answer's body that tells the policy how it ended.
+/// An answer's body that reports to the policy how it ended.
 #[derive(Debug)]
 pub struct Watched {
     /// What was taken already, to be passed on first.
--- a/crates/honeypulley_proxy/src/dialect.rs
+++ b/crates/honeypulley_proxy/src/dialect.rs
@@ -24,7 +24,7 @@
     Counts,
 }
 
-/// Form of the time after which a caller may come back.
+/// Form of `Retry-After`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RetryForm {
     /// Whole seconds, with milliseconds in a header beside it.
@@ -73,9 +73,9 @@
     pub caller: HeaderName,
     /// A caller's key, which no upstream is shown, if the dialect knows organisations.
     pub key: Option<HeaderName>,
-    /// The organisation that an upstream is told, whatever the caller says of itself.
+    /// The organisation, as upstreams receive it, whatever the caller claims.
     pub organisation: Option<HeaderName>,
-    /// Form of the time to come back.
+    /// Form of `Retry-After`.
     #[builder(default)]
     pub retry_form: RetryForm,
     /// Whether own answers say what is known of the request's run.
@@ -179,7 +179,7 @@
         signals::read_backoff(h)
     }
 
-    /// Writes when a caller may come back.
+    /// Writes when a caller may retry.
     pub fn set_retry_after(&self, d: Duration, h: &mut HeaderMap) {
         match self.retry_form {
             RetryForm::WholeSeconds => {
--- a/crates/honeypulley_proxy/src/fingerprint.rs
+++ b/crates/honeypulley_proxy/src/fingerprint.rs
@@ -46,7 +46,7 @@
 
     /// Returns the fingerprints of a request.
     ///
-    /// A body that is streamed counts with its beginning and its length, if that is told.
+    /// A streamed body counts with its beginning and its length, if that is known.
     #[must_use]
     pub fn of(&self, id: &Identity<'_>, body: &Source) -> Fingerprints {
         let mut hasher = blake3::Hasher::new_keyed(&self.0);
@@ -63,7 +63,7 @@
     }
 }
 
-/// Adds a part with its length, which keeps two parts from being told as one.
+/// Adds a part with its length, which keeps two parts from being taken for one.
 fn add(hasher: &mut blake3::Hasher, part: &[u8]) {
     hasher.update(&(part.len() as u64).to_le_bytes());
     hasher.update(part);
--- a/crates/honeypulley_proxy/src/gate.rs
+++ b/crates/honeypulley_proxy/src/gate.rs
@@ -56,7 +56,7 @@
     To {
         /// Key of the organisation in all that boxes count and tell.
         id: NameId,
-        /// Its name, which the upstream is told.
+        /// Its name, which the upstream receives.
         name: Arc<str>,
     },
 }
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -18,9 +18,9 @@
 
 /// Most sends of one request beyond those that may have run.
 const MAX_UNRUN: usize = 3;
-/// When to come back after an outcome that isn't known.
+/// `Retry-After` of an unknown outcome.
 const UNKNOWN_WAIT: Duration = Duration::from_secs(1);
-/// When to come back after every upstream tried was proven not to have run it.
+/// `Retry-After` where every upstream tried has proven that it did not run the request.
 const UNRUN_WAIT: Duration = Duration::from_millis(250);
 
 /// What is said of an attempt whose upstream started again meanwhile.
@@ -68,7 +68,7 @@
     last: String,
     /// An upstream's failure answer, to be passed on if nothing better comes.
     failure: Option<Answer>,
-    /// When to come back, as the last refusal of a send said.
+    /// `Retry-After` of the last refused send.
     wait: Option<Duration>,
 }
 
@@ -202,7 +202,7 @@
         tally.open.iter().map(next).min()
     }
 
-    /// Tells the policy what is still open and sends another if that is worth while.
+    /// Reports attempts in flight to the policy and sends a hedge if that is worthwhile.
     fn look(&mut self, running: &mut Running, tally: &mut Tally) {
         let now = self.gate.now();
         self.end_lost(tally);
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -33,7 +33,7 @@
 
 /// Most attempts for one request.
 const MAX_ATTEMPTS: usize = 3;
-/// When to come back before this box is set up.
+/// `Retry-After` before this box is set up.
 const NOT_YET_WAIT: Duration = Duration::from_secs(1);
 /// Ticks between two renewals of what operators see.
 const STATUS_TURNS: u64 = 25;
