--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -355,7 +355,7 @@
             beliefs += usize::from(matches!(news, News::Belief { .. }));
             policy.heard_limit(from, news, now);
             if let News::Leaving { upstream } = news
-                && let Some(upstream) = policy.balancer().heard_leaving(upstream)
+                && let Some(upstream) = policy.balancer().learn_leaving(upstream)
             {
                 log::info!(upstream, from = from.0; "news: {upstream} announced its shutdown");
             }
--- a/crates/honeypulley_policy/src/balance/heard.rs
+++ b/crates/honeypulley_policy/src/balance/heard.rs
@@ -75,7 +75,7 @@
             }
             News::Limit { upstream, rate } => self.heard_limit(upstream, rate, now),
             News::Leaving { upstream } => {
-                self.heard_leaving(upstream);
+                self.learn_leaving(upstream);
             }
             // Of an organisation, this and the next are not the balancer's matter.
             News::Admitted { subject, sum } => self.limits.heard_sent(from, subject, sum, now),
--- a/crates/honeypulley_policy/src/balance/named.rs
+++ b/crates/honeypulley_policy/src/balance/named.rs
@@ -141,7 +141,7 @@
 }
 
 impl Balancer {
-    /// Records the limit that an answer to an attempt advertised; tells whether it changed.
+    /// Records the limit that an answer to an attempt advertised; returns whether it changed.
     pub(super) fn named(&mut self, k: AttemptKey, rate: f64, now: Time) -> bool {
         let Some((id, _)) = self.asked(k) else { return false };
         let is_new = self.limits.set(id, rate, now);
@@ -149,7 +149,7 @@
         is_new
     }
 
-    /// Records that an answer to an attempt advertised no limit; tells whether one is lifted.
+    /// Records that an answer to an attempt advertised no limit; returns whether one is lifted.
     ///
     /// An attempt that began before the limit was known lifts none: it may have been in flight.
     pub(super) fn withdraw_limit(&mut self, k: AttemptKey) -> bool {
--- a/crates/honeypulley_policy/src/balance/signals.rs
+++ b/crates/honeypulley_policy/src/balance/signals.rs
@@ -1,7 +1,7 @@
 //! What upstreams say of themselves in their answers, and how long it holds.
 //!
 //! It belongs to one incarnation of an upstream: a restart begins with nothing, while a list
-//! entry that goes and comes back changes nothing.
+//! entry that disappears and returns changes nothing.
 
 use super::{Balancer, FarLoad, News, Upstream};
 use crate::chooser::Ask;
@@ -22,14 +22,14 @@
 /// What one incarnation of an upstream declared.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Declared {
-    /// It announced its shutdown, which nothing takes back.
+    /// It announced its shutdown, which nothing reverts.
     pub(super) leaving: bool,
     /// When this box may send it something again.
     pub(super) backoff: Option<Time>,
 }
 
 impl Declared {
-    /// Records a requested backoff; tells whether it ends later than one before.
+    /// Records a requested backoff; returns whether it ends later than one before.
     fn back_off(&mut self, until: Time) -> bool {
         let is_later = self.backoff.is_none_or(|t| t < until);
         if is_later {
@@ -126,7 +126,7 @@
 
     /// Records an announced shutdown that a peer received; returns the upstream's name if that
     /// is new.
-    pub fn heard_leaving(&mut self, id: NameId) -> Option<&str> {
+    pub fn learn_leaving(&mut self, id: NameId) -> Option<&str> {
         let Some(u) = self.by_id.get(&id).and_then(|&k| self.upstreams.get_mut(k)) else {
             // Its entry may be late.
             let before = self.unlisted.take(id);
@@ -155,7 +155,7 @@
         self.declared.backoff.map(|until| until.since(now)).filter(|left| !left.is_zero())
     }
 
-    /// Records its announced shutdown; tells whether that is new.
+    /// Records its announced shutdown; returns whether that is new.
     const fn declare_leaving(&mut self) -> bool {
         let is_new = !self.declared.leaving;
         self.declared.leaving = true;
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -115,7 +115,7 @@
     fn may_send(&mut self, _: &Ask, _: &[UpstreamKey], _: Time) -> Result<(), Refusal> {
         Ok(())
     }
-    /// Spends one send beyond the first of a request; tells whether there was one.
+    /// Spends one send beyond the first of a request; returns whether there was one.
     fn spend_retry(&mut self, k: ServiceKey, why: Resend, now: Time) -> bool;
     /// Returns what is known of a service's retry budget, for the log.
     fn budget_use(&self, _: ServiceKey, _: Time) -> BudgetUse {
@@ -127,7 +127,7 @@
     fn sized(&mut self, _: AttemptKey, _: u64) {}
     /// Records what an upstream said of itself in the head of an answer to an attempt.
     fn signalled(&mut self, k: AttemptKey, s: &Signals, now: Time) -> SignalChanges;
-    /// Records that a whole, good answer carried no rate limit; tells whether one is lifted.
+    /// Records that a whole, good answer carried no rate limit; returns whether one is lifted.
     fn limit_withdrawn(&mut self, _: AttemptKey) -> bool {
         false
     }
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -3,7 +3,7 @@
 use crate::dialect::Dialect;
 use crate::gate::Gate;
 use crate::liveness::has_ended;
-use crate::signals::{self, Heard};
+use crate::signals::{self, ReceivedHead};
 use bytes::{Bytes, BytesMut};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::quarantine::{End, Fingerprints};
@@ -170,8 +170,8 @@
         Ok(body) => {
             if matches!(body, AnswerBody::Whole(_)) {
                 let (status, headers) = (head.status, &head.headers);
-                let heard = Heard { from: &to.name, attempt: guard.key, status, headers };
-                signals::record_whole(&gate, &heard);
+                let received = ReceivedHead { from: &to.name, attempt: guard.key, status, headers };
+                signals::record_whole(&gate, &received);
                 guard.ended(Outcome::Whole);
             }
             Ok(Answer { head, body, guard })
@@ -263,8 +263,9 @@
         return Err(Failure::Unknown { why: "the answer belongs to another request".to_owned() });
     }
     if !d.is_misdirected(r.status()) {
-        let heard = Heard { from: &to.name, attempt: guard.key, status: r.status(), headers: h };
-        signals::record(gate, &mut *policy, &heard, now);
+        let received =
+            ReceivedHead { from: &to.name, attempt: guard.key, status: r.status(), headers: h };
+        signals::record(gate, &mut *policy, &received, now);
     }
     if d.is_not_run(r.status(), h) {
         let moved = d.is_misdirected(r.status());
--- a/crates/honeypulley_proxy/src/signals.rs
+++ b/crates/honeypulley_proxy/src/signals.rs
@@ -6,7 +6,7 @@
 use crate::headers;
 use crate::named_limit::LimitFault;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
-pub(crate) use record::{Heard, record, record_whole};
+pub(crate) use record::{ReceivedHead, record, record_whole};
 use std::time::Duration;
 
 /// Longest backoff that an upstream may ask for.
@@ -80,7 +80,7 @@
     Ok(Some(wait).filter(|w| !w.is_zero()))
 }
 
-/// Tells whether a status may ask for a backoff from its upstream.
+/// Returns whether a status may ask for a backoff from its upstream.
 ///
 /// A 429 that was run may concern its caller alone.
 #[must_use]
--- a/crates/honeypulley_proxy/src/signals/record.rs
+++ b/crates/honeypulley_proxy/src/signals/record.rs
@@ -15,7 +15,7 @@
 
 /// The head of an answer that is known to be the asked upstream's own.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Heard<'a> {
+pub(crate) struct ReceivedHead<'a> {
     /// Name of the upstream.
     pub(crate) from: &'a str,
     /// The attempt that it answers.
@@ -26,7 +26,7 @@
     pub(crate) headers: &'a HeaderMap,
 }
 
-impl Heard<'_> {
+impl ReceivedHead<'_> {
     /// Reads all signals; those that can't be read are left out and returned as faults.
     fn read(&self, d: &Dialect) -> (Signals, Vec<SignalFault>) {
         let mut faults = Vec::new();
@@ -48,15 +48,20 @@
 }
 
 /// Records the signals of an answer's head.
-pub(crate) fn record(gate: &Gate, policy: &mut dyn Chooser, heard: &Heard<'_>, now: Time) {
-    let upstream = heard.from;
-    let (signals, faults) = heard.read(&gate.dialect);
+pub(crate) fn record(
+    gate: &Gate,
+    policy: &mut dyn Chooser,
+    received: &ReceivedHead<'_>,
+    now: Time,
+) {
+    let upstream = received.from;
+    let (signals, faults) = received.read(&gate.dialect);
     for fault in faults {
         let is_limit = matches!(fault, SignalFault::Limit(_));
         gate.count(if is_limit { "limits.refused" } else { "signals.ignored" });
         log::warn!(upstream, fault:% = fault; "attempt: ignored a signal of {upstream}: {fault}");
     }
-    let changes = policy.signalled(heard.attempt, &signals, now);
+    let changes = policy.signalled(received.attempt, &signals, now);
     if signals.limit.is_some() {
         gate.count("limits.named");
     }
@@ -84,15 +89,15 @@
 ///
 /// Only a proven success lifts a rate limit: an answer that is cut, or a failure, may not be the
 /// upstream's own word on itself.
-pub(crate) fn record_whole(gate: &Gate, heard: &Heard<'_>) {
+pub(crate) fn record_whole(gate: &Gate, received: &ReceivedHead<'_>) {
     let d = &gate.dialect;
-    let is_proven = d.proof.as_ref().is_none_or(|p| heard.headers.contains_key(p));
-    let is_word = is_proven && heard.status.is_success();
-    if d.limit.is_none() || !is_word || d.limit(heard.headers) != Ok(None) {
+    let is_proven = d.proof.as_ref().is_none_or(|p| received.headers.contains_key(p));
+    let is_word = is_proven && received.status.is_success();
+    if d.limit.is_none() || !is_word || d.limit(received.headers) != Ok(None) {
         return;
     }
-    if gate.chooser.lock().limit_withdrawn(heard.attempt) {
-        let upstream = heard.from;
+    if gate.chooser.lock().limit_withdrawn(received.attempt) {
+        let upstream = received.from;
         log::info!(upstream; "attempt: {upstream} no longer advertises a limit");
     }
 }
