--- a/crates/honeypulley_bundle/src/keeper.rs
+++ b/crates/honeypulley_bundle/src/keeper.rs
@@ -13,7 +13,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-/// Earlier manifests remembered, against which peers are told changes only.
+/// Earlier manifests kept, against which peers are sent changes only.
 const REMEMBERED: usize = 8;
 
 /// A bundle in force with all that peers may pull.
--- a/crates/honeypulley_bundle/src/sign.rs
+++ b/crates/honeypulley_bundle/src/sign.rs
@@ -114,7 +114,7 @@
         key.verify_strict(message(manifest).as_bytes(), &sig).map_err(|_| mismatch())
     }
 
-    /// Tells whether no key is held.
+    /// Returns whether no key is held.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.keys.is_empty()
--- a/crates/honeypulley_daemon/src/admin.rs
+++ b/crates/honeypulley_daemon/src/admin.rs
@@ -16,7 +16,7 @@
 
 /// What the admin port shows of a box.
 pub trait AdminView: Debug + Send + Sync {
-    /// Tells whether the box wants new connections.
+    /// Returns whether the box wants new connections.
     ///
     /// # Errors
     /// Returns why it does not.
--- a/crates/honeypulley_daemon/src/context.rs
+++ b/crates/honeypulley_daemon/src/context.rs
@@ -26,7 +26,7 @@
 /// Silence of platform and all peers after which a box is not ready.
 ///
 /// It is the time within which a change must be in force everywhere: a box that
-/// hears nobody for longer may serve an older bundle.
+/// is isolated for longer may serve an older bundle.
 pub const ALONE: Duration = Duration::from_secs(9);
 
 /// A change of a permit that a collector asks for.
@@ -75,7 +75,7 @@
     pub reports_in: Ring<Report>,
     /// Changes of permits for the permit duty.
     pub requests: Ring<PermitRequest>,
-    /// Versions that came in force here, to be told on.
+    /// Versions that came in force here, to be announced.
     pub rumours: Ring<Version>,
     /// Datagram bytes sent to peers.
     pub sent: AtomicU64,
@@ -197,7 +197,7 @@
     /// Applies changed permit objects, complete up to `version` as of `at`.
     pub fn merge_permits(&self, objects: &[Object], version: u64, at: Time) {
         let mut held = self.permits.lock();
-        // A stale read must not take the view back.
+        // A stale read must not revert the view.
         if version < held.version {
             return;
         }
@@ -227,18 +227,18 @@
         }
     }
 
-    /// Books that somebody was heard.
+    /// Records contact with a peer or the platform.
     pub fn heard(&self) {
         *self.heard.lock() = self.now();
     }
 
-    /// Returns for how long neither platform nor peers were heard.
+    /// Returns the time since the last contact with platform or peers.
     #[must_use]
     pub fn silence(&self) -> Duration {
         self.now().since(*self.heard.lock())
     }
 
-    /// Tells whether this box watches the platform for its data hall.
+    /// Returns whether this box watches the platform for its data hall.
     #[must_use]
     pub fn is_relay(&self) -> bool {
         self.relays().contains(&self.settings.name)
@@ -253,21 +253,21 @@
         placement::top(Role::Relay, hall, names, RELAYS).into_iter().map(str::to_owned).collect()
     }
 
-    /// Books the version that the platform told.
+    /// Records the version that the platform reported.
     pub fn platform_told(&self, v: Version) {
         self.heard();
         self.join.lock().platform_told(v.0);
         self.try_join();
     }
 
-    /// Books the version that a peer told.
+    /// Records the version that a peer reported.
     pub fn peer_told(&self, peer: NameId, v: Version) {
         self.heard();
         self.join.lock().peer_told(peer, v.0);
         self.try_join();
     }
 
-    /// Tells whether this box may serve what it holds.
+    /// Returns whether this box may serve what it holds.
     #[must_use]
     pub fn is_joined(&self) -> bool {
         self.join.lock().is_done()
@@ -286,7 +286,7 @@
         self.shared.feed.bundles.push(held);
     }
 
-    /// Tells whether callers should be sent here, and why not.
+    /// Returns whether callers should be sent here, and why not.
     ///
     /// # Errors
     /// Returns the reason in a short sentence.
--- a/crates/honeypulley_daemon/src/peer.rs
+++ b/crates/honeypulley_daemon/src/peer.rs
@@ -27,7 +27,7 @@
 
 /// Time between two questions to a peer.
 const ASK_GAP: Duration = Duration::from_millis(700);
-/// Peers told of a new version at once.
+/// Peers that a new version is announced to at once.
 const RUMOUR_FANOUT: usize = 8;
 /// Questions whose answer is still awaited.
 const MAX_ASKED: usize = 64;
--- a/crates/honeypulley_daemon/src/platform.rs
+++ b/crates/honeypulley_daemon/src/platform.rs
@@ -136,7 +136,7 @@
         let mut seen = 0;
         loop {
             if !self.ctx.is_relay() {
-                // What peers told meanwhile may be newer or older; start afresh.
+                // Updates of peers meanwhile may be newer or older; start afresh.
                 seen = 0;
                 sleep(WATCH).await;
                 continue;
--- a/crates/honeypulley_daemon/src/status.rs
+++ b/crates/honeypulley_daemon/src/status.rs
@@ -39,7 +39,7 @@
     pub not_ready: String,
     /// Whether it watches the platform for its hall.
     pub relay: bool,
-    /// Milliseconds since platform or peers were heard.
+    /// Milliseconds since the last contact with platform or peers.
     pub silence_ms: u64,
     /// Whether its permits may be acted on.
     pub permits_valid: bool,
--- a/crates/honeypulley_mesh/src/book.rs
+++ b/crates/honeypulley_mesh/src/book.rs
@@ -129,7 +129,7 @@
         chosen
     }
 
-    /// Tells whether the data hall of a box is known.
+    /// Returns whether the data hall of a box is known.
     #[must_use]
     pub fn knows(&self, id: NameId) -> bool {
         self.boxes.get(&id).is_some_and(|b| !b.hall.is_empty())
--- a/crates/honeypulley_mesh/src/catch_up.rs
+++ b/crates/honeypulley_mesh/src/catch_up.rs
@@ -150,7 +150,7 @@
         true
     }
 
-    /// Tells whether a version is known of beyond the one held.
+    /// Returns whether a version is known of beyond the one held.
     #[must_use]
     pub const fn misses(&self, held: u64) -> bool {
         self.wanted > held
@@ -224,7 +224,7 @@
     }
 }
 
-/// Tells whether a point has come, and sets the next one.
+/// Returns whether a point has come, and sets the next one.
 fn take_due(due: &mut Time, gap: Duration, now: Time) -> bool {
     let is_due = *due <= now;
     if is_due {
--- a/crates/honeypulley_mesh/src/join.rs
+++ b/crates/honeypulley_mesh/src/join.rs
@@ -128,7 +128,7 @@
 }
 
 impl BoxRecord {
-    /// Tells whether what stands in the store is this record.
+    /// Returns whether what stands in the store is this record.
     fn is_same(&self, stands: &[u8]) -> bool {
         serde_json::from_slice::<Self>(stands).is_ok_and(|r| r == *self)
     }
--- a/crates/honeypulley_mesh/src/list.rs
+++ b/crates/honeypulley_mesh/src/list.rs
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Tells whether the upstream takes new work.
+    /// Returns whether the upstream takes new work.
     #[must_use]
     pub fn is_live(&self) -> bool {
         matches!(self, Self::Set(l) if l.member.state == MemberState::Live)
@@ -118,7 +118,7 @@
         self.version
     }
 
-    /// Tells whether the whole list was taken once.
+    /// Returns whether the whole list was taken once.
     #[must_use]
     pub const fn is_known(&self) -> bool {
         self.known
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -265,7 +265,7 @@
         Held { version: lists.list.version(), value: lists.list.entries(self.now()) }
     }
 
-    /// Tells whether the whole list was taken once.
+    /// Returns whether the whole list was taken once.
     #[must_use]
     pub fn knows_list(&self) -> bool {
         self.lists.lock().list.is_known()
--- a/crates/honeypulley_mesh/src/readers.rs
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -180,7 +180,7 @@
         self.returned.map_or(Duration::ZERO, |r| RETURN_TIME.saturating_sub(now.since(r)))
     }
 
-    /// Tells whether the platform's objects are known as of some moments ago.
+    /// Returns whether the platform's objects are known as of some moments ago.
     #[must_use]
     pub fn in_touch(&self, now: Time) -> bool {
         self.contact.is_some_and(|c| now.since(c) < AWAY_GAP)
@@ -193,13 +193,13 @@
         known.map_or(NEVER, |t| now.since(t))
     }
 
-    /// Tells whether the platform fails this box's calls.
+    /// Returns whether the platform fails this box's calls.
     #[must_use]
     pub const fn is_unable(&self) -> bool {
         self.failures >= FAILURES
     }
 
-    /// Tells whether this box reads.
+    /// Returns whether this box reads.
     #[must_use]
     pub const fn is_reading(&self) -> bool {
         self.reading.is_some()
--- a/crates/honeypulley_mesh/src/setup.rs
+++ b/crates/honeypulley_mesh/src/setup.rs
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Tells whether something is on its way.
+    /// Returns whether something is on its way.
     #[must_use]
     pub fn is_awaited(&self) -> bool {
         self.stage.load(Ordering::Acquire) == Stage::Awaited as u8
--- a/crates/honeypulley_observe/src/departures.rs
+++ b/crates/honeypulley_observe/src/departures.rs
@@ -1,6 +1,6 @@
-//! Which box heard of which departure, and how long after the first one.
+//! Which box learned of which departure, and how long after the first one.
 //!
-//! It tells a box that never heard from one that heard late, for every upstream that
+//! It distinguishes a box that never learned of it from a late one, for every upstream that
 //! left. Times are those of the boxes' clocks, which may differ by some milliseconds.
 
 use crate::explain::Line;
@@ -13,17 +13,17 @@
 pub struct Departure {
     /// Upstream that left.
     pub upstream: String,
-    /// Time of day at which the first box heard.
+    /// Time of day at which the first box learned of it.
     pub at: String,
-    /// Box that heard first, and by whose word.
+    /// Box that learned of it first, and its source.
     pub first: (String, String),
-    /// Boxes that heard.
+    /// Boxes that learned of it.
     pub heard: usize,
     /// Time from the first box to the middle one, in ms.
     pub middle_ms: i64,
     /// Time from the first box to the last one, in ms.
     pub last_ms: i64,
-    /// Box that heard last, and by whose word.
+    /// Box that learned of it last, and its source.
     pub last: (String, String),
     /// Boxes that held the upstream for live and have no line that it left.
     pub never: Vec<String>,
--- a/crates/honeypulley_observe/src/losses.rs
+++ b/crates/honeypulley_observe/src/losses.rs
@@ -1,7 +1,7 @@
 //! Which requests were lost, by what decided their first send.
 //!
 //! It answers where a fleet loses most: by kind, by the reason of the first choice, by
-//! what was believed of the upstream then, and by whether a second send was denied.
+//! what was believed of the upstream then, and by whether a retry was denied.
 
 use crate::explain::Line;
 use serde::Serialize;
--- a/crates/honeypulley_operator/src/why.rs
+++ b/crates/honeypulley_operator/src/why.rs
@@ -37,7 +37,7 @@
     show(args, &rows, |r| losses::page(r))
 }
 
-/// Says which box heard of which departure, from log files or standard input.
+/// Prints which box learned of which departure, from log files or standard input.
 ///
 /// # Errors
 /// Returns an error if a log can't be read.
--- a/crates/honeypulley_peer/src/codec.rs
+++ b/crates/honeypulley_peer/src/codec.rs
@@ -18,7 +18,7 @@
 pub const MAX_DATAGRAM: usize = 1_400;
 /// Items that fit one datagram.
 pub const MAX_ITEMS: usize = 64;
-/// Parts in which changes of the list are told at most.
+/// Most fragments in which changes of the list are sent.
 ///
 /// 96 entries, more than a release of a service brings at once; beyond that a
 /// connection that carries the whole list is cheaper than the datagrams.
@@ -29,7 +29,7 @@
 pub enum Body {
     /// Asks for [`Body::Tell`].
     Ask {
-        /// Comes back in the answer.
+        /// Echoed in the answer.
         nonce: u64,
     },
     /// Versions that a box has.
@@ -117,7 +117,7 @@
 
 impl Told {
     /// Cuts changes into parts that fit a datagram each; `None` if they are too many
-    /// to be told so.
+    /// to be sent so.
     #[must_use]
     pub fn cut(since: u64, upto: u64, age: Duration, entries: &[Entry]) -> Option<Vec<Self>> {
         let parts = entries.len().div_ceil(MAX_ENTRIES).max(1);
@@ -355,7 +355,7 @@
     }
 }
 
-/// Rounds up, so that an age is never told too young.
+/// Rounds up, so that an age is never reported too young.
 pub(crate) fn millis(d: Duration) -> u32 {
     u32::try_from(d.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
 }
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -32,7 +32,7 @@
     Present(Listed),
     /// It is gone; if it is not back after the hold, it is taken to have left.
     Gone {
-        /// Time to wait for it to come back.
+        /// Time to wait for its return.
         hold: Duration,
     },
 }
--- a/crates/honeypulley_platform/src/accept.rs
+++ b/crates/honeypulley_platform/src/accept.rs
@@ -10,7 +10,7 @@
 
 /// Key of the head.
 pub const HEAD: &str = "bundle/head";
-/// Tries at one call before the operator is told.
+/// Attempts of one call before it is reported to the operator.
 const TRIES: u32 = 6;
 /// First wait between two tries; doubles, with jitter.
 const FIRST_WAIT: Duration = Duration::from_millis(50);
--- a/crates/honeypulley_platform/src/memory.rs
+++ b/crates/honeypulley_platform/src/memory.rs
@@ -72,7 +72,7 @@
         self.changed.notify_waiters();
     }
 
-    /// Forgets the history up to now; watches from before it are told so.
+    /// Drops the history up to now; watches from before it are refused.
     pub fn compact(&self) {
         let mut s = self.state.lock();
         s.forgotten = s.version;
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -44,7 +44,7 @@
 }
 
 impl Offer {
-    /// Tells whether it is as good as the least loss; what is drawn leaves no data hall.
+    /// Returns whether it is as good as the least loss; what is drawn leaves no data hall.
     fn is_like(&self, least: &Self) -> bool {
         self.near == least.near && self.loss <= least.loss + ALIKE_LOSS
     }
--- a/crates/honeypulley_policy/src/balance/doubt.rs
+++ b/crates/honeypulley_policy/src/balance/doubt.rs
@@ -50,7 +50,7 @@
         chance * ratio / (chance * ratio + 1.0 - chance)
     }
 
-    /// Tells whether something has been open there for longer than is usual.
+    /// Returns whether something has been open there for longer than is usual.
     pub(super) fn waits_long(&self, k: UpstreamKey, now: Time) -> bool {
         self.open_evidence(&self.upstreams[k], now) >= LONG_RATIO
     }
@@ -105,7 +105,7 @@
         steps.iter().filter(due).map(|&(_, what)| what).collect()
     }
 
-    /// Tells whether an attempt that ended with no answer had waited beyond nearly all.
+    /// Returns whether an attempt that ended with no answer had waited beyond nearly all.
     pub(super) fn hung(&self, a: &Attempt, now: Time) -> bool {
         let is_proven = self.routes.contains_key(&a.route);
         let waited = self.survival(a, now) < HUNG_SURVIVAL;
--- a/crates/honeypulley_policy/src/balance/failing.rs
+++ b/crates/honeypulley_policy/src/balance/failing.rs
@@ -76,7 +76,7 @@
         }
     }
 
-    /// Tells whether much of the service failed some moments ago.
+    /// Returns whether much of the service failed some moments ago.
     pub(super) fn is_now(&self, now: Time) -> bool {
         self.seen.is_some_and(|at| now.since(at) < LASTS)
     }
--- a/crates/honeypulley_policy/src/balance/floor.rs
+++ b/crates/honeypulley_policy/src/balance/floor.rs
@@ -41,7 +41,7 @@
 }
 
 impl Balancer {
-    /// Tells whether so many upstreams of this data hall have work that the others may rest.
+    /// Returns whether so many upstreams of this data hall have work that the others may rest.
     pub(super) fn keeps_floor(&self, open: &[UpstreamKey], rule: FloorRule, now: Time) -> bool {
         let near = open.iter().map(|&k| &self.upstreams[k]).filter(|u| u.near);
         let (mut counted, mut working) = (0.0, 0.0);
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -119,7 +119,7 @@
         }
     }
 
-    /// Tells whether an answer came before any work could be done for it.
+    /// Returns whether an answer came before any work could be done for it.
     fn is_early(&self, a: &Attempt, took: Duration) -> bool {
         let work = self.services.get(a.service).map(|s| &s.work).filter(|w| w.is_warm());
         let usual = |w: &WorkTimes| w.within(0.5, assumed(a.aim)).mul_f64(EARLY_SHARE);
@@ -211,7 +211,7 @@
 }
 
 impl Attempt {
-    /// Tells whether it ran out of the time that it was given.
+    /// Returns whether it ran out of the time that it was given.
     fn is_out_of_time(&self, now: Time) -> bool {
         self.left.is_some_and(|left| now.since(self.started) >= left.mul_f64(OUT_OF_TIME))
     }
--- a/crates/honeypulley_policy/src/balance/named.rs
+++ b/crates/honeypulley_policy/src/balance/named.rs
@@ -225,7 +225,7 @@
         (left, wait)
     }
 
-    /// Tells whether an upstream has room for a request, or else when.
+    /// Returns whether an upstream has room for a request, or else when.
     fn room(
         &mut self,
         k: UpstreamKey,
--- a/crates/honeypulley_policy/src/balance/news.rs
+++ b/crates/honeypulley_policy/src/balance/news.rs
@@ -102,7 +102,7 @@
 }
 
 impl News {
-    /// Tells whether it concerns the sender's data hall alone.
+    /// Returns whether it concerns the sender's data hall alone.
     #[must_use]
     pub const fn is_for_hall(&self) -> bool {
         matches!(self, Self::Open { .. } | Self::Ended { .. } | Self::Admitted { .. })
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -194,7 +194,7 @@
         self.inherited = self.inherited.filter(|(_, at)| !is_old(*at));
     }
 
-    /// Tells whether this box should tell its traffic though it sent nothing again.
+    /// Returns whether this box should tell its traffic though it sent nothing again.
     ///
     /// Boxes that are denied would else never learn that there is more to spend.
     pub(super) fn is_telling(&mut self, now: Time) -> bool {
--- a/crates/honeypulley_policy/src/balance/trial.rs
+++ b/crates/honeypulley_policy/src/balance/trial.rs
@@ -116,7 +116,7 @@
         is_well && is_free && self.has_turn(u, rest, rule.rest) && !self.waits_long(k, now)
     }
 
-    /// Tells whether a rest is long enough for this box, by a turn drawn for each rest.
+    /// Returns whether a rest is long enough for this box, by a turn drawn for each rest.
     fn has_turn(&self, u: &Upstream, rest: Duration, most: Duration) -> bool {
         if rest <= most.mul_f64(1.0 - TURN_SHARE) {
             return false;
@@ -139,12 +139,12 @@
 }
 
 impl Upstream {
-    /// Tells whether nothing was ever sent there, as far as is known.
+    /// Returns whether nothing was ever sent there, as far as is known.
     pub(super) const fn is_new(&self) -> bool {
         self.worked.is_none() && self.failed.is_none()
     }
 
-    /// Tells whether something failed there a moment ago.
+    /// Returns whether something failed there a moment ago.
     fn failed_lately(&self, sparing: Sparing, now: Time) -> bool {
         self.failed.is_some_and(|at| now.since(at) < sparing.rest_after(self.streak))
     }
--- a/crates/honeypulley_policy/src/balance/work.rs
+++ b/crates/honeypulley_policy/src/balance/work.rs
@@ -60,7 +60,7 @@
         self.middle = self.quantile(0.5);
     }
 
-    /// Tells whether enough was seen to go by it.
+    /// Returns whether enough was seen to go by it.
     #[must_use]
     pub fn is_warm(&self) -> bool {
         self.total >= WARM
--- a/crates/honeypulley_policy/src/belief.rs
+++ b/crates/honeypulley_policy/src/belief.rs
@@ -48,7 +48,7 @@
 }
 
 impl Observation {
-    /// Tells whether a request may be lost by it.
+    /// Returns whether a request may be lost by it.
     ///
     /// A request of which nothing was sent goes elsewhere at no cost, so it is no failure of
     /// its service.
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -82,7 +82,7 @@
     fn pick(&mut self, ask: &Ask, tried: &[UpstreamKey], now: Time) -> Result<Pick, Refusal>;
     /// Returns where an upstream is, if it is still known.
     fn place(&self, k: UpstreamKey) -> Option<Place<'_>>;
-    /// Tells whether an upstream has started again, so that what was open there is over.
+    /// Returns whether an upstream has started again, so that what was open there is over.
     fn has_restarted(&self, _: UpstreamKey) -> bool {
         false
     }
@@ -104,7 +104,7 @@
     fn hedge(&self, _: &Ask, _: AttemptKey, _: Time) -> Option<f64> {
         Some(1.0)
     }
-    /// Tells whether a send now could still be answered in time.
+    /// Returns whether a send now could still be answered in time.
     fn is_in_time(&self, _: &Ask) -> bool {
         true
     }
--- a/crates/honeypulley_policy/src/fleet_limits/buckets.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/buckets.rs
@@ -132,7 +132,7 @@
         Ok(())
     }
 
-    /// Tells whether one more request of a subject fits, where so many tokens are wanted, or
+    /// Returns whether one more request of a subject fits, where so many tokens are wanted, or
     /// all that its bucket holds.
     ///
     /// # Errors
--- a/crates/honeypulley_policy/src/fleet_limits/usage.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/usage.rs
@@ -187,7 +187,7 @@
         is_near
     }
 
-    /// Tells whether what this data hall admits may matter to the others.
+    /// Returns whether what this data hall admits may matter to the others.
     fn is_near_limit(&mut self, rule: LimitRule, scope: Scope, now: Time) -> bool {
         if self.far.values().any(|f| now.since(f.heard) < ECHO_TIME) {
             return true;
--- a/crates/honeypulley_policy/src/join.rs
+++ b/crates/honeypulley_policy/src/join.rs
@@ -40,7 +40,7 @@
         self.platform = Some(version);
     }
 
-    /// Tells whether the box has joined.
+    /// Returns whether the box has joined.
     #[must_use]
     pub const fn is_done(&self) -> bool {
         self.done
--- a/crates/honeypulley_policy/src/ledger.rs
+++ b/crates/honeypulley_policy/src/ledger.rs
@@ -25,7 +25,7 @@
 }
 
 impl Evidence {
-    /// Tells whether it is about time alone.
+    /// Returns whether it is about time alone.
     #[must_use]
     pub const fn is_lateness(self) -> bool {
         matches!(self, Self::Slow | Self::Stall)
@@ -150,7 +150,7 @@
         long.max(short).clamp(PRIOR_BAD / 2.0, 0.9)
     }
 
-    /// Tells whether `key` had far more bad outcomes lately than its siblings.
+    /// Returns whether `key` had far more bad outcomes lately than its siblings.
     ///
     /// It needs `least` of them at any rate. Good outcomes are left out: they are
     /// reported late, bad ones at once.
--- a/crates/honeypulley_policy/src/naive.rs
+++ b/crates/honeypulley_policy/src/naive.rs
@@ -35,7 +35,7 @@
         Self { entries: vec![Entry::default(); n] }
     }
 
-    /// Tells whether upstream `i` is set aside at `now`.
+    /// Returns whether upstream `i` is set aside at `now`.
     #[must_use]
     pub fn is_aside(&self, i: usize, now: Time) -> bool {
         self.entries[i].until.is_some_and(|t| now < t)
--- a/crates/honeypulley_policy/src/organisations/directory.rs
+++ b/crates/honeypulley_policy/src/organisations/directory.rs
@@ -185,7 +185,7 @@
         self.all.len()
     }
 
-    /// Tells whether there is none.
+    /// Returns whether there is none.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.all.is_empty()
--- a/crates/honeypulley_policy/src/permits.rs
+++ b/crates/honeypulley_policy/src/permits.rs
@@ -168,7 +168,7 @@
 }
 
 impl PermitView {
-    /// Tells whether the view may be acted on at `now`.
+    /// Returns whether the view may be acted on at `now`.
     #[must_use]
     pub fn is_valid(&self, now: Time) -> bool {
         self.confirmed.is_some_and(|at| now.since(at) < LEASE)
--- a/crates/honeypulley_policy/src/quarantine.rs
+++ b/crates/honeypulley_policy/src/quarantine.rs
@@ -232,7 +232,7 @@
         self.records.len()
     }
 
-    /// Tells whether no request is suspected or held.
+    /// Returns whether no request is suspected or held.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
@@ -279,7 +279,7 @@
         guilty.flat_map(|(&f, r)| r.ends().iter().map(move |&e| (f, e))).collect()
     }
 
-    /// Tells whether another request was at as many ends, the last one of them the same.
+    /// Returns whether another request was at as many ends, the last one of them the same.
     ///
     /// One of them is guilty: the other is cleared by its next answer, or the guilty one is
     /// known by its next end. Holding both held one innocent request for each third guilty
--- a/crates/honeypulley_policy/src/quarantine/record.rs
+++ b/crates/honeypulley_policy/src/quarantine/record.rs
@@ -64,7 +64,7 @@
 }
 
 impl End {
-    /// Tells whether both are one end of one upstream, seen by two boxes.
+    /// Returns whether both are one end of one upstream, seen by two boxes.
     pub(super) fn is_same(&self, other: &Self) -> bool {
         self.upstream == other.upstream && apart(self.ended, other.ended) < SAME_END
     }
@@ -154,7 +154,7 @@
         self.scope == other.scope
     }
 
-    /// Tells whether it says nothing any more.
+    /// Returns whether it says nothing any more.
     pub(super) fn is_old(&self, now: Time) -> bool {
         match self.held {
             Some(h) => now.since(h.until) > FORGET_HELD_TIME,
--- a/crates/honeypulley_policy/src/router/choice.rs
+++ b/crates/honeypulley_policy/src/router/choice.rs
@@ -176,7 +176,7 @@
 }
 
 impl Upstream {
-    /// Tells whether it is leaving, by the list or by its own mark.
+    /// Returns whether it is leaving, by the list or by its own mark.
     pub(super) fn is_gone(&self, now: Time) -> bool {
         self.leaving || self.drained.is_some_and(|at| now.since(at) < DRAIN_MEMORY)
     }
--- a/crates/honeypulley_policy/src/routes.rs
+++ b/crates/honeypulley_policy/src/routes.rs
@@ -18,7 +18,7 @@
 }
 
 impl RequestKind {
-    /// Tells whether a request of this kind may be repeated.
+    /// Returns whether a request of this kind may be repeated.
     #[must_use]
     pub const fn is_repeatable(self) -> bool {
         matches!(self, Self::Safe | Self::Download)
@@ -198,7 +198,7 @@
         self.routes.len()
     }
 
-    /// Tells whether there is no route.
+    /// Returns whether there is no route.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.routes.is_empty()
--- a/crates/honeypulley_policy/src/spec.rs
+++ b/crates/honeypulley_policy/src/spec.rs
@@ -18,7 +18,7 @@
 }
 
 impl Repeat {
-    /// Tells whether a request with a safe or unsafe method may be repeated.
+    /// Returns whether a request with a safe or unsafe method may be repeated.
     #[must_use]
     pub const fn allows(self, safe: bool) -> bool {
         match self {
--- a/crates/honeypulley_policy/src/spread.rs
+++ b/crates/honeypulley_policy/src/spread.rs
@@ -80,7 +80,7 @@
         Duration::from_secs_f64(self.mean.exp().min(3_600.0))
     }
 
-    /// Tells whether the whole service answers far later than it used to.
+    /// Returns whether the whole service answers far later than it used to.
     ///
     /// That is overload or the network, and says nothing of one upstream.
     #[must_use]
@@ -94,7 +94,7 @@
         Duration::from_secs_f64(self.fast.exp().min(3_600.0))
     }
 
-    /// Tells whether enough samples were seen to trust the limits.
+    /// Returns whether enough samples were seen to trust the limits.
     #[must_use]
     pub const fn is_warm(&self) -> bool {
         self.seen >= WARM
--- a/crates/honeypulley_proxy/src/body.rs
+++ b/crates/honeypulley_proxy/src/body.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Tells whether [`Source::take`] would give a body.
+    /// Returns whether [`Source::take`] would give a body.
     #[must_use]
     pub const fn is_there(&self) -> bool {
         matches!(self, Self::Kept(_) | Self::Streamed(Some(_)))
--- a/crates/honeypulley_proxy/src/dialect.rs
+++ b/crates/honeypulley_proxy/src/dialect.rs
@@ -152,13 +152,13 @@
         signals::read_leaving(h, &self.leaving)
     }
 
-    /// Tells whether an answer proves that the request did not run.
+    /// Returns whether an answer proves that the request did not run.
     #[must_use]
     pub fn is_not_run(&self, status: StatusCode, h: &HeaderMap) -> bool {
         h.contains_key(&self.not_run) || self.is_misdirected(status)
     }
 
-    /// Tells whether another instance than the expected one has the address.
+    /// Returns whether another instance than the expected one has the address.
     #[must_use]
     pub fn is_misdirected(&self, status: StatusCode) -> bool {
         self.expect.is_some() && status == StatusCode::MISDIRECTED_REQUEST
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -282,7 +282,7 @@
     Ok(bare.to_ascii_lowercase())
 }
 
-/// Tells whether a host in the request line goes before the header.
+/// Returns whether a host in the request line goes before the header.
 fn line_rules(req: &Request) -> bool {
     req.version() <= Version::HTTP_11
 }
--- a/crates/honeypulley_proxy/src/liveness.rs
+++ b/crates/honeypulley_proxy/src/liveness.rs
@@ -10,7 +10,7 @@
 /// is told by its machine after one; a machine that says nothing is no program that ended.
 const CHECK_TIME: Duration = Duration::from_millis(50);
 
-/// Tells whether nothing listens at an address any more.
+/// Returns whether nothing listens at an address any more.
 ///
 /// A connection that breaks off alone says little: upstreams reset connections, lose answers
 /// and close idle ones while they run on. One whose port is closed right afterwards has ended.
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -239,18 +239,18 @@
         }
     }
 
-    /// Tells whether a request that got a failure answer should be tried elsewhere.
+    /// Returns whether a request that got a failure answer should be tried elsewhere.
     fn should_retry(&self, tally: &mut Tally) -> bool {
         self.may_send_again(tally) && self.spend(Resend::Failed)
     }
 
-    /// Tells whether a repeatable request may be sent once more, and still in time.
+    /// Returns whether a repeatable request may be sent once more, and still in time.
     fn may_send_again(&self, tally: &mut Tally) -> bool {
         let may_repeat = self.routed.ask.repeatable && self.standing() < Standing::Single;
         may_repeat && self.has_retry(tally) && self.is_in_time() && self.has_upstream(tally)
     }
 
-    /// Tells whether another upstream may be sent the request now.
+    /// Returns whether another upstream may be sent the request now.
     fn has_upstream(&self, tally: &mut Tally) -> bool {
         let (ask, now) = (Ask { left: self.left(), ..self.routed.ask }, self.gate.now());
         let refused = self.gate.chooser.lock().may_send(&ask, &tally.tried, now).err();
--- a/crates/honeypulley_standin/src/platform.rs
+++ b/crates/honeypulley_standin/src/platform.rs
@@ -256,7 +256,7 @@
         PlatformError::Compacted { .. } => {
             res.status_code(StatusCode::GONE);
         }
-        // A lost answer: a gateway's error tells the writer nothing.
+        // A lost answer: a gateway's error says nothing about the write.
         PlatformError::Unknown { .. } => {
             res.status_code(StatusCode::GATEWAY_TIMEOUT);
         }
--- a/crates/honeypulley_supervisor/src/tree.rs
+++ b/crates/honeypulley_supervisor/src/tree.rs
@@ -15,7 +15,7 @@
 /// A duty that ran this long starts again with the first wait.
 const LONG_RUN: Duration = Duration::from_secs(30);
 
-/// How a process is told to end, in two steps.
+/// How a process is asked to stop, in two steps.
 #[derive(Clone, Debug, Default)]
 pub struct Stop {
     /// Set when a planned stop begins: no new work, open work goes on.
--- a/tools/fleet/src/lib.rs
+++ b/tools/fleet/src/lib.rs
@@ -250,7 +250,7 @@
         Ok(self.client.get(url).send().await?.json().await?)
     }
 
-    /// Tells whether a box is ready, and what it says.
+    /// Returns whether a box is ready, and what it says.
     ///
     /// # Errors
     /// Returns an error if the box does not answer.
--- a/tools/measure/src/main.rs
+++ b/tools/measure/src/main.rs
@@ -14,7 +14,7 @@
 use clap::{Arg, ArgAction, Command, value_parser};
 use eyre::Result;
 
-/// Counts what is allocated, so that memory is told exactly.
+/// Counts allocations, so that memory is reported exactly.
 #[global_allocator]
 static ALLOCATOR: cap::Cap<mimalloc::MiMalloc> = cap::Cap::new(mimalloc::MiMalloc, usize::MAX);
 
--- a/tools/trial/src/model.rs
+++ b/tools/trial/src/model.rs
@@ -97,7 +97,7 @@
     pub policy: Policy,
     /// Busy slots over all slots.
     pub usage: f64,
-    /// Whether requests may be sent again.
+    /// Whether requests may be retried.
     pub repeatable: bool,
 }
 
--- a/tools/trial/src/model/control.rs
+++ b/tools/trial/src/model/control.rs
@@ -1,4 +1,4 @@
-//! What the boxes tell each other, and what is observed of them.
+//! What the boxes announce to each other, and what is observed of them.
 
 use super::{
     COLLECTORS, Event, FAULT_AT, FLOOR, Floor, FloorContext, Judgement, NameId, PermitView, Policy,
--- a/tools/trial/src/model/traffic.rs
+++ b/tools/trial/src/model/traffic.rs
@@ -142,7 +142,7 @@
         }
     }
 
-    /// Takes that an attempt is overdue, for policies that do not look themselves.
+    /// Records that an attempt is overdue, for policies that do not look themselves.
     pub(super) fn overdue(&mut self, request: usize) {
         let r = &self.requests[request];
         if let (false, Some(a)) = (r.over, r.attempt) {
@@ -152,7 +152,7 @@
         }
     }
 
-    /// Tells whether an upstream fails most of its work just now, by itself.
+    /// Returns whether an upstream fails most of its work just now, by itself.
     fn in_spell(&self, up: usize) -> bool {
         let size = self.s.size;
         let prone = (up as f64 + 0.5) / size.upstreams as f64 > 1.0 - size.prone;
@@ -252,7 +252,7 @@
         }
     }
 
-    /// Tells the policy how an attempt ended.
+    /// Reports to the policy how an attempt ended.
     fn close(&mut self, request: usize, ok: bool, kind: Outcome) {
         let r = &self.requests[request];
         let (b, up, now) = (r.b, r.up, self.now);
