Signals count while their upstream's list entry is away

An entry goes at times while the store is away, and comes back as ready. An answer that arrived in between found no upstream and its announced shutdown, backoff or limit was dropped. An attempt now knows the incarnation that it went to, and declarations of unlisted incarnations are kept as those of listed ones. The new test failed before.

--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -168,6 +168,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
     upstream: UpstreamKey,
+    /// Incarnation that it went to, which may not be listed any more.
+    id: NameId,
     service: ServiceKey,
     route: NameId,
     started: Time,
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -74,6 +74,7 @@
         let u = &self.upstreams[upstream];
         let attempt = self.attempts.insert(Attempt {
             upstream,
+            id: u.id,
             service: ask.service,
             route: ask.route,
             started: now,
--- a/crates/honeypulley_policy/src/balance/named.rs
+++ b/crates/honeypulley_policy/src/balance/named.rs
@@ -164,8 +164,7 @@
 
     /// Returns the incarnation that an attempt went to, and when it began.
     fn asked(&self, k: AttemptKey) -> Option<(NameId, Time)> {
-        let a = self.attempts.get(k)?;
-        Some((self.upstreams.get(a.upstream)?.id, a.started))
+        self.attempts.get(k).map(|a| (a.id, a.started))
     }
 
     /// Broadcasts a new limit, and rebroadcasts an unchanged one every `RENEW_GAP`.
--- a/crates/honeypulley_policy/src/balance/signals.rs
+++ b/crates/honeypulley_policy/src/balance/signals.rs
@@ -29,6 +29,11 @@
 }
 
 impl Declared {
+    /// Records an announced shutdown; returns whether that is new.
+    const fn leave(&mut self) -> bool {
+        !std::mem::replace(&mut self.leaving, true)
+    }
+
     /// Records a requested backoff; returns whether it ends later than one before.
     fn back_off(&mut self, until: Time) -> bool {
         let is_later = self.backoff.is_none_or(|t| t < until);
@@ -71,26 +76,34 @@
         s: &Signals,
         now: Time,
     ) -> SignalChanges {
-        let upstream = self.attempts.get(k).map(|a| a.upstream);
-        let Some(u) = upstream.and_then(|u| self.upstreams.get_mut(u)) else {
-            return SignalChanges::default();
-        };
-        if let Some(load) = s.load {
+        let Some(&a) = self.attempts.get(k) else { return SignalChanges::default() };
+        if let (Some(load), Some(u)) = (s.load, self.upstreams.get_mut(a.upstream)) {
             // The report counts the request that it answers.
             let count = (load.busy - u.known(now)).max(0.0);
             u.far = Some(FarLoad { count, at: now });
         }
-        let leaving = s.leaving && u.declare_leaving();
-        if leaving {
-            self.news.push(News::Leaving { upstream: u.id });
-        }
         let rng = &mut self.rng;
         let until = s.backoff.map(|wait| now + wait.mul_f64(1.0 + rng.f64() * BACKOFF_SPREAD));
-        let backoff = until.is_some_and(|t| u.declared.back_off(t));
+        let (leaving, backoff) =
+            self.declare(a.id, |d| (s.leaving && d.leave(), until.is_some_and(|t| d.back_off(t))));
+        if leaving {
+            self.news.push(News::Leaving { upstream: a.id });
+        }
         let limit = s.limit.is_some_and(|rate| self.named(k, rate, now));
         SignalChanges { limit, leaving, backoff }
     }
 
+    /// Changes what an incarnation declared, whether or not it is listed.
+    fn declare<T>(&mut self, id: NameId, change: impl FnOnce(&mut Declared) -> T) -> T {
+        if let Some(u) = self.by_id.get(&id).and_then(|&k| self.upstreams.get_mut(k)) {
+            return change(&mut u.declared);
+        }
+        let mut declared = self.unlisted.take(id);
+        let changed = change(&mut declared);
+        self.unlisted.keep(id, declared);
+        changed
+    }
+
     /// Returns the upstreams that a request may be sent to now.
     ///
     /// Every send passes here: first sends, trials, retries and hedges.
@@ -127,13 +140,9 @@
     /// Records an announced shutdown that a peer received; returns the upstream's name if that
     /// is new.
     pub fn learn_leaving(&mut self, id: NameId) -> Option<&str> {
-        let Some(u) = self.by_id.get(&id).and_then(|&k| self.upstreams.get_mut(k)) else {
-            // Its entry may be late.
-            let before = self.unlisted.take(id);
-            self.unlisted.keep(id, Declared { leaving: true, ..before });
-            return None;
-        };
-        u.declare_leaving().then_some(u.name.as_str())
+        let is_new = self.declare(id, Declared::leave);
+        let u = self.by_id.get(&id).and_then(|&k| self.upstreams.get(k))?;
+        is_new.then_some(u.name.as_str())
     }
 
     /// Returns the announced shutdowns that the list does not show, for a box that has just
@@ -154,11 +163,4 @@
     pub(super) fn backoff_left(&self, now: Time) -> Option<Duration> {
         self.declared.backoff.map(|until| until.since(now)).filter(|left| !left.is_zero())
     }
-
-    /// Records its announced shutdown; returns whether that is new.
-    const fn declare_leaving(&mut self) -> bool {
-        let is_new = !self.declared.leaving;
-        self.declared.leaving = true;
-        is_new
-    }
 }
--- a/crates/honeypulley_policy/tests/balance/signals.rs
+++ b/crates/honeypulley_policy/tests/balance/signals.rs
@@ -245,3 +245,22 @@
     assert!(left >= Duration::from_secs(3_540), "{left:?}");
     assert_eq!(b.status(at(4_000_000))[0].backoff, None);
 }
+
+/// Guards against signals of answers that arrive while their upstream's list entry is away.
+#[test]
+fn signals_count_while_the_list_entry_is_away() {
+    let mut b = balancer(2);
+    let [p, q] = [pick(&mut b, "u0", 0), pick(&mut b, "u1", 0)];
+    b.remove_upstream("u0");
+    b.remove_upstream("u1");
+    b.take_news();
+    assert!(b.signalled(p.attempt, &LEAVING, at(10)).leaving);
+    assert!(b.take_news().contains(&News::Leaving { upstream: NameId::of("u0") }));
+    assert!(b.signalled(q.attempt, &backoff(3_000), at(10)).backoff);
+    for name in ["u0", "u1"] {
+        b.set_upstream(listed(name, "h", MemberState::Live), at(100));
+    }
+    let ask = ask(&b, true);
+    let refused = b.pick(&ask, &[], at(110)).expect_err("one leaves, the other backs off");
+    assert_eq!(refused.kind, RefusalKind::Backoff);
+}
