One reading of odd header values, one bound of the callers' wait; plans of the simulated hall have a file of their own

Found on reading the change once more: limits and signals each trimmed and cut odd values, and two constants bounded the wait of a rejected caller alike. Behaviour and assertions as before.

--- a/crates/honeypulley_policy/src/balance/admit.rs
+++ b/crates/honeypulley_policy/src/balance/admit.rs
@@ -29,7 +29,8 @@
 /// Share of that time granted to a retry while a queue stands: retries are rejected first.
 const AGAIN_SHARE: f64 = 0.5;
 /// Bounds of the `Retry-After` of a rejected request.
-const WAIT_BOUNDS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+pub(super) const WAIT_BOUNDS: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_secs(2));
 
 /// Returns the time within which an answer has to be expected.
 fn granted(ask: &Ask, aims: f64) -> Duration {
--- a/crates/honeypulley_policy/src/balance/signals.rs
+++ b/crates/honeypulley_policy/src/balance/signals.rs
@@ -3,6 +3,7 @@
 //! It belongs to one incarnation of an upstream: a restart begins with nothing, while a list
 //! entry that disappears and returns changes nothing.
 
+use super::admit::WAIT_BOUNDS;
 use super::{Balancer, FarLoad, News, Upstream};
 use crate::chooser::Ask;
 use crate::collector::NameId;
@@ -16,8 +17,6 @@
 const MOST_UNLISTED: usize = 1_024;
 /// Part by which a backoff is lengthened at random, so that boxes return one after the other.
 const BACKOFF_SPREAD: f64 = 0.1;
-/// Shortest and longest wait of a caller that no upstream may be sent.
-const WAIT_BOUNDS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
 /// What one incarnation of an upstream declared.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/honeypulley_policy/tests/load/main.rs
+++ b/crates/honeypulley_policy/tests/load/main.rs
@@ -4,9 +4,11 @@
 //! spell as it begins, so that a figure says how much of what can be had is had.
 
 mod hall;
+mod plan;
 mod worker;
 
-use hall::{Cut, Need, Plan, Policy, Report, Sheds, play};
+use hall::{Report, play};
+use plan::{Cut, Need, Plan, Policy, Sheds};
 use rstest::rstest;
 
 /// Seconds that each plan is played.
--- a/crates/honeypulley_policy/tests/load/worker.rs
+++ b/crates/honeypulley_policy/tests/load/worker.rs
@@ -1,6 +1,6 @@
 //! An upstream of a simulated data hall, with its spells and what it was sent.
 
-use crate::hall::Plan;
+use crate::plan::Plan;
 
 #[derive(Debug, Default)]
 pub struct Worker {
--- a/crates/honeypulley_proxy/src/named_limit.rs
+++ b/crates/honeypulley_proxy/src/named_limit.rs
@@ -1,13 +1,11 @@
 //! The limit that an upstream names in its answers: requests a second from all boxes together.
 
+use crate::signals::{shown, text};
 use http::{HeaderMap, HeaderName};
 
 /// Most requests a second that are believed of one upstream.
 const MOST_RATE: f64 = 1_000_000.0;
 
-/// Characters of an odd limit that its error shows, since it is logged.
-const MOST_SHOWN: usize = 40;
-
 /// Why a named limit is not taken.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum LimitFault {
@@ -36,7 +34,7 @@
     if others > 0 {
         return Err(LimitFault::Several(others + 1));
     }
-    decimal(String::from_utf8_lossy(one.as_bytes()).trim()).map(Some)
+    decimal(&text(one)).map(Some)
 }
 
 fn decimal(text: &str) -> Result<f64, LimitFault> {
@@ -45,12 +43,11 @@
         Some((whole, fraction)) => is_digits(whole) && is_digits(fraction),
         None => is_digits(text),
     };
-    let shown = || text.chars().take(MOST_SHOWN).collect::<String>();
     let rate = text.parse::<f64>().ok().filter(|_| is_decimal);
     match rate {
-        None => Err(LimitFault::NotDecimal(shown())),
-        Some(0.0) => Err(LimitFault::Zero(shown())),
-        Some(rate) if rate > MOST_RATE => Err(LimitFault::Huge(shown())),
+        None => Err(LimitFault::NotDecimal(shown(text))),
+        Some(0.0) => Err(LimitFault::Zero(shown(text))),
+        Some(rate) if rate > MOST_RATE => Err(LimitFault::Huge(shown(text))),
         Some(rate) => Ok(rate),
     }
 }
--- a/crates/honeypulley_proxy/src/signals.rs
+++ b/crates/honeypulley_proxy/src/signals.rs
@@ -92,10 +92,12 @@
     }
 }
 
-fn text(v: &HeaderValue) -> String {
+/// Returns a header's value without blanks around it.
+pub(crate) fn text(v: &HeaderValue) -> String {
     String::from_utf8_lossy(v.as_bytes()).trim().to_owned()
 }
 
-fn shown(text: &str) -> String {
+/// Returns the beginning of an odd value, for its error.
+pub(crate) fn shown(text: &str) -> String {
     text.chars().take(MOST_SHOWN).collect()
 }
