--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -282,6 +282,12 @@
         {
             let held = self.table.lock();
             if o.version <= held.object && held.number > 0 {
+                if o.value != held.raw {
+                    log::info!(
+                        object = o.version, held = held.object, number = held.number, from;
+                        "table: revision {} dropped as older than revision {}", o.version, held.object
+                    );
+                }
                 return;
             }
         }
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -232,6 +232,9 @@
                 self.mesh.readers().answered_old(self.mesh.now());
             }
             Ok(_) | Err(PlatformError::Compacted { .. }) => {
+                if let Err(e) = &r {
+                    log::info!("store: {what} lost its place: {e}");
+                }
                 if self.mesh.readers().answered(self.mesh.now()) {
                     log::info!("readers: the platform answers this box again");
                 }
