--- a/crates/honeypulley_daemon/src/collect.rs
+++ b/crates/honeypulley_daemon/src/collect.rs
@@ -7,6 +7,7 @@
 use honeypulley_policy::collector::{Collector, Judgement, NameId, Verdict};
 use honeypulley_policy::permits::Hold;
 use honeypulley_policy::placement;
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::spec::MemberState;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
 use std::collections::BTreeMap;
@@ -32,7 +33,7 @@
 #[derive(Default)]
 struct Known {
     bundle: Version,
-    permits: u64,
+    permits: Revision,
     roster: Option<Arc<Roster>>,
 }
 
--- a/crates/honeypulley_daemon/src/context.rs
+++ b/crates/honeypulley_daemon/src/context.rs
@@ -13,6 +13,7 @@
 use honeypulley_policy::join::Join;
 use honeypulley_policy::permits::PermitView;
 use honeypulley_policy::placement::{self, RELAYS, Role};
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::time::Time;
 use honeypulley_proxy::shared::{Members, Shared};
 use honeypulley_proxy::suspects::Suspects;
@@ -54,8 +55,8 @@
 /// Permits as this box holds them.
 #[derive(Clone, Debug, Default)]
 pub struct HeldView {
-    /// Version of the platform they are complete up to.
-    pub version: u64,
+    /// Position they are complete up to.
+    pub version: Revision,
     /// The records and their last confirmation.
     pub view: PermitView,
 }
@@ -189,26 +190,31 @@
 
     /// Returns version and confirmation of the permits held.
     #[must_use]
-    pub fn permits_mark(&self) -> (u64, Option<Time>) {
+    pub fn permits_mark(&self) -> (Revision, Option<Time>) {
         let held = self.permits.lock();
         (held.version, held.view.confirmed)
     }
 
     /// Applies changed permit objects, complete up to `version` as of `at`.
-    pub fn merge_permits(&self, objects: &[Object], version: u64, at: Time) {
+    pub fn merge_permits(&self, objects: &[Object], version: Revision, at: Time) {
         let mut held = self.permits.lock();
         // A stale read must not revert the view.
         if version < held.version {
             return;
         }
         let changed: Vec<_> = objects.iter().filter_map(permit_objects::decode).collect();
-        let any = !changed.is_empty();
+        let mut any = !changed.is_empty();
+        if version.epoch > held.version.epoch {
+            // What a restored platform has lost is no permit any more.
+            any |= !held.view.records.is_empty();
+            held.view.records.clear();
+        }
         held.view.records.extend(changed);
         self.confirm_locked(&mut held, version, at, any);
     }
 
     /// Applies all permits received from a peer, complete up to `version` as of `at`.
-    pub fn replace_permits(&self, view: PermitView, version: u64, at: Time) {
+    pub fn replace_permits(&self, view: PermitView, version: Revision, at: Time) {
         let mut held = self.permits.lock();
         if version < held.version {
             return;
@@ -217,7 +223,7 @@
         self.confirm_locked(&mut held, version, at, true);
     }
 
-    fn confirm_locked(&self, held: &mut HeldView, version: u64, at: Time, changed: bool) {
+    fn confirm_locked(&self, held: &mut HeldView, version: Revision, at: Time, changed: bool) {
         held.version = version;
         held.view.confirmed = Some(held.view.confirmed.map_or(at, |old| old.max(at)));
         if changed {
--- a/crates/honeypulley_daemon/src/peer.rs
+++ b/crates/honeypulley_daemon/src/peer.rs
@@ -14,6 +14,7 @@
 use honeypulley_policy::collector::{NameId, Report};
 use honeypulley_policy::permits::PermitView;
 use honeypulley_policy::placement;
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::time::Time;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
 use std::cell::{Cell, RefCell};
@@ -152,7 +153,7 @@
         from: SocketAddr,
         asked: Time,
         bundle: Version,
-        permits: u64,
+        permits: Revision,
         age: Option<Duration>,
     ) {
         self.ctx.peer_told(who, bundle);
--- a/crates/honeypulley_daemon/src/platform.rs
+++ b/crates/honeypulley_daemon/src/platform.rs
@@ -4,8 +4,9 @@
 use crate::pull;
 use eyre::Result;
 use honeypulley_platform::accept::{HEAD, read_head};
-use honeypulley_platform::api::Platform;
+use honeypulley_platform::api::{Changes, Platform};
 use honeypulley_platform::permits::PREFIX;
+use honeypulley_policy::revision::Revision;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
 use std::sync::Arc;
 use std::time::Duration;
@@ -81,7 +82,7 @@
 
     /// Watches the head as a relay; reads it now and then otherwise.
     async fn follow_head(&self) {
-        let mut seen = 0;
+        let mut seen = Revision::ZERO;
         let mut first = true;
         loop {
             let relay = self.ctx.is_relay();
@@ -106,8 +107,8 @@
         }
     }
 
-    async fn watch_head(&self, seen: &mut u64) -> Option<()> {
-        let changes = self.platform.watch(HEAD, *seen, WATCH).await.ok()?;
+    async fn watch_head(&self, seen: &mut Revision) -> Option<()> {
+        let changes = self.watch(HEAD, seen).await?;
         self.ctx.heard();
         if changes.objects.iter().any(|o| o.key == HEAD) {
             self.read_head().await?;
@@ -116,6 +117,21 @@
         Some(())
     }
 
+    /// Waits for changes after the position seen; one that the platform does not have any more
+    /// is forgotten, so that the next watch begins anew.
+    async fn watch(&self, prefix: &str, seen: &mut Revision) -> Option<Changes> {
+        match self.platform.watch(prefix, *seen, WATCH).await {
+            Ok(changes) => Some(changes),
+            Err(e) => {
+                if e.has_lost_place() {
+                    log::info!(prefix, seen:display = seen; "platform: the watch begins anew: {e}");
+                    *seen = Revision::ZERO;
+                }
+                None
+            }
+        }
+    }
+
     async fn read_head(&self) -> Option<()> {
         let stored = read_head(self.platform.as_ref()).await.ok()?;
         self.ctx.heard();
@@ -133,22 +149,22 @@
     }
 
     async fn follow_permits(&self) {
-        let mut seen = 0;
+        let mut seen = Revision::ZERO;
         loop {
             if !self.ctx.is_relay() {
                 // Updates of peers meanwhile may be newer or older; start afresh.
-                seen = 0;
+                seen = Revision::ZERO;
                 sleep(WATCH).await;
                 continue;
             }
             // The answer is complete as of some moment after the question.
             let asked = self.ctx.now();
-            match self.platform.watch(PREFIX, seen, WATCH).await {
-                Ok(changes) => {
+            match self.watch(PREFIX, &mut seen).await {
+                Some(changes) => {
                     seen = changes.version;
                     self.ctx.merge_permits(&changes.objects, changes.version, asked);
                 }
-                Err(_) => sleep(jitter(FAILED_GAP)).await,
+                None => sleep(jitter(FAILED_GAP)).await,
             }
         }
     }
--- a/crates/honeypulley_mesh/src/admin.rs
+++ b/crates/honeypulley_mesh/src/admin.rs
@@ -26,7 +26,9 @@
             "name": self.settings.name,
             "hall": self.settings.hall,
             "table": self.in_force.load().as_ref().map_or(0, |t| t.version),
-            "list": b.list,
+            "list": b.list.number,
+            "epoch": b.epoch,
+            "restores": self.restores(),
             "list_age_ms": b.list_age.as_millis() as u64,
             "reader": b.reader,
             "read_age_ms": b.read_age.as_millis() as u64,
@@ -46,6 +48,7 @@
         format!(
             "{}honeypulley_boxes {boxes}\nhoneypulley_upstreams {upstreams}\n\
              honeypulley_table_version {}\nhoneypulley_list_version {}\n\
+             honeypulley_store_epoch {}\nhoneypulley_store_restores_total {}\n\
              honeypulley_list_age_ms {}\nhoneypulley_list_missed {}\n\
              honeypulley_reader {}\nhoneypulley_read_age_ms {}\n\
              honeypulley_news_dropped_total {}\n\
@@ -53,7 +56,9 @@
              honeypulley_entries_foreign_total {}\n",
             self.registry.text(),
             b.table,
-            b.list,
+            b.list.number,
+            b.epoch,
+            self.restores(),
             b.list_age.as_millis(),
             u8::from(self.catch_up().misses(b.list)),
             u8::from(b.reader),
--- a/crates/honeypulley_mesh/src/catch_up.rs
+++ b/crates/honeypulley_mesh/src/catch_up.rs
@@ -15,6 +15,7 @@
 
 use crate::readers::SILENCE;
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::time::Time;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -80,7 +81,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Own {
     /// Version up to which the list is complete.
-    pub version: u64,
+    pub version: Revision,
     /// Time since it was last known to be complete, if it ever was.
     pub age: Option<Duration>,
     /// Readers' beacons of the last [`SILENCE`].
@@ -113,7 +114,7 @@
     /// Whether the whole fleet starts for the first time with this box.
     first_start: bool,
     /// Newest version announced.
-    wanted: u64,
+    wanted: Revision,
     source: Option<Source>,
     /// When this box took it that it misses something.
     since: Option<Time>,
@@ -132,8 +133,8 @@
     /// Records a version that a peer knows; returns whether it is the first one missed.
     pub fn heard(
         &mut self,
-        version: u64,
-        held: u64,
+        version: Revision,
+        held: Revision,
         origin: NameId,
         via: SocketAddr,
         now: Time,
@@ -152,13 +153,13 @@
 
     /// Returns whether a version is known of beyond the one held.
     #[must_use]
-    pub const fn misses(&self, held: u64) -> bool {
+    pub fn misses(&self, held: Revision) -> bool {
         self.wanted > held
     }
 
     /// Returns the newest version announced.
     #[must_use]
-    pub const fn wanted(&self) -> u64 {
+    pub const fn wanted(&self) -> Revision {
         self.wanted
     }
 
--- a/crates/honeypulley_mesh/src/decoder.rs
+++ b/crates/honeypulley_mesh/src/decoder.rs
@@ -2,6 +2,7 @@
 
 use honeypulley_platform::api::Object;
 use honeypulley_policy::balance::Listed;
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::routes::RouteTable;
 use std::fmt::Debug;
 
@@ -27,7 +28,7 @@
     /// Key of the object.
     pub key: String,
     /// Its version.
-    pub version: u64,
+    pub version: Revision,
     /// What was wrong.
     pub cause: String,
 }
--- /dev/null
+++ b/crates/honeypulley_mesh/src/epoch.rs
@@ -0,0 +1,131 @@
+//! What a box does when the platform was restored from a backup.
+//!
+//! Each answer of the platform and each beacon names the epoch. The first that names a later one
+//! makes the box read table, list and holds anew.
+
+use crate::readers::RETURN_TIME;
+use crate::state::Mesh;
+use async_trait::async_trait;
+use bytes::Bytes;
+use honeypulley_platform::api::{Changes, Expect, Freshness, Object, Platform, PlatformError};
+use honeypulley_policy::revision::Revision;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// The newest epoch that a box knows of, and how often it has changed.
+#[derive(Debug, Default)]
+pub(crate) struct Epoch {
+    newest: AtomicU64,
+    restores: AtomicU64,
+}
+
+impl Mesh {
+    /// Returns the newest epoch of the platform that this box knows of, zero if none.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.epoch.newest.load(Ordering::Acquire)
+    }
+
+    /// Returns how many restores of the platform this box has noticed.
+    #[must_use]
+    pub fn restores(&self) -> u64 {
+        self.epoch.restores.load(Ordering::Relaxed)
+    }
+
+    /// Records an epoch that an answer of the platform or a peer named.
+    pub fn learn_epoch(&self, epoch: u64, from: &str) {
+        let before = self.epoch.newest.fetch_max(epoch, Ordering::AcqRel);
+        if epoch <= before {
+            return;
+        }
+        let list = self.list_now().version;
+        // A box that has read nothing yet has nothing to lose.
+        if list.is_zero() && self.table_number() == 0 {
+            log::info!(epoch, from; "store: its epoch is {epoch}");
+            return;
+        }
+        let now = self.now();
+        self.epoch.restores.fetch_add(1, Ordering::Relaxed);
+        self.readers().restored(now);
+        self.lists.lock().list.begin_epoch(epoch, now + RETURN_TIME);
+        log::warn!(
+            before, epoch, list:display, table = self.table_number(), from;
+            "store: restored from a backup, epoch {before} became {epoch}; all is read anew"
+        );
+        self.restored.notify_waiters();
+        self.asking.notify_one();
+        self.telling.notify_one();
+    }
+}
+
+/// A platform whose every answer tells a box of the epoch.
+#[derive(Debug)]
+pub struct EpochWatch {
+    inner: Arc<dyn Platform>,
+    mesh: Arc<Mesh>,
+}
+
+impl EpochWatch {
+    /// Wraps a platform on behalf of a box.
+    #[must_use]
+    pub const fn new(inner: Arc<dyn Platform>, mesh: Arc<Mesh>) -> Self {
+        Self { inner, mesh }
+    }
+
+    /// Records the epoch after a call, whatever came of it.
+    fn noted<T>(&self, answer: T) -> T {
+        self.mesh.learn_epoch(self.inner.epoch(), "platform");
+        answer
+    }
+
+    /// Refuses an answer of an earlier epoch than a peer has named.
+    fn checked(&self, step: &'static str, found: Option<u64>) -> Result<(), PlatformError> {
+        let wanted = self.mesh.epoch();
+        match found {
+            Some(found) if found < wanted => {
+                let peer = "platform".to_owned();
+                Err(PlatformError::Restored { peer, step, wanted, found })
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+#[async_trait]
+impl Platform for EpochWatch {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        let found = self.noted(self.inner.get(key).await)?;
+        self.checked("read", found.as_ref().map(|o| o.version.epoch))?;
+        Ok(found)
+    }
+
+    async fn put(&self, key: &str, value: Bytes, e: Expect) -> Result<Revision, PlatformError> {
+        self.noted(self.inner.put(key, value, e).await)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, PlatformError> {
+        let changes = self.noted(self.inner.watch(prefix, after, wait).await)?;
+        self.checked("watch", Some(changes.version.epoch))?;
+        Ok(changes)
+    }
+
+    async fn list(&self, prefix: &str, f: Freshness) -> Result<Changes, PlatformError> {
+        let all = self.noted(self.inner.list(prefix, f).await)?;
+        self.checked("list", Some(all.version.epoch))?;
+        Ok(all)
+    }
+
+    fn epoch(&self) -> u64 {
+        self.inner.epoch()
+    }
+
+    async fn members(&self) -> Result<Bytes, PlatformError> {
+        self.noted(self.inner.members().await)
+    }
+}
--- a/crates/honeypulley_mesh/src/held.rs
+++ b/crates/honeypulley_mesh/src/held.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use honeypulley_platform::api::{Expect, PlatformError};
 use honeypulley_policy::quarantine::{Fingerprint, Hold, RequestNews, Scope};
+use honeypulley_policy::revision::Revision;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -40,7 +41,7 @@
 #[derive(Debug)]
 struct Stored {
     /// Its version, if it is there.
-    version: Option<u64>,
+    version: Option<Revision>,
     held: BTreeSet<(u64, u8)>,
 }
 
@@ -79,7 +80,7 @@
             return Ok(Stored { version: None, held: BTreeSet::new() });
         };
         let record: HeldRecord = serde_json::from_slice(&object.value).unwrap_or_else(|e| {
-            log::warn!(version = object.version; "quarantine: the stored holds are left out: {e}");
+            log::warn!(version:display = object.version; "quarantine: the stored holds are left out: {e}");
             HeldRecord::default()
         });
         let day = time_of_day();
@@ -102,7 +103,7 @@
         let expect = stored.version.map_or(Expect::Absent, Expect::Version);
         let key = &self.mesh.decoder.keys().held;
         let version = self.platform.put(key, value, expect).await?;
-        log::info!(version, held = held.len(); "quarantine: {} holds are stored", held.len());
+        log::info!(version:display = version, held = held.len(); "quarantine: {} holds are stored", held.len());
         Ok(Stored { version: Some(version), held })
     }
 }
--- a/crates/honeypulley_mesh/src/lib.rs
+++ b/crates/honeypulley_mesh/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod catch_up;
 pub mod decoder;
 pub mod doubts;
+pub mod epoch;
 pub mod held;
 pub mod join;
 pub mod list;
@@ -32,6 +33,7 @@
 pub mod prelude {
     pub use crate::{
         decoder::{Decoder, StoreKeys},
+        epoch::EpochWatch,
         peers::PeerDuty,
         serving::{Announcer, Pump, TableRoutes},
         state::{Mesh, MeshSettings},
--- a/crates/honeypulley_mesh/src/list.rs
+++ b/crates/honeypulley_mesh/src/list.rs
@@ -1,15 +1,20 @@
 //! The list of upstreams as one box holds it.
 //!
 //! Changes come from the platform and from other boxes, in any order and more
-//! than once. Each entry carries the version of the platform that wrote it, so
-//! an older one never replaces a newer one.
+//! than once. Each entry carries the position at which it was written, so that within an epoch
+//! of the platform an older one never replaces a newer one.
+//!
+//! A platform restored from a backup shows what it held some seconds before. What an upstream
+//! said of itself goes before that: a later start, a shutdown, a departure.
 //!
 //! The list's own version is a promise: every change up to it is in. It is raised only
 //! by what proves that, never by a newer entry that came alone, since a box that
 //! thinks its list complete asks no one for what it misses.
 
+use crate::readers::RETURN_TIME;
 use honeypulley_peer::listing::{Entry, EntryState};
 use honeypulley_policy::balance::Listed;
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::spec::{Member, MemberState};
 use honeypulley_policy::time::Time;
 use std::collections::{BTreeMap, HashSet};
@@ -17,6 +22,10 @@
 
 /// Entries that went are remembered for so long, against older news of them.
 const TOMBSTONE_LIFE: Duration = Duration::from_secs(120);
+/// Time for which a departed upstream that a restored platform lists again gets no work.
+///
+/// Its entry lapses within three heartbeats of 1.5 s unless the upstream is there.
+const DOUBT_TIME: Duration = Duration::from_secs(6);
 /// Ranges of changes that are kept beyond a gap.
 ///
 /// A gap is closed within a second; the busiest release seen told thirty changes in one.
@@ -66,14 +75,44 @@
         listed: Listed,
         due: Time,
     },
+    /// Listed by a restored platform though it had left; present from `due` on.
+    Doubted {
+        listed: Listed,
+        due: Time,
+    },
     Gone {
         since: Time,
+        /// Start of the incarnation that left, if known.
+        born: Option<u64>,
     },
 }
 
+/// How an entry follows the one that is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// It is of the same position.
+    Same,
+    /// It was written later in the same epoch.
+    Newer,
+    /// It is of a later epoch, and may have been written before.
+    Restored,
+}
+
+impl Step {
+    const fn between(held: Revision, shown: Revision) -> Self {
+        if shown.epoch > held.epoch {
+            Self::Restored
+        } else if shown.number > held.number {
+            Self::Newer
+        } else {
+            Self::Same
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Row {
-    version: u64,
+    version: Revision,
     held: Held,
 }
 
@@ -81,43 +120,135 @@
     /// Returns the row for another box; what is waited for, for the rest of the wait.
     fn entry(&self, name: &str, now: Time) -> Entry {
         let state = match &self.held {
-            Held::Present(l) => EntryState::Present(l.clone()),
+            Held::Present(l) | Held::Doubted { listed: l, .. } => EntryState::Present(l.clone()),
             Held::Missing { due, .. } => EntryState::Gone { hold: due.since(now) },
             Held::Gone { .. } => EntryState::Gone { hold: Duration::ZERO },
         };
         Entry { name: name.to_owned(), version: self.version, state }
     }
+
+    /// Applies an entry that shows the upstream; returns the change for the serving thread.
+    fn show(&mut self, shown: Listed, step: Step, now: Time) -> Option<ListChange> {
+        let present = match (&self.held, step) {
+            (Held::Present(_), Step::Newer) => shown,
+            (Held::Present(known), _) => later(known, shown),
+            // A version at which it went can't show it present again.
+            (_, Step::Same) => return None,
+            (_, Step::Newer) => shown,
+            (Held::Missing { listed, .. }, Step::Restored) => later(listed, shown),
+            (Held::Gone { born, .. }, Step::Restored) if is_restart(&shown, *born) => shown,
+            (Held::Gone { .. }, Step::Restored) => {
+                self.held = Held::Doubted { listed: shown, due: now + DOUBT_TIME };
+                return None;
+            }
+            (Held::Doubted { listed, due }, Step::Restored) => {
+                self.held = Held::Doubted { listed: later(listed, shown), due: *due };
+                return None;
+            }
+        };
+        if matches!(&self.held, Held::Present(known) if *known == present) {
+            return None;
+        }
+        self.held = Held::Present(present.clone());
+        Some(ListChange::Set(present))
+    }
+
+    /// Applies an entry that went; returns the change for the serving thread.
+    fn depart(&mut self, name: String, hold: Duration, now: Time) -> Option<ListChange> {
+        let (held, change) = match &self.held {
+            Held::Gone { .. } => return None,
+            Held::Missing { .. } if !hold.is_zero() => return None,
+            Held::Present(l) if !hold.is_zero() => {
+                (Held::Missing { listed: l.clone(), due: now + hold }, None)
+            }
+            // It got no work before.
+            Held::Doubted { listed, .. } => (Held::Gone { since: now, born: listed.born }, None),
+            Held::Present(l) | Held::Missing { listed: l, .. } => {
+                (Held::Gone { since: now, born: l.born }, Some(ListChange::Gone(name)))
+            }
+        };
+        self.held = held;
+        change
+    }
+
+    /// Ends a wait that is over; returns the change for the serving thread.
+    fn expire(&mut self, name: &str, now: Time) -> Option<ListChange> {
+        let (held, change) = match &self.held {
+            Held::Missing { listed, due } if *due <= now => {
+                let change = ListChange::Gone(name.to_owned());
+                (Held::Gone { since: now, born: listed.born }, change)
+            }
+            Held::Doubted { listed, due } if *due <= now => {
+                (Held::Present(listed.clone()), ListChange::Set(listed.clone()))
+            }
+            _ => return None,
+        };
+        self.held = held;
+        Some(change)
+    }
 }
 
 /// Returns the row of an entry that is new, and the change.
 fn fresh(name: &str, state: EntryState, now: Time) -> (Held, ListChange) {
     match state {
         EntryState::Present(l) => (Held::Present(l.clone()), ListChange::Set(l)),
-        EntryState::Gone { .. } => (Held::Gone { since: now }, ListChange::Gone(name.to_owned())),
+        EntryState::Gone { .. } => {
+            (Held::Gone { since: now, born: None }, ListChange::Gone(name.to_owned()))
+        }
     }
 }
 
+/// Returns the later of two descriptions of an upstream, in the upstream's own order.
+///
+/// A later start follows an earlier one, and no incarnation reverts its shutdown.
+fn later(known: &Listed, shown: Listed) -> Listed {
+    let is_earlier = matches!((shown.born, known.born), (Some(s), Some(k)) if s < k);
+    let is_same = shown.born == known.born && shown.member.addr == known.member.addr;
+    let reverts =
+        known.member.state == MemberState::Leaving && shown.member.state == MemberState::Live;
+    if is_earlier || (is_same && reverts) { known.clone() } else { shown }
+}
+
+/// Returns whether an upstream started after the incarnation that left.
+fn is_restart(shown: &Listed, left: Option<u64>) -> bool {
+    matches!((shown.born, left), (Some(s), Some(l)) if s > l)
+}
+
 /// The list of upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamList {
     known: bool,
-    version: u64,
+    version: Revision,
+    /// Newest epoch of the platform that is known of; the list may still be of an earlier one.
+    epoch: u64,
+    /// When entries that the list of that epoch does not show are taken for gone.
+    return_due: Time,
     as_of: Option<Time>,
     /// Changes that came whole from beyond a gap: after which version they begin, and
     /// up to which they are complete.
-    beyond: BTreeMap<u64, u64>,
+    beyond: BTreeMap<Revision, Revision>,
     /// Version up to which entries that went may be forgotten.
-    pruned: u64,
+    pruned: Revision,
     rows: BTreeMap<String, Row>,
 }
 
 impl UpstreamList {
     /// Returns the version of the newest change that the list is complete with.
     #[must_use]
-    pub const fn version(&self) -> u64 {
+    pub const fn version(&self) -> Revision {
         self.version
     }
 
+    /// Records that the platform was restored, as of an epoch.
+    ///
+    /// Entries that its list does not show are taken for gone from `due` on.
+    pub fn begin_epoch(&mut self, epoch: u64, due: Time) {
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.return_due = due;
+        }
+    }
+
     /// Returns whether the whole list was taken once.
     #[must_use]
     pub const fn is_known(&self) -> bool {
@@ -132,7 +263,7 @@
 
     /// Records that the list of `version` was complete at a point; it says something
     /// of this one only if this one is as new.
-    pub fn confirm(&mut self, version: u64, at: Time) {
+    pub fn confirm(&mut self, version: Revision, at: Time) {
         if self.known && self.version >= version {
             self.as_of = self.as_of.max(Some(at));
         }
@@ -143,13 +274,13 @@
     /// The list is complete with `upto` then if it was with `since` before.
     pub fn apply(
         &mut self,
-        since: u64,
-        upto: u64,
+        since: Revision,
+        upto: Revision,
         entries: Vec<Entry>,
         now: Time,
     ) -> Vec<ListChange> {
         let changes = self.take_all(entries, now);
-        self.complete(since, upto);
+        self.complete(since, upto, now);
         changes
     }
 
@@ -160,10 +291,13 @@
 
     /// Records that every change after the one at `since` and up to the one at `upto`
     /// has been taken.
-    pub fn complete(&mut self, since: u64, upto: u64) {
+    ///
+    /// What is complete with a later epoch shows every entry of that epoch.
+    pub fn complete(&mut self, since: Revision, upto: Revision, now: Time) {
         if !self.known || upto <= self.version {
             return;
         }
+        let before = self.version.epoch;
         let reach = self.beyond.entry(since).or_insert(upto);
         *reach = upto.max(*reach);
         while let Some((&since, &upto)) = self.beyond.first_key_value()
@@ -175,13 +309,36 @@
         while self.beyond.len() > MAX_BEYOND {
             self.beyond.pop_last();
         }
+        if self.version.epoch > before {
+            self.begin_epoch(self.version.epoch, now + RETURN_TIME);
+            self.miss_earlier();
+        }
+    }
+
+    /// Waits for the return of entries that the list of a new epoch does not show.
+    fn miss_earlier(&mut self) {
+        let (epoch, due) = (self.version.epoch, self.return_due);
+        for row in self.rows.values_mut().filter(|r| r.version.epoch < epoch) {
+            if let Held::Present(l) = &row.held {
+                row.held = Held::Missing { listed: l.clone(), due };
+            }
+        }
+    }
+
+    /// Returns the position after which [`Self::changes_after`] a position is complete.
+    ///
+    /// Across a restore it gives the whole list, whatever was held before.
+    #[must_use]
+    pub const fn base(&self, since: Revision) -> Revision {
+        if since.epoch < self.version.epoch { Revision::ZERO } else { since }
     }
 
     /// Returns every change after the one at `since` that still matters; `None` if
     /// some may be forgotten, or this list does not reach so far itself.
     #[must_use]
-    pub fn changes_after(&self, since: u64, now: Time) -> Option<Vec<Entry>> {
-        if !self.known || since < self.pruned || since > self.version {
+    pub fn changes_after(&self, since: Revision, now: Time) -> Option<Vec<Entry>> {
+        let is_forgotten = since.epoch == self.version.epoch && since < self.pruned;
+        if !self.known || is_forgotten || since > self.version {
             return None;
         }
         let newer = self.rows.iter().filter(|(_, r)| r.version > since);
@@ -196,7 +353,7 @@
     /// show entries late.
     pub fn replace(
         &mut self,
-        version: u64,
+        version: Revision,
         entries: Vec<Entry>,
         hold: Duration,
         now: Time,
@@ -206,7 +363,8 @@
         }
         let shown: HashSet<&str> = entries.iter().map(|e| e.name.as_str()).collect();
         let is_missing = |(name, row): (&String, &Row)| {
-            let there = matches!(row.held, Held::Present(_)) && row.version <= version;
+            let there = matches!(row.held, Held::Present(_) | Held::Doubted { .. });
+            let there = there && row.version <= version;
             (there && !shown.contains(name.as_str())).then(|| name.clone())
         };
         let missing: Vec<String> = self.rows.iter().filter_map(is_missing).collect();
@@ -217,18 +375,23 @@
             state: EntryState::Gone { hold },
         });
         let all: Vec<Entry> = entries.into_iter().chain(gone).collect();
-        let newest = all.iter().map(|e| e.version).max().unwrap_or(0);
+        let none = Revision::new(version.epoch, 0);
+        let newest = all.iter().map(|e| e.version).max().unwrap_or(none);
         let changes = self.take_all(all, now);
         // Later pages, and boxes that miss changes, show entries newer than the version
         // up to which they show all.
         let upto = self.version.max(newest.min(version));
         self.known = true;
-        self.complete(self.version, upto);
+        self.complete(self.version, upto, now);
         changes
     }
 
     fn take(&mut self, e: Entry, now: Time) -> Option<ListChange> {
         let Some(row) = self.rows.get_mut(&e.name) else {
+            // A complete list of a later epoch does not show it.
+            if e.version.epoch < self.version.epoch {
+                return None;
+            }
             let (held, change) = fresh(&e.name, e.state, now);
             self.rows.insert(e.name, Row { version: e.version, held });
             return Some(change);
@@ -236,52 +399,24 @@
         if row.version > e.version {
             return None;
         }
-        let is_newer = row.version < e.version;
+        let step = Step::between(row.version, e.version);
         // Also where nothing else changes: an entry between the two versions that comes
         // later must not undo this one.
         row.version = e.version;
-        match (&row.held, e.state) {
-            (Held::Present(known), EntryState::Present(l)) => {
-                if *known == l {
-                    return None;
-                }
-                row.held = Held::Present(l.clone());
-                Some(ListChange::Set(l))
-            }
-            (_, EntryState::Present(l)) => {
-                // A version at which it went can't show it present again.
-                if !is_newer {
-                    return None;
-                }
-                row.held = Held::Present(l.clone());
-                Some(ListChange::Set(l))
-            }
-            (Held::Gone { .. }, EntryState::Gone { .. }) => None,
-            (Held::Missing { .. }, EntryState::Gone { hold }) if !hold.is_zero() => None,
-            (Held::Present(l), EntryState::Gone { hold }) if !hold.is_zero() => {
-                row.held = Held::Missing { listed: l.clone(), due: now + hold };
-                None
-            }
-            (_, EntryState::Gone { .. }) => {
-                row.held = Held::Gone { since: now };
-                Some(ListChange::Gone(e.name))
-            }
+        match e.state {
+            EntryState::Present(l) => row.show(l, step, now),
+            EntryState::Gone { hold } => row.depart(e.name, hold, now),
         }
     }
 
-    /// Returns departed entries whose hold has expired.
+    /// Returns entries whose hold has expired: departed ones, and doubted ones that are there.
     pub fn expire(&mut self, now: Time) -> Vec<ListChange> {
-        let mut changes = Vec::new();
-        for (name, row) in &mut self.rows {
-            if matches!(row.held, Held::Missing { due, .. } if due <= now) {
-                row.held = Held::Gone { since: now };
-                changes.push(ListChange::Gone(name.clone()));
-            }
-        }
+        let changes = self.rows.iter_mut().filter_map(|(name, row)| row.expire(name, now));
+        let changes = changes.collect();
         let old =
-            |h: &Held| matches!(h, Held::Gone { since } if now.since(*since) > TOMBSTONE_LIFE);
+            |h: &Held| matches!(h, Held::Gone { since, .. } if now.since(*since) > TOMBSTONE_LIFE);
         let forgotten = self.rows.values().filter(|r| old(&r.held)).map(|r| r.version).max();
-        self.pruned = self.pruned.max(forgotten.unwrap_or(0));
+        self.pruned = self.pruned.max(forgotten.unwrap_or(Revision::ZERO));
         self.rows.retain(|_, r| !old(&r.held));
         changes
     }
@@ -302,7 +437,7 @@
     pub fn present(&self) -> impl Iterator<Item = &Listed> {
         self.rows.values().filter_map(|r| match &r.held {
             Held::Present(l) | Held::Missing { listed: l, .. } => Some(l),
-            Held::Gone { .. } => None,
+            Held::Doubted { .. } | Held::Gone { .. } => None,
         })
     }
 }
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -14,6 +14,7 @@
 use honeypulley_platform::api::Changes;
 use honeypulley_policy::chooser::ListNow;
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::revision::Revision;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -22,10 +23,10 @@
 /// Changes that a reader watched and has not broadcast yet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Untold {
-    /// Version after which they begin.
-    pub since: u64,
-    /// Version up to which they are complete.
-    pub upto: u64,
+    /// Position after which they begin.
+    pub since: Revision,
+    /// Position up to which they are complete.
+    pub upto: Revision,
     /// The changes.
     pub entries: Vec<Entry>,
 }
@@ -39,7 +40,7 @@
     next: BTreeMap<String, ListChange>,
     untold: Vec<Untold>,
     /// Highest version up to which a peer sent complete changes.
-    told: u64,
+    told: Revision,
 }
 
 /// Live upstreams of one change that have a line each in the log; more are counted.
@@ -52,12 +53,12 @@
         let list = self.list.version();
         let live = changes.iter().filter(|c| c.is_live()).count();
         if live > MAX_LIVE_LINES {
-            log::info!(live, list, from; "list: {live} upstreams are Live");
+            log::info!(live, list:display, from; "list: {live} upstreams are Live");
         }
         for c in changes {
             if live <= MAX_LIVE_LINES || !c.is_live() {
                 let (name, state) = (c.name(), c.state());
-                log::info!(upstream = name, state, list, from; "list: {name} is {state}");
+                log::info!(upstream = name, state, list:display, from; "list: {name} is {state}");
             }
             self.next.insert(c.name().to_owned(), c);
         }
@@ -119,12 +120,13 @@
     pub fn hear_changes(&self, sender: NameId, t: Told, from: SocketAddr) {
         let now = self.now();
         let upto = t.upto;
+        self.learn_epoch(upto.epoch, "a peer");
         let hold = self.readers().hold(now);
         let mut lists = self.lists.lock();
         let is_whole = lists.parts.is_complete(sender, &t);
         let changes = lists.list.take_all(held_for(t.entries, hold), now);
         if is_whole {
-            lists.list.complete(t.since, upto);
+            lists.list.complete(t.since, upto, now);
             lists.list.confirm(upto, now.before(t.age));
             lists.told = lists.told.max(upto);
         }
@@ -138,10 +140,10 @@
     }
 
     /// Records that a peer has a version of the list, or knows of it.
-    pub(crate) fn heard_of_list(&self, version: u64, origin: NameId, via: SocketAddr) {
+    pub(crate) fn heard_of_list(&self, version: Revision, origin: NameId, via: SocketAddr) {
         let held = self.lists.lock().list.version();
         if self.catch_up().heard(version, held, origin, via, self.now()) {
-            log::info!(peer:display = via, version, held; "list: version {version} is missed");
+            log::info!(peer:display = via, version:display, held:display; "list: version {version} is missed");
             self.asking.notify_one();
         }
     }
@@ -159,12 +161,13 @@
         // The platform shows all up to its version, also what only a lost box spoke of.
         // No version is claimed that peers have not received: they would have to pull it.
         let held = lists.list.version();
-        lists.list.complete(held, wanted.min(c.version));
+        lists.list.complete(held, wanted.min(c.version), self.now());
         let upto = lists.list.version();
-        let tells = before > 0 && upto > before && self.readers().is_reading();
+        let tells = !before.is_zero() && upto > before && self.readers().is_reading();
         // Changes with a gap are not broadcast; the beacon announces the version.
         if tells && let Some(entries) = lists.list.changes_after(before, self.now()) {
-            lists.untold.push(Untold { since: before, upto, entries });
+            let since = lists.list.base(before);
+            lists.untold.push(Untold { since, upto, entries });
         }
     }
 
@@ -178,12 +181,13 @@
     }
 
     /// Replaces the list by the one of `version`.
-    pub fn replace(&self, version: u64, entries: Vec<Entry>, from: &str) {
+    pub fn replace(&self, version: Revision, entries: Vec<Entry>, from: &str) {
+        self.learn_epoch(version.epoch, from);
         let hold = self.readers().hold(self.now());
         let n = entries.len();
         let mut lists = self.lists.lock();
         let changes = lists.list.replace(version, held_for(entries, hold), hold, self.now());
-        log::info!(from, version, entries = n, hold_ms = hold.as_millis() as u64; "list: taken whole");
+        log::info!(from, version:display, entries = n, hold_ms = hold.as_millis() as u64; "list: taken whole");
         lists.hand_on(changes, from);
         drop(lists);
         if !self.listed.swap(true, Ordering::AcqRel) {
@@ -243,19 +247,19 @@
 
     /// Returns the highest version up to which a peer sent complete changes.
     #[must_use]
-    pub fn told_by_others(&self) -> u64 {
+    pub fn told_by_others(&self) -> Revision {
         self.lists.lock().told
     }
 
     /// Returns the changes after a version, for a box that asks; `None` if this box
     /// can't tell all of them.
     #[must_use]
-    pub fn changes_after(&self, since: u64) -> Option<Vec<Told>> {
+    pub fn changes_after(&self, since: Revision) -> Option<Vec<Told>> {
         let now = self.now();
         let lists = self.lists.lock();
         let entries = lists.list.changes_after(since, now)?;
         let age = lists.list.as_of().map_or(Duration::MAX, |at| now.since(at));
-        Told::cut(since, lists.list.version(), age, &entries)
+        Told::cut(lists.list.base(since), lists.list.version(), age, &entries)
     }
 
     /// Returns the list for a box that asks.
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -10,6 +10,7 @@
 use honeypulley_peer::server::Held;
 use honeypulley_platform::api::Object;
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::revision::Revision;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -65,7 +66,7 @@
             Progress::Complete => {}
             Progress::CaughtUp { took } => {
                 let took_ms = took.as_millis() as u64;
-                log::info!(list = own.version, took_ms; "list: complete again");
+                log::info!(list:display = own.version, took_ms; "list: complete again");
             }
             Progress::Behind(step) => self.take_step(step, own),
         }
@@ -91,7 +92,7 @@
         let to = self.sources();
         let age_ms = own.age.map(|a| a.as_millis() as u64);
         log::info!(
-            list = own.version, wanted = self.mesh.catch_up().wanted(), age_ms,
+            list:display = own.version, wanted:display = self.mesh.catch_up().wanted(), age_ms,
             heard:debug = own.heard, asked:debug = to;
             "list: changes after {} are asked for", own.version
         );
@@ -122,10 +123,12 @@
     ///
     /// One that holds less than the asker says nothing; one that holds the same tells
     /// when its list was last known to be complete.
-    pub(super) fn answer(&self, after: u64, to: SocketAddr) {
+    pub(super) fn answer(&self, after: Revision, to: SocketAddr) {
         match self.mesh.changes_after(after) {
             Some(parts) => parts.into_iter().for_each(|t| self.send_each(&[to], Body::Changes(t))),
-            None => log::debug!(peer:display = to, after; "list: the changes can't be told"),
+            None => {
+                log::debug!(peer:display = to, after:display; "list: the changes can't be told");
+            }
         }
     }
 
@@ -148,7 +151,7 @@
     async fn pull_list_from(&self, from: SocketAddr) -> Result<(), PeerError> {
         let peer = PeerClient::connect(from, &self.mesh.settings.key).await?;
         let Held { version, value } = peer.upstreams().await?;
-        if version > 0 {
+        if !version.is_zero() {
             self.mesh.replace(version, value, &from.to_string());
         }
         Ok(())
@@ -221,7 +224,7 @@
     ) -> Result<(), PeerError> {
         let peer = PeerClient::connect(from, &self.mesh.settings.key).await?;
         let Held { version, value } = peer.table(number, wait).await?;
-        if version > 0 {
+        if !version.is_zero() {
             let key = self.mesh.decoder.keys().table.clone();
             self.mesh.take_table(&Object { key, value, version }, &from.to_string());
         }
--- a/crates/honeypulley_mesh/src/peers/tell.rs
+++ b/crates/honeypulley_mesh/src/peers/tell.rs
@@ -34,14 +34,14 @@
     /// Broadcasts what this box has, while it is a reader.
     pub(super) async fn beacon_on(&self) {
         let (mut was_reader, mut was_able) = (false, false);
-        let mut number = 0;
+        let (mut number, mut epoch) = (0, 0);
         loop {
             self.tell_changes().await;
             let b = self.mesh.beacon();
             if b.reader || was_reader {
                 was_reader = b.reader;
                 was_able = b.read_age < ABLE_AGE;
-                number = b.table;
+                (number, epoch) = (b.table, b.epoch);
                 self.spread(Body::Beacon(b), NEWS_OF_LISTS);
                 self.tell_held();
             }
@@ -51,8 +51,8 @@
                 let woken = tokio::time::timeout_at(until, self.mesh.telling.notified()).await;
                 let b = self.mesh.beacon();
                 let able = b.read_age < ABLE_AGE;
-                let news =
-                    b.reader != was_reader || (b.reader && (b.table > number || able != was_able));
+                let is_changed = b.table > number || b.epoch > epoch || able != was_able;
+                let news = b.reader != was_reader || (b.reader && is_changed);
                 if woken.is_err() || news {
                     break;
                 }
@@ -88,7 +88,7 @@
                     parts.into_iter().for_each(|t| self.spread(Body::Changes(t), NEWS_OF_LISTS));
                 }
                 None => log::info!(
-                    since = u.since, upto = u.upto, entries = u.entries.len();
+                    since:display = u.since, upto:display = u.upto, entries = u.entries.len();
                     "list: too many changes to tell, the others pull them"
                 ),
             }
--- a/crates/honeypulley_mesh/src/readers.rs
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -35,7 +35,7 @@
 /// Time after its return within which the platform shows lost entries again.
 ///
 /// The platform's owners say about two seconds.
-const RETURN_TIME: Duration = Duration::from_millis(2_300);
+pub(crate) const RETURN_TIME: Duration = Duration::from_millis(2_300);
 /// Age reported while the platform does not answer this box.
 const NEVER: Duration = Duration::from_secs(3_600);
 /// Failed calls in a row after which a reader says that it can't read.
@@ -157,6 +157,20 @@
         self.contact.max(self.old_answer)
     }
 
+    /// Records that the platform was restored from a backup just now.
+    ///
+    /// What it answered before says nothing of the objects that it holds now.
+    pub const fn restored(&mut self, now: Time) {
+        self.returned = Some(now);
+        self.contact = None;
+        self.own_read = None;
+    }
+
+    /// Records a beacon of a reader that does not know of the platform's restore yet.
+    pub fn fall_behind(&mut self, id: NameId) {
+        self.heard.remove(&id);
+    }
+
     fn touch(&mut self, at: Time) {
         let last = self.last_there().unwrap_or(at);
         if self.refused && at.since(last) > AWAY_GAP {
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -3,6 +3,7 @@
 use crate::book::Book;
 use crate::catch_up::CatchUp;
 use crate::decoder::Decoder;
+use crate::epoch::Epoch;
 use crate::lists::Lists;
 use crate::readers::Readers;
 use crate::setup::Setup;
@@ -18,6 +19,7 @@
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::fleet_limits::Scope;
 use honeypulley_policy::quarantine::{Quarantine, RequestNews};
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::routes::RouteTable;
 use honeypulley_policy::time::Time;
 use honeypulley_supervisor::clock::Clock;
@@ -74,7 +76,7 @@
 /// The routing table as this box holds it.
 #[derive(Clone, Debug, Default)]
 struct HeldTable {
-    object: u64,
+    object: Revision,
     number: u64,
     raw: Bytes,
 }
@@ -116,6 +118,8 @@
     pub greeting: Notify,
     /// Wakes the store's duty when this box begins to read.
     pub reading: Notify,
+    /// Wakes whoever has read the platform before it was restored.
+    pub restored: Notify,
     /// Wakes whoever waits for a newer table of this box.
     pub table_taken: Notify,
     /// What a box that has just started waits for.
@@ -138,6 +142,7 @@
     pub(crate) quarantine: Mutex<Quarantine>,
     /// Entries read that name no upstream.
     pub(crate) foreign: AtomicU64,
+    pub(crate) epoch: Epoch,
 }
 
 /// A routing table that was announced to this box and that it does not have.
@@ -179,6 +184,7 @@
             rereading: Notify::new(),
             greeting: Notify::new(),
             reading: Notify::new(),
+            restored: Notify::new(),
             table_taken: Notify::new(),
             setup: Setup::default(),
             listed: AtomicBool::new(false),
@@ -195,6 +201,7 @@
             missed: Mutex::new(None),
             quarantine: Mutex::default(),
             foreign: AtomicU64::new(0),
+            epoch: Epoch::default(),
             settings,
         }
     }
@@ -268,6 +275,7 @@
         Beacon {
             table: self.table.lock().number,
             list: list.version,
+            epoch: self.epoch(),
             reader: readers.is_reading(),
             read_age: readers.read_age(now),
             unable: readers.is_unable(),
@@ -277,17 +285,12 @@
 
     /// Applies the routing table as stored.
     ///
-    /// An older one, by its number, is left out: a box never goes back.
+    /// An older one, by its number, is left out: a box never goes back. Where it stands in the
+    /// store says nothing of that.
     pub fn take_table(&self, o: &Object, from: &str) {
         {
             let held = self.table.lock();
-            if o.version <= held.object && held.number > 0 {
-                if o.value != held.raw {
-                    log::info!(
-                        object = o.version, held = held.object, number = held.number, from;
-                        "table: revision {} dropped as older than revision {}", o.version, held.object
-                    );
-                }
+            if o.version == held.object && held.number > 0 {
                 return;
             }
         }
@@ -300,13 +303,20 @@
         };
         let mut held = self.table.lock();
         if table.version <= held.number {
-            held.object = held.object.max(o.version);
+            if table.version < held.number || o.value != held.raw {
+                log::warn!(
+                    version = table.version, held = held.number, object:display = o.version, from;
+                    "table: version {} dropped, version {} is held", table.version, held.number
+                );
+            } else {
+                held.object = held.object.max(o.version);
+            }
             return;
         }
         let (number, routes) = (table.version, table.len());
         *held = HeldTable { object: o.version, number, raw: o.value.clone() };
         drop(held);
-        log::info!(version = number, object = o.version, routes, from; "table: version {number} taken");
+        log::info!(version = number, object:display = o.version, routes, from; "table: version {number} taken");
         *self.next_table.lock() = Some(Arc::new(table));
         self.table_taken.notify_waiters();
         self.serving.notify_one();
@@ -322,7 +332,13 @@
     /// Records a beacon: who reads, and what there is that this box misses.
     pub fn take_beacon(&self, id: NameId, via: SocketAddr, b: Beacon) {
         let now = self.now();
-        self.readers.lock().heard(id, &b, now);
+        let epoch = b.epoch.max(b.list.epoch);
+        self.learn_epoch(epoch, "a peer");
+        if epoch < self.epoch() {
+            self.readers.lock().fall_behind(id);
+        } else {
+            self.readers.lock().heard(id, &b, now);
+        }
         if b.table > self.table.lock().number {
             *self.missed.lock() = Some(MissedTable { number: b.table, origin: id, via });
             self.pulling.notify_one();
@@ -365,12 +381,6 @@
         Held { version: held.object, value: held.raw.clone() }
     }
 
-    /// Returns the version of the platform's object that holds the table.
-    #[must_use]
-    pub fn table_object(&self) -> u64 {
-        self.table.lock().object
-    }
-
     /// Returns the number of the table held, zero if there is none.
     #[must_use]
     pub fn table_number(&self) -> u64 {
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -3,7 +3,8 @@
 use crate::readers::{LOOK_GAP, WATCH_WAIT};
 use crate::state::Mesh;
 use eyre::Result;
-use honeypulley_platform::api::{Freshness, Object, Platform, PlatformError};
+use honeypulley_platform::api::{Changes, Freshness, Object, Platform, PlatformError};
+use honeypulley_policy::revision::Revision;
 use honeypulley_supervisor::tree::{Duty, Stop, block_on};
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,7 +60,7 @@
 
 impl StoreDuty {
     /// Reads the routing table; returns the version from which to watch.
-    pub(crate) async fn read_table(&self, f: Freshness) -> Result<u64, PlatformError> {
+    pub(crate) async fn read_table(&self, f: Freshness) -> Result<Revision, PlatformError> {
         let keys = self.mesh.decoder.keys();
         // A list, since it carries the platform's version beside the table's own.
         let all = self.platform.list(&keys.tables, f).await;
@@ -71,13 +72,13 @@
     }
 
     /// Reads the whole list of upstreams; returns the version from which to watch.
-    pub(crate) async fn read_list(&self, f: Freshness) -> Result<u64, PlatformError> {
+    pub(crate) async fn read_list(&self, f: Freshness) -> Result<Revision, PlatformError> {
         let prefix = &self.mesh.decoder.keys().upstreams;
         let all = self.platform.list(prefix, f).await;
         let all = self.noted("list", f, all)?;
         if f == Freshness::Stale {
             self.mesh.take_old_list(&all, "platform");
-            return Ok(0);
+            return Ok(Revision::ZERO);
         }
         self.mesh.take_list(&all, "platform");
         self.mesh.confirm_list();
@@ -125,71 +126,61 @@
     }
 
     async fn watch_tables(&self) {
-        let mut wait = FIRST_WAIT;
-        // The version of the last answer, which may be far beyond the table's own.
-        let mut seen = 0;
+        let mut place = Place::default();
         loop {
             self.until_reading().await;
-            if seen == 0 {
+            let restored = self.mesh.restored.notified();
+            let Some(since) = place.seen(self.mesh.epoch()) else {
                 match self.read_table(Freshness::Latest).await {
-                    Ok(version) => seen = version,
-                    Err(_) => pause(&mut wait).await,
+                    Ok(version) => place.set(version),
+                    Err(_) => pause(&mut place.wait).await,
                 }
                 continue;
-            }
-            let since = self.mesh.table_object().max(seen);
+            };
             let keys = self.mesh.decoder.keys();
-            let got = self.platform.watch(&keys.tables, since, WATCH_WAIT).await;
+            let watch = self.platform.watch(&keys.tables, since, WATCH_WAIT);
+            let Some(got) = unless(restored, watch).await else { continue };
             match self.noted("watch of tables", Freshness::Latest, got) {
                 Ok(c) => {
-                    wait = FIRST_WAIT;
-                    seen = seen.max(c.version);
+                    place.follow(c.version);
                     let newest = c.objects.iter().filter(|o| o.key == keys.table);
                     if let Some(o) = newest.max_by_key(|o| o.version) {
                         self.mesh.take_table(o, "platform");
                     }
                 }
-                Err(PlatformError::Compacted { .. }) => {
-                    match self.read_table(Freshness::Latest).await {
-                        Ok(version) => seen = seen.max(version),
-                        Err(_) => pause(&mut wait).await,
-                    }
-                }
-                Err(_) => pause(&mut wait).await,
+                Err(e) => place.fail(&e).await,
             }
         }
     }
 
     async fn watch_upstreams(&self) {
-        let mut wait = FIRST_WAIT;
-        // The version of the last answer; none while the changes since are unknown.
-        let mut seen: Option<u64> = None;
+        let mut place = Place::default();
         loop {
             if !self.mesh.readers().is_reading() {
-                seen = None;
+                place.lose();
             }
             self.until_reading().await;
-            let Some(since) = seen else {
+            let restored = self.mesh.restored.notified();
+            let Some(since) = place.seen(self.mesh.epoch()) else {
                 match self.read_list(Freshness::Latest).await {
-                    Ok(version) => seen = Some(version),
-                    Err(_) => pause(&mut wait).await,
+                    Ok(version) => place.set(version),
+                    Err(_) => pause(&mut place.wait).await,
                 }
                 continue;
             };
             let prefix = &self.mesh.decoder.keys().upstreams;
-            let got = self.platform.watch(prefix, since, WATCH_WAIT).await;
+            let watch = self.platform.watch(prefix, since, WATCH_WAIT);
+            let Some(got) = unless(restored, watch).await else { continue };
             match self.noted("watch of upstreams", Freshness::Latest, got) {
                 Ok(c) => {
-                    wait = FIRST_WAIT;
-                    seen = Some(c.version);
+                    place.follow(c.version);
                     self.mesh.take_changes(&c, "platform");
                     self.mesh.confirm_list();
                     if !(c.objects.is_empty() && c.removed.is_empty()) {
                         self.gather().await;
                     }
                 }
-                Err(PlatformError::Compacted { .. }) => seen = None,
-                Err(_) => pause(&mut wait).await,
+                Err(e) => place.fail(&e).await,
             }
         }
     }
@@ -231,6 +222,10 @@
             Ok(_) if f == Freshness::Stale => {
                 self.mesh.readers().answered_old(self.mesh.now());
             }
+            // It was there, but what it holds is not known by that.
+            Err(e @ PlatformError::Restored { .. }) => {
+                log::info!("store: {what} lost its place: {e}");
+            }
             Ok(_) | Err(PlatformError::Compacted { .. }) => {
                 if let Err(e) = &r {
                     log::info!("store: {what} lost its place: {e}");
@@ -252,6 +247,65 @@
     }
 }
 
+/// Where a watch of the platform stands.
+#[derive(Debug)]
+struct Place {
+    /// Position of the last answer; none while the changes since are unknown.
+    seen: Option<Revision>,
+    /// Whether the place was lost since the last answer of a watch.
+    lost: bool,
+    wait: Duration,
+}
+
+impl Default for Place {
+    fn default() -> Self {
+        Self { seen: None, lost: false, wait: FIRST_WAIT }
+    }
+}
+
+impl Place {
+    /// Returns the position to watch from, unless it is of another epoch.
+    fn seen(&self, epoch: u64) -> Option<Revision> {
+        self.seen.filter(|r| r.epoch == epoch)
+    }
+
+    /// Records what a read was complete up to.
+    const fn set(&mut self, version: Revision) {
+        self.seen = Some(version);
+    }
+
+    /// Records what a watch was complete up to.
+    const fn follow(&mut self, version: Revision) {
+        *self = Self { seen: Some(version), lost: false, wait: FIRST_WAIT };
+    }
+
+    const fn lose(&mut self) {
+        self.seen = None;
+    }
+
+    /// Reads anew at once the first time that the place is lost; waits otherwise.
+    async fn fail(&mut self, e: &PlatformError) {
+        let is_first = e.has_lost_place() && !std::mem::replace(&mut self.lost, true);
+        if e.has_lost_place() {
+            self.lose();
+        }
+        if !is_first {
+            pause(&mut self.wait).await;
+        }
+    }
+}
+
+/// Waits for the answer of a watch, unless the platform is restored before it.
+async fn unless(
+    restored: impl Future<Output = ()>,
+    watch: impl Future<Output = Result<Changes, PlatformError>>,
+) -> Option<Result<Changes, PlatformError>> {
+    tokio::select! {
+        got = watch => Some(got),
+        () = restored => None,
+    }
+}
+
 /// Reads the routing table for a box to which a newer one was announced.
 ///
 /// # Errors
--- a/crates/honeypulley_mesh/src/told.rs
+++ b/crates/honeypulley_mesh/src/told.rs
@@ -6,6 +6,7 @@
 
 use honeypulley_peer::codec::{MAX_TOLD_PARTS, Told};
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::revision::Revision;
 use std::collections::VecDeque;
 
 /// Changes of which some parts are awaited, before the oldest is given up.
@@ -17,8 +18,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Telling {
     sender: NameId,
-    since: u64,
-    upto: u64,
+    since: Revision,
+    upto: Revision,
     parts: u16,
 }
 
--- a/crates/honeypulley_mesh/tests/boxes/departures.rs
+++ b/crates/honeypulley_mesh/tests/boxes/departures.rs
@@ -9,7 +9,7 @@
 //! here loses one way, and the departure has to come by another within the time that a
 //! bound of two seconds leaves for telling and repair.
 
-use crate::support::{Connections, Passes, Relay, TestBox, all, entry, nothing, said, table};
+use crate::support::{Connections, Passes, Relay, TestBox, all, at, entry, nothing, said, table};
 use honeypulley_mesh::list::ListChange;
 use honeypulley_peer::codec::{Beacon, Body, Told};
 use honeypulley_peer::listing::{Entry, EntryState};
@@ -37,20 +37,28 @@
 /// Tells a reader by its watch that these upstreams leave.
 fn leave(b: &TestBox, names: &[String]) {
     let objects = (11..).zip(names).map(|(version, n)| entry(n, "leaving", version)).collect();
-    b.mesh.take_changes(&Changes { version: 30, objects, removed: Vec::new() }, "the test");
+    b.mesh.take_changes(&Changes { version: at(30), objects, removed: Vec::new() }, "the test");
 }
 
 /// Shows a reader the whole list, in which the first upstream is leaving.
 fn show_whole(b: &TestBox) {
     let all = (1..10).map(|i| entry(&format!("u{i}"), "live", i + 1));
     let objects = all.chain([entry("u0", "leaving", 11)]).collect();
-    b.mesh.take_list(&Changes { version: 30, objects, removed: Vec::new() }, "the test");
+    b.mesh.take_list(&Changes { version: at(30), objects, removed: Vec::new() }, "the test");
 }
 
 /// The beacon of a reader whom the platform has just answered.
 fn calm_beacon(list: u64) -> Beacon {
     let age = Duration::ZERO;
-    Beacon { table: 0, list, reader: true, read_age: age, unable: false, list_age: age }
+    Beacon {
+        table: 0,
+        list: at(list),
+        epoch: 1,
+        reader: true,
+        read_age: age,
+        unable: false,
+        list_age: age,
+    }
 }
 
 #[rstest]
@@ -126,8 +134,9 @@
     let now = other.mesh.now();
     other.mesh.readers().heard(teller.mesh.id, &calm_beacon(10), now);
     let state = EntryState::Gone { hold: Duration::from_millis(2_300) };
-    let entries = vec![Entry { name: "u0".to_owned(), version: 11, state }];
-    let told = Told { since: 10, upto: 11, part: 0, parts: 1, age: Duration::ZERO, entries };
+    let entries = vec![Entry { name: "u0".to_owned(), version: at(11), state }];
+    let told =
+        Told { since: at(10), upto: at(11), part: 0, parts: 1, age: Duration::ZERO, entries };
     other.mesh.hear_changes(teller.mesh.id, told, teller.addr);
     let left: Vec<_> = other.mesh.next_list();
     assert!(left.contains(&ListChange::Gone("u0".to_owned())), "{left:?}");
@@ -141,10 +150,10 @@
     b.mesh.take_beacon(lost.mesh.id, lost.addr, calm_beacon(12));
     assert!(b.mesh.catch_up().misses(b.mesh.list_now().version));
     let objects = (0..10).map(|i| entry(&format!("u{i}"), "live", i + 1)).collect();
-    b.mesh.take_list(&Changes { version: 30, objects, removed: Vec::new() }, "the test");
+    b.mesh.take_list(&Changes { version: at(30), objects, removed: Vec::new() }, "the test");
     let held = b.mesh.list_now().version;
     assert!(!b.mesh.catch_up().misses(held), "it holds {held}, and all that there is");
-    assert_eq!(held, 12, "no more than others know of, or they would ask for it");
+    assert_eq!(held, at(12), "no more than others know of, or they would ask for it");
 }
 
 #[test]
@@ -153,8 +162,11 @@
     // From here on only the one upstream changes.
     assert_eq!(b.mesh.next_list().len(), 10);
     let state = |v: u64| if v.is_multiple_of(2) { "live" } else { "leaving" };
-    let changes =
-        |v| Changes { version: v, objects: vec![entry("u0", state(v), v)], removed: Vec::new() };
+    let changes = |v| Changes {
+        version: at(v),
+        objects: vec![entry("u0", state(v), v)],
+        removed: Vec::new(),
+    };
     let handed = std::thread::scope(|s| {
         for first in [11, 12] {
             let mesh = &b.mesh;
--- a/crates/honeypulley_mesh/tests/boxes/foreign.rs
+++ b/crates/honeypulley_mesh/tests/boxes/foreign.rs
@@ -1,6 +1,6 @@
 //! Entries of another writer among those of the upstreams.
 
-use crate::support::{TestBox, entry};
+use crate::support::{TestBox, at, entry};
 use honeypulley_mesh::list::ListChange;
 use honeypulley_platform::api::{Changes, Object};
 use honeypulley_policy::spec::MemberState;
@@ -8,7 +8,7 @@
 
 /// Gives a box what the platform's watch brought.
 fn watch(b: &TestBox, objects: Vec<Object>) {
-    let version = objects.iter().map(|o| o.version).max().unwrap_or(0);
+    let version = objects.iter().map(|o| o.version).max().unwrap_or(at(0));
     b.mesh.take_changes(&Changes { version, objects, removed: Vec::new() }, "the test");
 }
 
@@ -28,7 +28,7 @@
     watch(&b, vec![entry("u3", "{]", 11), entry("u4", "leaving", 12)]);
     let expected = [("u3".to_owned(), None), ("u4".to_owned(), Some(MemberState::Leaving))];
     assert_eq!(told(&b), BTreeMap::from(expected));
-    assert_eq!(b.mesh.list_now().version, 12, "the list is complete with it");
+    assert_eq!(b.mesh.list_now().version, at(12), "the list is complete with it");
 }
 
 #[test]
@@ -44,7 +44,7 @@
 fn a_change_of_such_entries_alone_holds_up_no_version() {
     let b = TestBox::start("box1", "hall-a");
     watch(&b, vec![entry("stranger", "", 11)]);
-    assert_eq!(b.mesh.list_now().version, 11);
+    assert_eq!(b.mesh.list_now().version, at(11));
     assert_eq!(told(&b).get("stranger"), Some(&None));
 }
 
@@ -56,7 +56,7 @@
         (0..10).map(|i| entry(&format!("u{i}"), "live", i + 1)).collect();
     objects[5] = entry("u5", "what is this", 20);
     objects.push(entry("stranger", "1", 21));
-    b.mesh.take_list(&Changes { version: 21, objects, removed: Vec::new() }, "the test");
+    b.mesh.take_list(&Changes { version: at(21), objects, removed: Vec::new() }, "the test");
     let told = told(&b);
     assert_eq!(told.get("u5"), Some(&None));
     assert!(!told.contains_key("u4"), "the others stay as they are");
--- a/crates/honeypulley_mesh/tests/boxes/join.rs
+++ b/crates/honeypulley_mesh/tests/boxes/join.rs
@@ -7,6 +7,7 @@
 use honeypulley_mesh::prelude::*;
 use honeypulley_platform::api::{Changes, Expect, Freshness, Object, Platform, PlatformError};
 use honeypulley_platform::memory::{Faults, MemoryPlatform};
+use honeypulley_policy::revision::Revision;
 use honeypulley_supervisor::tree::{Stop, Tree};
 use parking_lot::Mutex;
 use rstest::rstest;
@@ -34,12 +35,22 @@
         self.inner.get(key).await
     }
 
-    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, PlatformError> {
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+    ) -> Result<Revision, PlatformError> {
         self.calls.lock().push("put");
         self.inner.put(key, value, expect).await
     }
 
-    async fn watch(&self, p: &str, after: u64, wait: Duration) -> Result<Changes, PlatformError> {
+    async fn watch(
+        &self,
+        p: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, PlatformError> {
         self.calls.lock().push("watch");
         self.inner.watch(p, after, wait).await
     }
@@ -106,7 +117,7 @@
 }
 
 /// Writes as the operator does; returns the version.
-fn write(p: &Noting, key: &str, value: &'static str) -> u64 {
+fn write(p: &Noting, key: &str, value: &'static str) -> Revision {
     let put = p.inner.put(key, Bytes::from_static(value.as_bytes()), Expect::Absent);
     futures::executor::block_on(put).expect("it is not there yet")
 }
@@ -135,7 +146,7 @@
     let p = platform();
     let before = write(&p, "u/u1", "live");
     write(&p, "u/u2", "live");
-    p.inner.set_faults(Faults { stale_at: before, ..Faults::default() });
+    p.inner.set_faults(Faults { stale_at: before.number, ..Faults::default() });
     let b = Joining::start("box1", &p, false);
     b.until_joined();
     assert!(b.mesh.list_now().version <= before, "{:?}", b.mesh.list_now());
--- a/crates/honeypulley_mesh/tests/boxes/support.rs
+++ b/crates/honeypulley_mesh/tests/boxes/support.rs
@@ -11,6 +11,7 @@
 use honeypulley_platform::memory::MemoryPlatform;
 use honeypulley_policy::balance::Listed;
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::routes::{CallerLimits, RouteTable};
 use honeypulley_policy::spec::{Member, MemberState};
 use honeypulley_supervisor::clock::Clock;
@@ -63,18 +64,27 @@
     }
 }
 
+/// A position in the one epoch of these tests.
+pub const fn at(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
 /// An upstream's entry as the platform keeps it.
 pub fn entry(name: &str, state: &'static str, version: u64) -> Object {
     Object {
         key: format!("{UPSTREAMS}{name}"),
         value: Bytes::from_static(state.as_bytes()),
-        version,
+        version: at(version),
     }
 }
 
 /// A routing table as the platform keeps it.
 pub fn table(number: &'static str, version: u64) -> Object {
-    Object { key: "t/main".to_owned(), value: Bytes::from_static(number.as_bytes()), version }
+    Object {
+        key: "t/main".to_owned(),
+        value: Bytes::from_static(number.as_bytes()),
+        version: at(version),
+    }
 }
 
 /// Binds a port for connections and datagrams alike.
@@ -134,7 +144,7 @@
         let settings = MeshSettings::builder().name(name).hall(hall).peer(addr).key(key());
         let mesh = mesh(settings.seeds(seeds).build());
         let objects = (0..10).map(|i| entry(&format!("u{i}"), "live", i + 1)).collect();
-        mesh.take_list(&Changes { version: 10, objects, removed: Vec::new() }, "the test");
+        mesh.take_list(&Changes { version: at(10), objects, removed: Vec::new() }, "the test");
         let stop = Stop::default();
         let duty = PeerDuty { mesh: Arc::clone(&mesh), platform, socket, listener };
         let tree = Tree::new(stop.clone()).duty(duty);
--- a/crates/honeypulley_mesh/tests/catch_up.rs
+++ b/crates/honeypulley_mesh/tests/catch_up.rs
@@ -2,6 +2,7 @@
 
 use honeypulley_mesh::catch_up::{CatchUp, HeardOf, Own, Progress, Step};
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::time::Time;
 use rstest::rstest;
 use std::net::SocketAddr;
@@ -9,12 +10,17 @@
 
 const READER: NameId = NameId(7);
 
+/// A position in the one epoch of these tests.
+const fn at(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
 fn via() -> SocketAddr {
     "10.0.0.7:7000".parse().expect("an address")
 }
 
 fn own(version: u64, age_ms: u64, heard: HeardOf) -> Own {
-    Own { version, age: Some(Duration::from_millis(age_ms)), heard }
+    Own { version: at(version), age: Some(Duration::from_millis(age_ms)), heard }
 }
 
 /// Steps that are due in each millisecond of a span, with the time of each.
@@ -33,9 +39,9 @@
 #[test]
 fn a_version_that_is_missed_is_asked_for_then_pulled_then_read() {
     let mut c = CatchUp::default();
-    assert!(c.heard(12, 10, READER, via(), Time::from_millis(1_000)));
-    assert!(!c.heard(13, 10, READER, via(), Time::from_millis(1_010)), "it knew already");
-    assert_eq!(c.wanted(), 13);
+    assert!(c.heard(at(12), at(10), READER, via(), Time::from_millis(1_000)));
+    assert!(!c.heard(at(13), at(10), READER, via(), Time::from_millis(1_010)), "it knew already");
+    assert_eq!(c.wanted(), at(13));
     let all = steps(&mut c, own(10, 5_000, HeardOf::Able), 1_000..3_000);
     assert_eq!(first(&all, |s| s.ask), Some(1_050), "the rest of a telling may come first");
     assert_eq!(first(&all, |s| s.pull), Some(1_350));
@@ -46,11 +52,11 @@
 #[test]
 fn what_has_come_meanwhile_is_not_asked_for() {
     let mut c = CatchUp::default();
-    c.heard(12, 10, READER, via(), Time::from_millis(1_000));
+    c.heard(at(12), at(10), READER, via(), Time::from_millis(1_000));
     let progress = c.next(own(12, 0, HeardOf::Able), Time::from_millis(1_030));
     assert_eq!(progress, Progress::CaughtUp { took: Duration::from_millis(30) });
     assert_eq!(steps(&mut c, own(12, 0, HeardOf::Able), 1_031..2_000), []);
-    assert!(!c.misses(12));
+    assert!(!c.misses(at(12)));
 }
 
 #[rstest]
@@ -94,8 +100,8 @@
     for ms in (1_000..4_000).step_by(10) {
         let now = Time::from_millis(ms);
         // A new version each 10 ms, of which this box never has the last ones.
-        c.heard(ms, ms - 900, READER, via(), now);
-        let own = Own { version: ms - 900, age: None, heard: HeardOf::Able };
+        c.heard(at(ms), at(ms - 900), READER, via(), now);
+        let own = Own { version: at(ms - 900), age: None, heard: HeardOf::Able };
         if let Progress::Behind(step) = c.next(own, now) {
             pulls += usize::from(step.pull);
             reads += usize::from(step.read);
--- a/crates/honeypulley_mesh/tests/fleet.rs
+++ b/crates/honeypulley_mesh/tests/fleet.rs
@@ -11,6 +11,7 @@
 use honeypulley_peer::codec::Told;
 use honeypulley_peer::listing::{BoxAddress, Entry, EntryState};
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::time::Time;
 use rstest::rstest;
 use std::cmp::Reverse;
@@ -67,7 +68,12 @@
     (u32::from(*a.ip()) - 0x0a00_0000) as usize
 }
 
-fn entry(i: u64, version: u64) -> Entry {
+/// A position in the one epoch of these tests.
+const fn at(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
+fn entry(i: u64, version: Revision) -> Entry {
     let state = EntryState::Gone { hold: Duration::ZERO };
     Entry { name: format!("u{i}"), version, state }
 }
@@ -88,11 +94,11 @@
                 book.learn(b.clone());
             });
             let mut list = UpstreamList::default();
-            list.replace(BEFORE, vec![entry(99, BEFORE)], Duration::ZERO, Time::ZERO);
+            list.replace(at(BEFORE), vec![entry(99, at(BEFORE))], Duration::ZERO, Time::ZERO);
             SimBox { list, parts: Parts::default(), catch_up: CatchUp::default(), book }
         };
-        let entries: Vec<Entry> = (0..LEAVING).map(|i| entry(i, BEFORE + 1 + i)).collect();
-        let told = Told::cut(BEFORE, BEFORE + LEAVING, Duration::ZERO, &entries);
+        let entries: Vec<Entry> = (0..LEAVING).map(|i| entry(i, at(BEFORE + 1 + i))).collect();
+        let told = Told::cut(at(BEFORE), at(BEFORE + LEAVING), Duration::ZERO, &entries);
         Self {
             boxes: (0..n).map(sim_box).collect(),
             told: told.expect("they are few"),
@@ -142,12 +148,12 @@
         let upto = told.upto;
         b.list.take_all(told.entries, now);
         if is_whole {
-            b.list.complete(told.since, upto);
+            b.list.complete(told.since, upto, now);
         }
         self.hear(who, reader, upto);
     }
 
-    fn hear(&mut self, who: usize, reader: usize, version: u64) {
+    fn hear(&mut self, who: usize, reader: usize, version: Revision) {
         let now = Time::from_micros(self.now_us);
         let b = &mut self.boxes[who];
         let held = b.list.version();
@@ -181,7 +187,7 @@
                 }
             }
             Act::Beacon { reader, send_on } => {
-                self.hear(who, reader, BEFORE + LEAVING);
+                self.hear(who, reader, at(BEFORE + LEAVING));
                 if send_on {
                     self.send_on(who, &Act::Beacon { reader, send_on: false });
                 }
@@ -238,7 +244,7 @@
     }
 
     fn ignorant(&self) -> usize {
-        self.boxes.iter().filter(|b| b.list.version() <= BEFORE).count()
+        self.boxes.iter().filter(|b| b.list.version() <= at(BEFORE)).count()
     }
 }
 
--- a/crates/honeypulley_mesh/tests/readers.rs
+++ b/crates/honeypulley_mesh/tests/readers.rs
@@ -3,6 +3,7 @@
 use honeypulley_mesh::readers::{BEACON_GAP, Readers, WANTED};
 use honeypulley_peer::codec::Beacon;
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::time::Time;
 use rstest::rstest;
 use std::time::Duration;
@@ -12,7 +13,8 @@
 
 /// The beacon of a reader.
 fn beacon(read_age: Duration, unable: bool) -> Beacon {
-    Beacon { table: 1, list: 1, reader: true, read_age, unable, list_age: read_age }
+    let list = Revision::new(1, 1);
+    Beacon { table: 1, list, epoch: 1, reader: true, read_age, unable, list_age: read_age }
 }
 
 /// A fleet whose beacons reach all boxes that are not cut off.
--- a/crates/honeypulley_mesh/tests/told.rs
+++ b/crates/honeypulley_mesh/tests/told.rs
@@ -4,19 +4,25 @@
 use honeypulley_peer::codec::{MAX_TOLD_PARTS, Told};
 use honeypulley_peer::listing::{Entry, EntryState, MAX_ENTRIES};
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::revision::Revision;
 use rstest::rstest;
 use std::time::Duration;
 
 const A: NameId = NameId(1);
 const B: NameId = NameId(2);
 
+/// A position in the one epoch of these tests.
+const fn at(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
 fn entries(n: usize) -> Vec<Entry> {
     let state = || EntryState::Gone { hold: Duration::ZERO };
-    (0..n).map(|i| Entry { name: format!("u{i}"), version: 11, state: state() }).collect()
+    (0..n).map(|i| Entry { name: format!("u{i}"), version: at(11), state: state() }).collect()
 }
 
 fn cut(n: usize) -> Vec<Told> {
-    Told::cut(10, 11, Duration::ZERO, &entries(n)).expect("they are few")
+    Told::cut(at(10), at(11), Duration::ZERO, &entries(n)).expect("they are few")
 }
 
 #[rstest]
@@ -57,7 +63,7 @@
 #[test]
 fn more_than_fits_is_not_told() {
     let too_many = entries(MAX_TOLD_PARTS * MAX_ENTRIES + 1);
-    assert_eq!(Told::cut(10, 11, Duration::ZERO, &too_many), None);
+    assert_eq!(Told::cut(at(10), at(11), Duration::ZERO, &too_many), None);
 }
 
 #[rstest]
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -11,6 +11,7 @@
       tellNonce @2 :UInt64;
       bundle @3 :UInt64;
       permits @4 :UInt64;
+      permitsEpoch @37 :UInt64;
       confirmed @5 :Bool;
       ageMs @6 :UInt32;
     }
@@ -44,6 +45,9 @@
     beacon :group {
       tableVersion @18 :UInt64;
       listVersion @19 :UInt64;
+      listEpoch @38 :UInt64;
+      # The newest epoch of the platform that the sender knows of.
+      epoch @39 :UInt64;
       reader @20 :Bool;
       # Milliseconds since the platform last answered the sender.
       readAgeMs @21 :UInt32;
@@ -61,6 +65,8 @@
     changes :group {
       since @23 :UInt64;
       upto @24 :UInt64;
+      sinceEpoch @40 :UInt64;
+      uptoEpoch @41 :UInt64;
       entries @25 :List(Entry);
       # Which part of the changes this is, and how many there are.
       part @29 :UInt16;
@@ -71,6 +77,7 @@
     # Asks for the changes after a version.
     want :group {
       after @32 :UInt64;
+      afterEpoch @42 :UInt64;
     }
     # A sealed datagram to be sent on to the receiver's data hall, as it is.
     forward @27 :Data;
@@ -173,6 +180,8 @@
     coldMs @9 :UInt32;
     # Milliseconds since 1970 at which it started; zero if it does not say.
     born @10 :UInt64;
+    # Epoch of the platform that the version belongs to.
+    epoch @11 :UInt64;
   }
 
   struct Item {
@@ -204,16 +213,16 @@
   # Parts by digest; one that is not held is empty.
   parts @2 (digests :List(Data)) -> (parts :List(Data));
   # All permits as JSON with their version and the age of its confirmation.
-  permits @3 () -> (version :UInt64, confirmed :Bool, ageMs :UInt32, json :Data);
+  permits @3 () -> (version :UInt64, confirmed :Bool, ageMs :UInt32, json :Data, epoch :UInt64);
   # What an operator sees of this box, as JSON.
   status @4 () -> (json :Data);
   # The platform's list as this box last saw it, as JSON, empty if it never did.
   roster @5 () -> (json :Data);
   # The routing table as the platform holds it, and the version of the platform. Waits so
   # long for one of at least that number.
-  table @6 (number :UInt64, waitMs :UInt32) -> (version :UInt64, value :Data);
+  table @6 (number :UInt64, waitMs :UInt32) -> (version :UInt64, value :Data, epoch :UInt64);
   # Every entry of the list of upstreams, and the version it is complete up to.
-  upstreams @7 () -> (version :UInt64, entries :List(Datagram.Entry));
+  upstreams @7 () -> (version :UInt64, entries :List(Datagram.Entry), epoch :UInt64);
 
   struct Change {
     bucket @0 :UInt32;
--- a/crates/honeypulley_peer/src/client.rs
+++ b/crates/honeypulley_peer/src/client.rs
@@ -9,6 +9,7 @@
 use futures::AsyncReadExt;
 use honeypulley_bundle::head::Head;
 use honeypulley_bundle::parts::{Digest, Manifest};
+use honeypulley_policy::revision::Revision;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -161,7 +162,8 @@
             let r = answer.get()?;
             let age = r.get_confirmed().then(|| Duration::from_millis(r.get_age_ms().into()));
             let json = Bytes::copy_from_slice(r.get_json()?);
-            Ok::<_, capnp::Error>(HeldPermits { version: r.get_version(), age, json })
+            let version = Revision::new(r.get_epoch(), r.get_version());
+            Ok::<_, capnp::Error>(HeldPermits { version, age, json })
         };
         limit(self.addr, "permits", call).await
     }
@@ -203,7 +205,8 @@
             let answer = request.send().promise.await?;
             let r = answer.get()?;
             let value = Bytes::copy_from_slice(r.get_value()?);
-            Ok::<_, capnp::Error>(Held { version: r.get_version(), value })
+            let version = Revision::new(r.get_epoch(), r.get_version());
+            Ok::<_, capnp::Error>(Held { version, value })
         };
         limit(self.addr, "table", call).await
     }
@@ -217,7 +220,8 @@
             let answer = self.peer.upstreams_request().send().promise.await?;
             let r = answer.get()?;
             let value = read_entries(r.get_entries()?)?;
-            Ok::<_, capnp::Error>(Held { version: r.get_version(), value })
+            let version = Revision::new(r.get_epoch(), r.get_version());
+            Ok::<_, capnp::Error>(Held { version, value })
         };
         limit(self.addr, "upstreams", call).await
     }
--- a/crates/honeypulley_peer/src/codec.rs
+++ b/crates/honeypulley_peer/src/codec.rs
@@ -12,6 +12,7 @@
 use honeypulley_policy::balance::News;
 use honeypulley_policy::collector::{Judgement, NameId, Report, ReportItem, Verdict};
 use honeypulley_policy::quarantine::RequestNews;
+use honeypulley_policy::revision::Revision;
 use std::time::Duration;
 
 /// Largest datagram sent or taken, under the usual path MTU.
@@ -39,7 +40,7 @@
         /// Bundle in force, zero if there is none.
         bundle: Version,
         /// Version of the permits held.
-        permits: u64,
+        permits: Revision,
         /// Age of their last confirmation, if there was one.
         age: Option<Duration>,
     },
@@ -83,8 +84,8 @@
     Changes(Told),
     /// Asks for the changes after a version; the answer is [`Body::Changes`].
     Want {
-        /// Version up to which the asker's list is complete.
-        after: u64,
+        /// Position up to which the asker's list is complete.
+        after: Revision,
     },
     /// What the sender knows of requests under which upstreams ended.
     Requests {
@@ -101,10 +102,10 @@
 /// one that was empty.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Told {
-    /// Version after which they begin.
-    pub since: u64,
-    /// Version up to which all parts together are complete.
-    pub upto: u64,
+    /// Position after which they begin.
+    pub since: Revision,
+    /// Position up to which all parts together are complete.
+    pub upto: Revision,
     /// Which part this is, from zero.
     pub part: u16,
     /// How many parts there are.
@@ -119,7 +120,12 @@
     /// Cuts changes into parts that fit a datagram each; `None` if they are too many
     /// to be sent so.
     #[must_use]
-    pub fn cut(since: u64, upto: u64, age: Duration, entries: &[Entry]) -> Option<Vec<Self>> {
+    pub fn cut(
+        since: Revision,
+        upto: Revision,
+        age: Duration,
+        entries: &[Entry],
+    ) -> Option<Vec<Self>> {
         let parts = entries.len().div_ceil(MAX_ENTRIES).max(1);
         if parts > MAX_TOLD_PARTS {
             return None;
@@ -138,8 +144,10 @@
 pub struct Beacon {
     /// Version of the routing table in force, zero if there is none.
     pub table: u64,
-    /// Version of the platform up to which its list of upstreams is complete.
-    pub list: u64,
+    /// Position up to which its list of upstreams is complete.
+    pub list: Revision,
+    /// Newest epoch of the platform that it knows of.
+    pub epoch: u64,
     /// Whether it reads the platform itself.
     pub reader: bool,
     /// Time since the platform last answered it.
@@ -203,7 +211,8 @@
                 let mut b = root.init_tell();
                 b.set_tell_nonce(*nonce);
                 b.set_bundle(bundle.0);
-                b.set_permits(*permits);
+                b.set_permits(permits.number);
+                b.set_permits_epoch(permits.epoch);
                 b.set_confirmed(age.is_some());
                 b.set_age_ms(age.map_or(0, millis));
             }
@@ -222,7 +231,9 @@
             Self::Beacon(x) => {
                 let mut b = root.init_beacon();
                 b.set_table_version(x.table);
-                b.set_list_version(x.list);
+                b.set_list_version(x.list.number);
+                b.set_list_epoch(x.list.epoch);
+                b.set_epoch(x.epoch);
                 b.set_reader(x.reader);
                 b.set_read_age_ms(millis(x.read_age));
                 b.set_unable(x.unable);
@@ -239,14 +250,20 @@
             }
             Self::Changes(t) => {
                 let mut b = root.init_changes();
-                b.set_since(t.since);
-                b.set_upto(t.upto);
+                b.set_since(t.since.number);
+                b.set_since_epoch(t.since.epoch);
+                b.set_upto(t.upto.number);
+                b.set_upto_epoch(t.upto.epoch);
                 b.set_part(t.part);
                 b.set_parts(t.parts);
                 b.set_told_age_ms(millis(t.age));
                 write_entries(b.init_entries(t.entries.len() as u32), &t.entries);
             }
-            Self::Want { after } => root.init_want().set_after(*after),
+            Self::Want { after } => {
+                let mut b = root.init_want();
+                b.set_after(after.number);
+                b.set_after_epoch(after.epoch);
+            }
             Self::Requests { seq, items } => {
                 let mut b = root.init_requests();
                 b.set_requests_seq(*seq);
@@ -262,7 +279,7 @@
             Ok(wire::Tell(r)) => Self::Tell {
                 nonce: r.get_tell_nonce(),
                 bundle: Version(r.get_bundle()),
-                permits: r.get_permits(),
+                permits: Revision::new(r.get_permits_epoch(), r.get_permits()),
                 age: r.get_confirmed().then(|| Duration::from_millis(r.get_age_ms().into())),
             },
             Ok(wire::Rumour(r)) => Self::Rumour { bundle: Version(r.get_rumour_bundle()) },
@@ -289,7 +306,8 @@
             Ok(wire::Book(r)) => Self::Book(read_boxes(r.get_boxes()?)?),
             Ok(wire::Beacon(r)) => Self::Beacon(Beacon {
                 table: r.get_table_version(),
-                list: r.get_list_version(),
+                list: Revision::new(r.get_list_epoch(), r.get_list_version()),
+                epoch: r.get_epoch(),
                 reader: r.get_reader(),
                 read_age: Duration::from_millis(r.get_read_age_ms().into()),
                 unable: r.get_unable(),
@@ -298,14 +316,16 @@
             Ok(wire::News(r)) => Self::News { seq: r.get_seq(), items: read_news(r.get_seen()?)? },
             Ok(wire::Forward(r)) => Self::Forward(Bytes::copy_from_slice(r?)),
             Ok(wire::Changes(r)) => Self::Changes(Told {
-                since: r.get_since(),
-                upto: r.get_upto(),
+                since: Revision::new(r.get_since_epoch(), r.get_since()),
+                upto: Revision::new(r.get_upto_epoch(), r.get_upto()),
                 part: r.get_part(),
                 parts: r.get_parts(),
                 age: Duration::from_millis(r.get_told_age_ms().into()),
                 entries: read_entries(r.get_entries()?)?,
             }),
-            Ok(wire::Want(r)) => Self::Want { after: r.get_after() },
+            Ok(wire::Want(r)) => {
+                Self::Want { after: Revision::new(r.get_after_epoch(), r.get_after()) }
+            }
             Ok(wire::Requests(r)) => Self::Requests {
                 seq: r.get_requests_seq(),
                 items: read_requests(r.get_request_items()?)?,
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -5,6 +5,7 @@
 use honeypulley_policy::belief::Observation;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::fleet_limits::HallCount;
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::spec::{Member, MemberState};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
@@ -19,8 +20,8 @@
 pub struct Entry {
     /// Name of the upstream.
     pub name: String,
-    /// Version of the platform at which it was written or went.
-    pub version: u64,
+    /// Position at which it was written or went.
+    pub version: Revision,
     /// What the list says.
     pub state: EntryState,
 }
@@ -55,7 +56,8 @@
     for (i, e) in entries.iter().enumerate() {
         let mut row = list.reborrow().get(i as u32);
         row.set_name(e.name.as_str());
-        row.set_version(e.version);
+        row.set_version(e.version.number);
+        row.set_epoch(e.version.epoch);
         match &e.state {
             EntryState::Gone { hold } => {
                 row.set_gone(true);
@@ -98,7 +100,7 @@
             born: Some(r.get_born()).filter(|&ms| ms > 0),
         })
     };
-    Ok(Entry { name, version: r.get_version(), state })
+    Ok(Entry { name, version: Revision::new(r.get_epoch(), r.get_version()), state })
 }
 
 pub(crate) fn write_boxes(
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -151,7 +151,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+            ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -244,6 +244,7 @@
             self.builder.set_data_field::<u64>(4, 0u64);
             self.builder.set_bool_field(144, false);
             self.builder.set_data_field::<u32>(5, 0u32);
+            self.builder.set_data_field::<u64>(5, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -292,6 +293,8 @@
             self.builder.set_data_field::<u32>(5, 0u32);
             self.builder.set_data_field::<u32>(8, 0u32);
             self.builder.set_bool_field(288, false);
+            self.builder.set_data_field::<u64>(5, 0u64);
+            self.builder.set_data_field::<u64>(6, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -310,6 +313,8 @@
             self.builder.set_data_field::<u16>(10, 0u16);
             self.builder.set_data_field::<u16>(11, 0u16);
             self.builder.set_data_field::<u32>(8, 0u32);
+            self.builder.set_data_field::<u64>(5, 0u64);
+            self.builder.set_data_field::<u64>(6, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -333,6 +338,7 @@
         pub fn init_want(self) -> crate::peer_capnp::datagram::want::Builder<'a> {
             self.builder.set_data_field::<u16>(8, 11);
             self.builder.set_data_field::<u64>(1, 0u64);
+            self.builder.set_data_field::<u64>(3, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -381,7 +387,7 @@
         pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(51, 44, 126, 155, 192, 164, 245, 209),
             ::capnp::word(1, 0, 7, 0, 0, 0, 13, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
@@ -2477,6 +2483,10 @@
             pub fn get_born(self) -> u64 {
                 self.reader.get_data_field::<u64>(3)
             }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.reader.get_data_field::<u64>(4)
+            }
         }
 
         pub struct Builder<'a> {
@@ -2484,7 +2494,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
+                ::capnp::private::layout::StructSize { data: 5, pointers: 4 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2724,6 +2734,14 @@
             pub fn set_born(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(3, value);
             }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.builder.get_data_field::<u64>(4)
+            }
+            #[inline]
+            pub fn set_epoch(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(4, value);
+            }
         }
 
         pub struct Pipeline {
@@ -2736,17 +2754,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 183] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 198] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(34, 120, 191, 243, 108, 243, 251, 228),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 111, 2, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 167, 2, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -2754,84 +2772,91 @@
                 ::capnp::word(114, 97, 109, 46, 69, 110, 116, 114),
                 ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(73, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(53, 1, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(81, 1, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(57, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(85, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(61, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(89, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(7, 0, 0, 0, 65, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 1, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 1, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 1, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(101, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(105, 1, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 1, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2920,6 +2945,14 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -2934,6 +2967,7 @@
                     8 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2952,9 +2986,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 10, 9, 2, 6, 3, 7, 0, 4, 8, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 10, 9, 11, 2, 6, 3, 7, 0, 4, 8, 1];
             pub(crate) const TYPE_ID: u64 = 0xe4fb_f36c_f3bf_7822;
         }
     }
@@ -3502,7 +3536,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3601,7 +3635,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 31] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(87, 15, 211, 65, 248, 155, 90, 164),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3783,6 +3817,10 @@
             pub fn get_age_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(5)
             }
+            #[inline]
+            pub fn get_permits_epoch(self) -> u64 {
+                self.reader.get_data_field::<u64>(5)
+            }
         }
 
         pub struct Builder<'a> {
@@ -3790,7 +3828,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3906,6 +3944,14 @@
             pub fn set_age_ms(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(5, value);
             }
+            #[inline]
+            pub fn get_permits_epoch(self) -> u64 {
+                self.builder.get_data_field::<u64>(5)
+            }
+            #[inline]
+            pub fn set_permits_epoch(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(5, value);
+            }
         }
 
         pub struct Pipeline {
@@ -3918,59 +3964,66 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(170, 36, 39, 139, 64, 153, 158, 131),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
                 ::capnp::word(114, 97, 109, 46, 116, 101, 108, 108),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 144, 0, 0, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 144, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 37, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 101, 108, 108, 78, 111, 110, 99),
                 ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -4013,6 +4066,15 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 69),
+                ::capnp::word(112, 111, 99, 104, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -4021,6 +4083,7 @@
                     2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4039,9 +4102,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 1, 3, 2, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 1, 3, 2, 5, 0];
             pub(crate) const TYPE_ID: u64 = 0x839e_9940_8b27_24aa;
         }
     }
@@ -4161,7 +4224,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4260,7 +4323,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(114, 143, 243, 14, 235, 182, 214, 141),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4450,7 +4513,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4586,7 +4649,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(85, 167, 38, 27, 177, 122, 234, 238),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4800,7 +4863,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4934,7 +4997,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(176, 13, 1, 187, 49, 80, 183, 144),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5191,7 +5254,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5325,7 +5388,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(98, 65, 103, 156, 55, 162, 104, 248),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5545,7 +5608,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5676,7 +5739,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(123, 194, 208, 108, 29, 83, 76, 252),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5869,6 +5932,14 @@
             pub fn get_unable(self) -> bool {
                 self.reader.get_bool_field(288)
             }
+            #[inline]
+            pub fn get_list_epoch(self) -> u64 {
+                self.reader.get_data_field::<u64>(5)
+            }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.reader.get_data_field::<u64>(6)
+            }
         }
 
         pub struct Builder<'a> {
@@ -5876,7 +5947,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6000,6 +6071,22 @@
             pub fn set_unable(&mut self, value: bool) {
                 self.builder.set_bool_field(288, value);
             }
+            #[inline]
+            pub fn get_list_epoch(self) -> u64 {
+                self.builder.get_data_field::<u64>(5)
+            }
+            #[inline]
+            pub fn set_list_epoch(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(5, value);
+            }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.builder.get_data_field::<u64>(6)
+            }
+            #[inline]
+            pub fn set_epoch(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(6, value);
+            }
         }
 
         pub struct Pipeline {
@@ -6012,66 +6099,80 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 142] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(218, 152, 204, 188, 33, 10, 37, 207),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
                 ::capnp::word(114, 97, 109, 46, 98, 101, 97, 99),
                 ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(153, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(209, 0, 0, 0, 106, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(161, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(217, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 144, 0, 0, 0),
+                ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 144, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(173, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(229, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
+                ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(6, 0, 0, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(181, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(237, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(5, 0, 0, 0, 32, 1, 0, 0),
+                ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(7, 0, 0, 0, 32, 1, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 33, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 38, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(249, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 6, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 39, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 97, 98, 108, 101, 86, 101, 114),
                 ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -6124,6 +6225,23 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 105, 115, 116, 69, 112, 111, 99),
+                ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -6133,6 +6251,8 @@
                     3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6151,9 +6271,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 1, 3, 2, 0, 5];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 4, 6, 1, 3, 2, 0, 5];
             pub(crate) const TYPE_ID: u64 = 0xcf25_0a21_bccc_98da;
         }
     }
@@ -6288,7 +6408,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6427,7 +6547,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(49, 91, 171, 245, 96, 79, 22, 243),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6645,6 +6765,14 @@
             pub fn get_told_age_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(8)
             }
+            #[inline]
+            pub fn get_since_epoch(self) -> u64 {
+                self.reader.get_data_field::<u64>(5)
+            }
+            #[inline]
+            pub fn get_upto_epoch(self) -> u64 {
+                self.reader.get_data_field::<u64>(6)
+            }
         }
 
         pub struct Builder<'a> {
@@ -6652,7 +6780,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6805,6 +6933,22 @@
             pub fn set_told_age_ms(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(8, value);
             }
+            #[inline]
+            pub fn get_since_epoch(self) -> u64 {
+                self.builder.get_data_field::<u64>(5)
+            }
+            #[inline]
+            pub fn set_since_epoch(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(5, value);
+            }
+            #[inline]
+            pub fn get_upto_epoch(self) -> u64 {
+                self.builder.get_data_field::<u64>(6)
+            }
+            #[inline]
+            pub fn set_upto_epoch(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(6, value);
+            }
         }
 
         pub struct Pipeline {
@@ -6817,66 +6961,80 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 144] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(67, 212, 255, 237, 249, 185, 160, 245),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
                 ::capnp::word(114, 97, 109, 46, 99, 104, 97, 110),
                 ::capnp::word(103, 101, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 10, 0, 0, 0),
+                ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 10, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 29, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(4, 0, 0, 0, 11, 0, 0, 0),
+                ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(6, 0, 0, 0, 11, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 30, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(5, 0, 0, 0, 8, 0, 0, 0),
+                ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(7, 0, 0, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 31, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(245, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 40, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(253, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 6, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 41, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(5, 1, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 105, 110, 99, 101, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6930,6 +7088,24 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 105, 110, 99, 101, 69, 112, 111),
+                ::capnp::word(99, 104, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 112, 116, 111, 69, 112, 111, 99),
+                ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -6939,6 +7115,8 @@
                     3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     4 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6957,9 +7135,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 4, 0, 5, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 4, 0, 6, 5, 1, 7];
             pub(crate) const TYPE_ID: u64 = 0xf5a0_b9f9_edff_d443;
         }
     }
@@ -7072,6 +7250,10 @@
             pub fn get_after(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
+            #[inline]
+            pub fn get_after_epoch(self) -> u64 {
+                self.reader.get_data_field::<u64>(3)
+            }
         }
 
         pub struct Builder<'a> {
@@ -7079,7 +7261,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7163,6 +7345,14 @@
             pub fn set_after(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(1, value);
             }
+            #[inline]
+            pub fn get_after_epoch(self) -> u64 {
+                self.builder.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn set_after_epoch(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(3, value);
+            }
         }
 
         pub struct Pipeline {
@@ -7175,31 +7365,38 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(130, 139, 59, 184, 87, 9, 86, 150),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
                 ::capnp::word(114, 97, 109, 46, 119, 97, 110, 116),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 32, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7208,10 +7405,20 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 102, 116, 101, 114, 69, 112, 111),
+                ::capnp::word(99, 104, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7230,9 +7437,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
             pub(crate) const TYPE_ID: u64 = 0x9656_0957_b83b_8b82;
         }
     }
@@ -7367,7 +7574,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7506,7 +7713,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(114, 73, 201, 243, 237, 43, 52, 224),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -11783,6 +11990,10 @@
             pub fn has_json(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> {
@@ -11790,7 +12001,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -11909,6 +12120,14 @@
             pub fn has_json(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_epoch(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline {
@@ -11921,52 +12140,59 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(19, 103, 179, 144, 164, 72, 100, 199),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(112, 101, 114, 109, 105, 116, 115, 36),
                 ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -12000,6 +12226,14 @@
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -12007,6 +12241,7 @@
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -12025,9 +12260,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 3, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 4, 3, 0];
             pub(crate) const TYPE_ID: u64 = 0xc764_48a4_90b3_6713;
         }
     }
@@ -13518,6 +13753,10 @@
             pub fn has_value(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> {
@@ -13525,7 +13764,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -13628,6 +13867,14 @@
             pub fn has_value(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_epoch(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline {
@@ -13640,38 +13887,45 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(191, 180, 66, 199, 118, 151, 13, 244),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(116, 97, 98, 108, 101, 36, 82, 101),
                 ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -13688,11 +13942,20 @@
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -13711,9 +13974,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
             pub(crate) const TYPE_ID: u64 = 0xf40d_9776_c742_b4bf;
         }
     }
@@ -14084,6 +14347,10 @@
             pub fn has_entries(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> {
@@ -14091,7 +14358,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -14212,6 +14479,14 @@
             pub fn has_entries(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_epoch(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline {
@@ -14224,17 +14499,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(142, 252, 97, 26, 117, 75, 14, 252),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -14242,21 +14517,28 @@
                 ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
                 ::capnp::word(115, 36, 82, 101, 115, 117, 108, 116),
                 ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(93, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -14277,11 +14559,20 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::struct_list::Owned<crate::peer_capnp::datagram::entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -14300,9 +14591,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
             pub(crate) const TYPE_ID: u64 = 0xfc0e_4b75_1a61_fc8e;
         }
     }
--- a/crates/honeypulley_peer/src/server.rs
+++ b/crates/honeypulley_peer/src/server.rs
@@ -10,6 +10,7 @@
 use futures::AsyncReadExt;
 use futures::future::LocalBoxFuture;
 use honeypulley_bundle::parts::{Digest, Manifest};
+use honeypulley_policy::revision::Revision;
 use std::cell::RefCell;
 use std::fmt::Debug;
 use std::time::Duration;
@@ -28,8 +29,8 @@
 /// Permits as a box holds them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HeldPermits {
-    /// Version of the platform they are complete up to.
-    pub version: u64,
+    /// Position they are complete up to.
+    pub version: Revision,
     /// Age of the platform's last confirmation, if there was one.
     pub age: Option<Duration>,
     /// All records as JSON.
@@ -39,8 +40,8 @@
 /// Something of the platform's, as a box holds it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Held<T> {
-    /// Version of the platform, zero if it holds nothing.
-    pub version: u64,
+    /// Position it is complete up to, zero if it holds nothing.
+    pub version: Revision,
     /// What is held.
     pub value: T,
 }
@@ -218,7 +219,8 @@
     ) -> Result<(), Error> {
         let held = self.view.permits();
         let mut r = results.get();
-        r.set_version(held.version);
+        r.set_version(held.version.number);
+        r.set_epoch(held.version.epoch);
         r.set_confirmed(held.age.is_some());
         r.set_age_ms(held.age.map_or(0, |a| a.as_millis() as u32 + 1));
         r.set_json(&held.json);
@@ -254,7 +256,8 @@
         let _ = tokio::time::timeout(wait, self.view.table_reached(wanted.get_number())).await;
         let held = self.view.table();
         let mut r = results.get();
-        r.set_version(held.version);
+        r.set_version(held.version.number);
+        r.set_epoch(held.version.epoch);
         r.set_value(&held.value);
         Ok(())
     }
@@ -266,7 +269,8 @@
     ) -> Result<(), Error> {
         let held = self.view.upstreams();
         let mut r = results.get();
-        r.set_version(held.version);
+        r.set_version(held.version.number);
+        r.set_epoch(held.version.epoch);
         write_entries(r.init_entries(held.value.len() as u32), &held.value);
         Ok(())
     }
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -1,18 +1,54 @@
 //! Datagrams and logins, right, forged and malformed.
 
 use honeypulley_bundle::head::Version;
-use honeypulley_peer::codec::{Body, Datagram, MAX_DATAGRAM, MAX_ITEMS, report_bodies};
+use honeypulley_peer::codec::{
+    Beacon, Body, Datagram, MAX_DATAGRAM, MAX_ITEMS, Told, report_bodies,
+};
 use honeypulley_peer::key::FleetKey;
+use honeypulley_peer::listing::{Entry, EntryState, MAX_ENTRIES};
 use honeypulley_peer::requests::MAX_REQUESTS;
 use honeypulley_policy::balance::News;
 use honeypulley_policy::belief::Observation;
 use honeypulley_policy::collector::{Judgement, NameId, Report, ReportItem, Verdict};
 use honeypulley_policy::fleet_limits::HallCount;
 use honeypulley_policy::quarantine::{Fingerprint, RequestNews, Scope};
+use honeypulley_policy::revision::Revision;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::time::Duration;
 
+fn revision() -> impl Strategy<Value = Revision> {
+    any::<[u64; 2]>().prop_map(|[epoch, number]| Revision::new(epoch, number))
+}
+
+fn beacon() -> impl Strategy<Value = Beacon> {
+    (any::<[u64; 2]>(), revision(), any::<[bool; 2]>(), any::<[u32; 2]>()).prop_map(
+        |([table, epoch], list, [reader, unable], [read, age])| Beacon {
+            table,
+            list,
+            epoch,
+            reader,
+            read_age: Duration::from_millis(read.into()),
+            unable,
+            list_age: Duration::from_millis(age.into()),
+        },
+    )
+}
+
+fn told() -> impl Strategy<Value = Told> {
+    let entry = ("[a-z0-9-]{1,24}", revision(), any::<u32>()).prop_map(|(name, version, hold)| {
+        let state = EntryState::Gone { hold: Duration::from_millis(hold.into()) };
+        Entry { name, version, state }
+    });
+    let entries = prop::collection::vec(entry, 0..=MAX_ENTRIES);
+    (revision(), revision(), any::<[u16; 2]>(), any::<u32>(), entries).prop_map(
+        |(since, upto, [part, parts], age, entries)| {
+            let age = Duration::from_millis(age.into());
+            Told { since, upto, part, parts, age, entries }
+        },
+    )
+}
+
 fn body() -> impl Strategy<Value = Body> {
     let item = (any::<u64>(), any::<u16>(), any::<u16>()).prop_map(|(u, good, bad)| ReportItem {
         upstream: NameId(u),
@@ -93,7 +129,7 @@
         (any::<u32>(), prop::collection::vec(news, 0..MAX_ITEMS))
             .prop_map(|(seq, items)| Body::News { seq, items }),
         any::<u64>().prop_map(|nonce| Body::Ask { nonce }),
-        (any::<u64>(), any::<u64>(), any::<u64>(), prop::option::of(0u64..4_000_000)).prop_map(
+        (any::<u64>(), any::<u64>(), revision(), prop::option::of(0u64..4_000_000)).prop_map(
             |(nonce, b, permits, age)| Body::Tell {
                 nonce,
                 bundle: Version(b),
@@ -101,6 +137,9 @@
                 age: age.map(Duration::from_millis),
             }
         ),
+        beacon().prop_map(Body::Beacon),
+        told().prop_map(Body::Changes),
+        revision().prop_map(|after| Body::Want { after }),
         any::<u64>().prop_map(|b| Body::Rumour { bundle: Version(b) }),
         (any::<u64>(), prop::collection::vec(item, 0..MAX_ITEMS))
             .prop_map(|(s, items)| Body::Report { service: NameId(s), items }),
--- a/crates/honeypulley_platform/src/accept.rs
+++ b/crates/honeypulley_platform/src/accept.rs
@@ -5,6 +5,7 @@
 use honeypulley_bundle::head::{Head, Version};
 use honeypulley_bundle::parts::{Digest, Manifest, Split};
 use honeypulley_bundle::sign::Signature;
+use honeypulley_policy::revision::Revision;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -33,7 +34,7 @@
     /// The head.
     pub head: Head,
     /// Version of the object, for the conditional update.
-    pub object: u64,
+    pub object: Revision,
 }
 
 /// An acceptance that took effect.
@@ -156,7 +157,7 @@
             PlatformError::Unavailable { .. } | PlatformError::Compacted { .. } => {}
             // The condition makes a second write safe, but only reading back
             // tells whether the first took effect.
-            PlatformError::Unknown { .. } => unsure = true,
+            PlatformError::Unknown { .. } | PlatformError::Restored { .. } => unsure = true,
             PlatformError::Conflict { .. } => return resolve(p, head, unsure).await,
         }
         last = Some(error);
--- a/crates/honeypulley_platform/src/api.rs
+++ b/crates/honeypulley_platform/src/api.rs
@@ -2,6 +2,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use honeypulley_policy::revision::Revision;
 use std::fmt::Debug;
 use std::time::Duration;
 
@@ -15,8 +16,8 @@
     pub key: String,
     /// Its bytes.
     pub value: Bytes,
-    /// Version of the platform at which it was last written.
-    pub version: u64,
+    /// Position at which it was last written.
+    pub version: Revision,
 }
 
 /// Condition of a write.
@@ -25,7 +26,7 @@
     /// There is no such object yet.
     Absent,
     /// The object is at this version.
-    Version(u64),
+    Version(Revision),
 }
 
 /// An object that is gone.
@@ -33,15 +34,15 @@
 pub struct Removed {
     /// Its key.
     pub key: String,
-    /// Version of the platform at which it went.
-    pub version: u64,
+    /// Position at which it went.
+    pub version: Revision,
 }
 
 /// Changes under a prefix.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
-    /// Version of the platform up to which this is complete.
-    pub version: u64,
+    /// Position up to which this is complete.
+    pub version: Revision,
     /// Objects written since the version asked for.
     pub objects: Vec<Object>,
     /// Objects gone since the version asked for, where the platform tells.
@@ -65,8 +66,8 @@
     Conflict {
         /// Key of the object.
         key: String,
-        /// Version it is at, zero if it is absent.
-        current: u64,
+        /// Version it is at, zero if it is absent or not known.
+        current: Revision,
     },
     /// The platform refused before doing anything: over its rate, or away.
     #[error("platform at {peer}: {step}: not available: {cause}")]
@@ -84,7 +85,23 @@
         /// Address asked.
         peer: String,
         /// Version asked for.
-        after: u64,
+        after: Revision,
+    },
+    /// The platform was restored from a backup: its answer is of another epoch than asked for.
+    ///
+    /// Nothing that was known of its positions holds. A write may have taken effect.
+    #[error(
+        "platform at {peer}: {step}: restored from a backup, epoch {found} in place of {wanted}"
+    )]
+    Restored {
+        /// Address asked.
+        peer: String,
+        /// What was being done.
+        step: &'static str,
+        /// Epoch that the call was about.
+        wanted: u64,
+        /// Epoch of the answer.
+        found: u64,
     },
     /// No answer came: a write may or may not have taken effect.
     #[error("platform at {peer}: {step}: no answer, outcome unknown: {cause}")]
@@ -98,10 +115,19 @@
     },
 }
 
+impl PlatformError {
+    /// Returns whether the position asked from is of no use any more.
+    #[must_use]
+    pub const fn has_lost_place(&self) -> bool {
+        matches!(self, Self::Compacted { .. } | Self::Restored { .. })
+    }
+}
+
 /// The platform's object API.
 ///
-/// Reads are taken to be linearizable with writes; a read that shows an older
-/// version than one seen before is dropped by its user.
+/// Reads are taken to be linearizable with writes within one epoch of the platform. Restored from
+/// a backup, it loses its latest writes, also acknowledged ones, and gives their versions out again
+/// in its next epoch.
 #[async_trait]
 pub trait Platform: Debug + Send + Sync {
     /// Reads one object.
@@ -114,7 +140,8 @@
     ///
     /// # Errors
     /// Any [`PlatformError`].
-    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, PlatformError>;
+    async fn put(&self, key: &str, value: Bytes, expect: Expect)
+    -> Result<Revision, PlatformError>;
 
     /// Returns what changed under `prefix` after `after`, waiting up to `wait`.
     ///
@@ -125,7 +152,7 @@
     async fn watch(
         &self,
         prefix: &str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> Result<Changes, PlatformError>;
 
@@ -134,7 +161,12 @@
     /// # Errors
     /// Any [`PlatformError`] but a conflict.
     async fn list(&self, prefix: &str, _: Freshness) -> Result<Changes, PlatformError> {
-        self.watch(prefix, 0, Duration::ZERO).await
+        self.watch(prefix, Revision::ZERO, Duration::ZERO).await
+    }
+
+    /// Returns the newest epoch that any answer named, zero if none did.
+    fn epoch(&self) -> u64 {
+        0
     }
 
     /// Returns the lagging list of boxes and upstreams, as JSON.
--- a/crates/honeypulley_platform/src/http.rs
+++ b/crates/honeypulley_platform/src/http.rs
@@ -1,13 +1,17 @@
 //! The platform's object API over HTTP with JSON.
 //!
+//! Each answer names the platform's epoch in `platform-epoch`, if the platform counts them.
+//!
 //! `GET /objects/KEY` reads, with the version in `etag`. `PUT /objects/KEY`
 //! writes under `if-match: VERSION` or `if-none-match: *`. `GET
 //! /watch?prefix=&after=&wait_ms=` waits. `GET /members` lists, with an `etag`.
 
 use crate::api::{Changes, Expect, Object, Platform, PlatformError};
+use crate::epoch::{KnownEpoch, outdated, same_epoch};
 use async_trait::async_trait;
 use base64::{Engine, engine::general_purpose::STANDARD as BASE64};
 use bytes::Bytes;
+use honeypulley_policy::revision::Revision;
 use parking_lot::Mutex;
 use reqwest::header::{self, HeaderValue};
 use reqwest::{Client, Response, StatusCode};
@@ -17,6 +21,9 @@
 /// Time for one call, beyond what a watch waits.
 const CALL_TIME: Duration = Duration::from_secs(2);
 
+/// Header that names the platform's epoch.
+pub const EPOCH: &str = "platform-epoch";
+
 /// Object as the watch's JSON carries it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireObject {
@@ -44,6 +51,7 @@
     client: Client,
     /// The list as last read, with its tag: an unchanged one is not moved again.
     listed: Mutex<Option<(HeaderValue, Bytes)>>,
+    epoch: KnownEpoch,
 }
 
 impl HttpPlatform {
@@ -58,7 +66,12 @@
             .retry(reqwest::retry::never())
             .build()
             .map_err(|e| unavailable(addr, "set up", &e))?;
-        Ok(Self { base: format!("http://{addr}"), client, listed: Mutex::new(None) })
+        Ok(Self {
+            base: format!("http://{addr}"),
+            client,
+            listed: Mutex::new(None),
+            epoch: KnownEpoch::default(),
+        })
     }
 
     fn url(&self, key: &str) -> String {
@@ -87,36 +100,59 @@
         step: &'static str,
         url: String,
         time: Duration,
-    ) -> Result<Response, PlatformError> {
-        self.client.get(url).timeout(time).send().await.map_err(|e| self.lost(step, &e))
+    ) -> Result<(Response, u64), PlatformError> {
+        let sent = self.client.get(url).timeout(time).send().await;
+        let answer = sent.map_err(|e| self.lost(step, &e))?;
+        let epoch = self.place(step, &answer)?;
+        Ok((answer, epoch))
+    }
+
+    /// Returns the epoch that an answer belongs to.
+    fn place(&self, step: &'static str, answer: &Response) -> Result<u64, PlatformError> {
+        let named = answer.headers().get(EPOCH).map(HeaderValue::as_bytes);
+        self.epoch.place(&self.base, step, named)
     }
 }
 
 #[async_trait]
 impl Platform for HttpPlatform {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let answer = self.read("read", self.url(key), CALL_TIME).await?;
+        let (answer, epoch) = self.read("read", self.url(key), CALL_TIME).await?;
         match answer.status() {
             StatusCode::OK => {}
             StatusCode::NOT_FOUND => return Ok(None),
             other => return Err(self.refused("read", other)),
         }
-        let version = etag(&answer);
+        let version = Revision::new(epoch, etag(&answer));
         let value = answer.bytes().await.map_err(|e| self.lost("read", &e))?;
         Ok(Some(Object { key: key.to_owned(), value, version }))
     }
 
-    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, PlatformError> {
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+    ) -> Result<Revision, PlatformError> {
         let request = self.client.put(self.url(key)).timeout(CALL_TIME).body(value);
         let request = match expect {
             Expect::Absent => request.header(header::IF_NONE_MATCH, "*"),
-            Expect::Version(v) => request.header(header::IF_MATCH, v.to_string()),
+            Expect::Version(v) if v.epoch < self.epoch.get() => return Err(outdated(key)),
+            Expect::Version(v) => request.header(header::IF_MATCH, v.number.to_string()),
         };
         let answer = request.send().await.map_err(|e| self.lost("write", &e))?;
+        let epoch = self.place("write", &answer)?;
+        let version = Revision::new(epoch, etag(&answer));
         match answer.status() {
-            StatusCode::OK => Ok(etag(&answer)),
+            StatusCode::OK => {
+                // The number of a lost version may be another one's by now.
+                if let Expect::Version(v) = expect {
+                    same_epoch(&self.base, "write", v.epoch, epoch)?;
+                }
+                Ok(version)
+            }
             StatusCode::PRECONDITION_FAILED => {
-                Err(PlatformError::Conflict { key: key.to_owned(), current: etag(&answer) })
+                Err(PlatformError::Conflict { key: key.to_owned(), current: version })
             }
             other => Err(self.refused("write", other)),
         }
@@ -125,12 +161,18 @@
     async fn watch(
         &self,
         prefix: &str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> Result<Changes, PlatformError> {
-        let ms = wait.as_millis();
-        let url = format!("{}/watch?prefix={prefix}&after={after}&wait_ms={ms}", self.base);
-        let answer = self.read("watch", url, wait + CALL_TIME).await?;
+        let (ms, number) = (wait.as_millis(), after.number);
+        let url = format!("{}/watch?prefix={prefix}&after={number}&wait_ms={ms}", self.base);
+        if number > 0 && after.epoch < self.epoch.get() {
+            same_epoch(&self.base, "watch", after.epoch, self.epoch.get())?;
+        }
+        let (answer, epoch) = self.read("watch", url, wait + CALL_TIME).await?;
+        if number > 0 {
+            same_epoch(&self.base, "watch", after.epoch, epoch)?;
+        }
         match answer.status() {
             StatusCode::OK => {}
             StatusCode::GONE => {
@@ -141,10 +183,15 @@
         let wire: WireChanges = answer.json().await.map_err(|e| self.lost("watch", &e))?;
         let decode = |o: WireObject| {
             let value = BASE64.decode(&o.value).ok()?.into();
-            Some(Object { key: o.key, value, version: o.version })
+            Some(Object { key: o.key, value, version: Revision::new(epoch, o.version) })
         };
         let objects = wire.objects.into_iter().filter_map(decode).collect();
-        Ok(Changes { version: wire.version, objects, removed: Vec::new() })
+        let version = Revision::new(epoch, wire.version);
+        Ok(Changes { version, objects, removed: Vec::new() })
+    }
+
+    fn epoch(&self) -> u64 {
+        self.epoch.get()
     }
 
     async fn members(&self) -> Result<Bytes, PlatformError> {
--- a/crates/honeypulley_platform/src/lib.rs
+++ b/crates/honeypulley_platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accept;
 pub mod api;
+pub mod epoch;
 pub mod http;
 pub mod memory;
 pub mod permits;
--- a/crates/honeypulley_platform/src/memory.rs
+++ b/crates/honeypulley_platform/src/memory.rs
@@ -3,8 +3,10 @@
 //! It is the fake behind tests and the store behind the stand-in platform.
 
 use crate::api::{Changes, Expect, Freshness, Object, Platform, PlatformError, Removed};
+use crate::epoch::{outdated, same_epoch};
 use async_trait::async_trait;
 use bytes::Bytes;
+use honeypulley_policy::revision::Revision;
 use parking_lot::Mutex;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -26,15 +28,22 @@
 /// A copy of the objects, to which the store can be restored.
 #[derive(Clone, Debug)]
 pub struct Backup {
-    objects: BTreeMap<String, Object>,
-    removed: Vec<Removed>,
+    objects: BTreeMap<String, Stored>,
+    removed: Vec<(String, u64)>,
+    version: u64,
+}
+
+/// An object without its epoch, which is the store's.
+#[derive(Clone, Debug)]
+struct Stored {
+    value: Bytes,
     version: u64,
 }
 
 #[derive(Debug, Default)]
 struct State {
-    objects: BTreeMap<String, Object>,
-    removed: Vec<Removed>,
+    objects: BTreeMap<String, Stored>,
+    removed: Vec<(String, u64)>,
     /// Version up to which the history of removals is gone.
     forgotten: u64,
     version: u64,
@@ -76,7 +85,7 @@
         if s.objects.remove(key).is_some() {
             s.version += 1;
             let version = s.version;
-            s.removed.push(Removed { key: key.to_owned(), version });
+            s.removed.push((key.to_owned(), version));
         }
         drop(s);
         self.changed.notify_waiters();
@@ -111,12 +120,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Returns how often the store was restored.
-    #[must_use]
-    pub fn epoch(&self) -> u64 {
-        self.state.lock().epoch
-    }
-
     /// Returns the version of the last change.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -129,26 +132,40 @@
         (s.reads, s.writes)
     }
 
-    fn changes(&self, prefix: &str, after: u64) -> Result<Changes, PlatformError> {
+    fn changes(&self, prefix: &str, after: Revision) -> Result<Changes, PlatformError> {
         let s = self.state.lock();
         s.check("watch")?;
-        if after > s.version || (after > 0 && after < s.forgotten) {
+        let number = after.number;
+        if number > 0 {
+            same_epoch("memory", "watch", after.epoch, s.epoch)?;
+        }
+        if number > s.version || (number > 0 && number < s.forgotten) {
             return Err(PlatformError::Compacted { peer: "memory".to_owned(), after });
         }
-        let gone = |r: &&Removed| r.key.starts_with(prefix) && r.version > after;
-        let removed = s.removed.iter().filter(gone).cloned().collect();
+        let gone = |(key, version): &&(String, u64)| key.starts_with(prefix) && *version > number;
+        let removed = s.removed.iter().filter(gone);
+        let removed = removed.map(|(key, v)| Removed { key: key.clone(), version: s.at(*v) });
         let objects = s
             .objects
             .range(prefix.to_owned()..)
             .take_while(|(k, _)| k.starts_with(prefix))
-            .filter(|(_, o)| o.version > after)
-            .map(|(_, o)| o.clone())
+            .filter(|(_, o)| o.version > number)
+            .map(|(k, o)| s.object(k, o))
             .collect();
-        Ok(Changes { version: s.version, objects, removed })
+        Ok(Changes { version: s.at(s.version), objects, removed: removed.collect() })
     }
 }
 
 impl State {
+    /// Returns a position in the present epoch.
+    const fn at(&self, number: u64) -> Revision {
+        Revision::new(self.epoch, number)
+    }
+
+    fn object(&self, key: &str, o: &Stored) -> Object {
+        Object { key: key.to_owned(), value: o.value.clone(), version: self.at(o.version) }
+    }
+
     fn check(&self, step: &'static str) -> Result<(), PlatformError> {
         if !self.faults.outage {
             return Ok(());
@@ -169,10 +186,15 @@
         let mut s = self.state.lock();
         s.reads += 1;
         s.check("read")?;
-        Ok(s.objects.get(key).cloned())
+        Ok(s.objects.get(key).map(|o| s.object(key, o)))
     }
 
-    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, PlatformError> {
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+    ) -> Result<Revision, PlatformError> {
         let mut s = self.state.lock();
         s.writes += 1;
         s.check("write")?;
@@ -183,26 +205,28 @@
         let current = s.objects.get(key).map_or(0, |o| o.version);
         let holds = match expect {
             Expect::Absent => current == 0,
-            Expect::Version(v) => current == v,
+            Expect::Version(v) if v.epoch != s.epoch => return Err(outdated(key)),
+            Expect::Version(v) => current == v.number,
         };
         if !holds {
+            let current = if current > 0 { s.at(current) } else { Revision::ZERO };
             return Err(PlatformError::Conflict { key: key.to_owned(), current });
         }
         s.version += 1;
         let version = s.version;
-        s.objects.insert(key.to_owned(), Object { key: key.to_owned(), value, version });
+        s.objects.insert(key.to_owned(), Stored { value, version });
         self.changed.notify_waiters();
         if s.faults.lost > 0 {
             s.faults.lost -= 1;
             return Err(lost());
         }
-        Ok(version)
+        Ok(s.at(version))
     }
 
     async fn watch(
         &self,
         prefix: &str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> Result<Changes, PlatformError> {
         self.state.lock().reads += 1;
@@ -221,16 +245,20 @@
 
     async fn list(&self, prefix: &str, f: Freshness) -> Result<Changes, PlatformError> {
         self.state.lock().reads += 1;
-        let mut all = self.changes(prefix, 0)?;
+        let mut all = self.changes(prefix, Revision::ZERO)?;
         all.removed.clear();
         let stale_at = self.state.lock().faults.stale_at;
         if f == Freshness::Stale && stale_at > 0 {
-            all.objects.retain(|o| o.version <= stale_at);
-            all.version = stale_at;
+            all.objects.retain(|o| o.version.number <= stale_at);
+            all.version.number = stale_at;
         }
         Ok(all)
     }
 
+    fn epoch(&self) -> u64 {
+        self.state.lock().epoch
+    }
+
     async fn members(&self) -> Result<Bytes, PlatformError> {
         let mut s = self.state.lock();
         s.reads += 1;
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -2,6 +2,7 @@
 
 use crate::balance::{BudgetUse, NamedLimit, Resend};
 use crate::collector::NameId;
+use crate::revision::Revision;
 use crate::router::{AttemptKey, Outcome, Pick, Refusal, Router, ServiceKey, UpstreamKey};
 use crate::signals::{SignalChanges, Signals};
 use crate::time::Time;
@@ -67,8 +68,8 @@
 /// Which list of upstreams a box holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ListNow {
-    /// Version up to which it is complete.
-    pub version: u64,
+    /// Position up to which it is complete.
+    pub version: Revision,
     /// Time since it was last known to be complete, if it ever was.
     pub age: Option<Duration>,
 }
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -171,7 +171,7 @@
             load_age_ms = known.load_age.map(|d| d.as_millis() as u64),
             limit = known.limit.map(|l| l.rate as f32), limit_part = known.limit.map(|l| l.part as f32),
             limit_left = known.limit.and_then(|l| l.left).map(|left| left as f32),
-            list = known.list.version, list_age_ms = known.list.age.map(|d| d.as_millis() as u64);
+            list:display = known.list.version, list_age_ms = known.list.age.map(|d| d.as_millis() as u64);
             "route: {kind} sent to {}", to.name
         );
         let guard = AttemptGuard::new(&self.gate, pick, self.out.same);
--- a/crates/honeypulley_standin/src/platform.rs
+++ b/crates/honeypulley_standin/src/platform.rs
@@ -1,14 +1,16 @@
 //! The stand-in platform: an object store over HTTP that fails on command.
 //!
 //! Beside the object API: `PUT /members` replaces the list, which is shown after
-//! the lag. `PUT /faults` takes [`Switches`] as JSON. `GET /calls` counts.
+//! the lag. `PUT /faults` takes [`Switches`] as JSON. `GET /calls` counts. `PUT /backup` copies
+//! the objects, `PUT /restore` restores the last copy.
 
 use base64::{Engine, engine::general_purpose::STANDARD as BASE64};
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use honeypulley_platform::api::{Expect, Platform, PlatformError};
-use honeypulley_platform::http::{WireChanges, WireObject};
-use honeypulley_platform::memory::{Faults, MemoryPlatform};
+use honeypulley_platform::http::{EPOCH, WireChanges, WireObject};
+use honeypulley_platform::memory::{Backup, Faults, MemoryPlatform};
+use honeypulley_policy::revision::Revision;
 use http::{HeaderValue, Method, StatusCode, header};
 use parking_lot::Mutex;
 use salvo::async_trait;
@@ -59,6 +61,7 @@
 #[derive(Debug)]
 pub struct StandinPlatform {
     store: MemoryPlatform,
+    backup: Mutex<Option<Backup>>,
     switches: Mutex<Switches>,
     window: Mutex<Window>,
     lag: Duration,
@@ -71,6 +74,7 @@
         let window = Window { began: Instant::now(), reads: 0, writes: 0 };
         Self {
             store: MemoryPlatform::default(),
+            backup: Mutex::default(),
             switches: Mutex::default(),
             window: Mutex::new(window),
             lag,
@@ -127,6 +131,11 @@
                 return res.render(Json(Calls { reads, writes }));
             }
             "/members" if write => return self.take_members(req).await,
+            "/backup" if write => {
+                *self.0.backup.lock() = Some(self.0.store.backup());
+                return;
+            }
+            "/restore" if write => return self.restore(res),
             _ => {}
         }
         let slow = self.0.switches.lock().slow_ms;
@@ -144,10 +153,21 @@
         if let Err(e) = done {
             fail(&e, res);
         }
+        // Epochs count from one here.
+        res.headers_mut().insert(EPOCH, (self.0.store.epoch() + 1).into());
     }
 }
 
 impl Page {
+    fn restore(&self, res: &mut Response) {
+        match self.0.backup.lock().clone() {
+            Some(backup) => self.0.store.restore(backup),
+            None => {
+                res.status_code(StatusCode::CONFLICT);
+            }
+        }
+    }
+
     async fn take_faults(&self, req: &mut Request, res: &mut Response) {
         let body = req.payload().await.cloned().unwrap_or_default();
         match serde_json::from_slice(&body) {
@@ -188,14 +208,15 @@
         let prefix: String = req.query("prefix").unwrap_or_default();
         let after: u64 = req.query("after").unwrap_or_default();
         let wait = Duration::from_millis(req.query("wait_ms").unwrap_or_default());
+        let after = Revision::new(self.0.store.epoch(), after);
         let c = self.0.store.watch(&prefix, after, wait).await?;
         let wire = |o: &honeypulley_platform::api::Object| WireObject {
             key: o.key.clone(),
             value: BASE64.encode(&o.value),
-            version: o.version,
+            version: o.version.number,
         };
         res.render(Json(WireChanges {
-            version: c.version,
+            version: c.version.number,
             objects: c.objects.iter().map(wire).collect(),
         }));
         Ok(())
@@ -207,7 +228,7 @@
                 res.status_code(StatusCode::NOT_FOUND);
             }
             Some(o) => {
-                set_etag(res, o.version);
+                set_etag(res, o.version.number);
                 res.replace_body(ResBody::Once(o.value));
             }
         }
@@ -221,14 +242,15 @@
         res: &mut Response,
     ) -> Result<(), PlatformError> {
         let matched: Option<u64> = req.header(header::IF_MATCH);
-        let expect = matched.map_or(Expect::Absent, Expect::Version);
+        let at = |number| Revision::new(self.0.store.epoch(), number);
+        let expect = matched.map_or(Expect::Absent, |n| Expect::Version(at(n)));
         let body = req.payload_with_max_size(2_000_000).await.cloned().unwrap_or_default();
         if body.len() > honeypulley_platform::api::MAX_VALUE {
             res.status_code(StatusCode::PAYLOAD_TOO_LARGE);
             return Ok(());
         }
         let version = self.0.store.put(key_of(path), body, expect).await?;
-        set_etag(res, version);
+        set_etag(res, version.number);
         res.status_code(StatusCode::OK);
         Ok(())
     }
@@ -247,13 +269,13 @@
 fn fail(e: &PlatformError, res: &mut Response) {
     match e {
         PlatformError::Conflict { current, .. } => {
-            set_etag(res, *current);
+            set_etag(res, current.number);
             res.status_code(StatusCode::PRECONDITION_FAILED);
         }
         PlatformError::Unavailable { .. } => {
             res.status_code(StatusCode::SERVICE_UNAVAILABLE);
         }
-        PlatformError::Compacted { .. } => {
+        PlatformError::Compacted { .. } | PlatformError::Restored { .. } => {
             res.status_code(StatusCode::GONE);
         }
         // A lost answer: a gateway's error says nothing about the write.
--- a/tools/measure/src/slopes.rs
+++ b/tools/measure/src/slopes.rs
@@ -230,7 +230,7 @@
             Body::Tell {
                 nonce: fastrand::u64(..),
                 bundle: honeypulley_bundle::head::Version(17_000),
-                permits: 90_000,
+                permits: honeypulley_policy::revision::Revision::new(1, 90_000),
                 age: Some(Duration::from_millis(900)),
             },
         ),
