--- a/crates/honeypulley_mesh/tests/boxes/main.rs
+++ b/crates/honeypulley_mesh/tests/boxes/main.rs
@@ -3,4 +3,5 @@
 mod departures;
 mod foreign;
 mod join;
+mod restore;
 mod support;
