What boxes have written is written again after a restore of the store

A box wrote its record once, at its start, and holds were compared with what the box believed to be stored. Both were gone for good if a restore lost them: a new box did not get to know others by the store, and a loss of power forgot holds.

A box whose record is less than a minute old writes it again, spread over the fleet at 100 a second; the reader that keeps holds reads them anew in each epoch.

--- a/crates/honeypulley_mesh/src/epoch.rs
+++ b/crates/honeypulley_mesh/src/epoch.rs
@@ -27,6 +27,18 @@
         self.epoch.newest.load(Ordering::Acquire)
     }
 
+    /// Waits for an epoch after this one, and returns it.
+    pub async fn epoch_after(&self, epoch: u64) -> u64 {
+        loop {
+            let restored = self.restored.notified();
+            let now = self.epoch();
+            if now > epoch {
+                return now;
+            }
+            restored.await;
+        }
+    }
+
     /// Returns how many restores of the platform this box has noticed.
     #[must_use]
     pub fn restores(&self) -> u64 {
--- a/crates/honeypulley_mesh/src/held.rs
+++ b/crates/honeypulley_mesh/src/held.rs
@@ -40,6 +40,8 @@
 /// What this box knows of the object in the store.
 #[derive(Debug)]
 struct Stored {
+    /// Epoch of the platform in which it was read.
+    epoch: u64,
     /// Its version, if it is there.
     version: Option<Revision>,
     held: BTreeSet<(u64, u8)>,
@@ -55,7 +57,7 @@
                 stored = None;
             }
             self.until_reading().await;
-            let done = match stored.take() {
+            let done = match stored.take().filter(|s| s.epoch == self.mesh.epoch()) {
                 None => self.read_held().await,
                 Some(s) => self.write_held(s).await,
             };
@@ -77,7 +79,8 @@
     async fn read_held(&self) -> Result<Stored, PlatformError> {
         let key = &self.mesh.decoder.keys().held;
         let Some(object) = self.platform.get(key).await? else {
-            return Ok(Stored { version: None, held: BTreeSet::new() });
+            let epoch = self.mesh.epoch();
+            return Ok(Stored { epoch, version: None, held: BTreeSet::new() });
         };
         let record: HeldRecord = serde_json::from_slice(&object.value).unwrap_or_else(|e| {
             log::warn!(version:display = object.version; "quarantine: the stored holds are left out: {e}");
@@ -86,7 +89,8 @@
         let day = time_of_day();
         self.mesh.hear_requests(record.held.iter().map(|h| h.news(day)).collect());
         let held = record.held.iter().map(|h| (h.request, h.trials)).collect();
-        Ok(Stored { version: Some(object.version), held })
+        let epoch = object.version.epoch;
+        Ok(Stored { epoch, version: Some(object.version), held })
     }
 
     /// Writes the holds if they are not those that stand there, and this box is to do it.
@@ -104,7 +108,7 @@
         let key = &self.mesh.decoder.keys().held;
         let version = self.platform.put(key, value, expect).await?;
         log::info!(version:display = version, held = held.len(); "quarantine: {} holds are stored", held.len());
-        Ok(Stored { version: Some(version), held })
+        Ok(Stored { version: Some(version), held, ..stored })
     }
 }
 
--- a/crates/honeypulley_mesh/src/join.rs
+++ b/crates/honeypulley_mesh/src/join.rs
@@ -12,6 +12,7 @@
 use honeypulley_peer::listing::BoxAddress;
 use honeypulley_platform::api::{Changes, Expect, Freshness, PlatformError};
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::time::Time;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -23,6 +24,11 @@
 /// milliseconds: an old answer does not show those that came in the last seconds.
 const AGAIN_WAIT: (u64, u64) = (3_000, 5_000);
 
+/// Age up to which a record may have been lost with a restore: backups are some seconds old.
+const RECORD_AT_RISK: Duration = Duration::from_secs(60);
+/// Records that all boxes together write again after a restore, a second.
+const RECORDS_A_SECOND: f64 = 100.0;
+
 /// A box as it stands in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct BoxRecord {
@@ -79,11 +85,20 @@
     /// Writes this box's address if it is not there, and reads the others'.
     async fn meet_others(&self) {
         let mut wait = FIRST_WAIT;
-        while let Err(e) = self.try_register().await {
-            log::info!("join: {e}");
+        let epoch = loop {
+            match self.try_register().await {
+                Ok(epoch) => break epoch,
+                Err(e) => log::info!("join: {e}"),
+            }
             pause(&mut wait).await;
-        }
+        };
+        let registered = self.mesh.now();
         self.mesh.greeting.notify_one();
+        tokio::join!(self.look_again(), self.keep_record(epoch, registered));
+    }
+
+    /// Reads the others' addresses once more at a first start, when many are new.
+    async fn look_again(&self) {
         if self.mesh.settings.first_start {
             let again = fastrand::u64(AGAIN_WAIT.0..AGAIN_WAIT.1);
             tokio::time::sleep(Duration::from_millis(again)).await;
@@ -95,34 +110,65 @@
         }
     }
 
-    async fn try_register(&self) -> Result<(), PlatformError> {
+    /// Writes this box's record again after each restore that may have lost it.
+    async fn keep_record(&self, mut epoch: u64, registered: Time) {
+        loop {
+            epoch = self.mesh.epoch_after(epoch).await;
+            if self.mesh.now().since(registered) > RECORD_AT_RISK {
+                return;
+            }
+            let spread = self.mesh.book().count() as f64 / RECORDS_A_SECOND;
+            tokio::time::sleep(Duration::from_secs_f64(spread * fastrand::f64())).await;
+            let (key, record) = self.own_record();
+            let mut wait = FIRST_WAIT;
+            while let Err(e) = self.write_record(&key, &record).await {
+                log::info!("join: {e}");
+                pause(&mut wait).await;
+            }
+            log::info!(epoch; "join: this box is known to the restored platform");
+        }
+    }
+
+    /// Returns key and value of this box's record.
+    fn own_record(&self) -> (String, BoxRecord) {
         let settings = &self.mesh.settings;
+        let key = format!("{}{}", self.mesh.decoder.keys().boxes, settings.name);
+        (key, BoxRecord { peer: settings.peer, hall: settings.hall.clone() })
+    }
+
+    /// Makes this box known to the platform; returns the epoch in which it is.
+    async fn try_register(&self) -> Result<u64, PlatformError> {
         let prefix = &self.mesh.decoder.keys().boxes;
-        let key = format!("{prefix}{}", settings.name);
-        let record = BoxRecord { peer: settings.peer, hall: settings.hall.clone() };
+        let (key, record) = self.own_record();
         let all = self.platform.list(prefix, Freshness::Stale).await?;
         self.mesh.learn_records(&all);
         let stands = all.objects.iter().find(|o| o.key == key);
-        if !stands.is_some_and(|o| record.is_same(&o.value)) {
+        let epoch = if stands.is_some_and(|o| record.is_same(&o.value)) {
+            all.version.epoch
+        } else {
             self.mesh.unknown.store(true, Ordering::Relaxed);
-            self.write_record(&key, &record).await?;
-        }
+            self.write_record(&key, &record).await?
+        };
         let boxes = self.mesh.book().count();
         log::info!(boxes; "join: this box is known to the platform");
-        Ok(())
+        Ok(epoch)
     }
 
-    async fn write_record(&self, key: &str, record: &BoxRecord) -> Result<(), PlatformError> {
+    /// Writes this box's record if it is not there; returns the epoch in which it is.
+    async fn write_record(&self, key: &str, record: &BoxRecord) -> Result<u64, PlatformError> {
         let value = Bytes::from(serde_json::to_vec(record).expect("a record is plain data"));
-        let written = self.platform.put(key, value.clone(), Expect::Absent).await;
-        if written.is_ok() {
-            return Ok(());
-        }
+        let written = match self.platform.put(key, value.clone(), Expect::Absent).await {
+            Ok(version) => return Ok(version.epoch),
+            Err(e) => e,
+        };
         // It stands from an earlier life, or the write may have been done.
         match self.platform.get(key).await? {
-            Some(o) if record.is_same(&o.value) => Ok(()),
-            Some(o) => self.platform.put(key, value, Expect::Version(o.version)).await.map(drop),
-            None => written.map(drop),
+            Some(o) if record.is_same(&o.value) => Ok(o.version.epoch),
+            Some(o) => {
+                let put = self.platform.put(key, value, Expect::Version(o.version)).await;
+                put.map(|version| version.epoch)
+            }
+            None => Err(written),
         }
     }
 }
