--- a/crates/honeypulley_mesh/src/epoch.rs
+++ b/crates/honeypulley_mesh/src/epoch.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use honeypulley_platform::api::{Changes, Expect, Freshness, Object, Platform, PlatformError};
 use honeypulley_policy::revision::Revision;
+use parking_lot::Mutex;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -18,6 +19,8 @@
 pub(crate) struct Epoch {
     newest: AtomicU64,
     restores: AtomicU64,
+    /// Held while a change is applied, so that no list of a new epoch comes before.
+    changing: Mutex<()>,
 }
 
 impl Mesh {
@@ -47,7 +50,11 @@
 
     /// Records an epoch that an answer of the platform or a peer named.
     pub fn learn_epoch(&self, epoch: u64, from: &str) {
-        let before = self.epoch.newest.fetch_max(epoch, Ordering::AcqRel);
+        if epoch <= self.epoch() {
+            return;
+        }
+        let changing = self.epoch.changing.lock();
+        let before = self.epoch();
         if epoch <= before {
             return;
         }
@@ -55,12 +62,15 @@
         // A box that has read nothing yet has nothing to lose.
         if list.is_zero() && self.table_number() == 0 {
             log::info!(epoch, from; "store: its epoch is {epoch}");
+            self.epoch.newest.store(epoch, Ordering::Release);
             return;
         }
         let now = self.now();
         self.epoch.restores.fetch_add(1, Ordering::Relaxed);
         self.readers().restored(now);
         self.lists.lock().list.begin_epoch(epoch, now + RETURN_TIME);
+        self.epoch.newest.store(epoch, Ordering::Release);
+        drop(changing);
         log::warn!(
             before, epoch, list:display, table = self.table_number(), from;
             "store: restored from a backup, epoch {before} became {epoch}; all is read anew"
--- a/crates/honeypulley_mesh/src/join.rs
+++ b/crates/honeypulley_mesh/src/join.rs
@@ -44,16 +44,17 @@
     }
 
     async fn first_table(&self) {
-        let mut wait = FIRST_WAIT;
+        let (mut wait, mut fresh) = (FIRST_WAIT, Freshness::Stale);
         while self.mesh.table_number() == 0 {
-            match self.read_table(Freshness::Stale).await {
+            match self.read_table(fresh).await {
                 Ok(_) if self.mesh.table_number() > 0 => {}
                 // The operator may not have written one yet, or the answer is older.
                 Ok(_) => {
                     self.mesh.setup.give_up();
                     self.until_table().await;
                 }
-                Err(_) => {
+                Err(e) => {
+                    fresh = after_failure(fresh, &e);
                     self.mesh.setup.give_up();
                     pause(&mut wait).await;
                 }
@@ -73,9 +74,10 @@
     }
 
     async fn first_list(&self) {
-        let mut wait = FIRST_WAIT;
+        let (mut wait, mut fresh) = (FIRST_WAIT, Freshness::Stale);
         while !self.mesh.knows_list() {
-            if self.read_list(Freshness::Stale).await.is_err() {
+            if let Err(e) = self.read_list(fresh).await {
+                fresh = after_failure(fresh, &e);
                 self.mesh.setup.give_up();
                 pause(&mut wait).await;
             }
@@ -173,6 +175,11 @@
     }
 }
 
+/// Returns how fresh the next answer must be; old ones may be from before a restore.
+const fn after_failure(fresh: Freshness, e: &PlatformError) -> Freshness {
+    if e.has_lost_place() { Freshness::Latest } else { fresh }
+}
+
 impl BoxRecord {
     /// Returns whether what stands in the store is this record.
     fn is_same(&self, stands: &[u8]) -> bool {
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -81,6 +81,26 @@
     raw: Bytes,
 }
 
+impl HeldTable {
+    /// Keeps this table in place of one of the same number or an older one.
+    fn keep(&mut self, number: u64, other: &Object, from: &str) {
+        let (held, object) = (self.number, other.version);
+        if number == held && other.value == self.raw {
+            self.object = self.object.max(object);
+        } else if number == held {
+            log::warn!(
+                version = held, object:display, from;
+                "table: version {held} dropped, its number is held with other content"
+            );
+        } else if object > self.object {
+            log::info!(
+                version = number, held, object:display, from;
+                "table: version {number} dropped, version {held} is held"
+            );
+        }
+    }
+}
+
 /// State that the duties of one box share.
 #[derive(Debug)]
 pub struct Mesh {
@@ -303,14 +323,7 @@
         };
         let mut held = self.table.lock();
         if table.version <= held.number {
-            if table.version < held.number || o.value != held.raw {
-                log::warn!(
-                    version = table.version, held = held.number, object:display = o.version, from;
-                    "table: version {} dropped, version {} is held", table.version, held.number
-                );
-            } else {
-                held.object = held.object.max(o.version);
-            }
+            held.keep(table.version, o, from);
             return;
         }
         let (number, routes) = (table.version, table.len());
--- a/crates/honeypulley_mesh/tests/boxes/restore.rs
+++ b/crates/honeypulley_mesh/tests/boxes/restore.rs
@@ -1,10 +1,11 @@
 //! What a box does when its platform was restored from a backup.
 
 use crate::support::{Connections, Relay, TestBox, all, at, entry, key, mesh, table};
+use async_trait::async_trait;
 use bytes::Bytes;
 use honeypulley_mesh::prelude::*;
 use honeypulley_peer::codec::Beacon;
-use honeypulley_platform::api::{Changes, Expect, Platform};
+use honeypulley_platform::api::{Changes, Expect, Freshness, Object, Platform, PlatformError};
 use honeypulley_platform::memory::MemoryPlatform;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::quarantine::{Fingerprint, RequestNews, Scope};
@@ -20,6 +21,7 @@
 /// A box that reads a platform, until it is dropped.
 struct Reader {
     mesh: Arc<Mesh>,
+    /// The platform, unless it is a test's own.
     memory: Arc<MemoryPlatform>,
     stop: Stop,
     thread: Option<std::thread::JoinHandle<()>>,
@@ -28,16 +30,22 @@
 impl Reader {
     fn start() -> Self {
         let memory = Arc::new(filled());
+        let inner = Arc::<MemoryPlatform>::clone(&memory);
+        let mut reader = Self::start_on(inner);
+        reader.memory = memory;
+        reader
+    }
+
+    fn start_on(inner: Arc<dyn Platform>) -> Self {
         let addr: SocketAddr = "10.0.0.7:7000".parse().expect("an address");
         let settings = MeshSettings::builder().name("box1").hall("hall-a").peer(addr).key(key());
         let mesh = mesh(settings.build());
-        let inner = Arc::<MemoryPlatform>::clone(&memory);
         let platform: Arc<dyn Platform> = Arc::new(EpochWatch::new(inner, Arc::clone(&mesh)));
         let stop = Stop::default();
         let tree = Tree::new(stop.clone()).duty(StoreDuty { mesh: Arc::clone(&mesh), platform });
         let thread = std::thread::spawn(move || tree.run().expect("it runs"));
         until("it reads", || mesh.readers().is_reading() && mesh.knows_list());
-        Self { mesh, memory, stop, thread: Some(thread) }
+        Self { mesh, memory: Arc::default(), stop, thread: Some(thread) }
     }
 
     fn has(&self, key: &str) -> bool {
@@ -124,6 +132,48 @@
     until("table 5 is held", || r.mesh.table_number() == 5);
 }
 
+/// A platform whose stale answers are from before a restore.
+#[derive(Debug)]
+struct StaleBefore(MemoryPlatform);
+
+#[async_trait]
+impl Platform for StaleBefore {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        self.0.get(key).await
+    }
+
+    async fn put(&self, key: &str, value: Bytes, e: Expect) -> Result<Revision, PlatformError> {
+        self.0.put(key, value, e).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, PlatformError> {
+        self.0.watch(prefix, after, wait).await
+    }
+
+    async fn list(&self, prefix: &str, f: Freshness) -> Result<Changes, PlatformError> {
+        if f == Freshness::Stale && prefix != "b/" {
+            let peer = "memory".to_owned();
+            return Err(PlatformError::Restored { peer, step: "list", wanted: 2, found: 1 });
+        }
+        self.0.list(prefix, f).await
+    }
+
+    async fn members(&self) -> Result<Bytes, PlatformError> {
+        self.0.members().await
+    }
+}
+
+#[test]
+fn a_box_that_starts_after_a_restore_asks_for_fresh_answers() {
+    let r = Reader::start_on(Arc::new(StaleBefore(filled())));
+    assert_eq!(r.mesh.table_number(), 1);
+}
+
 /// A beacon of a reader that knows more or less of the platform's epoch than this box.
 fn beacon(epoch: u64) -> Beacon {
     let age = Duration::ZERO;
