A bundle accepted after a restore of the platform gets a number above what boxes have in force

What an operator saw: after the platform had lost two accepted bundles, the next one was 'accepted as v3, in force on every live box after 6 ms', while all boxes kept the lost v4 and served no route of it. The roll-out asks five boxes which version they have in force, and numbers above it. a_bundle_accepted_after_the_platform_was_restored_is_in_force failed before (accepted as v3) and passes now.

--- a/crates/honeypulley_bundle/src/head.rs
+++ b/crates/honeypulley_bundle/src/head.rs
@@ -62,6 +62,15 @@
         Self { version, rollout, manifest, signature, past }
     }
 
+    /// Raises the version above one that boxes have in force.
+    ///
+    /// A platform restored from a backup may have lost the heads up to that one.
+    #[must_use]
+    pub fn above(mut self, in_force: Version) -> Self {
+        self.version = self.version.max(Version(in_force.0 + 1));
+        self
+    }
+
     /// Returns the version that the roll-out `id` was accepted as, if it was.
     ///
     /// Only the last [`REMEMBERED`] acceptances are known.
--- a/crates/honeypulley_operator/src/cli.rs
+++ b/crates/honeypulley_operator/src/cli.rs
@@ -226,7 +226,8 @@
 }
 
 async fn roll_out(args: &ArgMatches, s: &Settings, p: &HttpPlatform) -> Result<()> {
-    let accepted = rollout::roll_out(p, path(args, "bundle")).await?;
+    let in_force = fleet::newest(s, p).await;
+    let accepted = rollout::roll_out(p, in_force, path(args, "bundle")).await?;
     let how = if accepted.resolved { " (an answer was lost on the way and resolved)" } else { "" };
     println!("accepted as {}{how}", accepted.version);
     if !args.get_flag("wait") {
--- a/crates/honeypulley_operator/src/fleet.rs
+++ b/crates/honeypulley_operator/src/fleet.rs
@@ -3,14 +3,19 @@
 use crate::settings::Settings;
 use eyre::{Result, eyre};
 use futures::stream::{self, StreamExt};
+use honeypulley_bundle::head::Version;
 use honeypulley_daemon::status::BoxStatus;
 use honeypulley_peer::client::{PeerClient, PeerError};
 use honeypulley_platform::api::Platform;
 use honeypulley_platform::roster::{BoxEntry, Roster};
+use rand::seq::SliceRandom;
 
 /// Boxes asked at one time.
 const PARALLEL: usize = 64;
 
+/// Boxes asked which version is in force.
+const ASKED: usize = 5;
+
 /// What one box answered.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -40,6 +45,18 @@
     Err(eyre!("no list of boxes: {away}; and no seed answered"))
 }
 
+/// Returns the newest version that some boxes have in force, zero if none answers.
+///
+/// A bundle in force is on every box, so that a few tell it.
+pub async fn newest(s: &Settings, p: &dyn Platform) -> Version {
+    let Ok(mut some) = roster(s, p).await else { return Version(0) };
+    some.boxes.shuffle(&mut rand::rng());
+    some.boxes.truncate(ASKED);
+    let answers = ask_all(s, &some).await;
+    let versions = answers.iter().filter_map(|a| a.status.as_ref().ok()).map(|b| b.bundle);
+    Version(versions.max().unwrap_or(0))
+}
+
 /// Asks every listed box for its status, in the order of the list.
 pub async fn ask_all(s: &Settings, roster: &Roster) -> Vec<Answer> {
     let ask = |entry: BoxEntry| async move {
--- a/crates/honeypulley_operator/src/rollout.rs
+++ b/crates/honeypulley_operator/src/rollout.rs
@@ -13,16 +13,16 @@
 /// Time between two looks at the boxes while waiting.
 const LOOK_GAP: Duration = Duration::from_millis(150);
 
-/// Accepts a signed bundle over what is in force now.
+/// Accepts a signed bundle, above the version that boxes have in force.
 ///
 /// # Errors
 /// Returns an error if the bundle is wrong, unsigned, or not accepted.
-pub async fn roll_out(p: &dyn Platform, bundle: &Path) -> Result<Accepted> {
+pub async fn roll_out(p: &dyn Platform, in_force: Version, bundle: &Path) -> Result<Accepted> {
     let (_, split) = read_bundle(bundle)?;
     let off = read_sign_off(bundle, &split)?;
     let base = read_head(p).await?;
     let rollout = format!("{:016x}{:016x}", rand::random::<u64>(), rand::random::<u64>());
-    Ok(accept(p, base.as_ref(), &split, off.signature, &rollout).await?)
+    Ok(accept(p, base.as_ref(), in_force, &split, off.signature, &rollout).await?)
 }
 
 /// Waits until every live box has `version` in force, telling progress.
--- a/crates/honeypulley_platform/src/accept.rs
+++ b/crates/honeypulley_platform/src/accept.rs
@@ -107,7 +107,7 @@
     }
 }
 
-/// Stores a split bundle and accepts it over `base`.
+/// Stores a split bundle and accepts it over `base`, above the version that boxes have in force.
 ///
 /// `rollout` is the roll-out's own id: if the answer of the last write is lost,
 /// the head is read back and searched for it. Nothing is written blindly twice.
@@ -117,6 +117,7 @@
 pub async fn accept(
     p: &dyn Platform,
     base: Option<&StoredHead>,
+    in_force: Version,
     split: &Split,
     signature: Signature,
     rollout: &str,
@@ -133,6 +134,7 @@
     let digest = split.manifest.digest();
     store(p, &manifest_key(&digest), split.manifest.to_bytes()).await?;
     let head = Head::after(base.map(|b| &b.head), rollout.to_owned(), digest, signature);
+    let head = head.above(in_force);
     let expect = base.map_or(Expect::Absent, |b| Expect::Version(b.object));
     swap_head(p, &head, expect).await
 }
--- a/crates/honeypulley_platform/tests/accept.rs
+++ b/crates/honeypulley_platform/tests/accept.rs
@@ -23,7 +23,7 @@
     let base = read_head(p).await?;
     let s = split(n);
     let signature = Signer::from_secret("alice", &[1; 32]).sign(&s.manifest.digest());
-    accept(p, base.as_ref(), &s, signature, id).await
+    accept(p, base.as_ref(), Version(0), &s, signature, id).await
 }
 
 async fn head(p: &dyn Platform) -> Head {
@@ -45,7 +45,8 @@
     let key = honeypulley_platform::accept::manifest_key(&s.manifest.digest());
     let _ = p.put(&key, s.manifest.to_bytes(), Expect::Absent).await;
     p.set_faults(Faults { lost: 1, ..Faults::default() });
-    let done = accept(&p, base.as_ref(), &s, signature, "second").await.expect("accepted");
+    let done =
+        accept(&p, base.as_ref(), Version(0), &s, signature, "second").await.expect("accepted");
     assert_eq!(done, Accepted { version: Version(2), resolved: true });
     let h = head(&p).await;
     assert_eq!((h.version, h.rollout.as_str()), (Version(2), "second"), "written once");
@@ -91,7 +92,7 @@
         tokio::time::sleep(std::time::Duration::from_millis(20)).await;
         platform.set_faults(Faults { outage: true, ..Faults::default() });
     });
-    let got = accept(p.as_ref(), base.as_ref(), &s, signature, "second").await;
+    let got = accept(p.as_ref(), base.as_ref(), Version(0), &s, signature, "second").await;
     match got {
         Err(AcceptError::Unknown { rollout, .. }) => assert_eq!(rollout, "second"),
         other => panic!("told {other:?}"),
@@ -152,7 +153,9 @@
         let s = split(me * 10 + turn);
         let signature = Signer::from_secret("alice", &[1; 32]).sign(&s.manifest.digest());
         log.lock().push((me, Action::Call(HeadOp::Accept(v, None))));
-        let done = accept(p.as_ref(), base.as_ref(), &s, signature, &format!("{me}.{turn}")).await;
+        let done =
+            accept(p.as_ref(), base.as_ref(), Version(0), &s, signature, &format!("{me}.{turn}"))
+                .await;
         let won = match done {
             Ok(a) => {
                 assert_eq!(a.version.0, v + 1);
--- a/tools/fleet/src/lib.rs
+++ b/tools/fleet/src/lib.rs
@@ -213,6 +213,26 @@
         Ok(())
     }
 
+    /// Copies the platform's objects, for [`Fleet::restore_platform`].
+    ///
+    /// # Errors
+    /// Returns an error if the platform does not answer.
+    pub async fn back_up_platform(&self) -> Result<()> {
+        let url = format!("http://{}/backup", self.platform);
+        self.client.put(url).send().await?.error_for_status()?;
+        Ok(())
+    }
+
+    /// Restores the platform's objects from the last copy.
+    ///
+    /// # Errors
+    /// Returns an error if there is no copy, or the platform does not answer.
+    pub async fn restore_platform(&self) -> Result<()> {
+        let url = format!("http://{}/restore", self.platform);
+        self.client.put(url).send().await?.error_for_status()?;
+        Ok(())
+    }
+
     /// Returns how often the platform was called.
     ///
     /// # Errors
--- a/tools/fleet/tests/bundles.rs
+++ b/tools/fleet/tests/bundles.rs
@@ -143,6 +143,28 @@
     Ok(())
 }
 
+/// A bundle got the number of one that a restore had lost, and no box took it.
+#[tokio::test]
+async fn a_bundle_accepted_after_the_platform_was_restored_is_in_force() -> Result<()> {
+    let fleet = Fleet::ready(three()).await?;
+    check(&roll_out(&fleet, 2, &["--wait"])?)?;
+    fleet.back_up_platform().await?;
+    check(&roll_out(&fleet, 3, &["--wait"])?)?;
+    check(&roll_out(&fleet, 4, &["--wait"])?)?;
+    fleet.restore_platform().await?;
+    let out = roll_out(&fleet, 5, &["--wait"])?;
+    check(&out)?;
+    let said = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert!(said.contains("accepted as v5"), "{said}");
+    for b in &fleet.boxes {
+        let client = reqwest::Client::new();
+        let url = format!("http://{}/x", b.listen);
+        let answer = client.get(url).header("host", "n5.example").send().await?;
+        assert_eq!(answer.status().as_u16(), 200, "{}", b.entry.name);
+    }
+    Ok(())
+}
+
 #[tokio::test]
 async fn replacing_every_box_under_load_loses_no_request() -> Result<()> {
     let leave_wait = Duration::from_secs(2);
--- a/tools/measure/src/full.rs
+++ b/tools/measure/src/full.rs
@@ -4,6 +4,7 @@
 use crate::usage;
 use eyre::Result;
 use fleet::{Fleet, shape::Shape, until};
+use honeypulley_bundle::head::Version;
 use honeypulley_operator::rollout::roll_out;
 use honeypulley_platform::http::HttpPlatform;
 use honeypulley_standin::platform::Switches;
@@ -34,7 +35,7 @@
         let cpu: Vec<f64> =
             fleet.boxes.iter().map(|b| usage::cpu(b.process.id()).unwrap_or(0.0)).collect();
         let began = Instant::now();
-        let version = roll_out(&platform, &path).await?.version.0;
+        let version = roll_out(&platform, Version(0), &path).await?.version.0;
         let accepted = began.elapsed();
         let everywhere = async || {
             for i in 0..fleet.boxes.len() {
--- a/tools/measure/src/spread.rs
+++ b/tools/measure/src/spread.rs
@@ -4,6 +4,7 @@
 use eyre::{Result, bail};
 use fleet::{Fleet, shape::Shape, until};
 use hdrhistogram::Histogram;
+use honeypulley_bundle::head::Version;
 use honeypulley_operator::rollout::roll_out;
 use honeypulley_platform::http::HttpPlatform;
 use std::time::{Duration, Instant};
@@ -31,7 +32,7 @@
         let text = fleet.shape().bundle() + &format!("r{round}.example/ = guestlist\n");
         let path = fleet.write_bundle("round.ini", &text)?;
         fleet.sign(&path, "alice")?;
-        let version = roll_out(&platform, &path).await?.version.0;
+        let version = roll_out(&platform, Version(0), &path).await?.version.0;
         let accepted = Instant::now();
         let waits = live.iter().map(|&i| in_force(&fleet, i, version, accepted));
         let mut last = 0;
