A box that started on an old answer from before a restore takes the list anew

Old answers are named as of the epoch of their head, though their content may be from before the restore: entries then stood at positions that were given out again, and departures at lower ones were dropped. A reader that noticed a restore in the last 15 s says so in its beacons, and a list that came from an old answer gives up its positions then, once; so it does where a fresh answer shows a lower version. The three tests failed before (list at 89 where 40 and 95 were announced).

--- a/crates/honeypulley_mesh/src/list.rs
+++ b/crates/honeypulley_mesh/src/list.rs
@@ -224,6 +224,8 @@
     /// When entries that the list of that epoch does not show are taken for gone.
     return_due: Time,
     as_of: Option<Time>,
+    /// Whether it came from an old answer of the platform, and nothing has confirmed it.
+    is_old: bool,
     /// Changes that came whole from beyond a gap: after which version they begin, and
     /// up to which they are complete.
     beyond: BTreeMap<Revision, Revision>,
@@ -265,10 +267,30 @@
     /// of this one only if this one is as new.
     pub fn confirm(&mut self, version: Revision, at: Time) {
         if self.known && self.version >= version {
+            self.is_old = false;
             self.as_of = self.as_of.max(Some(at));
         }
     }
 
+    /// Records that the list came from an old answer of the platform.
+    ///
+    /// It may be from before a restore though it is named as of after.
+    pub const fn mark_old(&mut self) {
+        self.is_old = true;
+    }
+
+    /// Gives up the positions of a list that came from an old answer; whatever is known of its
+    /// epoch follows it then.
+    pub fn distrust(&mut self) {
+        if !std::mem::take(&mut self.is_old) {
+            return;
+        }
+        let epoch = self.version.epoch;
+        self.version = Revision::new(epoch, 0);
+        self.beyond.clear();
+        self.rows.values_mut().for_each(|r| r.version = Revision::new(epoch, 0));
+    }
+
     /// Applies the changes that follow the one at `since`, up to the one at `upto`.
     ///
     /// The list is complete with `upto` then if it was with `since` before.
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -8,7 +8,7 @@
 use crate::list::{ListChange, UpstreamList};
 use crate::state::Mesh;
 use crate::told::Parts;
-use honeypulley_peer::codec::Told;
+use honeypulley_peer::codec::{Beacon, Told};
 use honeypulley_peer::listing::{Entry, EntryState};
 use honeypulley_peer::server::Held;
 use honeypulley_platform::api::Changes;
@@ -139,6 +139,13 @@
         self.heard_of_list(upto, sender, from);
     }
 
+    /// Gives up a list that came from an old answer, if the platform was restored lately.
+    pub(crate) fn check_old_list(&self, b: &Beacon) {
+        if b.reader && b.restored {
+            self.lists.lock().list.distrust();
+        }
+    }
+
     /// Records that a peer has a version of the list, or knows of it.
     pub(crate) fn heard_of_list(&self, version: Revision, origin: NameId, via: SocketAddr) {
         let held = self.lists.lock().list.version();
@@ -154,7 +161,13 @@
     pub fn take_list(&self, c: &Changes, from: &str) {
         let hold = self.readers().hold(self.now());
         let entries = self.entries(c, hold);
-        let before = self.lists.lock().list.version();
+        let before = {
+            let list = &mut self.lists.lock().list;
+            if c.version < list.version() {
+                list.distrust();
+            }
+            list.version()
+        };
         self.replace(c.version, entries, from);
         let wanted = self.catch_up().wanted();
         let mut lists = self.lists.lock();
@@ -178,6 +191,7 @@
         let hold = self.readers().hold(self.now());
         let entries = self.entries(c, hold);
         self.replace(c.version, entries, from);
+        self.lists.lock().list.mark_old();
     }
 
     /// Replaces the list by the one of `version`.
--- a/crates/honeypulley_mesh/src/readers.rs
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -36,6 +36,8 @@
 ///
 /// The platform's owners say about two seconds.
 pub(crate) const RETURN_TIME: Duration = Duration::from_millis(2_300);
+/// Age up to which old answers of the platform are reckoned with; its owners say some seconds.
+const OLD_TIME: Duration = Duration::from_secs(15);
 /// Age reported while the platform does not answer this box.
 const NEVER: Duration = Duration::from_secs(3_600);
 /// Failed calls in a row after which a reader says that it can't read.
@@ -79,6 +81,8 @@
     /// Whether a box was seen since then that the platform did not answer.
     refused: bool,
     returned: Option<Time>,
+    /// When this box noticed a restore of the platform.
+    restored: Option<Time>,
 }
 
 impl Readers {
@@ -97,6 +101,7 @@
             old_answer: None,
             refused: false,
             returned: None,
+            restored: None,
         }
     }
 
@@ -162,10 +167,17 @@
     /// What it answered before says nothing of the objects that it holds now.
     pub const fn restored(&mut self, now: Time) {
         self.returned = Some(now);
+        self.restored = Some(now);
         self.contact = None;
         self.own_read = None;
     }
 
+    /// Returns whether the platform was restored so lately that old answers may be from before.
+    #[must_use]
+    pub fn is_restored(&self, now: Time) -> bool {
+        self.restored.is_some_and(|at| now.since(at) < OLD_TIME)
+    }
+
     /// Records a beacon of a reader that does not know of the platform's restore yet.
     pub fn fall_behind(&mut self, id: NameId) {
         self.heard.remove(&id);
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -296,6 +296,7 @@
             table: self.table.lock().number,
             list: list.version,
             epoch: self.epoch(),
+            restored: readers.is_restored(now),
             reader: readers.is_reading(),
             read_age: readers.read_age(now),
             unable: readers.is_unable(),
@@ -356,6 +357,7 @@
             *self.missed.lock() = Some(MissedTable { number: b.table, origin: id, via });
             self.pulling.notify_one();
         }
+        self.check_old_list(&b);
         self.lists.lock().list.confirm(b.list, now.before(b.list_age));
         self.heard_of_list(b.list, id, via);
     }
--- a/crates/honeypulley_mesh/tests/boxes/departures.rs
+++ b/crates/honeypulley_mesh/tests/boxes/departures.rs
@@ -54,6 +54,7 @@
         table: 0,
         list: at(list),
         epoch: 1,
+        restored: false,
         reader: true,
         read_age: age,
         unable: false,
--- a/crates/honeypulley_mesh/tests/boxes/model.rs
+++ b/crates/honeypulley_mesh/tests/boxes/model.rs
@@ -212,6 +212,7 @@
     fn take_list(&mut self, i: usize, got: Result<Changes, PlatformError>) -> Option<Revision> {
         let all = got.ok()?;
         self.boxes[i].mesh.take_list(&all, "platform");
+        self.boxes[i].mesh.confirm_list();
         let version = all.version;
         self.sent.push((i, i, Message::List(all)));
         Some(version)
--- a/crates/honeypulley_mesh/tests/boxes/restore.rs
+++ b/crates/honeypulley_mesh/tests/boxes/restore.rs
@@ -4,13 +4,15 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use honeypulley_mesh::prelude::*;
-use honeypulley_peer::codec::Beacon;
+use honeypulley_peer::codec::{Beacon, Told};
+use honeypulley_peer::listing::{Entry, EntryState};
 use honeypulley_platform::api::{Changes, Expect, Freshness, Object, Platform, PlatformError};
 use honeypulley_platform::memory::MemoryPlatform;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::quarantine::{Fingerprint, RequestNews, Scope};
 use honeypulley_policy::revision::Revision;
 use honeypulley_supervisor::tree::{Stop, Tree};
+use rstest::rstest;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -174,11 +176,84 @@
     assert_eq!(r.mesh.table_number(), 1);
 }
 
+/// A box whose list is of an old answer: from before a restore, though it is named as of after.
+fn started_on_an_old_answer() -> TestBox {
+    let b = TestBox::start_empty("a", "hall-a");
+    let objects: Vec<Object> = (0..10)
+        .map(|i| {
+            let mut o = entry(&format!("u{i}"), "live", 80 + i);
+            o.version.epoch = 2;
+            o
+        })
+        .collect();
+    b.mesh.learn_epoch(2, "the test");
+    let version = Revision::new(2, 89);
+    b.mesh.take_old_list(&Changes { version, objects, removed: Vec::new() }, "the test");
+    b
+}
+
+/// A departure whose revision was lower than those of the old answer was dropped.
+#[rstest]
+#[case::lower_than_its_own(40)]
+#[case::higher(95)]
+fn a_list_of_an_old_answer_is_no_ground_after_a_recent_restore(#[case] number: u64) {
+    let b = started_on_an_old_answer();
+    let via: SocketAddr = "10.0.0.7:7000".parse().expect("an address");
+    let list = Revision::new(2, number);
+    b.mesh.take_beacon(NameId(7), via, Beacon { list, restored: true, ..beacon(2) });
+    let gone = |i: u64| Entry {
+        name: format!("u{i}"),
+        version: Revision::new(2, 40 - i),
+        state: EntryState::Gone { hold: Duration::ZERO },
+    };
+    let entries: Vec<Entry> = (0..3).map(gone).collect();
+    let told = Told::cut(Revision::new(2, 0), list, Duration::ZERO, &entries);
+    for part in told.expect("they are few") {
+        b.mesh.hear_changes(NameId(7), part, via);
+    }
+    assert_eq!(b.mesh.list_now().version, list);
+    assert!((0..3).all(|i| b.knows_left(&format!("u{i}"))));
+}
+
+/// Each beacon of the seconds after a restore would have the box fetch the list again.
+#[test]
+fn a_list_of_an_old_answer_is_given_up_once() {
+    let b = started_on_an_old_answer();
+    let via: SocketAddr = "10.0.0.7:7000".parse().expect("an address");
+    let list = Revision::new(2, 95);
+    let beacon = Beacon { list, restored: true, ..beacon(2) };
+    b.mesh.take_beacon(NameId(7), via, beacon);
+    assert_eq!(b.mesh.list_now().version, Revision::new(2, 0));
+    b.mesh.replace(list, Vec::new(), "a peer");
+    b.mesh.take_beacon(NameId(7), via, beacon);
+    assert_eq!(b.mesh.list_now().version, list);
+}
+
+#[test]
+fn a_fresh_answer_replaces_a_list_of_an_old_one() {
+    let b = started_on_an_old_answer();
+    let version = Revision::new(2, 40);
+    let mut objects = vec![entry("u0", "leaving", 40)];
+    objects[0].version.epoch = 2;
+    b.mesh.take_list(&Changes { version, objects, removed: Vec::new() }, "the test");
+    assert_eq!(b.mesh.list_now().version, version);
+    assert!((0..10).all(|i| b.knows_left(&format!("u{i}"))));
+}
+
 /// A beacon of a reader that knows more or less of the platform's epoch than this box.
 fn beacon(epoch: u64) -> Beacon {
     let age = Duration::ZERO;
     let list = Revision::new(epoch, 10);
-    Beacon { table: 0, list, epoch, reader: true, read_age: age, unable: false, list_age: age }
+    Beacon {
+        table: 0,
+        list,
+        epoch,
+        restored: false,
+        reader: true,
+        read_age: age,
+        unable: false,
+        list_age: age,
+    }
 }
 
 #[test]
--- a/crates/honeypulley_mesh/tests/boxes/support.rs
+++ b/crates/honeypulley_mesh/tests/boxes/support.rs
@@ -144,14 +144,29 @@
         hall: &str,
         seeds: Vec<SocketAddr>,
         platform: Arc<dyn Platform>,
+    ) -> Self {
+        let b = Self::start_bare(name, hall, seeds, platform);
+        let objects = (0..10).map(|i| entry(&format!("u{i}"), "live", i + 1)).collect();
+        b.mesh.take_list(&Changes { version: at(10), objects, removed: Vec::new() }, "the test");
+        b
+    }
+
+    /// Starts a box that holds nothing.
+    pub fn start_empty(name: &str, hall: &str) -> Self {
+        Self::start_bare(name, hall, Vec::new(), Arc::new(MemoryPlatform::default()))
+    }
+
+    fn start_bare(
+        name: &str,
+        hall: &str,
+        seeds: Vec<SocketAddr>,
+        platform: Arc<dyn Platform>,
     ) -> Self {
         let (listener, socket, addr) = bind();
         listener.set_nonblocking(true).expect("it can be set");
         socket.set_nonblocking(true).expect("it can be set");
         let settings = MeshSettings::builder().name(name).hall(hall).peer(addr).key(key());
         let mesh = mesh(settings.seeds(seeds).build());
-        let objects = (0..10).map(|i| entry(&format!("u{i}"), "live", i + 1)).collect();
-        mesh.take_list(&Changes { version: at(10), objects, removed: Vec::new() }, "the test");
         let stop = Stop::default();
         let duty = PeerDuty { mesh: Arc::clone(&mesh), platform, socket, listener };
         let tree = Tree::new(stop.clone()).duty(duty);
--- a/crates/honeypulley_mesh/tests/readers.rs
+++ b/crates/honeypulley_mesh/tests/readers.rs
@@ -14,7 +14,16 @@
 /// The beacon of a reader.
 fn beacon(read_age: Duration, unable: bool) -> Beacon {
     let list = Revision::new(1, 1);
-    Beacon { table: 1, list, epoch: 1, reader: true, read_age, unable, list_age: read_age }
+    Beacon {
+        table: 1,
+        list,
+        epoch: 1,
+        restored: false,
+        reader: true,
+        read_age,
+        unable,
+        list_age: read_age,
+    }
 }
 
 /// A fleet whose beacons reach all boxes that are not cut off.
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -48,6 +48,8 @@
       listEpoch @38 :UInt64;
       # The newest epoch of the platform that the sender knows of.
       epoch @39 :UInt64;
+      # The platform was restored in the last seconds: old answers may be from before.
+      restored @43 :Bool;
       reader @20 :Bool;
       # Milliseconds since the platform last answered the sender.
       readAgeMs @21 :UInt32;
--- a/crates/honeypulley_peer/src/codec.rs
+++ b/crates/honeypulley_peer/src/codec.rs
@@ -148,6 +148,8 @@
     pub list: Revision,
     /// Newest epoch of the platform that it knows of.
     pub epoch: u64,
+    /// Whether it noticed a restore of the platform in the last seconds.
+    pub restored: bool,
     /// Whether it reads the platform itself.
     pub reader: bool,
     /// Time since the platform last answered it.
@@ -234,6 +236,7 @@
                 b.set_list_version(x.list.number);
                 b.set_list_epoch(x.list.epoch);
                 b.set_epoch(x.epoch);
+                b.set_restored(x.restored);
                 b.set_reader(x.reader);
                 b.set_read_age_ms(millis(x.read_age));
                 b.set_unable(x.unable);
@@ -308,6 +311,7 @@
                 table: r.get_table_version(),
                 list: Revision::new(r.get_list_epoch(), r.get_list_version()),
                 epoch: r.get_epoch(),
+                restored: r.get_restored(),
                 reader: r.get_reader(),
                 read_age: Duration::from_millis(r.get_read_age_ms().into()),
                 unable: r.get_unable(),
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -295,6 +295,7 @@
             self.builder.set_bool_field(288, false);
             self.builder.set_data_field::<u64>(5, 0u64);
             self.builder.set_data_field::<u64>(6, 0u64);
+            self.builder.set_bool_field(289, false);
             self.builder.into()
         }
         #[inline]
@@ -5940,6 +5941,10 @@
             pub fn get_epoch(self) -> u64 {
                 self.reader.get_data_field::<u64>(6)
             }
+            #[inline]
+            pub fn get_restored(self) -> bool {
+                self.reader.get_bool_field(289)
+            }
         }
 
         pub struct Builder<'a> {
@@ -6087,6 +6092,14 @@
             pub fn set_epoch(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(6, value);
             }
+            #[inline]
+            pub fn get_restored(self) -> bool {
+                self.builder.get_bool_field(289)
+            }
+            #[inline]
+            pub fn set_restored(&mut self, value: bool) {
+                self.builder.set_bool_field(289, value);
+            }
         }
 
         pub struct Pipeline {
@@ -6099,7 +6112,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 142] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 158] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(218, 152, 204, 188, 33, 10, 37, 207),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
@@ -6109,70 +6122,77 @@
                 ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
                 ::capnp::word(114, 97, 109, 46, 98, 101, 97, 99),
                 ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(209, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(237, 0, 0, 0, 106, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(217, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(245, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(4, 0, 0, 0, 144, 0, 0, 0),
+                ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 144, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(229, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(1, 1, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(6, 0, 0, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(7, 0, 0, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(237, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(9, 1, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(7, 0, 0, 0, 32, 1, 0, 0),
+                ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(8, 0, 0, 0, 32, 1, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 33, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 38, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(249, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(21, 1, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 39, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 33, 1, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 43, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 1, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 97, 98, 108, 101, 86, 101, 114),
                 ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -6242,6 +6262,15 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 115, 116, 111, 114, 101, 100),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -6253,6 +6282,7 @@
                     5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6271,9 +6301,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 4, 6, 1, 3, 2, 0, 5];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 4, 6, 1, 3, 2, 8, 0, 5];
             pub(crate) const TYPE_ID: u64 = 0xcf25_0a21_bccc_98da;
         }
     }
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -22,11 +22,12 @@
 }
 
 fn beacon() -> impl Strategy<Value = Beacon> {
-    (any::<[u64; 2]>(), revision(), any::<[bool; 2]>(), any::<[u32; 2]>()).prop_map(
-        |([table, epoch], list, [reader, unable], [read, age])| Beacon {
+    (any::<[u64; 2]>(), revision(), any::<[bool; 3]>(), any::<[u32; 2]>()).prop_map(
+        |([table, epoch], list, [reader, unable, restored], [read, age])| Beacon {
             table,
             list,
             epoch,
+            restored,
             reader,
             read_age: Duration::from_millis(read.into()),
             unable,
