--- a/crates/honeypulley_mesh/src/catch_up.rs
+++ b/crates/honeypulley_mesh/src/catch_up.rs
@@ -20,15 +20,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Wait before the first question, in which the rest of a telling may still come.
-///
-/// Parts and beacons overtake each other by some milliseconds on their way through a
-/// data hall, by up to 30 ms where a box has a tenth of a core.
+/// Wait before the first question, in which the other fragments may still arrive.
 const GRACE: Duration = Duration::from_millis(50);
-/// Time between two questions: some round trips in a region and a slow box's turn.
-///
-/// At three packets lost in ten, a question and its answer fail in half of the cases:
-/// with two boxes asked each time, one in 250 is open after four, 0.4 s.
+/// Time between two questions: some round trips in a region and a slow box's slot.
 const ASK_GAP: Duration = Duration::from_millis(100);
 /// Time of asking in vain after which the whole list is pulled, and between two pulls.
 const PULL_GAP: Duration = Duration::from_millis(300);
@@ -41,15 +35,14 @@
 const STALE_AGE: Duration = Duration::from_millis(1_150);
 /// Time after which nothing is expected of asking any more and the gaps grow.
 const PATIENCE: Duration = Duration::from_secs(3);
-/// How much longer the gaps are then: the box is cut off, and asks 1.25 times a second.
+/// Factor by which the gaps grow then: the box is isolated.
 const PATIENT_FACTOR: u32 = 8;
 
 /// Time of a first start in which whole lists are pulled seldom.
 ///
-/// All upstreams enter the list in its first seconds, hundreds in one: a list that is pulled
-/// is behind at once. 293 boxes pulled it 618 times and read the platform 161 times.
+/// All upstreams enter the list in its first seconds, so that a pulled list is outdated at once.
 const FIRST_TIME: Duration = Duration::from_secs(4);
-/// How much longer the waits for a pull and a read are then.
+/// Factor by which the waits for a pull and a read grow then.
 const FIRST_FACTOR: u32 = 4;
 
 /// What is to be done now.
--- a/crates/honeypulley_mesh/src/doubts.rs
+++ b/crates/honeypulley_mesh/src/doubts.rs
@@ -1,8 +1,7 @@
 //! Log lines of the doubts that other boxes raise, bounded whatever the fleet's size.
 //!
-//! Each box hears of every failure of the fleet: 37 lines a second on each of 293 boxes, half
-//! of all that the fleet logged. A request's own line has the belief by which its upstream was
-//! chosen, so the lines that are left out take nothing from its explanation.
+//! Each box receives every failure of the fleet. A request's own line has the belief by which its
+//! upstream was chosen, so that no explanation depends on the lines left out.
 
 use honeypulley_policy::balance::Doubt;
 use honeypulley_policy::collector::NameId;
--- a/crates/honeypulley_mesh/src/join.rs
+++ b/crates/honeypulley_mesh/src/join.rs
@@ -2,9 +2,7 @@
 //!
 //! Answers that may be seconds old will do: they cost a tenth of a call and are outside
 //! the platform's rate, also when the whole fleet starts at once, and what has changed
-//! since is pushed by the readers. Fresh answers, and a hello to every other box, were four
-//! calls and 292 datagrams a box and start, 3,100 of the 4,094 calls of a quiet half minute
-//! of 293 boxes.
+//! since is pushed by the readers.
 
 use crate::state::Mesh;
 use crate::store::{FIRST_WAIT, StoreDuty, pause};
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -44,8 +44,6 @@
 }
 
 /// Live upstreams of one change that have a line each in the log; more are counted.
-///
-/// A whole list was 480 lines on each box and start, 227,000 for a fleet of 293.
 const MAX_LIVE_LINES: usize = 16;
 
 impl Lists {
--- a/crates/honeypulley_mesh/src/peers/greet.rs
+++ b/crates/honeypulley_mesh/src/peers/greet.rs
@@ -2,8 +2,7 @@
 //!
 //! A box whose address the others may not know says hello to its seeds, or to a few boxes.
 //! Whoever receives a hello announces the newcomer to all, with those that came in the
-//! same moment: a hello of each box to each other one was 85,000 datagrams at a start of
-//! 293 boxes, of which 19,000 were dropped, and would be 21 million at 4,600.
+//! same moment: hellos between all pairs of boxes would grow with the square of the fleet.
 
 use super::Node;
 use super::tell::NEWS_OF_LISTS;
@@ -21,8 +20,6 @@
 const HELLO_GAP: Duration = Duration::from_millis(500);
 /// Time for the platform to list the other boxes to one that returns, before the
 /// seeds are asked.
-///
-/// It answers in 4 ms, and a process with a tenth of a core takes some 100 ms to start.
 const NAMED_TIME: Duration = Duration::from_millis(250);
 /// Bounds of the time over which newcomers are gathered, in milliseconds.
 ///
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -17,33 +17,23 @@
 
 /// Wait before a pull of a table is tried again.
 const PULL_GAP: Duration = Duration::from_millis(150);
-/// Time for a table to come by the tree, before the platform is asked for it.
+/// Time for a table to arrive by the tree, before the platform is asked for it.
 ///
-/// The smallest bound on a table in force everywhere is two seconds: a beacon takes 0.1 s,
-/// the platform 0.45 s at its slowest, and a box asked after that 1 s at most. A tree of
-/// three steps takes 0.1 to 0.3 s on boxes with a tenth of a core.
+/// Leaves time for the platform and another peer within the smallest bound, two seconds.
 const TREE_TIME: Duration = Duration::from_millis(400);
 /// Time by which the watch of a reader may show a table later than another's.
 const WATCH_LAG: Duration = Duration::from_millis(60);
 /// Most of the random wait before a table is fetched, so that boxes spread.
 const FETCH_SPREAD_MS: u64 = 60;
-/// Time after which a table is asked of a peer as well, though the platform may answer.
-///
-/// A store that is 95 times slow answers within 380 ms.
+/// Time after which a peer is asked for a table as well, though the platform may answer.
 const FETCH_TIME: Duration = Duration::from_millis(450);
-/// Time for one pull, connecting and logging in included.
-///
-/// A list of some hundred upstreams took 40 to 330 ms to a box with a tenth of a core
-/// while all others pulled; one that hangs must leave time for another.
+/// Time for one pull, connecting and logging in included; leaves time for another.
 const PULL_TIME: Duration = Duration::from_millis(1_000);
 /// Concurrent pulls of the list, so that one that hangs delays none.
 const MAX_PULLS: u32 = 2;
 /// Least wait between two looks at what is missed, so that a late timer costs no loop.
 const LEAST_WAIT: Duration = Duration::from_millis(5);
-/// Boxes of the fleet that read the platform for themselves at one time, as reckoned.
-///
-/// Each 0.6 s, that is a tenth of the 2,000 calls a second which the smallest platform
-/// answers, whatever the fleet's size.
+/// Boxes expected to read the platform for themselves at one time, whatever the fleet's size.
 const READS_AT_ONCE: f64 = 100.0;
 
 impl Node {
--- a/crates/honeypulley_mesh/src/peers/tell.rs
+++ b/crates/honeypulley_mesh/src/peers/tell.rs
@@ -135,8 +135,7 @@
 
     /// Broadcasts the held requests, if this reader is the first.
     ///
-    /// A box that has just started, was cut off or paused, or lost the news, knows of each
-    /// within one beacon, of 256 within 4.5 s. At 34 bytes each they take 2 kB a second.
+    /// A box that has just started, was isolated or paused, or lost the update, learns of them so.
     fn tell_held(&self) {
         let now = self.mesh.now();
         if self.mesh.readers().rank(now) > 0 {
--- a/crates/honeypulley_mesh/src/setup.rs
+++ b/crates/honeypulley_mesh/src/setup.rs
@@ -1,18 +1,13 @@
 //! Whether a box that has just started has what it needs to serve.
 //!
-//! Callers connect as soon as the port is open, while table and list are on their way. After
-//! a loss of all 293 boxes 690 requests came in that third of a second and were refused,
-//! though the platform's answer was there 50 to 300 ms later; so they wait for it. Where
-//! there is no prospect of one, a request is refused at once.
+//! Callers connect as soon as the port is open, while table and list are on their way, so their
+//! requests wait for the platform's answer. Where none is expected, a request is refused at once.
 
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Longest time that a request waits for table and list.
-///
-/// Of 293 boxes that came back together the slowest had both 0.5 s after its start, all but
-/// one in ten within 0.3 s.
+/// Maximum time that a request waits for table and list.
 const MOST_WAIT: Duration = Duration::from_millis(400);
 
 /// How far a box is.
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -34,8 +34,7 @@
 
 /// Link below which a box leaves reading to others, in megabits a second.
 ///
-/// A reader tells a change to its whole data hall at once; at 10 Mbit/s that held
-/// the link for a quarter of a second before 88 boxes, and datagrams were lost.
+/// A reader broadcasts each change to its whole data hall at once.
 const NARROW_MBPS: f64 = 50.0;
 
 /// Boxes that ask for beliefs at one time, above those that one box is asked by.
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -13,18 +13,15 @@
 pub(crate) const FIRST_WAIT: Duration = Duration::from_millis(150);
 /// Longest such wait.
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
-/// Time in which the reader that tells changes gathers them after one has come.
+/// Time in which the reader that broadcasts changes gathers them after one has arrived.
 ///
-/// A release of a fifth of 480 upstreams brings a hundred changes a second; each of them woke
-/// the watch of each of three readers, three quarters of the calls of such a day. A departure
-/// is known later by that time at most; one that comes alone is not.
+/// Each change wakes the watch of every reader. A single change is not delayed.
 const FIRST_GATHER: Duration = Duration::from_millis(80);
-/// The same for the other readers, who tell only what that one did not.
+/// The same for the other readers, which broadcast only what that one did not.
 const OTHER_GATHER: Duration = Duration::from_millis(250);
-/// Time after a start in which no box begins to read, so that beacons get round.
+/// Time after a start in which no box begins to read, so that beacons reach all.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
-/// The same where the whole fleet starts for the first time: no caller waits, and a box that
-/// knows few others yet would take it that few begin to read.
+/// The same where the whole fleet starts for the first time, and boxes know few others yet.
 const FIRST_SETTLE_TIME: Duration = Duration::from_millis(1_300);
 
 /// Reads the platform's store.
--- a/crates/honeypulley_mesh/src/tree.rs
+++ b/crates/honeypulley_mesh/src/tree.rs
@@ -1,18 +1,14 @@
 //! Which box of its data hall another one takes a new routing table from.
 //!
-//! A table that every box fetched from the platform cost as many calls as there are
-//! boxes, the largest part of all calls of a fleet of 293. Instead the boxes of a data
-//! hall stand in an order that is drawn by hashing, anew for each table: the first takes
-//! it from the reader that announced it, each other one from the box before it in a tree.
-//! The platform stays the way out for a box whose tree is broken.
+//! A table that every box fetched from the platform would cost as many calls as there are
+//! boxes. Instead the boxes of a data hall form a tree, drawn by hashing for each table: the root
+//! pulls it from the reader that announced it, each other box from its parent. A box whose parent
+//! fails fetches it from the platform.
 
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::placement::weight;
 
-/// Boxes that one box hands a table on to.
-///
-/// A data hall of 59 boxes is reached in three steps, one of 184 in four. On a link of
-/// 10 Mbit/s four tables of 50 kB take 160 ms.
+/// Boxes that one box forwards a table to.
 const FANOUT: usize = 4;
 
 /// A box of this data hall.
