--- a/crates/honeypulley_daemon/src/context.rs
+++ b/crates/honeypulley_daemon/src/context.rs
@@ -205,7 +205,7 @@
         let changed: Vec<_> = objects.iter().filter_map(permit_objects::decode).collect();
         let mut any = !changed.is_empty();
         if version.epoch > held.version.epoch {
-            // What a restored platform has lost is no permit any more.
+            // Permits that a restore lost are void.
             any |= !held.view.records.is_empty();
             held.view.records.clear();
         }
--- a/crates/honeypulley_daemon/src/platform.rs
+++ b/crates/honeypulley_daemon/src/platform.rs
@@ -117,8 +117,7 @@
         Some(())
     }
 
-    /// Waits for changes after the position seen; one that the platform does not have any more
-    /// is forgotten, so that the next watch begins anew.
+    /// Watches for changes after the position seen, and resets that if the platform lost it.
     async fn watch(&self, prefix: &str, seen: &mut Revision) -> Option<Changes> {
         match self.platform.watch(prefix, *seen, WATCH).await {
             Ok(changes) => Some(changes),
--- a/crates/honeypulley_mesh/src/epoch.rs
+++ b/crates/honeypulley_mesh/src/epoch.rs
@@ -1,7 +1,7 @@
-//! What a box does when the platform was restored from a backup.
+//! Handles a restore of the platform from a backup.
 //!
-//! Each answer of the platform and each beacon names the epoch. The first that names a later one
-//! makes the box read table, list and holds anew.
+//! Every answer of the platform and every beacon carries the epoch. A higher one makes the box
+//! reread table, list and holds.
 
 use crate::readers::RETURN_TIME;
 use crate::state::Mesh;
@@ -19,7 +19,7 @@
 pub(crate) struct Epoch {
     newest: AtomicU64,
     restores: AtomicU64,
-    /// Held while a change is applied, so that no list of a new epoch comes before.
+    /// Serializes changes of the epoch; lists of the new epoch are applied after them.
     changing: Mutex<()>,
 }
 
@@ -59,7 +59,7 @@
             return;
         }
         let list = self.list_now().version;
-        // A box that has read nothing yet has nothing to lose.
+        // Nothing was read yet, so that nothing is outdated.
         if list.is_zero() && self.table_number() == 0 {
             log::info!(epoch, from; "store: its epoch is {epoch}");
             self.epoch.newest.store(epoch, Ordering::Release);
@@ -73,7 +73,7 @@
         drop(changing);
         log::warn!(
             before, epoch, list:display, table = self.table_number(), from;
-            "store: restored from a backup, epoch {before} became {epoch}; all is read anew"
+            "store: restored from a backup, epoch {before} became {epoch}; table, list and holds are reread"
         );
         self.restored.notify_waiters();
         self.asking.notify_one();
@@ -81,7 +81,7 @@
     }
 }
 
-/// A platform whose every answer tells a box of the epoch.
+/// Wraps a platform and reports the epoch of each answer to a box.
 #[derive(Debug)]
 pub struct EpochWatch {
     inner: Arc<dyn Platform>,
@@ -95,13 +95,13 @@
         Self { inner, mesh }
     }
 
-    /// Records the epoch after a call, whatever came of it.
+    /// Records the epoch after a call, also a failed one.
     fn noted<T>(&self, answer: T) -> T {
         self.mesh.learn_epoch(self.inner.epoch(), "platform");
         answer
     }
 
-    /// Refuses an answer of an earlier epoch than a peer has named.
+    /// Rejects an answer of an earlier epoch than one learned from a peer.
     fn checked(&self, step: &'static str, found: Option<u64>) -> Result<(), PlatformError> {
         let wanted = self.mesh.epoch();
         match found {
--- a/crates/honeypulley_mesh/src/list.rs
+++ b/crates/honeypulley_mesh/src/list.rs
@@ -4,8 +4,8 @@
 //! than once. Each entry carries the position at which it was written, so that within an epoch
 //! of the platform an older one never replaces a newer one.
 //!
-//! A platform restored from a backup shows what it held some seconds before. What an upstream
-//! said of itself goes before that: a later start, a shutdown, a departure.
+//! A platform restored from a backup shows an earlier state. What an upstream declared itself
+//! takes precedence: a later start, a shutdown, a departure.
 //!
 //! The list's own version is a promise: every change up to it is in. It is raised only
 //! by what proves that, never by a newer entry that came alone, since a box that
@@ -24,7 +24,7 @@
 const TOMBSTONE_LIFE: Duration = Duration::from_secs(120);
 /// Time for which a departed upstream that a restored platform lists again gets no work.
 ///
-/// Its entry lapses within three heartbeats of 1.5 s unless the upstream is there.
+/// The entry of one that is down expires within three heartbeats of 1.5 s.
 const DOUBT_TIME: Duration = Duration::from_secs(6);
 /// Ranges of changes that are kept beyond a gap.
 ///
@@ -75,7 +75,7 @@
         listed: Listed,
         due: Time,
     },
-    /// Listed by a restored platform though it had left; present from `due` on.
+    /// Listed by a restored platform after its departure; present from `due` on.
     Doubted {
         listed: Listed,
         due: Time,
@@ -90,11 +90,11 @@
 /// How an entry follows the one that is held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
-    /// It is of the same position.
+    /// Written at the same position.
     Same,
-    /// It was written later in the same epoch.
+    /// Written later in the same epoch.
     Newer,
-    /// It is of a later epoch, and may have been written before.
+    /// Of a later epoch; it may have been written earlier.
     Restored,
 }
 
@@ -161,7 +161,7 @@
             Held::Present(l) if !hold.is_zero() => {
                 (Held::Missing { listed: l.clone(), due: now + hold }, None)
             }
-            // It got no work before.
+            // Its departure was handed on already.
             Held::Doubted { listed, .. } => (Held::Gone { since: now, born: listed.born }, None),
             Held::Present(l) | Held::Missing { listed: l, .. } => {
                 (Held::Gone { since: now, born: l.born }, Some(ListChange::Gone(name)))
@@ -219,13 +219,13 @@
 pub struct UpstreamList {
     known: bool,
     version: Revision,
-    /// Newest epoch of the platform that is known of; the list may still be of an earlier one.
+    /// Newest known epoch of the platform; the list may still be of an earlier one.
     epoch: u64,
     /// When entries that the list of that epoch does not show are taken for gone.
     return_due: Time,
     as_of: Option<Time>,
-    /// Whether it came from an old answer of the platform, and nothing has confirmed it.
-    is_old: bool,
+    /// Whether it came from a stale read of the platform and is unconfirmed.
+    is_stale: bool,
     /// Changes that came whole from beyond a gap: after which version they begin, and
     /// up to which they are complete.
     beyond: BTreeMap<Revision, Revision>,
@@ -267,22 +267,21 @@
     /// of this one only if this one is as new.
     pub fn confirm(&mut self, version: Revision, at: Time) {
         if self.known && self.version >= version {
-            self.is_old = false;
+            self.is_stale = false;
             self.as_of = self.as_of.max(Some(at));
         }
     }
 
-    /// Records that the list came from an old answer of the platform.
+    /// Records that the list came from a stale read of the platform.
     ///
-    /// It may be from before a restore though it is named as of after.
-    pub const fn mark_old(&mut self) {
-        self.is_old = true;
+    /// Its entries may be from before a restore, though the answer carried the new epoch.
+    pub const fn mark_stale(&mut self) {
+        self.is_stale = true;
     }
 
-    /// Gives up the positions of a list that came from an old answer; whatever is known of its
-    /// epoch follows it then.
-    pub fn distrust(&mut self) {
-        if !std::mem::take(&mut self.is_old) {
+    /// Resets the positions of a list that came from a stale read, so that any update applies.
+    pub fn reset_stale(&mut self) {
+        if !std::mem::take(&mut self.is_stale) {
             return;
         }
         let epoch = self.version.epoch;
@@ -314,7 +313,7 @@
     /// Records that every change after the one at `since` and up to the one at `upto`
     /// has been taken.
     ///
-    /// What is complete with a later epoch shows every entry of that epoch.
+    /// Changes up to a later epoch include every entry of that epoch.
     pub fn complete(&mut self, since: Revision, upto: Revision, now: Time) {
         if !self.known || upto <= self.version {
             return;
@@ -349,7 +348,7 @@
 
     /// Returns the position after which [`Self::changes_after`] a position is complete.
     ///
-    /// Across a restore it gives the whole list, whatever was held before.
+    /// Across a restore they are the whole list.
     #[must_use]
     pub const fn base(&self, since: Revision) -> Revision {
         if since.epoch < self.version.epoch { Revision::ZERO } else { since }
@@ -386,7 +385,7 @@
         let shown: HashSet<&str> = entries.iter().map(|e| e.name.as_str()).collect();
         let is_missing = |(name, row): (&String, &Row)| {
             let there = matches!(row.held, Held::Present(_) | Held::Doubted { .. });
-            // A departure of an earlier epoch counts as of this list, for boxes that know of none.
+            // Restamps departures of earlier epochs, since peers compare positions.
             let is_due = there || row.version.epoch < version.epoch;
             (is_due && row.version <= version && !shown.contains(name.as_str()))
                 .then(|| name.clone())
@@ -412,7 +411,7 @@
 
     fn take(&mut self, e: Entry, now: Time) -> Option<ListChange> {
         let Some(row) = self.rows.get_mut(&e.name) else {
-            // A complete list of a later epoch does not show it.
+            // The complete list of a later epoch lacks it.
             if e.version.epoch < self.version.epoch {
                 return None;
             }
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -137,10 +137,10 @@
         self.heard_of_list(upto, sender, from);
     }
 
-    /// Gives up a list that came from an old answer, if the platform was restored lately.
-    pub(crate) fn check_old_list(&self, b: &Beacon) {
+    /// Resets a list that came from a stale read, if the platform was restored lately.
+    pub(crate) fn check_stale_list(&self, b: &Beacon) {
         if b.reader && b.restored {
-            self.lists.lock().list.distrust();
+            self.lists.lock().list.reset_stale();
         }
     }
 
@@ -162,7 +162,7 @@
         let before = {
             let list = &mut self.lists.lock().list;
             if c.version < list.version() {
-                list.distrust();
+                list.reset_stale();
             }
             list.version()
         };
@@ -189,7 +189,7 @@
         let hold = self.readers().hold(self.now());
         let entries = self.entries(c, hold);
         self.replace(c.version, entries, from);
-        self.lists.lock().list.mark_old();
+        self.lists.lock().list.mark_stale();
     }
 
     /// Replaces the list by the one of `version`.
--- a/crates/honeypulley_mesh/src/readers.rs
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -36,8 +36,8 @@
 ///
 /// The platform's owners say about two seconds.
 pub(crate) const RETURN_TIME: Duration = Duration::from_millis(2_300);
-/// Age up to which old answers of the platform are reckoned with; its owners say some seconds.
-const OLD_TIME: Duration = Duration::from_secs(15);
+/// Maximum age assumed of a stale read.
+const STALE_READ_AGE: Duration = Duration::from_secs(15);
 /// Age reported while the platform does not answer this box.
 const NEVER: Duration = Duration::from_secs(3_600);
 /// Failed calls in a row after which a reader says that it can't read.
@@ -164,7 +164,7 @@
 
     /// Records that the platform was restored from a backup just now.
     ///
-    /// What it answered before says nothing of the objects that it holds now.
+    /// Earlier answers do not show its present objects.
     pub const fn restored(&mut self, now: Time) {
         self.returned = Some(now);
         self.restored = Some(now);
@@ -172,13 +172,13 @@
         self.own_read = None;
     }
 
-    /// Returns whether the platform was restored so lately that old answers may be from before.
+    /// Returns whether stale reads of the platform may be from before a restore.
     #[must_use]
     pub fn is_restored(&self, now: Time) -> bool {
-        self.restored.is_some_and(|at| now.since(at) < OLD_TIME)
+        self.restored.is_some_and(|at| now.since(at) < STALE_READ_AGE)
     }
 
-    /// Records a beacon of a reader that does not know of the platform's restore yet.
+    /// Drops a reader that has not noticed the platform's restore yet.
     pub fn fall_behind(&mut self, id: NameId) {
         self.heard.remove(&id);
     }
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -137,7 +137,7 @@
     pub greeting: Notify,
     /// Wakes the store's duty when this box begins to read.
     pub reading: Notify,
-    /// Wakes whoever has read the platform before it was restored.
+    /// Wakes tasks that must reread the platform after a restore.
     pub restored: Notify,
     /// Wakes whoever waits for a newer table of this box.
     pub table_taken: Notify,
@@ -305,8 +305,8 @@
 
     /// Applies the routing table as stored.
     ///
-    /// An older one, by its number, is left out: a box never goes back. Where it stands in the
-    /// store says nothing of that.
+    /// An older one, by its number, is dropped: a box never goes back. Positions in the store
+    /// are no measure of that.
     pub fn take_table(&self, o: &Object, from: &str) {
         {
             let held = self.table.lock();
@@ -356,7 +356,7 @@
             *self.missed.lock() = Some(MissedTable { number: b.table, origin: id, via });
             self.pulling.notify_one();
         }
-        self.check_old_list(&b);
+        self.check_stale_list(&b);
         self.lists.lock().list.confirm(b.list, now.before(b.list_age));
         self.heard_of_list(b.list, id, via);
     }
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -219,7 +219,7 @@
             Ok(_) if f == Freshness::Stale => {
                 self.mesh.readers().answered_old(self.mesh.now());
             }
-            // It was there, but what it holds is not known by that.
+            // The platform is reachable, but its objects must be reread.
             Err(e @ PlatformError::Restored { .. }) => {
                 log::info!("store: {what} lost its place: {e}");
             }
@@ -244,7 +244,7 @@
     }
 }
 
-/// Where a watch of the platform stands.
+/// Position of a watch of the platform, and its retry state.
 #[derive(Debug)]
 struct Place {
     /// Position of the last answer; none while the changes since are unknown.
--- a/crates/honeypulley_operator/src/fleet.rs
+++ b/crates/honeypulley_operator/src/fleet.rs
@@ -47,7 +47,7 @@
 
 /// Returns the newest version that some boxes have in force, zero if none answers.
 ///
-/// A bundle in force is on every box, so that a few tell it.
+/// Every box has the bundle in force, so that a sample suffices.
 pub async fn newest(s: &Settings, p: &dyn Platform) -> Version {
     let Ok(mut some) = roster(s, p).await else { return Version(0) };
     some.boxes.shuffle(&mut rand::rng());
--- a/crates/honeypulley_policy/src/revision.rs
+++ b/crates/honeypulley_policy/src/revision.rs
@@ -7,8 +7,8 @@
 /// The store numbers its changes. Restored from a backup, it numbers on from an earlier point, so
 /// that a number says something within its epoch alone. Positions order by epoch first.
 ///
-/// A position tells where to read on and how complete a copy is. Which of two contents is newer is
-/// for their writer to say, whose order outlives a restore.
+/// A position tells where to read on and how complete a copy is. It does not tell which of two
+/// contents is newer: that is the order of their writer, which outlives a restore.
 ///
 /// ```
 /// use honeypulley_policy::revision::Revision;
