Log how late a request is given up

A request that outlasts its route's time-out can be held because its box lacks processor time, or because nothing bounds a step of it. The line for a request given up at its deadline now has the time-out and by how much the deadline had passed, which tells the two apart.

--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -411,8 +411,10 @@
         self.gate.count("requests.late");
         let n = progress.attempted.len();
         let why = format!("the deadline passed with {n} attempt(s) open");
+        let late_ms = self.deadline.map(|d| self.gate.now().since(d).as_millis() as u64);
         log::warn!(
-            request = self.id.as_str(), service = self.decision.service.as_str(), attempts = n;
+            request = self.id.as_str(), service = self.decision.service.as_str(), attempts = n,
+            timeout_ms = self.decision.timeout.map(|t| t.as_millis() as u64), late_ms;
             "route: given up at its deadline"
         );
         LocalAnswer::unknown(StatusCode::GATEWAY_TIMEOUT, UNKNOWN_RETRY_AFTER, why)
