Answer a request whose body stalls at its route's time-out

Callers saw: a request whose body stopped arriving was held for 10 s, whatever the route's time-out, and one whose body came after the time-out was still sent to an upstream with no time left.

Cause: the deadline bounded the attempts alone; reading the buffered part of the body before them had a limit of its own. Class: a step before the timed section is not covered by its time-out.

The body is now read until the earlier of the two. The status stays 408, since nothing was sent.

--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -20,7 +20,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Timeout for reading the buffered part of a caller's body.
+/// Timeout for reading the buffered part of a caller's body, unless the deadline is earlier.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// HTTP handler for all requests of callers.
@@ -64,7 +64,9 @@
         dialect.set_organisation(&decision.owner, &mut out.headers);
         out.buffered = decision.buffered && !out.upgrade;
         decision.info.repeatable &= !out.upgrade;
-        let source = read_body(req, decision.max_body).await?;
+        let left = deadline.map(|d| d.since(self.gate.now()));
+        let body_timeout = left.map_or(BODY_TIMEOUT, |l| l.min(BODY_TIMEOUT));
+        let source = read_body(req, decision.max_body, body_timeout).await?;
         let identity = Identity {
             method: &out.method,
             host: &host,
@@ -232,13 +234,17 @@
 }
 
 /// Reads a caller's body, which is buffered if it is small.
-async fn read_body(req: &mut Request, max_bytes: u64) -> Result<Source, LocalAnswer> {
+async fn read_body(
+    req: &mut Request,
+    max_bytes: u64,
+    timeout: Duration,
+) -> Result<Source, LocalAnswer> {
     let body = req.take_body();
     if body.size_hint().lower() > max_bytes {
         let why = format!("the body is longer than {max_bytes} bytes");
         return Err(LocalAnswer::not_run(StatusCode::PAYLOAD_TOO_LARGE, None, why));
     }
-    match tokio::time::timeout(BODY_TIMEOUT, Source::read(body)).await {
+    match tokio::time::timeout(timeout, Source::read(body)).await {
         Ok(Ok(s)) => Ok(s),
         Ok(Err(e)) => Err(bad_request(&e)),
         Err(_) => {
