--- a/crates/honeypulley_mesh/src/list.rs
+++ b/crates/honeypulley_mesh/src/list.rs
@@ -11,21 +11,20 @@
 //! only on proof of completeness, never because of a single newer entry: a box that considers
 //! its list complete does not request missing changes.
 
+mod row;
+
 use crate::readers::RELIST_TIME;
 use honeypulley_peer::listing::{Entry, EntryState};
 use honeypulley_policy::balance::UpstreamEntry;
 use honeypulley_policy::revision::Revision;
 use honeypulley_policy::spec::{Member, MemberState};
 use honeypulley_policy::time::Time;
+use row::{Order, Row, State, initial_state};
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
 /// Retention of tombstones, which reject late updates of departed entries.
 const TOMBSTONE_TTL: Duration = Duration::from_secs(120);
-/// Time during which a departed upstream relisted by a restored platform gets no work.
-///
-/// The platform expires the entry of a dead upstream within three heartbeats of 1.5 s.
-const RELISTED_HOLD: Duration = Duration::from_secs(6);
 /// Maximum number of out-of-order ranges of changes kept while a gap is open.
 ///
 /// A gap closes within a second, and the busiest release seen brought 30 changes per second.
@@ -69,162 +68,6 @@
     }
 }
 
-/// State of one entry.
-#[derive(Clone, Debug)]
-enum State {
-    Present(UpstreamEntry),
-    /// No longer listed by the platform; departs at `due` unless it is listed again.
-    Missing {
-        listed: UpstreamEntry,
-        due: Time,
-    },
-    /// Departed, then listed again by a restored platform; present from `due` on.
-    Relisted {
-        listed: UpstreamEntry,
-        due: Time,
-    },
-    Gone {
-        since: Time,
-        /// Start of the departed incarnation, if known.
-        born: Option<u64>,
-    },
-}
-
-/// Order of a received entry relative to the stored one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Order {
-    /// Written at the same revision.
-    Same,
-    /// Written later in the same epoch.
-    Newer,
-    /// Of a later epoch, in which a restore may have brought back an earlier write.
-    Restored,
-}
-
-impl Order {
-    const fn between(current: Revision, shown: Revision) -> Self {
-        if shown.epoch > current.epoch {
-            Self::Restored
-        } else if shown.number > current.number {
-            Self::Newer
-        } else {
-            Self::Same
-        }
-    }
-}
-
-/// An entry and the revision at which it was written.
-#[derive(Clone, Debug)]
-struct Row {
-    version: Revision,
-    state: State,
-}
-
-impl Row {
-    /// Returns the entry for a peer, with the remaining hold of a missing one.
-    fn entry(&self, name: &str, now: Time) -> Entry {
-        let state = match &self.state {
-            State::Present(l) | State::Relisted { listed: l, .. } => EntryState::Present(l.clone()),
-            State::Missing { due, .. } => EntryState::Gone { hold: due.since(now) },
-            State::Gone { .. } => EntryState::Gone { hold: Duration::ZERO },
-        };
-        Entry { name: name.to_owned(), version: self.version, state }
-    }
-
-    /// Applies an entry that lists the upstream; returns the change for the serving thread.
-    fn apply_present(
-        &mut self,
-        shown: UpstreamEntry,
-        order: Order,
-        now: Time,
-    ) -> Option<ListChange> {
-        let present = match (&self.state, order) {
-            (State::Present(_), Order::Newer) => shown,
-            (State::Present(known), _) => latest(known, shown),
-            // The upstream departed at this very revision, so it can't be present at it.
-            (_, Order::Same) => return None,
-            (_, Order::Newer) => shown,
-            (State::Missing { listed, .. }, Order::Restored) => latest(listed, shown),
-            (State::Gone { born, .. }, Order::Restored) if started_after(&shown, *born) => shown,
-            (State::Gone { .. }, Order::Restored) => {
-                self.state = State::Relisted { listed: shown, due: now + RELISTED_HOLD };
-                return None;
-            }
-            (State::Relisted { listed, due }, Order::Restored) => {
-                self.state = State::Relisted { listed: latest(listed, shown), due: *due };
-                return None;
-            }
-        };
-        if matches!(&self.state, State::Present(known) if *known == present) {
-            return None;
-        }
-        self.state = State::Present(present.clone());
-        Some(ListChange::Set(present))
-    }
-
-    /// Applies the removal of an entry; returns the change for the serving thread.
-    fn apply_gone(&mut self, name: String, hold: Duration, now: Time) -> Option<ListChange> {
-        let (next, change) = match &self.state {
-            State::Gone { .. } => return None,
-            State::Missing { .. } if !hold.is_zero() => return None,
-            State::Present(l) if !hold.is_zero() => {
-                (State::Missing { listed: l.clone(), due: now + hold }, None)
-            }
-            // The serving thread has already received the departure.
-            State::Relisted { listed, .. } => {
-                (State::Gone { since: now, born: listed.started }, None)
-            }
-            State::Present(l) | State::Missing { listed: l, .. } => {
-                (State::Gone { since: now, born: l.started }, Some(ListChange::Gone(name)))
-            }
-        };
-        self.state = next;
-        change
-    }
-
-    /// Ends an expired hold; returns the change for the serving thread.
-    fn expire(&mut self, name: &str, now: Time) -> Option<ListChange> {
-        let (next, change) = match &self.state {
-            State::Missing { listed, due } if *due <= now => {
-                let change = ListChange::Gone(name.to_owned());
-                (State::Gone { since: now, born: listed.started }, change)
-            }
-            State::Relisted { listed, due } if *due <= now => {
-                (State::Present(listed.clone()), ListChange::Set(listed.clone()))
-            }
-            _ => return None,
-        };
-        self.state = next;
-        Some(change)
-    }
-}
-
-/// Returns the state of a new entry, and the change for the serving thread.
-fn initial_state(name: &str, state: EntryState, now: Time) -> (State, ListChange) {
-    match state {
-        EntryState::Present(l) => (State::Present(l.clone()), ListChange::Set(l)),
-        EntryState::Gone { .. } => {
-            (State::Gone { since: now, born: None }, ListChange::Gone(name.to_owned()))
-        }
-    }
-}
-
-/// Returns the later of two descriptions of an upstream, by the upstream's lifecycle.
-///
-/// A later start supersedes an earlier one, and no incarnation reverts its shutdown.
-fn latest(known: &UpstreamEntry, shown: UpstreamEntry) -> UpstreamEntry {
-    let is_earlier = matches!((shown.started, known.started), (Some(s), Some(k)) if s < k);
-    let is_same = shown.started == known.started && shown.member.addr == known.member.addr;
-    let reverts =
-        known.member.state == MemberState::Leaving && shown.member.state == MemberState::Live;
-    if is_earlier || (is_same && reverts) { known.clone() } else { shown }
-}
-
-/// Returns whether an upstream started after its departed incarnation.
-fn started_after(shown: &UpstreamEntry, left: Option<u64>) -> bool {
-    matches!((shown.started, left), (Some(s), Some(l)) if s > l)
-}
-
 /// Replica of the list of upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamList {
