--- a/crates/honeypulley_mesh/src/list.rs
+++ b/crates/honeypulley_mesh/src/list.rs
@@ -10,17 +10,21 @@
 //! The list's own version guarantees that every change up to it has been applied. It advances
 //! only on proof of completeness, never because of a single newer entry: a box that considers
 //! its list complete does not request missing changes.
+//!
+//! A full list read from the platform reflects every change up to its revision, also those of
+//! entries that came and went unseen. Peers learn nothing of such entries from the changes between
+//! two lists, so readers announce a digest by which a box finds that it lists different entries.
 
 mod row;
 
 use crate::readers::RELIST_TIME;
-use honeypulley_peer::listing::{Entry, EntryState};
+use honeypulley_peer::listing::{Entry, EntryState, ListSummary};
 use honeypulley_policy::balance::UpstreamEntry;
 use honeypulley_policy::revision::Revision;
 use honeypulley_policy::spec::{Member, MemberState};
 use honeypulley_policy::time::Time;
 use row::{Order, Row, State, initial_state};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 /// Retention of tombstones, which reject late updates of departed entries.
@@ -85,6 +89,14 @@
     out_of_order: BTreeMap<Revision, Revision>,
     /// Version up to which tombstones may have been pruned.
     pruned: Revision,
+    /// Revision of the platform at which the rows equal its list, as read by this box.
+    ///
+    /// Zero if this box has not read the list, or has missed changes since.
+    read_upto: Revision,
+    /// Highest revision of any row so far.
+    newest: Revision,
+    /// Sum of [`Row::digest`] over all rows.
+    digest: u64,
     rows: BTreeMap<String, Row>,
 }
 
@@ -141,8 +153,71 @@
         }
         let epoch = self.version.epoch;
         self.version = Revision::new(epoch, 0);
+        self.read_upto = Revision::ZERO;
+        self.newest = self.version;
         self.out_of_order.clear();
         self.rows.values_mut().for_each(|r| r.version = Revision::new(epoch, 0));
+        self.digest = self.compute_digest();
+    }
+
+    /// Records that this box's watch has returned every change up to `upto`.
+    ///
+    /// This has no effect unless the watch continues a full list of the same epoch.
+    pub fn record_watched(&mut self, upto: Revision) {
+        if self.is_read() && self.read_upto.epoch == upto.epoch {
+            self.read_upto = self.read_upto.max(upto);
+        }
+    }
+
+    /// Returns whether the rows equal the platform's list at some revision.
+    #[must_use]
+    pub const fn is_read(&self) -> bool {
+        !self.read_upto.is_zero()
+    }
+
+    /// Returns whether a full list of `version` may contain changes that this list lacks.
+    fn accepts(&self, version: Revision) -> bool {
+        !self.loaded || version >= self.snapshot_version()
+    }
+
+    /// Returns the version of this list as a full list.
+    #[must_use]
+    pub fn snapshot_version(&self) -> Revision {
+        self.version.max(self.read_upto)
+    }
+
+    /// Marks an announced version as complete if this box has read the platform's list since.
+    pub fn complete_from_read(&mut self, announced: Revision, now: Time) {
+        if announced <= self.read_upto {
+            self.mark_complete(self.version, announced, now);
+        }
+    }
+
+    /// Returns a summary of the list, unless it holds changes that this box has not read itself.
+    #[must_use]
+    pub fn summary(&self) -> Option<ListSummary> {
+        let is_current = self.is_read()
+            && self.read_upto.epoch == self.version.epoch
+            && self.newest <= self.read_upto;
+        is_current.then_some(ListSummary { upto: self.read_upto, digest: self.digest })
+    }
+
+    /// Returns whether this list equals a reader's list, which has `version` and `summary`.
+    ///
+    /// Returns `None` if they can't be compared, since this list is behind, holds newer changes or
+    /// was read later.
+    #[must_use]
+    pub fn compare(&self, version: Revision, summary: ListSummary) -> Option<bool> {
+        let is_comparable = self.loaded
+            && self.version.epoch == summary.upto.epoch
+            && self.version >= version
+            && self.newest <= summary.upto
+            && self.read_upto < summary.upto;
+        is_comparable.then_some(self.digest == summary.digest)
+    }
+
+    fn compute_digest(&self) -> u64 {
+        self.rows.iter().fold(0, |sum, (name, row)| sum.wrapping_add(row.digest(name)))
     }
 
     /// Applies all changes after `since`, up to and including `upto`.
@@ -200,6 +275,7 @@
                 row.state = State::Missing { listed: l.clone(), due };
             }
         }
+        self.digest = self.compute_digest();
     }
 
     /// Returns the revision from which [`Self::changes_after`] `since` is complete.
@@ -226,6 +302,29 @@
         Some(newer)
     }
 
+    /// Replaces the list by the full list that this box read from the platform at `version`.
+    ///
+    /// A list older than the changes of peers is not applied. The rows may then lack changes that
+    /// peers did not send, until the next full list.
+    pub fn replace_from_platform(
+        &mut self,
+        version: Revision,
+        entries: Vec<Entry>,
+        hold: Duration,
+        now: Time,
+    ) -> Vec<ListChange> {
+        if self.loaded && version <= self.read_upto {
+            return Vec::new();
+        }
+        self.read_upto = Revision::ZERO;
+        if !self.accepts(version) {
+            return Vec::new();
+        }
+        let changes = self.replace(version, entries, hold, now);
+        self.read_upto = version;
+        changes
+    }
+
     /// Replaces the list by the full list of `version`.
     ///
     /// Entries absent from it depart after `hold`, since a platform that was unavailable may
@@ -237,16 +336,20 @@
         hold: Duration,
         now: Time,
     ) -> Vec<ListChange> {
-        if self.loaded && version < self.version {
+        if !self.accepts(version) {
             return Vec::new();
         }
-        let shown: HashSet<&str> = entries.iter().map(|e| e.name.as_str()).collect();
+        let shown: HashMap<&str, &Entry> = entries.iter().map(|e| (e.name.as_str(), e)).collect();
+        // A departure that is older than the row is not the departure of this row.
+        let reflects = |e: &&Entry, row: &Row| {
+            matches!(e.state, EntryState::Present(_)) || e.version >= row.version
+        };
         let is_missing = |(name, row): (&String, &Row)| {
             let is_listed = matches!(row.state, State::Present(_) | State::Relisted { .. });
             // Departures of earlier epochs get the new version, since peers compare revisions.
             let is_candidate = is_listed || row.version.epoch < version.epoch;
-            (is_candidate && row.version <= version && !shown.contains(name.as_str()))
-                .then(|| name.clone())
+            let is_shown = shown.get(name.as_str()).is_some_and(|e| reflects(e, row));
+            (is_candidate && row.version <= version && !is_shown).then(|| name.clone())
         };
         let missing: Vec<String> = self.rows.iter().filter_map(is_missing).collect();
         // An absent entry has no revision of its own; it gets the version of this list.
@@ -267,19 +370,39 @@
         changes
     }
 
+    /// Returns whether the rows reflect an entry or a later state of it.
+    fn is_outdated(&self, e: &Entry) -> bool {
+        match self.rows.get(&e.name).map(|r| r.version) {
+            Some(held) if held >= e.version => held > e.version,
+            // The complete list of a later epoch does not contain this entry.
+            None if e.version.epoch < self.version.epoch => true,
+            Some(_) | None => e.version <= self.read_upto,
+        }
+    }
+
+    fn row_digest(&self, name: &str) -> u64 {
+        self.rows.get(name).map_or(0, |r| r.digest(name))
+    }
+
     fn apply_entry(&mut self, e: Entry, now: Time) -> Option<ListChange> {
+        if self.is_outdated(&e) {
+            return None;
+        }
+        let name = e.name.clone();
+        self.newest = self.newest.max(e.version);
+        let before = self.row_digest(&name);
+        let change = self.update_row(e, now);
+        self.digest = self.digest.wrapping_sub(before).wrapping_add(self.row_digest(&name));
+        change
+    }
+
+    /// Applies an entry that is not outdated; returns the change for the serving thread.
+    fn update_row(&mut self, e: Entry, now: Time) -> Option<ListChange> {
         let Some(row) = self.rows.get_mut(&e.name) else {
-            // The complete list of a later epoch does not contain this entry.
-            if e.version.epoch < self.version.epoch {
-                return None;
-            }
             let (state, change) = initial_state(&e.name, e.state, now);
             self.rows.insert(e.name, Row { version: e.version, state });
             return Some(change);
         };
-        if row.version > e.version {
-            return None;
-        }
         let order = Order::between(row.version, e.version);
         // Set even if nothing else changes, so that an entry with a revision between the two
         // that arrives later does not undo this one.
--- a/crates/honeypulley_mesh/src/list/row.rs
+++ b/crates/honeypulley_mesh/src/list/row.rs
@@ -3,6 +3,8 @@
 use super::ListChange;
 use honeypulley_peer::listing::{Entry, EntryState};
 use honeypulley_policy::balance::UpstreamEntry;
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::placement::weight;
 use honeypulley_policy::revision::Revision;
 use honeypulley_policy::spec::MemberState;
 use honeypulley_policy::time::Time;
@@ -64,6 +66,16 @@
 }
 
 impl Row {
+    /// Returns this row's share of the list's digest, which is zero unless the entry is listed.
+    pub(super) fn digest(&self, name: &str) -> u64 {
+        match &self.state {
+            State::Present(_) | State::Relisted { .. } => {
+                weight(NameId::of(name).0, self.version.number)
+            }
+            State::Missing { .. } | State::Gone { .. } => 0,
+        }
+    }
+
     /// Returns the entry for a peer, with the remaining hold of a missing one.
     pub(super) fn entry(&self, name: &str, now: Time) -> Entry {
         let state = match &self.state {
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -5,11 +5,12 @@
 //! were applied. Otherwise an upstream's shutdown could be silently undone by the entry
 //! that it replaced.
 
+use crate::catch_up::Source;
 use crate::list::{ListChange, UpstreamList};
 use crate::state::Mesh;
 use crate::told::Reassembler;
 use honeypulley_peer::codec::{Beacon, ListUpdate};
-use honeypulley_peer::listing::{Entry, EntryState};
+use honeypulley_peer::listing::{Entry, EntryState, ListSummary};
 use honeypulley_peer::server::Versioned;
 use honeypulley_platform::api::Changes;
 use honeypulley_policy::chooser::ListStatus;
@@ -46,6 +47,15 @@
 /// Maximum number of live upstreams logged individually per change; more are only counted.
 const MAX_LIVE_LOG_LINES: usize = 16;
 
+/// Origin of a full list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListOrigin {
+    /// Read from the platform, as of its current revision.
+    Platform,
+    /// Pulled from a peer, or a stale read of the platform.
+    Other,
+}
+
 impl Lists {
     /// Logs changes and queues them for the serving thread.
     fn enqueue(&mut self, changes: Vec<ListChange>, from: &str) {
@@ -104,10 +114,14 @@
     pub fn apply_watched_changes(&self, c: &Changes, from: &str) {
         let hold = self.readers().departure_hold(self.now());
         let entries = self.decode_entries(c, hold);
-        let Some(upto) = entries.iter().map(|e| e.version).max() else { return };
         let mut lists = self.lists.lock();
+        let Some(upto) = entries.iter().map(|e| e.version).max() else {
+            lists.list.record_watched(c.version);
+            return;
+        };
         let since = lists.list.version();
         let changes = lists.list.apply(since, upto, entries.clone(), self.now());
+        lists.list.record_watched(c.version);
         lists.enqueue(changes, from);
         lists.broadcasts.push(PendingBroadcast { since, upto, entries });
         drop(lists);
@@ -147,13 +161,56 @@
 
     /// Records that a peer has or knows of a version of the list.
     pub(crate) fn record_list_version(&self, version: Revision, origin: NameId, via: SocketAddr) {
-        let held = self.lists.lock().list.version();
+        let held = {
+            let list = &mut self.lists.lock().list;
+            list.complete_from_read(version, self.now());
+            list.version()
+        };
         if self.catch_up().record_announcement(version, held, origin, via, self.now()) {
             log::info!(peer:display = via, version:display, held:display; "list: version {version} is missed");
             self.query_wakeup.notify_one();
         }
     }
 
+    /// Returns a summary of the list, unless it holds changes that this box has not read itself.
+    pub(crate) fn list_summary(&self) -> Option<ListSummary> {
+        self.lists.lock().list.summary()
+    }
+
+    /// Returns whether this box has read the platform's list without missing a change since.
+    #[must_use]
+    pub fn has_read_list(&self) -> bool {
+        self.lists.lock().list.is_read()
+    }
+
+    /// Compares the list with that of a reader, and schedules a pull if they differ.
+    pub(crate) fn compare_list(&self, b: &Beacon, origin: NameId, via: SocketAddr) {
+        let Some(summary) = b.summary.filter(|_| b.reader) else { return };
+        let (is_equal, held) = {
+            let list = &self.lists.lock().list;
+            (list.compare(b.list, summary), list.version())
+        };
+        let mut repair = self.repair.lock();
+        match is_equal {
+            None => {}
+            Some(true) => repair.record_match(),
+            Some(false) if repair.record_difference(Source { origin, via }, self.now()) => {
+                log::warn!(
+                    peer:display = via, held:display, upto:display = summary.upto;
+                    "list: other entries than a reader lists at {}", summary.upto
+                );
+                self.repair_wakeup.notify_one();
+            }
+            Some(false) => {}
+        }
+    }
+
+    /// Returns the reader whose list is to be pulled since it lists other entries.
+    #[must_use]
+    pub fn take_repair_source(&self) -> Option<Source> {
+        self.repair.lock().take_pending()
+    }
+
     /// Applies a full list read from the platform.
     ///
     /// A reader broadcasts the resulting changes, like those from its watch.
@@ -167,7 +224,7 @@
             }
             list.version()
         };
-        self.replace(c.version, entries, from);
+        self.replace_list(ListOrigin::Platform, c.version, entries, from);
         let announced = self.catch_up().newest_announced();
         let mut lists = self.lists.lock();
         // The platform's list is complete up to its version, which includes changes that only
@@ -196,11 +253,19 @@
 
     /// Replaces the list by the full list of `version`.
     pub fn replace(&self, version: Revision, entries: Vec<Entry>, from: &str) {
+        self.replace_list(ListOrigin::Other, version, entries, from);
+    }
+
+    fn replace_list(&self, origin: ListOrigin, version: Revision, entries: Vec<Entry>, from: &str) {
         self.observe_epoch(version.epoch, from);
         let hold = self.readers().departure_hold(self.now());
         let n = entries.len();
         let mut lists = self.lists.lock();
-        let changes = lists.list.replace(version, cap_holds(entries, hold), hold, self.now());
+        let (entries, now) = (cap_holds(entries, hold), self.now());
+        let changes = match origin {
+            ListOrigin::Platform => lists.list.replace_from_platform(version, entries, hold, now),
+            ListOrigin::Other => lists.list.replace(version, entries, hold, now),
+        };
         log::info!(from, version:display, entries = n, hold_ms = hold.as_millis() as u64; "list: taken whole");
         lists.enqueue(changes, from);
         drop(lists);
@@ -282,7 +347,7 @@
     #[must_use]
     pub fn list_snapshot(&self) -> Versioned<Vec<Entry>> {
         let lists = self.lists.lock();
-        Versioned { version: lists.list.version(), value: lists.list.entries(self.now()) }
+        Versioned { version: lists.list.snapshot_version(), value: lists.list.entries(self.now()) }
     }
 
     /// Returns whether a full list has been applied.
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -88,6 +88,7 @@
                 () = node.broadcast_new_requests() => Ok(()),
                 () = node.outbox.run(&node.socket) => Ok(()),
                 () = node.catch_up() => Ok(()),
+                () = node.repair_list() => Ok(()),
                 () = node.pull_tables() => Ok(()),
                 () = node.introduce_self() => Ok(()),
                 () = node.announce_newcomers() => Ok(()),
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -34,6 +34,10 @@
 ///
 /// More than one, so that a hanging pull does not delay the next.
 const MAX_LIST_PULLS: u32 = 2;
+/// Maximum random delay before a list that differs is pulled.
+///
+/// All boxes may differ from the same reader.
+const REPAIR_JITTER_MS: u64 = 200;
 /// Minimum wait between catch-up steps, so that an overdue timer causes no busy loop.
 const MIN_WAIT: Duration = Duration::from_millis(5);
 /// Expected number of concurrent reads of the platform, for any fleet size.
@@ -156,6 +160,18 @@
         Ok(())
     }
 
+    /// Pulls the list of a reader that lists other entries at the same revision.
+    pub(super) async fn repair_list(&self) {
+        loop {
+            self.mesh.repair_wakeup.notified().await;
+            let wait = fastrand::u64(..=REPAIR_JITTER_MS);
+            tokio::time::sleep(Duration::from_millis(wait)).await;
+            let Some(reader) = self.mesh.take_repair_source() else { continue };
+            let from = self.address(reader.origin).unwrap_or(reader.via);
+            pull_with_timeout("list", from, PULL_TIMEOUT, self.pull_list_from(from)).await;
+        }
+    }
+
     /// Pulls announced tables that this box lacks.
     pub(super) async fn pull_tables(&self) {
         loop {
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -6,6 +6,7 @@
 use crate::epoch::Epoch;
 use crate::lists::Lists;
 use crate::readers::Readers;
+use crate::repair::ListRepair;
 use crate::setup::Startup;
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
@@ -136,6 +137,8 @@
     pub pull_wakeup: Notify,
     /// Wakes the peer duty to request missing changes of the list.
     pub query_wakeup: Notify,
+    /// Wakes the peer duty to pull the list of a reader that lists other entries.
+    pub repair_wakeup: Notify,
     /// Wakes the store duty to reread the list, since no peer has sent the changes.
     pub reread_wakeup: Notify,
     /// Wakes the peer duty when other boxes were found in the store.
@@ -163,6 +166,7 @@
     next_table: Mutex<Option<Arc<RouteTable>>>,
     pending_table: Mutex<Option<PendingTable>>,
     catch_up: Mutex<CatchUp>,
+    pub(crate) repair: Mutex<ListRepair>,
     pub(crate) quarantine: Mutex<Quarantine>,
     /// Number of entries read that describe no upstream.
     pub(crate) invalid_entries: AtomicU64,
@@ -205,6 +209,7 @@
             broadcast_wakeup: Notify::new(),
             pull_wakeup: Notify::new(),
             query_wakeup: Notify::new(),
+            repair_wakeup: Notify::new(),
             reread_wakeup: Notify::new(),
             hello_wakeup: Notify::new(),
             reader_changed: Notify::new(),
@@ -219,6 +224,7 @@
             book: Mutex::new(AddressBook::new(id, &settings.hall)),
             lists: Mutex::new(Lists::default()),
             catch_up: Mutex::new(CatchUp::new(settings.first_start)),
+            repair: Mutex::default(),
             readers: Mutex::new(Readers::new(id).with_slow_link(is_slow)),
             table: Mutex::new(HeldTable::default()),
             next_table: Mutex::new(None),
@@ -312,6 +318,7 @@
             read_age: readers.read_age(now),
             unable: readers.is_read_failing(),
             list_age: list.age.unwrap_or(UNKNOWN_AGE),
+            summary: self.list_summary().filter(|_| readers.is_reading()),
         }
     }
 
@@ -372,6 +379,7 @@
         self.check_stale_list(&b);
         self.lists.lock().list.confirm(b.list, now.before(b.list_age));
         self.record_list_version(b.list, id, via);
+        self.compare_list(&b, id, via);
     }
 
     /// Returns the announced routing table that this box still lacks.
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -182,6 +182,10 @@
                     cursor.advance(c.version);
                     self.mesh.apply_watched_changes(&c, "platform");
                     self.mesh.confirm_list();
+                    // The full list was older than the changes of peers, so it was not applied.
+                    if !self.mesh.has_read_list() {
+                        cursor.invalidate();
+                    }
                     if !(c.objects.is_empty() && c.removed.is_empty()) {
                         self.delay_next_watch().await;
                     }
--- a/crates/honeypulley_mesh/tests/boxes/departures.rs
+++ b/crates/honeypulley_mesh/tests/boxes/departures.rs
@@ -70,6 +70,7 @@
         read_age: age,
         unable: false,
         list_age: age,
+        summary: None,
     }
 }
 
@@ -169,6 +170,31 @@
     assert_eq!(held, at(12), "a higher version would make peers request it");
 }
 
+/// Guards against a departed upstream that stays listed, since its departure is in no update.
+///
+/// The box learned of the upstream from a reader that stopped, and the upstream left before another
+/// reader read the list.
+#[test]
+fn an_entry_that_the_reader_never_knew_departs() {
+    let (reader, other) = (TestBox::start("a", "hall-a"), TestBox::start("b", "hall-a"));
+    reader.add_peer(&other, other.addr);
+    other.add_peer(&reader, reader.addr);
+    let joined = Changes {
+        version: at(11),
+        objects: vec![upstream_object("u10", "live", 11)],
+        removed: Vec::new(),
+    };
+    other.mesh.apply_watched_changes(&joined, "a former reader");
+    let objects = (0..10).map(|i| upstream_object(&format!("u{i}"), "live", i + 1)).collect();
+    let all = Changes { version: at(13), objects, removed: Vec::new() };
+    reader.mesh.apply_full_list(&all, "the test");
+    assert!(!other.has_departed("u10"));
+    reader.become_reader();
+    let departed = ["u10".to_owned()];
+    assert_eq!(other.wait_for_departures(&departed, PROPAGATION_LIMIT), Vec::<String>::new());
+    assert_eq!(other.mesh.upstreams(), 10);
+}
+
 #[test]
 fn changes_of_two_threads_are_queued_in_order() {
     let b = TestBox::start("a", "hall-a");
--- a/crates/honeypulley_mesh/tests/boxes/model.rs
+++ b/crates/honeypulley_mesh/tests/boxes/model.rs
@@ -361,18 +361,39 @@
         }
     }
 
+    /// Makes a box a reader.
+    fn start_reading(&self, i: usize) {
+        let mesh = &self.boxes[i].mesh;
+        let now = mesh.now();
+        mesh.readers().decide(1, 0.0, now);
+        mesh.readers().record_answer(now);
+        assert!(mesh.readers().is_reading());
+    }
+
+    /// Returns whether box `i` has to pull a full list.
+    fn needs_pull(&self, i: usize) -> bool {
+        let mesh = &self.boxes[i].mesh;
+        let is_behind = mesh.catch_up().is_behind(mesh.list_status().version);
+        mesh.take_repair_source().is_some() || is_behind
+    }
+
     /// Lets the readers read and inform all other boxes without disturbance.
+    ///
+    /// A box pulls the full list only if it finds that it needs to.
     fn converge(&mut self, readers: usize) {
         self.rewrite_lost();
         for _ in 0..4 {
             for reader in 0..readers {
+                self.start_reading(reader);
                 self.apply(Op::Watch(reader));
                 self.apply(Op::Watch(reader));
             }
             for to in 1..BOXES {
                 self.apply(Op::Beacon(0, to));
                 self.apply(Op::RequestChanges(0, to));
-                self.apply(Op::Pull(0, to));
+                if self.needs_pull(to) {
+                    self.apply(Op::Pull(0, to));
+                }
             }
             self.advance(3_000);
         }
@@ -408,8 +429,11 @@
     })]
 
     #[test]
-    fn boxes_converge_to_the_writers_state(ops in prop::collection::vec(op(), 1..60)) {
-        World::run(ops, BOXES)?;
+    fn boxes_converge_to_the_writers_state(
+        ops in prop::collection::vec(op(), 1..60),
+        readers in 1..=BOXES,
+    ) {
+        World::run(ops, readers)?;
     }
 }
 
--- a/crates/honeypulley_mesh/tests/boxes/restore.rs
+++ b/crates/honeypulley_mesh/tests/boxes/restore.rs
@@ -264,6 +264,7 @@
         read_age: age,
         unable: false,
         list_age: age,
+        summary: None,
     }
 }
 
--- a/crates/honeypulley_mesh/tests/list.rs
+++ b/crates/honeypulley_mesh/tests/list.rs
@@ -71,6 +71,83 @@
     assert_eq!(l.present().count(), 1);
 }
 
+/// A list with `a` at version 3 and `b` at 5, as a reader read it from the platform at `upto`.
+fn read_list_of_two(upto: u64) -> UpstreamList {
+    let mut l = UpstreamList::default();
+    l.replace_from_platform(at(upto), vec![live("a", 3), live("b", 5)], Duration::ZERO, NOW);
+    l
+}
+
+#[test]
+fn a_full_list_supersedes_earlier_entries_that_it_does_not_list() {
+    let mut l = read_list_of_two(7);
+    assert_eq!(l.apply_entries(vec![live("c", 6)], NOW), [], "c came and went before version 7");
+    assert_eq!(l.apply_entries(vec![live("c", 8)], NOW).len(), 1);
+}
+
+#[test]
+fn an_earlier_answer_of_the_platform_brings_nothing_back() {
+    let mut l = read_list_of_two(9);
+    let earlier = vec![live("a", 3), live("b", 5), live("c", 6)];
+    assert_eq!(l.replace_from_platform(at(7), earlier, Duration::ZERO, NOW), []);
+    assert!(l.is_read());
+}
+
+#[test]
+fn a_list_read_before_the_changes_of_peers_is_not_authoritative() {
+    let mut l = list_of_two();
+    l.apply(at(5), at(9), vec![live("a", 9)], NOW);
+    l.replace_from_platform(at(8), vec![live("b", 5)], Duration::ZERO, NOW);
+    l.record_watched(at(12));
+    assert_eq!((l.is_read(), l.summary()), (false, None));
+    assert_eq!(l.present().count(), 2);
+}
+
+#[test]
+fn equal_lists_have_equal_summaries_whatever_the_order_of_their_changes() {
+    let reader = read_list_of_two(12);
+    let mut other = UpstreamList::default();
+    other.replace(at(4), vec![live("b", 2), live("c", 4)], Duration::ZERO, NOW);
+    other.apply(at(4), at(6), vec![gone("c", 6, 0), live("a", 3), live("b", 5)], NOW);
+    let summary = reader.summary().expect("the reader has read the list");
+    assert_eq!(other.compare(reader.version(), summary), Some(true));
+}
+
+#[test]
+fn an_extra_entry_is_found_by_the_summary_and_departs_with_the_readers_list() {
+    let reader = read_list_of_two(12);
+    let mut other = list_of_two();
+    other.apply(at(5), at(11), vec![live("c", 11)], NOW);
+    let summary = reader.summary().expect("the reader has read the list");
+    assert_eq!(other.compare(reader.version(), summary), Some(false));
+    let changes =
+        other.replace(reader.snapshot_version(), reader.entries(NOW), Duration::ZERO, NOW);
+    assert_eq!(changes, [ListChange::Gone("c".to_owned())]);
+    assert_eq!(other.compare(reader.version(), summary), Some(true));
+}
+
+/// A reader that was isolated or paused must not remove what joined in the meantime.
+#[test]
+fn the_summary_of_an_outdated_reader_is_not_compared() {
+    let (reader, mut other) = (read_list_of_two(7), list_of_two());
+    other.apply(at(5), at(8), vec![live("c", 8)], NOW);
+    let summary = reader.summary().expect("the reader has read the list");
+    assert_eq!(other.compare(reader.version(), summary), None);
+    let outdated =
+        other.replace(reader.snapshot_version(), reader.entries(NOW), Duration::ZERO, NOW);
+    assert_eq!((outdated, other.present().count()), (Vec::new(), 3));
+}
+
+#[test]
+fn a_list_that_lacks_changes_is_not_compared() {
+    let mut reader = read_list_of_two(7);
+    reader.apply(at(5), at(8), vec![live("c", 8)], NOW);
+    assert_eq!(reader.summary(), None, "the change came from a peer");
+    reader.record_watched(at(8));
+    let summary = reader.summary().expect("the watch has returned the change");
+    assert_eq!(list_of_two().compare(reader.version(), summary), None);
+}
+
 #[test]
 fn an_older_entry_never_replaces_a_newer_one() {
     let mut l = list_of_two();
--- a/crates/honeypulley_mesh/tests/readers.rs
+++ b/crates/honeypulley_mesh/tests/readers.rs
@@ -23,6 +23,7 @@
         read_age,
         unable,
         list_age: read_age,
+        summary: None,
     }
 }
 
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -60,6 +60,10 @@
       listAgeMs @28 :UInt32;
       # Whether the sender's calls to the platform fail.
       unable @33 :Bool;
+      # Revision, in the epoch of the list, at which the sender's list equals the platform's, and a
+      # digest of the entries that it lists then. Zero if the sender's list holds newer changes.
+      readUpto @44 :UInt64;
+      listDigest @45 :UInt64;
     }
     news :group {
       seen @22 :List(NewsItem);
--- a/crates/honeypulley_peer/src/codec.rs
+++ b/crates/honeypulley_peer/src/codec.rs
@@ -2,8 +2,8 @@
 
 use crate::key::FleetKey;
 use crate::listing::{
-    BoxAddress, Entry, MAX_ENTRIES, read_boxes, read_entries, read_updates, write_boxes,
-    write_entries, write_updates,
+    BoxAddress, Entry, ListSummary, MAX_ENTRIES, read_boxes, read_entries, read_updates,
+    write_boxes, write_entries, write_updates,
 };
 use crate::peer_capnp::datagram as wire;
 use crate::requests::{read_requests, write_requests};
@@ -161,6 +161,8 @@
     pub unable: bool,
     /// Time since the box's list was last known to be up to date.
     pub list_age: Duration,
+    /// Summary of a reader's list, unless it holds changes that the reader has not read itself.
+    pub summary: Option<ListSummary>,
 }
 
 /// A message between boxes.
@@ -244,6 +246,10 @@
                 b.set_read_age_ms(millis(beacon.read_age));
                 b.set_unable(beacon.unable);
                 b.set_list_age_ms(millis(beacon.list_age));
+                if let Some(s) = beacon.summary {
+                    b.set_read_upto(s.upto.number);
+                    b.set_list_digest(s.digest);
+                }
             }
             Self::News { seq, items } => {
                 let mut b = root.init_news();
@@ -319,6 +325,10 @@
                 read_age: Duration::from_millis(r.get_read_age_ms().into()),
                 unable: r.get_unable(),
                 list_age: Duration::from_millis(r.get_list_age_ms().into()),
+                summary: (r.get_read_upto() > 0).then(|| ListSummary {
+                    upto: Revision::new(r.get_list_epoch(), r.get_read_upto()),
+                    digest: r.get_list_digest(),
+                }),
             }),
             Ok(wire::News(r)) => {
                 Self::News { seq: r.get_seq(), items: read_updates(r.get_seen()?)? }
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -38,6 +38,17 @@
     },
 }
 
+/// Summary of a list that equals the platform's list at a revision.
+///
+/// Two boxes with equal digests list the same entries at the same revisions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListSummary {
+    /// Revision of the platform, in the epoch of the list.
+    pub upto: Revision,
+    /// Digest of the listed entries.
+    pub digest: u64,
+}
+
 /// Address of a box.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BoxAddress {
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -151,7 +151,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+            ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -296,6 +296,8 @@
             self.builder.set_data_field::<u64>(5, 0u64);
             self.builder.set_data_field::<u64>(6, 0u64);
             self.builder.set_bool_field(289, false);
+            self.builder.set_data_field::<u64>(7, 0u64);
+            self.builder.set_data_field::<u64>(8, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -388,7 +390,7 @@
         pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(51, 44, 126, 155, 192, 164, 245, 209),
             ::capnp::word(1, 0, 7, 0, 0, 0, 13, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
@@ -3537,7 +3539,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3636,7 +3638,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 31] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(87, 15, 211, 65, 248, 155, 90, 164),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3829,7 +3831,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3968,7 +3970,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(170, 36, 39, 139, 64, 153, 158, 131),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4225,7 +4227,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4324,7 +4326,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(114, 143, 243, 14, 235, 182, 214, 141),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4514,7 +4516,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4650,7 +4652,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(85, 167, 38, 27, 177, 122, 234, 238),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4864,7 +4866,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4998,7 +5000,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(176, 13, 1, 187, 49, 80, 183, 144),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5255,7 +5257,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5389,7 +5391,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(98, 65, 103, 156, 55, 162, 104, 248),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5609,7 +5611,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5740,7 +5742,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(123, 194, 208, 108, 29, 83, 76, 252),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5945,6 +5947,14 @@
             pub fn get_restored(self) -> bool {
                 self.reader.get_bool_field(289)
             }
+            #[inline]
+            pub fn get_read_upto(self) -> u64 {
+                self.reader.get_data_field::<u64>(7)
+            }
+            #[inline]
+            pub fn get_list_digest(self) -> u64 {
+                self.reader.get_data_field::<u64>(8)
+            }
         }
 
         pub struct Builder<'a> {
@@ -5952,7 +5962,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6100,6 +6110,22 @@
             pub fn set_restored(&mut self, value: bool) {
                 self.builder.set_bool_field(289, value);
             }
+            #[inline]
+            pub fn get_read_upto(self) -> u64 {
+                self.builder.get_data_field::<u64>(7)
+            }
+            #[inline]
+            pub fn set_read_upto(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(7, value);
+            }
+            #[inline]
+            pub fn get_list_digest(self) -> u64 {
+                self.builder.get_data_field::<u64>(8)
+            }
+            #[inline]
+            pub fn set_list_digest(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(8, value);
+            }
         }
 
         pub struct Pipeline {
@@ -6112,87 +6138,101 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 158] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 190] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(218, 152, 204, 188, 33, 10, 37, 207),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
                 ::capnp::word(114, 97, 109, 46, 98, 101, 97, 99),
                 ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(237, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(37, 1, 0, 0, 106, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(245, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(45, 1, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(5, 0, 0, 0, 144, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(53, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 1, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(57, 1, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(7, 0, 0, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 1, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(65, 1, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(8, 0, 0, 0, 32, 1, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 33, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(73, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 38, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 1, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(77, 1, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 39, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(85, 1, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 33, 1, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 43, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 1, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(89, 1, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 44, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 1, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(10, 0, 0, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 45, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 1, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 97, 98, 108, 101, 86, 101, 114),
                 ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -6271,6 +6311,24 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 97, 100, 85, 112, 116, 111),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 105, 115, 116, 68, 105, 103, 101),
+                ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -6283,6 +6341,8 @@
                     6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     8 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6301,9 +6361,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 4, 6, 1, 3, 2, 8, 0, 5];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 4, 10, 6, 1, 3, 9, 2, 8, 0, 5];
             pub(crate) const TYPE_ID: u64 = 0xcf25_0a21_bccc_98da;
         }
     }
@@ -6438,7 +6498,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6577,7 +6637,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(49, 91, 171, 245, 96, 79, 22, 243),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6810,7 +6870,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6994,7 +7054,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 144] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(67, 212, 255, 237, 249, 185, 160, 245),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7291,7 +7351,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7398,7 +7458,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(130, 139, 59, 184, 87, 9, 86, 150),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7604,7 +7664,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 9, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7743,7 +7803,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(114, 73, 201, 243, 237, 43, 52, 224),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -5,7 +5,7 @@
     Beacon, Body, Datagram, ListUpdate, MAX_DATAGRAM, MAX_ITEMS, report_bodies,
 };
 use honeypulley_peer::key::FleetKey;
-use honeypulley_peer::listing::{Entry, EntryState, MAX_ENTRIES};
+use honeypulley_peer::listing::{Entry, EntryState, ListSummary, MAX_ENTRIES};
 use honeypulley_peer::requests::MAX_REQUESTS;
 use honeypulley_policy::balance::Update;
 use honeypulley_policy::belief::Observation;
@@ -22,8 +22,9 @@
 }
 
 fn beacon() -> impl Strategy<Value = Beacon> {
-    (any::<[u64; 2]>(), revision(), any::<[bool; 3]>(), any::<[u32; 2]>()).prop_map(
-        |([table, epoch], list, [reader, unable, restored], [read, age])| Beacon {
+    let summary = prop::option::of((1u64.., any::<u64>()));
+    (any::<[u64; 2]>(), revision(), any::<[bool; 3]>(), any::<[u32; 2]>(), summary).prop_map(
+        |([table, epoch], list, [reader, unable, restored], [read, age], summary)| Beacon {
             table,
             list,
             epoch,
@@ -32,6 +33,10 @@
             read_age: Duration::from_millis(read.into()),
             unable,
             list_age: Duration::from_millis(age.into()),
+            summary: summary.map(|(number, digest)| ListSummary {
+                upto: Revision::new(list.epoch, number),
+                digest,
+            }),
         },
     )
 }
