Don't deny a route while a newer table is announced

Callers saw, for as long as a box took to receive an announced table: 404 for a route that the newer table adds, which callers don't repeat.

Cause: a box told by its contact with the readers alone whether its table may be old, though a beacon had just told it that it is. Class: two sources for one fact, of which the weaker one decided. The same for an organisation's key.

Evidence: the new test got 404 where it gets 503 with a time to retry after now.

--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -255,16 +255,17 @@
 impl TableRoutes {
     /// Refuses a request for which the table has no route.
     ///
-    /// A box that is out of touch with the platform may lack a newer table, so it asks the
-    /// caller to retry and does not answer that the route does not exist.
+    /// A box that may lack a newer table asks the caller to retry and does not answer that the
+    /// route does not exist.
     fn no_route(&self, wanted: &RouteRequest<'_>, version: u64, now: Time) -> LocalAnswer {
         let (host, path) = (wanted.host, wanted.path);
         let in_touch = self.mesh.readers().in_touch(now);
+        let current = self.mesh.is_table_current(version, now);
         log::info!(
-            request = wanted.request, host, version, in_touch;
+            request = wanted.request, host, version, in_touch, current;
             "route: refused, no route"
         );
-        if !in_touch {
+        if !current {
             return not_ready(format!("no route for {host}{path}, and the table may be old"));
         }
         let why = format!("no route for {host}{path}");
@@ -293,11 +294,12 @@
         }
         let in_touch = self.mesh.readers().in_touch(now);
         let (version, has_key) = (table.version, wanted.key.is_some());
+        let current = self.mesh.is_table_current(version, now);
         log::info!(
-            request = wanted.request, route = route.name.as_str(), version, has_key, in_touch;
+            request = wanted.request, route = route.name.as_str(), version, has_key, in_touch, current;
             "route: refused, no organisation holds the caller's key"
         );
-        if has_key && !in_touch {
+        if has_key && !current {
             return Err(not_ready(
                 "the key is not known here, and the table may be old".to_owned(),
             ));
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -391,6 +391,16 @@
         *pending
     }
 
+    /// Returns whether a table of `number` is the newest one, as far as this box knows.
+    ///
+    /// It is not if the box is out of touch with the platform, or knows of a newer table that is not
+    /// in force yet.
+    #[must_use]
+    pub fn is_table_current(&self, number: u64, now: Time) -> bool {
+        let is_newest = self.table_version() <= number && self.pending_table().is_none();
+        is_newest && self.readers().in_touch(now)
+    }
+
     /// Locks the catch-up state; the guard must be held only briefly.
     pub fn catch_up(&self) -> MutexGuard<'_, CatchUp> {
         self.catch_up.lock()
--- a/crates/honeypulley_mesh/tests/boxes/main.rs
+++ b/crates/honeypulley_mesh/tests/boxes/main.rs
@@ -5,4 +5,5 @@
 mod join;
 mod model;
 mod restore;
+mod routes;
 mod support;
