Broadcast a change of many entries as several updates

Cause: that box reads the platform. At 11.49 s it got 99 changes from its watch at once, and an update takes 96: it broadcast none. Every box of the fleet then asked it for the changes each 0.1 s, answered with up to 16 datagrams each, or pulled its whole list of 582 entries. Its send queue overflowed 115 times within 0.4 s, and its link stayed full: both watches failed at 13.8 s, its pulls of the table from its parent, the store and a peer timed out one after the other, and the third got it at 17.1 s. Class: the load of one role grows with the fleet, at a threshold that only a large change reaches. A table is only one of the things that wait behind it.

Change: more changes than fit into one update are broadcast as several, in order of revisions, each complete up to its own.

Ruled out: more fragments in an update, since answers to single boxes would grow as well, which is what filled the link.

Evidence: the new test of two boxes that can't connect fails before (no entry within 1.2 s, 97 and 300 entries) and passes now.

--- a/crates/honeypulley_mesh/src/peers/tell.rs
+++ b/crates/honeypulley_mesh/src/peers/tell.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use super::outbox::{OutgoingDatagram, Priority};
+use crate::lists::PendingBroadcast;
 use crate::pace::UpdateBatcher;
 use crate::readers::BEACON_INTERVAL;
 use bytes::Bytes;
@@ -86,16 +87,11 @@
                 continue;
             }
             has_sent = true;
-            let age = self.mesh.list_status().age.unwrap_or(Duration::MAX);
-            match ListUpdate::split(change.since, change.upto, age, &change.entries) {
-                Some(parts) => {
-                    parts
-                        .into_iter()
-                        .for_each(|t| self.broadcast(Body::Changes(t), LIST_FORWARDERS));
-                }
+            let (since, upto, entries) = (change.since, change.upto, change.entries.len());
+            match change.into_updates() {
+                Some(updates) => updates.iter().for_each(|u| self.broadcast_update(u)),
                 None => log::info!(
-                    since:display = change.since, upto:display = change.upto,
-                    entries = change.entries.len();
+                    since:display, upto:display, entries;
                     "list: too many changes to broadcast, peers will pull the list"
                 ),
             }
@@ -103,6 +99,13 @@
         has_sent
     }
 
+    /// Broadcasts changes that fit into one update.
+    fn broadcast_update(&self, u: &PendingBroadcast) {
+        let age = self.mesh.list_status().age.unwrap_or(Duration::MAX);
+        let fragments = ListUpdate::split(u.since, u.upto, age, &u.entries).unwrap_or_default();
+        fragments.into_iter().for_each(|t| self.broadcast(Body::Changes(t), LIST_FORWARDERS));
+    }
+
     /// Broadcasts this box's observations of upstreams.
     pub(super) async fn broadcast_updates(&self) {
         let updates = &self.mesh.updates_out;
--- a/crates/honeypulley_mesh/tests/boxes/departures.rs
+++ b/crates/honeypulley_mesh/tests/boxes/departures.rs
@@ -92,6 +92,28 @@
     assert_eq!(other.wait_for_departures(&names(leaving), PROPAGATION_LIMIT), Vec::<String>::new());
 }
 
+/// Guards against a reader whose link is saturated for seconds, since every box of the fleet pulls
+/// its whole list after a change of many entries.
+#[rstest]
+#[case::one_more_than_an_update_takes(97)]
+#[case::several_updates(300)]
+fn a_change_of_many_entries_needs_no_pull(#[case] joining: u64) {
+    let (reader, other) = (TestBox::start("a", "hall-a"), TestBox::start("b", "hall-a"));
+    let _relay = Relay::start(&reader, &other, Connections::Refused, pass_all(), pass_all());
+    reader.become_reader();
+    let objects = (11..11 + joining).map(|v| upstream_object(&format!("u{v}"), "live", v));
+    // A watch may return changes in any order.
+    let objects: Vec<_> = objects.rev().collect();
+    let version = at(10 + joining);
+    reader.mesh.apply_watched_changes(&Changes { version, objects, removed: Vec::new() }, "a test");
+    let began = Instant::now();
+    while other.mesh.list_status().version < version && began.elapsed() < PROPAGATION_LIMIT {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert_eq!(other.mesh.list_status().version, version);
+    assert_eq!(other.mesh.upstreams() as u64, 10 + joining);
+}
+
 #[rstest]
 fn a_departure_found_in_a_full_list_is_broadcast() {
     let (reader, other) = (TestBox::start("a", "hall-a"), TestBox::start("b", "hall-a"));
--- a/crates/honeypulley_peer/src/codec.rs
+++ b/crates/honeypulley_peer/src/codec.rs
@@ -21,8 +21,8 @@
 pub const MAX_ITEMS: usize = 64;
 /// Maximum number of fragments for changes of the list of upstreams.
 ///
-/// This allows 96 entries, more than a release of a service changes at once. For more
-/// changes, fetching the full list over a connection is cheaper than datagrams.
+/// This allows 96 entries, more than a release of a service changes at once. For a box that lacks
+/// more changes, fetching the full list over a connection is cheaper than datagrams.
 pub const MAX_FRAGMENTS: usize = 16;
 
 /// Payload of a datagram.
