Bound what a box answers to peers that miss a change

Its send queue overflowed 243 times between 9.9 and 12.6 s, and both of its watches failed at 14.3 and 14.8 s.

Cause: a reader with a 20 Mbit/s link needs 25 ms for each fragment of a change to all its recipients. Each box that has the first fragment waits 50 ms for the rest, then requests the whole change from that reader every 0.1 s, and pulls its whole list from 0.3 s on. 292 boxes request ten times what the link carries, so that the fragments themselves come later. Class: retries at a fixed interval against the one box that is slow already (congestion collapse).

Change: an answer to a request for changes or for the whole list is sent within half of the link (its bandwidth is a setting), by a token bucket; who gets none asks another box 0.1 s later, which has the change by then. A box whose update has more than three fragments defers its first request while they keep arriving, for 0.4 s at most.

The new test fails without either mechanism in all four cases. The bounds of the other fleets hold.

--- a/crates/honeypulley_mesh/src/catch_up.rs
+++ b/crates/honeypulley_mesh/src/catch_up.rs
@@ -22,6 +22,12 @@
 
 /// Delay before the first request, during which remaining fragments may still arrive.
 const REASSEMBLY_GRACE: Duration = Duration::from_millis(50);
+/// Maximum delay of the first request while fragments keep arriving.
+///
+/// A reader with a slow link needs some 25 ms for each fragment to all its recipients.
+const MAX_REASSEMBLY_DELAY: Duration = Duration::from_millis(400);
+/// Number of fragments that arrive within [`REASSEMBLY_GRACE`] also from a slow link.
+const SHORT_UPDATE: u16 = 3;
 /// Interval between requests.
 ///
 /// It covers some round trips within a region and a scheduling delay on a slow box.
@@ -113,6 +119,8 @@
     source: Option<Source>,
     /// When this box noticed that it is, or may be, behind.
     behind_since: Option<Time>,
+    /// Whether the missing changes have been requested since then.
+    has_asked: bool,
     ask_due: Time,
     pull_due: Time,
     read_due: Time,
@@ -146,6 +154,19 @@
         true
     }
 
+    /// Records a fragment of an incomplete update, which defers the first request.
+    pub fn record_fragment(&mut self, fragments: u16, now: Time) {
+        if fragments <= SHORT_UPDATE {
+            return;
+        }
+        let Some(since) = self.behind_since.filter(|_| !self.has_asked) else { return };
+        let due = (now + REASSEMBLY_GRACE).min(since + MAX_REASSEMBLY_DELAY);
+        let delay = due.since(self.ask_due);
+        self.ask_due = self.ask_due + delay;
+        self.pull_due = self.pull_due + delay;
+        self.read_due = self.read_due + delay;
+    }
+
     /// Returns whether a version newer than `held` has been announced.
     #[must_use]
     pub fn is_behind(&self, held: Revision) -> bool {
@@ -166,6 +187,7 @@
 
     fn start(&mut self, ask_due: Time, now: Time) {
         self.behind_since = Some(now);
+        self.has_asked = false;
         self.ask_due = ask_due;
         let factor = self.interval_factor(now);
         self.pull_due = ask_due + PULL_INTERVAL * factor;
@@ -203,8 +225,10 @@
         // In a first start, a peer has the missing changes as long as any box reads.
         let may_read =
             needs_fallback && !(self.in_first_start(now) && local.readers != ReaderContact::Nobody);
+        let ask = take_due(&mut self.ask_due, ASK_INTERVAL * factor, now);
+        self.has_asked |= ask;
         Progress::Behind(Actions {
-            ask: take_due(&mut self.ask_due, ASK_INTERVAL * factor, now),
+            ask,
             pull: take_due(&mut self.pull_due, PULL_INTERVAL * factor, now) && needs_fallback,
             read: take_due(&mut self.read_due, READ_INTERVAL * factor, now) && may_read,
         })
--- a/crates/honeypulley_mesh/src/lib.rs
+++ b/crates/honeypulley_mesh/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod suspects;
 pub mod told;
 pub mod tree;
+pub mod uplink;
 
 /// Commonly used types of this crate.
 pub mod prelude {
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -171,7 +171,7 @@
     /// Applies list changes, or one fragment of them, received from a peer.
     pub fn apply_peer_changes(&self, sender: NameId, update: ListUpdate, from: SocketAddr) {
         let now = self.now();
-        let upto = update.upto;
+        let (upto, parts) = (update.upto, update.parts);
         self.observe_epoch(upto.epoch, "a peer");
         let hold = self.readers().departure_hold(now);
         let mut lists = self.lists.lock();
@@ -189,6 +189,9 @@
             self.serve_wakeup.notify_one();
         }
         self.record_list_version(upto, sender, from);
+        if !is_complete {
+            self.catch_up().record_fragment(parts, now);
+        }
     }
 
     /// Resets a list from a stale read if the platform was recently restored.
@@ -382,6 +385,15 @@
         ListUpdate::split(lists.list.diff_base(since), lists.list.version(), age, &entries)
     }
 
+    /// Returns whether this box's link has capacity for an answer with this number of entries.
+    pub(crate) fn admit_answer(&self, entries: usize) -> bool {
+        let is_admitted = self.uplink.lock().admit(entries, self.now());
+        if !is_admitted {
+            log::debug!(entries; "list: too many requests for this box's link");
+        }
+        is_admitted
+    }
+
     /// Returns the full list, for a peer that pulls it.
     #[must_use]
     pub fn list_snapshot(&self) -> Versioned<Vec<Entry>> {
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -196,6 +196,8 @@
     }
 
     fn upstreams(&self) -> Versioned<Vec<Entry>> {
-        self.0.list_snapshot()
+        let list = self.0.list_snapshot();
+        // The peer ignores an empty list and asks another box.
+        if self.0.admit_answer(list.value.len()) { list } else { Versioned::default() }
     }
 }
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -124,7 +124,11 @@
     /// entries, which tells the peer when the list was last known to be complete.
     pub(super) fn answer_request(&self, after: Revision, to: SocketAddr) {
         match self.mesh.changes_after(after) {
-            Some(parts) => parts.into_iter().for_each(|t| self.send_to(&[to], Body::Changes(t))),
+            Some(parts) => {
+                if self.mesh.admit_answer(parts.iter().map(|t| t.entries.len()).sum()) {
+                    parts.into_iter().for_each(|t| self.send_to(&[to], Body::Changes(t)));
+                }
+            }
             None => {
                 log::debug!(
                     peer:display = to, after:display;
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -8,6 +8,7 @@
 use crate::readers::Readers;
 use crate::repair::ListRepair;
 use crate::setup::Startup;
+use crate::uplink::UplinkLimiter;
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use honeypulley_observe::metrics::Registry;
@@ -167,6 +168,7 @@
     pending_table: Mutex<Option<PendingTable>>,
     catch_up: Mutex<CatchUp>,
     pub(crate) repair: Mutex<ListRepair>,
+    pub(crate) uplink: Mutex<UplinkLimiter>,
     pub(crate) quarantine: Mutex<Quarantine>,
     /// Number of entries read that describe no upstream.
     pub(crate) invalid_entries: AtomicU64,
@@ -225,6 +227,7 @@
             lists: Mutex::new(Lists::default()),
             catch_up: Mutex::new(CatchUp::new(settings.first_start)),
             repair: Mutex::default(),
+            uplink: Mutex::new(UplinkLimiter::new(settings.link_mbps)),
             readers: Mutex::new(Readers::new(id).with_slow_link(is_slow)),
             table: Mutex::new(HeldTable::default()),
             next_table: Mutex::new(None),
--- a/crates/honeypulley_mesh/tests/catch_up.rs
+++ b/crates/honeypulley_mesh/tests/catch_up.rs
@@ -56,6 +56,34 @@
     assert_eq!(all.iter().filter(|(_, s)| s.ask).count(), 20, "one request each 100 ms");
 }
 
+/// Guards against requests of a whole fleet for changes that a slow link is still sending.
+#[test]
+fn fragments_that_keep_arriving_defer_the_first_request() {
+    let mut c = CatchUp::default();
+    c.record_announcement(at(60), at(10), READER, via(), Time::from_millis(1_000));
+    for ms in [1_030, 1_060, 1_090, 1_120] {
+        let due = due_actions(&mut c, local(10, 0, ReaderContact::Able), ms - 30..ms);
+        assert_eq!(due, [], "until {ms}");
+        c.record_fragment(9, Time::from_millis(ms));
+    }
+    let all = due_actions(&mut c, local(10, 0, ReaderContact::Able), 1_120..1_500);
+    assert_eq!(first_time(&all, |s| s.ask), Some(1_170));
+    assert_eq!(first_time(&all, |s| s.pull), Some(1_470));
+}
+
+#[test]
+fn fragments_defer_the_first_request_for_a_bounded_time() {
+    let mut c = CatchUp::default();
+    c.record_announcement(at(60), at(10), READER, via(), Time::from_millis(1_000));
+    let mut asked = None;
+    for ms in 1_000..2_000 {
+        c.record_fragment(9, Time::from_millis(ms));
+        let due = due_actions(&mut c, local(10, 0, ReaderContact::Able), ms..ms + 1);
+        asked = asked.or(first_time(&due, |s| s.ask));
+    }
+    assert_eq!(asked, Some(1_400));
+}
+
 #[test]
 fn changes_that_arrive_in_time_are_not_requested() {
     let mut c = CatchUp::default();
--- a/crates/honeypulley_mesh/tests/fleet.rs
+++ b/crates/honeypulley_mesh/tests/fleet.rs
@@ -2,12 +2,14 @@
 //!
 //! The lists, reassembly, address books and catch-up logic are those of the product. The
 //! transport is a model of `peers`: a reader sends to its own data hall and to three boxes of
-//! each other one, which forward the datagrams. Run with `--nocapture` for the figures.
+//! each other one, which forward the datagrams. Links have no limit unless a test sets one. Run with
+//! `--nocapture` for the figures.
 
 use honeypulley_mesh::book::AddressBook;
 use honeypulley_mesh::catch_up::{CatchUp, LocalList, Progress, ReaderContact};
 use honeypulley_mesh::list::UpstreamList;
 use honeypulley_mesh::told::Reassembler;
+use honeypulley_mesh::uplink::UplinkLimiter;
 use honeypulley_peer::codec::ListUpdate;
 use honeypulley_peer::listing::{BoxAddress, Entry, EntryState};
 use honeypulley_policy::collector::NameId;
@@ -35,6 +37,12 @@
 const PULL_PACKETS: i32 = 6;
 /// Bounds of the duration of a pull, in ms.
 const PULL_MS: (u64, u64) = (40, 330);
+/// Size of a datagram with a fragment, and of any other one, in bytes.
+const FRAGMENT_BYTES: u64 = 900;
+const SMALL_BYTES: u64 = 90;
+/// Number of entries in a full list, and its size in bytes.
+const LIST_ENTRIES: usize = 480;
+const LIST_BYTES: u64 = 48_000;
 /// Version of every list at the start.
 const BEFORE: u64 = 10;
 
@@ -54,6 +62,9 @@
     reassembler: Reassembler,
     catch_up: CatchUp,
     book: AddressBook,
+    uplink: UplinkLimiter,
+    /// When the link has sent everything queued so far.
+    link_free_us: u64,
 }
 
 struct Fleet {
@@ -61,6 +72,10 @@
     fragments: Vec<ListUpdate>,
     due: BinaryHeap<Reverse<(u64, u64, usize, Event)>>,
     loss: f64,
+    /// Bandwidth of each box's link in Mbit/s, if limited.
+    link_mbps: Option<f64>,
+    /// Longest time that a datagram waited for its sender's link.
+    longest_wait_us: u64,
     rng: fastrand::Rng,
     now_us: u64,
     sequence: u64,
@@ -105,7 +120,14 @@
             });
             let mut list = UpstreamList::default();
             list.replace(at(BEFORE), vec![entry(99, at(BEFORE))], Duration::ZERO, Time::ZERO);
-            SimBox { list, reassembler: Reassembler::default(), catch_up: CatchUp::default(), book }
+            SimBox {
+                list,
+                reassembler: Reassembler::default(),
+                catch_up: CatchUp::default(),
+                book,
+                uplink: UplinkLimiter::new(None),
+                link_free_us: 0,
+            }
         };
         let entries: Vec<Entry> = (0..LEAVING).map(|i| entry(i, at(BEFORE + 1 + i))).collect();
         let fragments =
@@ -115,6 +137,8 @@
             fragments: fragments.expect("the entries fit into one update"),
             due: BinaryHeap::new(),
             loss,
+            link_mbps: None,
+            longest_wait_us: 0,
             rng: fastrand::Rng::with_seed(seed),
             now_us: 0,
             sequence: 0,
@@ -122,6 +146,16 @@
         }
     }
 
+    /// Limits the links, and makes the readers broadcast a change of `n` upstreams.
+    fn with_links(mut self, mbps: f64, n: u64) -> Self {
+        self.link_mbps = Some(mbps);
+        self.boxes.iter_mut().for_each(|b| b.uplink = UplinkLimiter::new(Some(mbps)));
+        let entries: Vec<Entry> = (0..n).map(|i| entry(i, at(BEFORE + 1 + i))).collect();
+        let fragments = ListUpdate::split(at(BEFORE), at(BEFORE + n), Duration::ZERO, &entries);
+        self.fragments = fragments.expect("the entries fit into one update");
+        self
+    }
+
     /// Makes the readers broadcast a full list of the next epoch, with lower numbers.
     fn restored(mut self) -> Self {
         let position = |number| Revision::new(2, number);
@@ -137,13 +171,25 @@
         self.due.push(Reverse((us, self.sequence, who, event)));
     }
 
+    /// Queues data on the link of a box; returns when it has been sent.
+    fn transmit(&mut self, from: usize, bytes: u64) -> u64 {
+        let Some(mbps) = self.link_mbps else { return self.now_us };
+        let link = &mut self.boxes[from].link_free_us;
+        let start = self.now_us.max(*link);
+        *link = start + (bytes as f64 * 8.0 / mbps) as u64;
+        self.longest_wait_us = self.longest_wait_us.max(start - self.now_us);
+        *link
+    }
+
     /// Sends one datagram, which its receiver processes 0.5 to 20.5 ms later unless it is lost.
-    fn send(&mut self, to: usize, event: Event) {
+    fn send(&mut self, from: usize, to: usize, event: Event) {
         self.datagrams += 1;
+        let is_fragment = matches!(event, Event::Fragment { .. });
+        let sent = self.transmit(from, if is_fragment { FRAGMENT_BYTES } else { SMALL_BYTES });
         if self.rng.f64() < self.loss {
             return;
         }
-        let us = self.now_us + 500 + self.rng.u64(..20_000);
+        let us = sent + 500 + self.rng.u64(..20_000);
         self.schedule(us, to, event);
     }
 
@@ -152,13 +198,13 @@
         let mut rng = fastrand::Rng::with_seed(self.rng.u64(..));
         let far = self.boxes[from].book.forwarders(FORWARDERS, now, &mut rng);
         let near: Vec<SocketAddr> = self.boxes[from].book.hall_addresses().collect();
-        far.into_iter().for_each(|a| self.send(index(a), event(true)));
-        near.into_iter().for_each(|a| self.send(index(a), event(false)));
+        far.into_iter().for_each(|a| self.send(from, index(a), event(true)));
+        near.into_iter().for_each(|a| self.send(from, index(a), event(false)));
     }
 
     fn forward(&mut self, from: usize, event: &Event) {
         let near: Vec<SocketAddr> = self.boxes[from].book.hall_addresses().collect();
-        near.into_iter().for_each(|a| self.send(index(a), event.clone()));
+        near.into_iter().for_each(|a| self.send(from, index(a), event.clone()));
     }
 
     fn receive_fragment(&mut self, who: usize, reader: usize, fragment: usize) {
@@ -166,12 +212,15 @@
         let update = self.fragments[fragment].clone();
         let b = &mut self.boxes[who];
         let is_complete = b.reassembler.add(NameId(reader as u64), &update);
-        let upto = update.upto;
+        let (upto, parts) = (update.upto, update.parts);
         b.list.apply_entries(update.entries, now);
         if is_complete {
             b.list.mark_complete(update.since, upto, now);
         }
         self.record_announcement(who, reader, upto);
+        if !is_complete {
+            self.boxes[who].catch_up.record_fragment(parts, now);
+        }
     }
 
     fn record_announcement(&mut self, who: usize, reader: usize, version: Revision) {
@@ -203,7 +252,8 @@
         let source = b.catch_up.source().map(|s| s.origin.0 as usize);
         if actions.ask {
             let other = near.get(self.rng.usize(..near.len().max(1))).map(|a| index(*a));
-            source.into_iter().chain(other).for_each(|to| self.send(to, Event::Asked { by: who }));
+            let to = source.into_iter().chain(other);
+            to.for_each(|to| self.send(who, to, Event::Asked { by: who }));
         }
         if let Some(from) = source.filter(|_| actions.pull) {
             self.pull(who, from);
@@ -213,8 +263,11 @@
 
     /// Pulls the full list over a connection; a lost packet delays the pull too long to be useful.
     fn pull(&mut self, who: usize, from: usize) {
-        if self.rng.f64() < (1.0 - self.loss).powi(PULL_PACKETS) {
-            let us = self.now_us + 1_000 * self.rng.u64(PULL_MS.0..PULL_MS.1);
+        let now = Time::from_micros(self.now_us);
+        let is_answered = self.boxes[from].uplink.admit(LIST_ENTRIES, now);
+        if is_answered && self.rng.f64() < (1.0 - self.loss).powi(PULL_PACKETS) {
+            let sent = self.transmit(from, LIST_BYTES);
+            let us = sent + 1_000 * self.rng.u64(PULL_MS.0..PULL_MS.1);
             self.schedule(us, who, Event::Pulled { from });
         }
     }
@@ -245,10 +298,12 @@
                 let now = Time::from_micros(self.now_us);
                 let can_answer = self.boxes[who].list.version() > after
                     && self.boxes[who].list.changes_after(after, now).is_some();
-                if can_answer {
+                let entries = self.fragments.iter().map(|f| f.entries.len()).sum();
+                if can_answer && self.boxes[who].uplink.admit(entries, now) {
                     for fragment in 0..self.fragments.len() {
                         // The answering box sends an update of its own.
-                        self.send(by, Event::Fragment { reader: who, fragment, forward: false });
+                        let event = Event::Fragment { reader: who, fragment, forward: false };
+                        self.send(who, by, event);
                     }
                 }
             }
@@ -318,6 +373,34 @@
     run_seeds(seeds, limit_ms, |seed| Fleet::new(n, halls, loss, seed));
 }
 
+/// Guards against a reader whose link is full for seconds, because the whole fleet requests a change
+/// that the link is still sending.
+///
+/// A datagram may wait for half a second at most, and the change must reach every box within two.
+#[rstest]
+#[case::large_release(293, 5, 20.0, 0.0, 50)]
+#[case::largest_update(293, 5, 20.0, 0.0, 96)]
+#[case::largest_update_and_lossy(293, 5, 20.0, 0.03, 96)]
+#[case::largest_update_of_a_smaller_fleet(106, 3, 20.0, 0.03, 96)]
+fn a_large_change_does_not_fill_the_readers_link(
+    #[case] n: usize,
+    #[case] halls: usize,
+    #[case] mbps: f64,
+    #[case] loss: f64,
+    #[case] changed: u64,
+) {
+    for seed in 0..5 {
+        let mut f = Fleet::new(n, halls, loss, seed).with_links(mbps, changed);
+        let took = f.run();
+        let waited = f.longest_wait_us / 1_000;
+        println!(
+            "{n} boxes, {changed} entries, seed {seed}: {took:?} ms, a datagram waited {waited} ms"
+        );
+        assert!(took.is_some_and(|ms| ms <= 2_000), "seed {seed}: took {took:?}");
+        assert!(waited <= 500, "seed {seed}: a datagram waited {waited} ms");
+    }
+}
+
 /// In the strictest deployment, a table or a departure must reach every box within two seconds.
 #[rstest]
 #[case::small(34, 3, 0.0, 10)]
