--- a/crates/honeypulley_mesh/src/lib.rs
+++ b/crates/honeypulley_mesh/src/lib.rs
@@ -4,7 +4,9 @@
 //! and pull what they lack ([`peers`]). Each box keeps the list of upstreams ([`list`]), the
 //! addresses of the other boxes ([`book`]) and the routing table, and passes them to the serving
 //! thread ([`serving`]). A box detects gaps in the changes of the list and requests the missing
-//! ones ([`catch_up`]), and by a digest that its list differs from that of a reader ([`repair`]). What a box observes of an upstream is broadcast to all others at once.
+//! ones ([`catch_up`]); a digest shows it that its list differs from a reader's ([`repair`]). Answers
+//! to such requests leave part of its link free ([`uplink`]). What a box observes of an upstream is
+//! broadcast to all others at once.
 
 pub mod admin;
 pub mod book;
