Take the lock of the list before that of the readers in a beacon

A beacon read the list's summary under the readers' lock, and a full list asks for the role under the list's lock. Class: two locks taken in two orders.

Evidence: the new test of two threads blocked (30 s) before, and takes 0.2 s now. The other places that hold one of the two locks were read: none takes the other the wrong way round.

--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -310,7 +310,8 @@
     #[must_use]
     pub fn beacon(&self) -> Beacon {
         let now = self.now();
-        let list = self.list_status();
+        let (list, summary) = (self.list_status(), self.list_summary());
+        // The lock of the list is taken before that of the readers.
         let readers = self.readers.lock();
         Beacon {
             table: self.table.lock().number,
@@ -321,7 +322,7 @@
             read_age: readers.read_age(now),
             unable: readers.is_read_failing(),
             list_age: list.age.unwrap_or(UNKNOWN_AGE),
-            summary: self.list_summary().filter(|_| readers.is_reading()),
+            summary: summary.filter(|_| readers.is_reading()),
         }
     }
 
--- a/crates/honeypulley_mesh/tests/boxes/departures.rs
+++ b/crates/honeypulley_mesh/tests/boxes/departures.rs
@@ -14,15 +14,17 @@
 //! `PROPAGATION_LIMIT`, the part of the two-second bound that is left for propagation and repair.
 
 use crate::support::{
-    Connections, DatagramFilter, Relay, TestBox, at, drop_all, pass_all, table_object, unwrap_body,
-    upstream_object,
+    Connections, DatagramFilter, Relay, TestBox, at, drop_all, key, mesh, pass_all, table_object,
+    unwrap_body, upstream_object,
 };
 use honeypulley_mesh::list::ListChange;
+use honeypulley_mesh::prelude::*;
 use honeypulley_peer::codec::{Beacon, Body, ListUpdate};
 use honeypulley_peer::listing::{Entry, EntryState};
 use honeypulley_platform::api::Changes;
 use honeypulley_policy::spec::MemberState;
 use rstest::rstest;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Maximum time for a departure to propagate from a reader to a peer.
@@ -217,6 +219,32 @@
     assert_eq!(other.mesh.upstreams(), 10);
 }
 
+/// Guards against a deadlock of a box that builds its beacon while it reads the full list.
+#[test]
+fn a_beacon_and_a_full_list_do_not_block_each_other() {
+    let peer = ([10, 0, 0, 1], 7_000).into();
+    // No duty runs, so that a deadlock fails the test and does not block its end.
+    let mesh = mesh(MeshSettings::builder().name("a").hall("h").peer(peer).key(key()).build());
+    let (done, finished) = std::sync::mpsc::channel();
+    let spawn = |work: fn(&Mesh, u64)| {
+        let (mesh, done) = (Arc::clone(&mesh), done.clone());
+        std::thread::spawn(move || {
+            (11..20_000).for_each(|v| work(&mesh, v));
+            let _ = done.send(());
+        });
+    };
+    spawn(|mesh, _| {
+        let _ = mesh.beacon();
+    });
+    spawn(|mesh, v| {
+        let objects = vec![upstream_object("u0", "live", v)];
+        mesh.apply_full_list(&Changes { version: at(v), objects, removed: Vec::new() }, "a test");
+    });
+    for _ in 0..2 {
+        finished.recv_timeout(Duration::from_secs(30)).expect("neither thread is blocked");
+    }
+}
+
 #[test]
 fn changes_of_two_threads_are_queued_in_order() {
     let b = TestBox::start("a", "hall-a");
