Ask for the link's capacity before the list is copied for a peer

A box whose link is busy refused a pull only after it had cloned every entry of its list under the lock, which is most work where it can be afforded least. The number of entries is enough for the question. The answer stays as it was.

--- a/crates/honeypulley_mesh/src/list.rs
+++ b/crates/honeypulley_mesh/src/list.rs
@@ -432,6 +432,12 @@
         self.rows.values().any(|r| matches!(r.state, State::Missing { .. }))
     }
 
+    /// Returns the number of entries, departed ones included.
+    #[must_use]
+    pub fn entry_count(&self) -> usize {
+        self.rows.len()
+    }
+
     /// Returns every entry, for a peer that pulls the list.
     #[must_use]
     pub fn entries(&self, now: Time) -> Vec<Entry> {
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -394,7 +394,13 @@
         is_admitted
     }
 
-    /// Returns the full list, for a peer that pulls it.
+    /// Returns the full list for a peer, if this box's link has capacity for it.
+    pub(crate) fn list_for_peer(&self) -> Option<Versioned<Vec<Entry>>> {
+        let entries = self.lists.lock().list.entry_count();
+        self.admit_answer(entries).then(|| self.list_snapshot())
+    }
+
+    /// Returns the full list.
     #[must_use]
     pub fn list_snapshot(&self) -> Versioned<Vec<Entry>> {
         let lists = self.lists.lock();
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -196,8 +196,7 @@
     }
 
     fn upstreams(&self) -> Versioned<Vec<Entry>> {
-        let list = self.0.list_snapshot();
         // The peer ignores an empty list and asks another box.
-        if self.0.admit_answer(list.value.len()) { list } else { Versioned::default() }
+        self.0.list_for_peer().unwrap_or_default()
     }
 }
