--- a/crates/honeypulley_mesh/tests/boxes/departures.rs
+++ b/crates/honeypulley_mesh/tests/boxes/departures.rs
@@ -14,12 +14,12 @@
 //! `PROPAGATION_LIMIT`, the part of the two-second bound that is left for propagation and repair.
 
 use crate::support::{
-    Connections, DatagramFilter, Relay, TestBox, at, drop_all, key, mesh, pass_all, table_object,
-    unwrap_body, upstream_object,
+    Connections, DatagramFilter, Relay, TestBox, at, drop_all, key, mesh, pass_all, reader_beacon,
+    table_object, unwrap_body, upstream_object,
 };
 use honeypulley_mesh::list::ListChange;
 use honeypulley_mesh::prelude::*;
-use honeypulley_peer::codec::{Beacon, Body, ListUpdate};
+use honeypulley_peer::codec::{Body, ListUpdate};
 use honeypulley_peer::listing::{Entry, EntryState};
 use honeypulley_platform::api::Changes;
 use honeypulley_policy::spec::MemberState;
@@ -60,22 +60,6 @@
     b.mesh.apply_full_list(&Changes { version: at(30), objects, removed: Vec::new() }, "the test");
 }
 
-/// Returns the beacon of a reader that the platform has just answered.
-fn reader_beacon(list: u64) -> Beacon {
-    let age = Duration::ZERO;
-    Beacon {
-        table: 0,
-        list: at(list),
-        epoch: 1,
-        restored: false,
-        reader: true,
-        read_age: age,
-        unable: false,
-        list_age: age,
-        summary: None,
-    }
-}
-
 #[rstest]
 #[case::no_loss(8, 0, Connections::Hung)]
 #[case::first_fragment_lost(8, 1, Connections::Refused)]
@@ -170,7 +154,7 @@
 fn a_peer_cannot_impose_its_hold_on_a_connected_box() {
     let (sender, other) = (TestBox::start("a", "hall-a"), TestBox::start("b", "hall-a"));
     let now = other.mesh.now();
-    other.mesh.readers().record_beacon(sender.mesh.id, &reader_beacon(10), now);
+    other.mesh.readers().record_beacon(sender.mesh.id, &reader_beacon(at(10)), now);
     let state = EntryState::Gone { hold: Duration::from_millis(2_300) };
     let entries = vec![Entry { name: "u0".to_owned(), version: at(11), state }];
     let update =
@@ -185,7 +169,7 @@
 #[test]
 fn a_version_known_only_to_a_lost_box_is_reached_by_reading_the_platform() {
     let (lost, b) = (TestBox::start("a", "hall-a"), TestBox::start("b", "hall-a"));
-    b.mesh.apply_beacon(lost.mesh.id, lost.addr, reader_beacon(12));
+    b.mesh.apply_beacon(lost.mesh.id, lost.addr, reader_beacon(at(12)));
     assert!(b.mesh.catch_up().is_behind(b.mesh.list_status().version));
     let objects = (0..10).map(|i| upstream_object(&format!("u{i}"), "live", i + 1)).collect();
     b.mesh.apply_full_list(&Changes { version: at(30), objects, removed: Vec::new() }, "the test");
--- a/crates/honeypulley_mesh/tests/boxes/restore.rs
+++ b/crates/honeypulley_mesh/tests/boxes/restore.rs
@@ -1,7 +1,8 @@
 //! Behaviour of a box after its platform was restored from a backup.
 
 use crate::support::{
-    Connections, Relay, TestBox, at, key, mesh, pass_all, table_object, upstream_object,
+    Connections, Relay, TestBox, at, key, mesh, pass_all, reader_beacon, table_object,
+    upstream_object,
 };
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -253,19 +254,7 @@
 
 /// Builds the beacon of a reader that knows the platform's `epoch`.
 fn beacon(epoch: u64) -> Beacon {
-    let age = Duration::ZERO;
-    let list = Revision::new(epoch, 10);
-    Beacon {
-        table: 0,
-        list,
-        epoch,
-        restored: false,
-        reader: true,
-        read_age: age,
-        unable: false,
-        list_age: age,
-        summary: None,
-    }
+    reader_beacon(Revision::new(epoch, 10))
 }
 
 #[test]
--- a/crates/honeypulley_mesh/tests/boxes/routes.rs
+++ b/crates/honeypulley_mesh/tests/boxes/routes.rs
@@ -1,6 +1,6 @@
 //! Refusals of requests for which the table in force has no route.
 
-use crate::support::{key, mesh, table_object};
+use crate::support::{at, key, mesh, reader_beacon, table_object};
 use honeypulley_mesh::prelude::*;
 use honeypulley_peer::codec::Beacon;
 use honeypulley_policy::balance::{Balancer, RetryHistory, RetryRule};
@@ -12,7 +12,6 @@
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Builds the routes of a box whose table has number 3 and no routes.
 fn routes() -> TableRoutes {
@@ -29,17 +28,7 @@
 
 /// Applies the beacon of a reader that holds a table of this number.
 fn announce(routes: &TableRoutes, table: u64) {
-    let beacon = Beacon {
-        table,
-        list: Revision::ZERO,
-        epoch: 1,
-        restored: false,
-        reader: true,
-        read_age: Duration::ZERO,
-        unable: false,
-        list_age: Duration::ZERO,
-        summary: None,
-    };
+    let beacon = Beacon { table, list: Revision::ZERO, ..reader_beacon(at(0)) };
     routes.mesh.apply_beacon(NameId(7), ([10, 0, 0, 7], 7_000).into(), beacon);
 }
 
--- a/crates/honeypulley_mesh/tests/boxes/support.rs
+++ b/crates/honeypulley_mesh/tests/boxes/support.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use honeypulley_mesh::decoder::{DecodeError, Decoder, StoreKeys};
 use honeypulley_mesh::prelude::*;
-use honeypulley_peer::codec::{Body, Datagram};
+use honeypulley_peer::codec::{Beacon, Body, Datagram};
 use honeypulley_peer::key::FleetKey;
 use honeypulley_peer::listing::{BoxAddress, EntryState};
 use honeypulley_platform::api::{Changes, Object, Platform};
@@ -73,6 +73,21 @@
     Revision::new(1, number)
 }
 
+/// Returns the beacon of a reader that the platform has just answered, without a table.
+pub fn reader_beacon(list: Revision) -> Beacon {
+    Beacon {
+        table: 0,
+        list,
+        epoch: list.epoch,
+        restored: false,
+        reader: true,
+        read_age: Duration::ZERO,
+        unable: false,
+        list_age: Duration::ZERO,
+        summary: None,
+    }
+}
+
 /// Returns an upstream's entry as the platform stores it.
 pub fn upstream_object(name: &str, state: &'static str, version: u64) -> Object {
     Object {
