Blame no upstream for a failure that a partition of this box explains

What callers saw: while some boxes could not reach any upstream, the other boxes failed 20 to 35 in 100 requests too. Cause: a refused connection counted as a fault of the upstream, for all boxes; a partitioned box reported every upstream it tried, and the others could no longer tell an ill upstream from a healthy one. A connection that the partition reset counted as a crash, and its request as suspect.

After a failed exchange the box now connects to up to three other upstreams of the service (those without a failure since their last success) before it believes the failure. If none accepts, the box is partitioned from the service: nothing is reported, no request becomes suspect, and attempts that the partition left open say nothing. One round trip later, an upstream that alone refuses is reported as before; that of a service without another one at once.

--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -163,6 +163,10 @@
         self.balancer.endpoint(k)
     }
 
+    fn sample(&mut self, k: ServiceKey, failed: Option<UpstreamKey>, n: usize) -> Vec<String> {
+        self.balancer.sample(k, failed, n)
+    }
+
     fn has_restarted(&self, k: UpstreamKey) -> bool {
         self.balancer.has_restarted(k)
     }
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -38,6 +38,8 @@
       # Whether the receiver is to send its beliefs about upstreams, for a box that has just
       # started.
       wantsBeliefs @34 :Bool;
+      # Port on which the sender accepts relayed requests; zero if it accepts none.
+      helloRelayPort @49 :UInt16;
     }
     # Boxes that the sender knows.
     book :group {
@@ -109,6 +111,8 @@
     ip @1 :UInt32;
     port @2 :UInt16;
     hall @3 :Text;
+    # Port on which the box accepts relayed requests; zero if it accepts none or is not known.
+    relayPort @4 :UInt16;
   }
 
   struct NewsItem {
@@ -162,6 +166,8 @@
     leaving @18;
     # Another instance answered at the address of an upstream, which is gone.
     replaced @19;
+    # The sender lost its paths to all upstreams of a service (count 1), or has one again (count 0).
+    partitioned @20;
   }
 
   struct RequestItem {
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -175,6 +175,9 @@
             }
             Update::Leaving { upstream } => (upstream, wire::NewsKind::Leaving, 0),
             Update::Replaced { upstream } => (upstream, wire::NewsKind::Replaced, 0),
+            Update::Partitioned { service, is_partitioned } => {
+                (service, wire::NewsKind::Partitioned, u16::from(is_partitioned))
+            }
             Update::Admitted { subject, sum } => (subject, wire::NewsKind::Admitted, sum),
             Update::HallAdmitted { subject, count } => {
                 row.set_hall(count.hall.0);
@@ -229,6 +232,9 @@
             }
             wire::NewsKind::Leaving => Update::Leaving { upstream: id },
             wire::NewsKind::Replaced => Update::Replaced { upstream: id },
+            wire::NewsKind::Partitioned => {
+                Update::Partitioned { service: id, is_partitioned: r.get_count() > 0 }
+            }
             wire::NewsKind::Admitted => Update::Admitted { subject: id, sum: r.get_count() },
             wire::NewsKind::HallAdmitted => {
                 let hall = NameId(r.get_hall());
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -277,6 +277,7 @@
             self.builder.reborrow().get_pointer_field(0).clear();
             self.builder.set_bool_field(144, false);
             self.builder.set_bool_field(160, false);
+            self.builder.set_data_field::<u16>(11, 0u16);
             self.builder.into()
         }
         #[inline]
@@ -800,6 +801,10 @@
             pub fn has_hall(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_relay_port(self) -> u16 {
+                self.reader.get_data_field::<u16>(7)
+            }
         }
 
         pub struct Builder<'a> {
@@ -934,6 +939,14 @@
             pub fn has_hall(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_relay_port(self) -> u16 {
+                self.builder.get_data_field::<u16>(7)
+            }
+            #[inline]
+            pub fn set_relay_port(&mut self, value: u16) {
+                self.builder.set_data_field::<u16>(7, value);
+            }
         }
 
         pub struct Pipeline {
@@ -946,7 +959,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(91, 244, 139, 48, 238, 19, 62, 132),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
@@ -956,7 +969,7 @@
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -964,35 +977,42 @@
                 ::capnp::word(114, 97, 109, 46, 66, 111, 120, 65),
                 ::capnp::word(100, 100, 114, 101, 115, 115, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 7, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1025,6 +1045,15 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 80, 111, 114),
+                ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -1032,6 +1061,7 @@
                     1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -1050,9 +1080,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 0, 1, 2];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 0, 1, 2, 4];
             pub(crate) const TYPE_ID: u64 = 0x843e_13ee_308b_f45b;
         }
     }
@@ -1612,6 +1642,7 @@
         Limit = 17,
         Leaving = 18,
         Replaced = 19,
+        Partitioned = 20,
     }
 
     impl ::capnp::introspect::Introspect for NewsKind {
@@ -1663,6 +1694,7 @@
                 17 => ::core::result::Result::Ok(Self::Limit),
                 18 => ::core::result::Result::Ok(Self::Leaving),
                 19 => ::core::result::Result::Ok(Self::Replaced),
+                20 => ::core::result::Result::Ok(Self::Partitioned),
                 n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
             }
         }
@@ -1677,7 +1709,7 @@
         const TYPE_ID: u64 = 0xc99a_765c_1a31_51cbu64;
     }
     mod news_kind {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 103] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(203, 81, 49, 26, 92, 118, 154, 201),
             ::capnp::word(20, 0, 0, 0, 2, 0, 0, 0),
@@ -1687,7 +1719,7 @@
             ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 231, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -1695,66 +1727,69 @@
             ::capnp::word(114, 97, 109, 46, 78, 101, 119, 115),
             ::capnp::word(75, 105, 110, 100, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(84, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(18, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(19, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 117, 99, 99, 101, 115, 115, 0),
             ::capnp::word(102, 97, 105, 108, 117, 114, 101, 0),
@@ -1781,6 +1816,8 @@
             ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
             ::capnp::word(114, 101, 112, 108, 97, 99, 101, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 105, 116, 105, 111),
+            ::capnp::word(110, 101, 100, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_annotation_types(
             child_index: Option<u16>,
@@ -5281,6 +5318,10 @@
             pub fn get_wants_beliefs(self) -> bool {
                 self.reader.get_bool_field(160)
             }
+            #[inline]
+            pub fn get_hello_relay_port(self) -> u16 {
+                self.reader.get_data_field::<u16>(11)
+            }
         }
 
         pub struct Builder<'a> {
@@ -5407,6 +5448,14 @@
             pub fn set_wants_beliefs(&mut self, value: bool) {
                 self.builder.set_bool_field(160, value);
             }
+            #[inline]
+            pub fn get_hello_relay_port(self) -> u16 {
+                self.builder.get_data_field::<u16>(11)
+            }
+            #[inline]
+            pub fn set_hello_relay_port(&mut self, value: u16) {
+                self.builder.set_data_field::<u16>(11, value);
+            }
         }
 
         pub struct Pipeline {
@@ -5419,7 +5468,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(98, 65, 103, 156, 55, 162, 104, 248),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
@@ -5429,35 +5478,42 @@
                 ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
                 ::capnp::word(114, 97, 109, 46, 104, 101, 108, 108),
                 ::capnp::word(111, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 144, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 160, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(85, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 106, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 11, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 49, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(121, 0, 0, 0, 122, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(104, 101, 108, 108, 111, 72, 97, 108),
                 ::capnp::word(108, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -5485,12 +5541,22 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 101, 108, 108, 111, 82, 101, 108),
+                ::capnp::word(97, 121, 80, 111, 114, 116, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5509,9 +5575,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 2, 1];
             pub(crate) const TYPE_ID: u64 = 0xf868_a237_9c67_4162;
         }
     }
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -102,6 +102,17 @@
         self.upstreams.get(k).map(|u| Endpoint { name: &u.name, addr: &u.addr })
     }
 
+    fn sample(&mut self, k: ServiceKey, failed: Option<UpstreamKey>, n: usize) -> Vec<String> {
+        let listed = self.services.get(k).map_or(&[][..], |s| &s.upstreams);
+        let is_usable = |k: &&UpstreamKey| {
+            let u = &self.upstreams[**k];
+            !u.is_leaving() && failed.is_none_or(|f| f != **k && u.streak == 0)
+        };
+        let usable: Vec<UpstreamKey> = listed.iter().filter(is_usable).copied().collect();
+        let drawn = self.rng.choose_multiple(usable, n);
+        drawn.into_iter().map(|u| self.upstreams[u].addr.clone()).collect()
+    }
+
     fn has_restarted(&self, k: UpstreamKey) -> bool {
         self.restarted.contains(&k)
     }
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -179,6 +179,12 @@
             Outcome::Failed | Outcome::Malformed => Observation::Failure,
             Outcome::Refused => Observation::Refused,
             Outcome::Unreachable => Observation::Unreachable,
+            Outcome::Partitioned => {
+                if let Some(u) = self.upstreams.get_mut(a.upstream) {
+                    u.reset_last_sent();
+                }
+                return;
+            }
             Outcome::Misdirected => {
                 if self.mark_replaced(a.id) {
                     self.updates.push(Update::Replaced { upstream: a.id });
--- a/crates/honeypulley_policy/src/balance/received.rs
+++ b/crates/honeypulley_policy/src/balance/received.rs
@@ -90,12 +90,11 @@
             Update::Replaced { upstream } => {
                 self.record_replacement(upstream);
             }
-            // Counts of organisations, here and in the next variant, are not handled by the
-            // balancer.
             Update::Admitted { subject, sum } => {
                 self.limits.apply_admitted(from, subject, sum, now);
             }
-            Update::HallAdmitted { .. } => {}
+            // Counts and paths of other boxes are not handled by the balancer.
+            Update::HallAdmitted { .. } | Update::Partitioned { .. } => {}
         }
         None
     }
--- a/crates/honeypulley_policy/src/balance/update.rs
+++ b/crates/honeypulley_policy/src/balance/update.rs
@@ -57,6 +57,13 @@
         /// The upstream.
         upstream: NameId,
     },
+    /// The sender lost its paths to all upstreams of a service, or has one again.
+    Partitioned {
+        /// The service.
+        service: NameId,
+        /// Whether the sender reaches none of its upstreams.
+        is_partitioned: bool,
+    },
     /// The sender's belief about an upstream, for a newly started box.
     Belief {
         /// The upstream.
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -91,6 +91,13 @@
     ) -> Result<Pick, Refusal>;
     /// Returns the name and address of an upstream, if it is still known.
     fn endpoint(&self, k: UpstreamKey) -> Option<Endpoint<'_>>;
+    /// Returns the addresses of up to `n` random upstreams of a service.
+    ///
+    /// A box connects to them to check its own network paths. After a failure of `failed`, only
+    /// upstreams that have not failed since their last success can show that the path works.
+    fn sample(&mut self, _: ServiceKey, _failed: Option<UpstreamKey>, _n: usize) -> Vec<String> {
+        Vec::new()
+    }
     /// Returns whether an upstream has restarted, which ends all attempts opened there before.
     fn has_restarted(&self, _: UpstreamKey) -> bool {
         false
--- a/crates/honeypulley_policy/src/lib.rs
+++ b/crates/honeypulley_policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod limits;
 pub mod naive;
 pub mod organisations;
+pub mod paths;
 pub mod permits;
 pub mod placement;
 pub mod quarantine;
--- a/crates/honeypulley_policy/src/router.rs
+++ b/crates/honeypulley_policy/src/router.rs
@@ -71,6 +71,10 @@
     Refused,
     /// The connection timed out; nothing was sent.
     Unreachable,
+    /// No upstream of the service accepted a connection; nothing was sent.
+    ///
+    /// The box has lost its own paths, which says nothing of the upstream.
+    Partitioned,
     /// A different instance answered at the address and refused to run the request.
     Misdirected,
     /// The response was malformed, truncated or mislabelled.
--- a/crates/honeypulley_policy/src/router/evidence.rs
+++ b/crates/honeypulley_policy/src/router/evidence.rs
@@ -100,7 +100,7 @@
     /// Closes an attempt.
     pub fn finish(&mut self, k: AttemptKey, outcome: Outcome, now: Time) {
         match outcome {
-            Outcome::Completed | Outcome::Cancelled => {}
+            Outcome::Completed | Outcome::Cancelled | Outcome::Partitioned => {}
             // A busy upstream may reject requests, which is a fault only if the others do not.
             Outcome::NotRun => self.record_evidence(k, Evidence::Slow, now),
             Outcome::Failed | Outcome::Refused | Outcome::Unreachable | Outcome::Misdirected => {
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::dialect::Dialect;
 use crate::gate::ProxyState;
 use crate::liveness::refuses_connections;
+use crate::paths::{self, CheckedService};
 use crate::signals::{self, ReceivedHead};
 use bytes::{Bytes, BytesMut};
 use honeypulley_policy::collector::NameId;
@@ -45,6 +46,7 @@
     pub key: AttemptKey,
     /// Upstream that the attempt is sent to.
     pub upstream: UpstreamKey,
+    service: CheckedService,
     request: Fingerprints,
     outcome: Outcome,
     /// Whether the head of the answer was accepted and is no server error.
@@ -54,9 +56,15 @@
 impl AttemptGuard {
     /// Creates the guard of an attempt that the policy has just opened.
     #[must_use]
-    pub fn new(gate: &Arc<ProxyState>, pick: Pick, request: Fingerprints) -> Self {
+    pub fn new(
+        gate: &Arc<ProxyState>,
+        pick: Pick,
+        service: CheckedService,
+        request: Fingerprints,
+    ) -> Self {
         let (key, upstream, gate) = (pick.attempt, pick.upstream, Arc::clone(gate));
-        Self { gate, key, upstream, request, outcome: Outcome::Cancelled, succeeded: false }
+        let outcome = Outcome::Cancelled;
+        Self { gate, key, upstream, service, request, outcome, succeeded: false }
     }
 
     /// Sets the outcome that is reported when the guard is dropped.
@@ -68,7 +76,11 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         let now = self.gate.now();
-        self.gate.policy.lock().finish(self.key, self.outcome, now);
+        // An attempt that a partition left without an answer says nothing of the upstream.
+        let is_cut = self.outcome == Outcome::Cancelled
+            && self.gate.paths.lock().is_partitioned(self.service.id);
+        let outcome = if is_cut { Outcome::Partitioned } else { self.outcome };
+        self.gate.policy.lock().finish(self.key, outcome, now);
         if self.succeeded && self.outcome == Outcome::Completed {
             self.gate.suspects.record_success(self.request, now);
         }
@@ -155,14 +167,11 @@
         Ok(r) => r,
         Err(e) => {
             let (outcome, failure) = classify(&e);
-            guard.ended(outcome);
-            drop(guard);
-            if outcome == Outcome::Failed {
-                record_if_crashed(&gate, &to, &out, began).await;
-            }
+            judge_failure(&gate, guard, outcome, (&to, &out), began).await;
             return Err((upstream, failure));
         }
     };
+    paths::record_contact(&gate, guard.service.id);
     if let Err(f) = check_head(&gate, &mut guard, (&to, &out), &response, id.as_ref()) {
         return Err((upstream, f));
     }
@@ -180,20 +189,38 @@
             Ok(Answer { head, body, guard })
         }
         Err(why) => {
-            guard.ended(Outcome::Malformed);
-            drop(guard);
-            record_if_crashed(&gate, &to, &out, began).await;
+            judge_failure(&gate, guard, Outcome::Malformed, (&to, &out), began).await;
             Err((upstream, Failure::Unknown { why: format!("the answer was cut: {why}") }))
         }
     }
 }
 
-/// Checks whether an upstream has crashed after a failed exchange, and records it.
+/// Reports a failed exchange to the policy, and checks whether the upstream has crashed.
 ///
-/// This happens before any retry, so that a request that crashes upstreams is already a suspect
-/// by then. If the upstream still runs, the check costs one round trip.
+/// A failure that a partition of this box explains is no evidence against the upstream. All checks
+/// happen before any retry, so that a request that crashes upstreams is already a suspect by then.
+/// If the upstream still runs, they cost one round trip.
+async fn judge_failure(
+    gate: &Arc<ProxyState>,
+    mut guard: AttemptGuard,
+    outcome: Outcome,
+    (to, out): (&Destination, &Outgoing),
+    began: Time,
+) {
+    if paths::explains_failure(gate, guard.service, guard.upstream, began).await {
+        guard.ended(Outcome::Partitioned);
+        return;
+    }
+    guard.ended(outcome);
+    drop(guard);
+    if matches!(outcome, Outcome::Failed | Outcome::Malformed) {
+        record_if_crashed(gate, to, out, began).await;
+    }
+}
+
+/// Checks whether an upstream has crashed after a failed exchange, and records it.
 async fn record_if_crashed(gate: &ProxyState, to: &Destination, out: &Outgoing, began: Time) {
-    let has_ended = refuses_connections(&to.addr).await;
+    let has_ended = refuses_connections(&to.addr, gate.source).await;
     let (name, same) = (to.name.as_str(), out.same.caller);
     let state = if has_ended { "has terminated" } else { "still runs" };
     log::warn!(
--- a/crates/honeypulley_proxy/src/gate.rs
+++ b/crates/honeypulley_proxy/src/gate.rs
@@ -9,6 +9,7 @@
 use honeypulley_policy::chooser::{RequestInfo, RoutingPolicy};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::organisations::KeyDigest;
+use honeypulley_policy::paths::PathMonitor;
 use honeypulley_policy::time::Time;
 use honeypulley_supervisor::clock::Clock;
 use http::{HeaderMap, Method};
@@ -22,7 +23,7 @@
 /// Timeout for connecting to an upstream.
 ///
 /// Twenty round trips of 10 ms, the longest within a region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which a connection with unacknowledged data is closed.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after which an idle connection to an upstream is closed.
@@ -133,6 +134,10 @@
     pub suspects: Arc<dyn RequestQuarantine>,
     /// HTTP client for upstreams.
     pub client: reqwest::Client,
+    /// Local address of connections to upstreams, if it is not left to the system.
+    pub source: Option<IpAddr>,
+    /// Paths of this box to the upstreams of each service.
+    pub paths: Mutex<PathMonitor>,
     /// Clock of the process.
     pub clock: Clock,
     /// Metrics client.
--- a/crates/honeypulley_proxy/src/lib.rs
+++ b/crates/honeypulley_proxy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod headers;
 pub mod liveness;
 pub mod named_limit;
+pub mod paths;
 pub mod race;
 pub mod shared;
 pub mod signals;
--- a/crates/honeypulley_proxy/src/liveness.rs
+++ b/crates/honeypulley_proxy/src/liveness.rs
@@ -1,8 +1,9 @@
 //! Checks whether an upstream still runs after a broken connection.
 
-use std::io::ErrorKind;
+use std::io::{Error, ErrorKind, Result};
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Timeout of the connection attempt.
 ///
@@ -15,7 +16,20 @@
 ///
 /// A broken connection is no sufficient evidence, since running upstreams may reset connections,
 /// lose answers and close idle connections. A closed port right afterwards is.
-pub async fn refuses_connections(addr: &str) -> bool {
-    let result = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(addr)).await;
-    matches!(result, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
+pub async fn refuses_connections(addr: &str, source: Option<IpAddr>) -> bool {
+    let result = connect(addr, source, CHECK_TIMEOUT).await;
+    matches!(result, Err(e) if e.kind() == ErrorKind::ConnectionRefused)
+}
+
+/// Connects to an address, from the local address `source` if it is given.
+///
+/// # Errors
+/// Returns an error if the address is invalid or accepts no connection within `timeout`.
+pub async fn connect(addr: &str, source: Option<IpAddr>, timeout: Duration) -> Result<TcpStream> {
+    let to: SocketAddr = addr.parse().map_err(|e| Error::new(ErrorKind::InvalidInput, e))?;
+    let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if let Some(ip) = source {
+        socket.bind(SocketAddr::new(ip, 0))?;
+    }
+    tokio::time::timeout(timeout, socket.connect(to)).await?
 }
--- /dev/null
+++ b/crates/honeypulley_proxy/src/paths.rs
@@ -0,0 +1,94 @@
+//! Checks whether this box still reaches the upstreams of a service.
+
+use crate::gate::{CONNECT_TIMEOUT, ProxyState};
+use crate::liveness::connect;
+use futures::stream::{FuturesUnordered, StreamExt};
+use honeypulley_policy::collector::NameId;
+use honeypulley_policy::router::{ServiceKey, UpstreamKey};
+use honeypulley_policy::time::Time;
+use std::sync::Arc;
+
+/// Number of upstreams to which a check connects at once.
+///
+/// More than one, since some of them may have crashed.
+const CHECKED_UPSTREAMS: usize = 3;
+
+/// A service whose paths are checked.
+#[derive(Clone, Copy, Debug)]
+pub struct CheckedService {
+    /// Key in the policy.
+    pub key: ServiceKey,
+    /// Identifier in announcements.
+    pub id: NameId,
+}
+
+/// Returns whether a failure to connect to `failed` is explained by a partition of this box.
+///
+/// The attempt began at `began`. A service without other upstreams gives no evidence of a partition.
+pub async fn explains_failure(
+    gate: &Arc<ProxyState>,
+    service: CheckedService,
+    failed: UpstreamKey,
+    began: Time,
+) -> bool {
+    if gate.paths.lock().has_contact_since(service.id, began) {
+        return false;
+    }
+    match accepts_connection(gate, service.key, Some(failed)).await {
+        Some(true) => record_contact(gate, service.id),
+        Some(false) => record_partition(gate, service.id),
+        None => return false,
+    }
+    gate.paths.lock().is_partitioned(service.id)
+}
+
+/// Checks the paths of a partitioned box in the background, unless that was done recently.
+pub fn recheck(gate: &Arc<ProxyState>, service: CheckedService) {
+    if !gate.paths.lock().begin_check(service.id, gate.now()) {
+        return;
+    }
+    let gate = Arc::clone(gate);
+    tokio::spawn(async move {
+        match accepts_connection(&gate, service.key, None).await {
+            Some(false) => {}
+            // Without upstreams to check, the next request shows whether there is a path.
+            Some(true) | None => record_contact(&gate, service.id),
+        }
+    });
+}
+
+/// Records that an upstream of a service accepted a connection.
+pub fn record_contact(gate: &ProxyState, service: NameId) {
+    let is_recovered = gate.paths.lock().record_contact(service, gate.now());
+    if is_recovered {
+        log::info!(service = service.0; "path: an upstream of the service is reachable again");
+    }
+}
+
+fn record_partition(gate: &ProxyState, service: NameId) {
+    let is_new = gate.paths.lock().record_partition(service, gate.now());
+    if is_new {
+        gate.count("partitions");
+        log::warn!(service = service.0; "path: no upstream of the service is reachable from this box");
+    }
+}
+
+/// Returns whether one of some upstreams accepts a connection, or `None` if there are none.
+async fn accepts_connection(
+    gate: &ProxyState,
+    service: ServiceKey,
+    failed: Option<UpstreamKey>,
+) -> Option<bool> {
+    let addrs = gate.policy.lock().sample(service, failed, CHECKED_UPSTREAMS);
+    if addrs.is_empty() {
+        return None;
+    }
+    let mut open: FuturesUnordered<_> =
+        addrs.iter().map(|a| connect(a, gate.source, CONNECT_TIMEOUT)).collect();
+    while let Some(connected) = open.next().await {
+        if connected.is_ok() {
+            return Some(true);
+        }
+    }
+    Some(false)
+}
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -4,6 +4,7 @@
 use crate::attempt::{Answer, AttemptGuard, Destination, Failure, Outgoing, send};
 use crate::body::Source;
 use crate::gate::{ProxyState, RouteDecision};
+use crate::paths::CheckedService;
 use futures::future::{AbortHandle, Abortable, BoxFuture};
 use futures::stream::{FuturesUnordered, StreamExt};
 use honeypulley_policy::balance::RetryReason;
@@ -176,7 +177,7 @@
             list:display = known.list.version, list_age_ms = known.list.age.map(|d| d.as_millis() as u64);
             "route: {kind} sent to {}", to.name
         );
-        let guard = AttemptGuard::new(&self.gate, pick, self.out.same);
+        let guard = AttemptGuard::new(&self.gate, pick, self.checked_service(), self.out.same);
         progress.attempted.push(pick.upstream);
         let (abort, abort_registration) = AbortHandle::new_pair();
         progress.in_flight.push(InFlight {
@@ -210,9 +211,12 @@
     fn check(&mut self, running: &mut Running, progress: &mut Progress) {
         let now = self.gate.now();
         self.cancel_lost(progress);
+        let is_partitioned = self.gate.paths.lock().is_partitioned(self.checked_service().id);
         let stuck = {
             let mut policy = self.gate.policy.lock();
-            progress.in_flight.iter().for_each(|a| policy.record_in_flight(a.key, now));
+            // The age of an attempt behind a partition says nothing of its upstream.
+            let reported = if is_partitioned { &[][..] } else { &progress.in_flight };
+            reported.iter().for_each(|a| policy.record_in_flight(a.key, now));
             let newest = progress.in_flight.last();
             newest.and_then(|a| policy.hedge_value(&self.decision.info, a.key, now))
         };
@@ -281,6 +285,10 @@
         self.gate.policy.lock().can_meet_deadline(&info)
     }
 
+    fn checked_service(&self) -> CheckedService {
+        CheckedService { key: self.decision.info.service, id: NameId::of(&self.decision.service) }
+    }
+
     /// Returns the time left until the deadline.
     fn left(&self) -> Option<Duration> {
         self.deadline.map(|d| d.since(self.gate.now()))
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -147,6 +147,8 @@
             fingerprints,
             suspects: Arc::<LocalQuarantine>::default(),
             client: client(source, Reuse::Pooled)?,
+            source,
+            paths: Mutex::default(),
             clock,
             metrics,
             open: AtomicUsize::new(0),
--- a/crates/honeypulley_proxy/tests/race/main.rs
+++ b/crates/honeypulley_proxy/tests/race/main.rs
@@ -3,5 +3,6 @@
 mod budget;
 mod ends;
 mod foreign;
+mod partition;
 mod support;
 mod suspended;
