--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -45,6 +45,8 @@
     pub limits: ServeLimits,
     /// Bound listener; it stays open while the duty restarts, until a graceful shutdown.
     pub listener: Mutex<Option<TcpListener>>,
+    /// Bound listener for requests that other boxes relay, if the box accepts them.
+    pub relay_listener: Mutex<Option<TcpListener>>,
 }
 
 impl Duty for ServeDuty {
@@ -58,26 +60,38 @@
 }
 
 impl ServeDuty {
-    async fn serve(&self, shutdown: &Shutdown) -> Result<()> {
-        let gate = Arc::clone(&self.gate);
-        let listener = self.listener.lock().as_ref().map(TcpListener::try_clone).transpose()?;
-        let listener = listener.ok_or_else(|| eyre!("serve: the listener is already closed"))?;
+    /// Creates a server on a bound listener, unless that is closed.
+    fn server(&self, listener: &Mutex<Option<TcpListener>>) -> Result<Option<Server<TcpAcceptor>>> {
+        let listener = listener.lock().as_ref().map(TcpListener::try_clone).transpose()?;
+        let Some(listener) = listener else { return Ok(None) };
         let listener = tokio::net::TcpListener::from_std(listener)?;
         let acceptor = TcpAcceptor::try_from(listener).wrap_err("serve: listen")?;
         let fuse = FuseConfig::default()
             .with_http1_header_timeout(Some(self.limits.head_time))
             .with_request_body_timeout(Some(BODY_TIMEOUT))
             .with_write_stall_timeout(self.limits.write_stall);
-        let server =
-            Server::new(acceptor).fuse_config(fuse).max_connections(self.limits.max_callers);
-        let handle = server.handle();
-        let proxy = ProxyHandler::new(Arc::clone(&gate));
-        let service = Service::new(Router::with_path("{**rest}").goal(proxy));
+        let server = Server::new(acceptor).fuse_config(fuse);
+        Ok(Some(server.max_connections(self.limits.max_callers)))
+    }
+
+    async fn serve(&self, shutdown: &Shutdown) -> Result<()> {
+        let gate = Arc::clone(&self.gate);
+        let callers = self.server(&self.listener)?;
+        let callers = callers.ok_or_else(|| eyre!("serve: the listener is already closed"))?;
+        let handle = callers.handle();
+        let service = |handler| Service::new(Router::with_path("{**rest}").goal(handler));
+        let relayed = self.server(&self.relay_listener)?;
+        let relay_handle = relayed.as_ref().map(Server::handle);
+        let relay_task = relayed.map(|server| {
+            let handler = ProxyHandler::for_peers(Arc::clone(&gate));
+            tokio::spawn(server.serve(service(handler)))
+        });
         let feed_task = tokio::spawn({
             let feeder = Arc::clone(&self.feeder);
             async move { feeder.run().await }
         });
-        let server_task = tokio::spawn(server.serve(service));
+        let handler = ProxyHandler::new(Arc::clone(&gate));
+        let server_task = tokio::spawn(callers.serve(service(handler)));
         shutdown.drain.cancelled().await;
         let began = Instant::now();
         gate.leaving.store(true, Ordering::Relaxed);
@@ -85,11 +99,16 @@
         log::info!(open = gate.open.load(Ordering::Relaxed); "stop: reporting not ready, closing the port in {wait:?}");
         tokio::time::sleep(wait).await;
         handle.stop_graceful(None);
+        relay_handle.inspect(|h| h.stop_graceful(None));
         // The kernel keeps accepting connections, which nobody would serve, until the
         // last handle of the socket is closed.
         drop(self.listener.lock().take());
+        drop(self.relay_listener.lock().take());
         let drained = async {
             server_task.await.wrap_err("serve: server task failed")?;
+            if let Some(task) = relay_task {
+                task.await.wrap_err("serve: task for relayed requests failed")?;
+            }
             // The server does not count upgraded sessions, but the gate does.
             while gate.open.load(Ordering::Relaxed) > 0 {
                 tokio::time::sleep(DRAIN_POLL).await;
--- a/crates/honeypulley_daemon/src/start.rs
+++ b/crates/honeypulley_daemon/src/start.rs
@@ -75,6 +75,7 @@
         feeder: Arc::<BundleState>::clone(&shared),
         limits,
         listener: Mutex::new(Some(caller_listener)),
+        relay_listener: Mutex::new(None),
     };
     let ctx = Arc::new(Context::new(settings, shared));
     Supervisor::new(Shutdown::default())
--- a/crates/honeypulley_mesh/src/admin.rs
+++ b/crates/honeypulley_mesh/src/admin.rs
@@ -2,6 +2,7 @@
 
 use crate::state::Mesh;
 use honeypulley_daemon::admin::AdminView;
+use honeypulley_policy::collector::NameId;
 use honeypulley_policy::time::Time;
 use honeypulley_proxy::suspects::RequestQuarantine;
 use std::sync::atomic::Ordering;
@@ -13,6 +14,15 @@
         let unknown = table.iter().flat_map(|t| &t.unknown_kinds);
         unknown.map(|u| format!("{}: {}", u.route, u.kind)).collect()
     }
+
+    /// Returns the names of the services that this box can't reach.
+    fn partitioned_services(&self) -> Vec<String> {
+        let table = self.in_force.load();
+        let directory = self.relay_directory();
+        let is_partitioned = |name: &str| directory.partitioned().contains(&NameId::of(name));
+        let names = table.iter().flat_map(|t| &t.services).map(|s| s.name.as_str());
+        names.filter(|n| is_partitioned(n)).map(str::to_owned).collect()
+    }
 }
 
 impl AdminView for Mesh {
@@ -46,6 +56,7 @@
             "read_age_ms": beacon.read_age.as_millis() as u64,
             "in_touch": self.readers().in_touch(self.now()),
             "boxes": self.address_book().count(),
+            "partitioned": self.partitioned_services(),
             "held": self.quarantined_requests().len(),
             "evacuated": self.evacuated_halls(),
             "unknown_kinds": self.unknown_kinds(),
@@ -69,7 +80,8 @@
              honeypulley_requests_suspected {suspected}\nhoneypulley_requests_on_hold {held}\n\
              honeypulley_entries_foreign_total {}\n\
              honeypulley_routes_unknown_kind {}\n\
-             honeypulley_halls_evacuated {}\n",
+             honeypulley_halls_evacuated {}\n\
+             honeypulley_services_partitioned {}\n",
             self.registry.text(),
             beacon.table,
             beacon.list.number,
@@ -83,6 +95,7 @@
             self.invalid_entries(),
             self.unknown_kinds().len(),
             self.evacuated_halls().len(),
+            self.partitioned_services().len(),
         )
     }
 
--- a/crates/honeypulley_mesh/src/book.rs
+++ b/crates/honeypulley_mesh/src/book.rs
@@ -76,6 +76,7 @@
             Some(known) => {
                 let is_hall_new = known.hall.is_empty() && !b.hall.is_empty();
                 known.addr = b.addr;
+                known.relay_port = b.relay_port.or(known.relay_port);
                 if !b.hall.is_empty() && known.hall != b.hall {
                     move_hall(&mut self.halls, &known.hall, &b.hall);
                     known.hall = b.hall;
@@ -142,7 +143,7 @@
             || self.failed_pulls.get(&id).is_some_and(has_failed)
     }
 
-    fn is_unreachable(&self, id: NameId, now: Time) -> bool {
+    pub(crate) fn is_unreachable(&self, id: NameId, now: Time) -> bool {
         self.last_received.get(&id).is_none_or(|t| now.since(*t) > REACHABLE_TIMEOUT)
     }
 
@@ -194,6 +195,24 @@
         self.boxes.values().filter(|b| b.hall == self.hall).map(|b| b.addr)
     }
 
+    /// Returns the data hall of this box.
+    #[must_use]
+    pub fn hall(&self) -> &str {
+        &self.hall
+    }
+
+    /// Returns the boxes that accept relayed requests: id, data hall and address for them.
+    pub fn relays(&self) -> impl Iterator<Item = (NameId, &str, SocketAddr)> {
+        let known = self.boxes.values().filter(|b| !b.hall.is_empty());
+        known.filter_map(|b| Some((b.id, b.hall.as_str(), b.relay_address()?)))
+    }
+
+    /// Returns the box that accepts relayed requests at an address.
+    #[must_use]
+    pub fn relay_at(&self, addr: SocketAddr) -> Option<NameId> {
+        self.relays().find(|(.., a)| *a == addr).map(|(id, ..)| id)
+    }
+
     /// Returns the entries of all peers.
     pub fn entries(&self) -> impl Iterator<Item = &BoxAddress> {
         self.boxes.values()
--- a/crates/honeypulley_mesh/src/join.rs
+++ b/crates/honeypulley_mesh/src/join.rs
@@ -32,6 +32,9 @@
 struct BoxRecord {
     peer: SocketAddr,
     hall: String,
+    /// Port for relayed requests; records of earlier versions have none.
+    #[serde(default)]
+    relay: Option<u16>,
 }
 
 impl StoreDuty {
@@ -136,7 +139,8 @@
     fn own_record(&self) -> (String, BoxRecord) {
         let settings = &self.mesh.settings;
         let key = format!("{}{}", self.mesh.decoder.keys().box_prefix, settings.name);
-        (key, BoxRecord { peer: settings.peer, hall: settings.hall.clone() })
+        let (peer, hall, relay) = (settings.peer, settings.hall.clone(), settings.relay_port);
+        (key, BoxRecord { peer, hall, relay })
     }
 
     /// Registers this box with the platform and returns the epoch of its record.
@@ -202,6 +206,7 @@
                         id: NameId::of(name),
                         addr: r.peer,
                         hall: r.hall,
+                        relay_port: r.relay,
                     });
                 }
                 Err(e) => log::warn!(key = o.key.as_str(); "join: skipped {name}: {e}"),
--- a/crates/honeypulley_mesh/src/lib.rs
+++ b/crates/honeypulley_mesh/src/lib.rs
@@ -7,7 +7,8 @@
 //! ones ([`catch_up`]); a digest shows it that its list differs from a reader's ([`repair`]). Answers
 //! to such requests leave part of its link free ([`uplink`]). What a box observes of an upstream is
 //! broadcast to all others at once. Operators evacuate data halls through the platform
-//! ([`evacuations`]).
+//! ([`evacuations`]). A box that reaches no upstream of a service finds others that do
+//! ([`relay_directory`]).
 
 pub mod admin;
 pub mod book;
@@ -25,6 +26,7 @@
 pub mod pending_broadcast;
 pub mod readers;
 pub mod reassembly;
+pub mod relay_directory;
 pub mod repair;
 pub mod serving;
 pub mod setup;
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -128,8 +128,8 @@
         match d.body {
             // Only a hello is certain to come from its sender's own address; any other
             // datagram may have been forwarded by a box of this data hall.
-            Body::Hello { hall, wants_book, wants_beliefs } => {
-                let sender = BoxAddress { id: d.sender, addr: from, hall };
+            Body::Hello { hall, relay_port, wants_book, wants_beliefs } => {
+                let sender = BoxAddress { id: d.sender, addr: from, hall, relay_port };
                 let is_new = self.mesh.add_address(sender.clone());
                 self.handle_hello(sender, is_new, wants_book);
                 if wants_beliefs {
--- a/crates/honeypulley_mesh/src/peers/discovery.rs
+++ b/crates/honeypulley_mesh/src/peers/discovery.rs
@@ -73,8 +73,7 @@
     fn request_beliefs(&self) {
         let to = self.random_peers();
         log::info!(boxes = to.len(); "peer: {} boxes are asked what they believe", to.len());
-        let hall = self.mesh.settings.hall.clone();
-        self.send_to(&to, Body::Hello { hall, wants_book: false, wants_beliefs: true });
+        self.send_to(&to, self.hello(false, true));
     }
 
     /// Returns a few random peers, from this data hall if it has any.
@@ -146,14 +145,20 @@
     }
 
     fn send_hello(&self, to: SocketAddr, wants_book: bool) {
-        let hall = self.mesh.settings.hall.clone();
-        self.send_to(&[to], Body::Hello { hall, wants_book, wants_beliefs: false });
+        self.send_to(&[to], self.hello(wants_book, false));
+    }
+
+    fn hello(&self, wants_book: bool, wants_beliefs: bool) -> Body {
+        let s = &self.mesh.settings;
+        let (hall, relay_port) = (s.hall.clone(), s.relay_port);
+        Body::Hello { hall, relay_port, wants_book, wants_beliefs }
     }
 
     /// Answers a hello with this box's address, and the whole address book if wanted.
     fn answer_hello(&self, to: SocketAddr, wants_book: bool) {
         let s = &self.mesh.settings;
-        let mut boxes = vec![BoxAddress { id: self.mesh.id, addr: s.peer, hall: s.hall.clone() }];
+        let (id, hall, relay_port) = (self.mesh.id, s.hall.clone(), s.relay_port);
+        let mut boxes = vec![BoxAddress { id, addr: s.peer, hall, relay_port }];
         if wants_book {
             boxes.extend(self.mesh.address_book().entries().cloned());
         }
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -95,6 +95,9 @@
         {
             log::info!(upstream, from = from.0; "news: another instance has the address of {upstream}");
         }
+        if let Update::Partitioned { service, is_partitioned } = item {
+            self.mesh.relay_directory().record_announcement(from, service, is_partitioned, at);
+        }
         if let Some(suspicion) = self.balancer.apply_update(from, item, at) {
             self.doubts.log(from, &suspicion, at);
         }
@@ -211,6 +214,14 @@
         spent
     }
 
+    fn service_name(&self, k: ServiceKey) -> Option<&str> {
+        self.balancer.service_name(k)
+    }
+
+    fn forget_request(&mut self, k: ServiceKey) {
+        self.balancer.forget_request(k);
+    }
+
     fn budget_use(&self, k: ServiceKey, now: Time) -> BudgetUsage {
         self.balancer.budget_use(k, now)
     }
@@ -279,7 +290,8 @@
         policy.apply_received(now);
         self.mesh.update_fleet_scope(policy.balancer(), now);
         policy.balancer().record_request(service, now);
-        if let Some(o) = &organisation
+        // A relayed request was admitted by the box that received it from the caller.
+        if let Some(o) = organisation.as_ref().filter(|_| !wanted.relayed)
             && let Err(wait) = policy.admit(o.id, now)
         {
             let usage = policy.limits().usage(o.id, now);
@@ -393,7 +405,7 @@
 /// Refuses a request that this box can't route yet, with a time to retry after.
 fn not_ready(why: String) -> LocalAnswer {
     let retry_after = NOT_READY_RETRY_AFTER.mul_f64(1.0 + fastrand::f64() / 2.0);
-    LocalAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, Some(retry_after), why)
+    LocalAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, Some(retry_after), why).with_elsewhere()
 }
 
 /// Applies tables, lists and updates of other boxes to the policy on the serving thread.
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -7,6 +7,7 @@
 use crate::evacuations::Evacuations;
 use crate::lists::Lists;
 use crate::readers::Readers;
+use crate::relay_directory::RelayDirectory;
 use crate::repair::ListRepair;
 use crate::setup::Startup;
 use crate::update_batch::ReceivedUpdate;
@@ -23,6 +24,7 @@
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::fleet_limits::LimitScope;
 use honeypulley_policy::quarantine::{Quarantine, RequestUpdate};
+use honeypulley_policy::regions::RegionMap;
 use honeypulley_policy::revision::Revision;
 use honeypulley_policy::routes::RouteTable;
 use honeypulley_policy::time::Time;
@@ -71,6 +73,11 @@
     pub key: FleetKey,
     /// Bandwidth of the box's link in Mbit/s, if known.
     pub link_mbps: Option<f64>,
+    /// Port on which the box accepts relayed requests, if it does.
+    pub relay_port: Option<u16>,
+    /// Regions of the data halls.
+    #[builder(default)]
+    pub regions: RegionMap,
     /// Whether this is the first start of the whole fleet.
     #[builder(default)]
     pub first_start: bool,
@@ -179,6 +186,7 @@
     pub(crate) invalid_entries: AtomicU64,
     pub(crate) epoch: Epoch,
     pub(crate) evacuations: Mutex<Evacuations>,
+    relays: Mutex<RelayDirectory>,
 }
 
 /// A routing table that was announced to this box and not received yet.
@@ -246,6 +254,7 @@
             invalid_entries: AtomicU64::new(0),
             epoch: Epoch::default(),
             evacuations: Mutex::default(),
+            relays: Mutex::default(),
             settings,
         }
     }
@@ -273,6 +282,11 @@
         self.readers.lock()
     }
 
+    /// Locks the directory of relays; the guard must be held only briefly.
+    pub fn relay_directory(&self) -> MutexGuard<'_, RelayDirectory> {
+        self.relays.lock()
+    }
+
     /// Returns peer addresses of some boxes; they may be out of date.
     #[must_use]
     pub fn seeds(&self) -> Vec<SocketAddr> {
--- a/crates/honeypulley_mesh/tests/boxes/routes.rs
+++ b/crates/honeypulley_mesh/tests/boxes/routes.rs
@@ -40,6 +40,7 @@
         path: "/new/1",
         method: &Method::GET,
         headers: &HeaderMap::new(),
+        relayed: false,
         key: None,
     };
     let own = routes.route(&request, routes.mesh.now()).expect_err("there is no route");
--- a/crates/honeypulley_mesh/tests/boxes/support.rs
+++ b/crates/honeypulley_mesh/tests/boxes/support.rs
@@ -207,7 +207,12 @@
 
     /// Adds another box to this box's address book, at `addr`.
     pub fn add_peer(&self, other: &Self, addr: SocketAddr) {
-        self.mesh.add_address(BoxAddress { id: other.mesh.id, addr, hall: other.hall.clone() });
+        self.mesh.add_address(BoxAddress {
+            id: other.mesh.id,
+            addr,
+            hall: other.hall.clone(),
+            relay_port: None,
+        });
     }
 
     /// Returns whether this box lists an upstream as gone or leaving, or not at all.
--- a/crates/honeypulley_mesh/tests/fleet.rs
+++ b/crates/honeypulley_mesh/tests/fleet.rs
@@ -113,7 +113,12 @@
     fn new(n: usize, halls: usize, loss: f64, seed: u64) -> Self {
         let hall = |i: usize| format!("hall-{}", i % halls);
         let known: Vec<BoxAddress> = (0..n)
-            .map(|i| BoxAddress { id: NameId(i as u64), addr: address(i), hall: hall(i) })
+            .map(|i| BoxAddress {
+                id: NameId(i as u64),
+                addr: address(i),
+                hall: hall(i),
+                relay_port: None,
+            })
             .collect();
         let sim_box = |i: usize| {
             let mut book = AddressBook::new(NameId(i as u64), &hall(i));
--- a/crates/honeypulley_observe/src/explain.rs
+++ b/crates/honeypulley_observe/src/explain.rs
@@ -139,7 +139,10 @@
         let took = end.field("took_ms");
         let retried = if failed.is_empty() { "" } else { ", after another attempt failed" };
         let phrase = if status.starts_with('2') { "answered" } else { "failed it:" };
-        return Some(format!("{upstream} {phrase} with {status} after {took} ms{retried}"));
+        let relayed = relay_phrase(lines);
+        return Some(format!(
+            "{upstream} {phrase} with {status} after {took} ms{retried}{relayed}"
+        ));
     }
     let why = end.message.trim_start_matches("route: own answer, ");
     let execution = match end.field("outcome") {
@@ -156,6 +159,14 @@
     Some(format!("answered {status} by the box: {why}{cause}; {execution}{advice}"))
 }
 
+/// Returns how the request went through another box, or nothing if it did not.
+fn relay_phrase(lines: &[Line]) -> String {
+    let relayed = lines.iter().rev().find(|l| l.message.contains(" relayed through "));
+    relayed.map_or_else(String::new, |l| {
+        format!(", through the box at {}, since {} reached no upstream", l.field("peer"), l.origin)
+    })
+}
+
 fn last_upstream(lines: &[Line]) -> &str {
     let named = lines.iter().rev().find(|l| l.message.contains(" sent to "));
     named.map_or("no upstream", |l| l.field("upstream"))
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -58,6 +58,16 @@
     pub addr: SocketAddr,
     /// Its data hall, empty if unknown.
     pub hall: String,
+    /// Port on which it accepts relayed requests, if it does and is known to.
+    pub relay_port: Option<u16>,
+}
+
+impl BoxAddress {
+    /// Returns the address at which the box accepts relayed requests.
+    #[must_use]
+    pub fn relay_address(&self) -> Option<SocketAddr> {
+        self.relay_port.map(|port| SocketAddr::new(self.addr.ip(), port))
+    }
 }
 
 pub(crate) fn write_entries(
@@ -127,6 +137,7 @@
             row.set_port(a.port());
         }
         row.set_hall(b.hall.as_str());
+        row.set_relay_port(b.relay_port.unwrap_or(0));
     }
 }
 
@@ -136,7 +147,8 @@
     let read = |r: wire::box_address::Reader<'_>| {
         let addr = SocketAddrV4::new(Ipv4Addr::from(r.get_ip()), r.get_port());
         let hall = r.get_hall()?.to_string()?;
-        Ok(BoxAddress { id: NameId(r.get_id()), addr: addr.into(), hall })
+        let relay_port = Some(r.get_relay_port()).filter(|p| *p > 0);
+        Ok(BoxAddress { id: NameId(r.get_id()), addr: addr.into(), hall, relay_port })
     };
     list.iter().map(read).collect()
 }
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -168,6 +168,16 @@
         self.spend(k, why, now)
     }
 
+    fn service_name(&self, k: ServiceKey) -> Option<&str> {
+        self.services.get(k).map(|s| s.spec.name.as_str())
+    }
+
+    fn forget_request(&mut self, k: ServiceKey) {
+        if let Some(s) = self.services.get_mut(k) {
+            s.retries.forget_request();
+        }
+    }
+
     fn budget_use(&self, k: ServiceKey, now: Time) -> BudgetUsage {
         let usage = |s: &Service| s.retries.usage(&self.retry_rule, now);
         self.services.get(k).map_or_else(BudgetUsage::default, usage)
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -173,6 +173,11 @@
         self.expire(rule, now);
     }
 
+    /// Removes the latest request, which counts at another box.
+    pub(super) fn forget_request(&mut self) {
+        self.arrivals.pop_back();
+    }
+
     /// Records a peer's update about its requests and retries within the window.
     ///
     /// Retries beyond those received one by one were lost in transit, for example in a
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -138,6 +138,12 @@
     }
     /// Spends one retry token and returns whether there was one.
     fn spend_retry(&mut self, k: ServiceKey, why: RetryReason, now: Time) -> bool;
+    /// Returns the name of a service, for logging.
+    fn service_name(&self, _: ServiceKey) -> Option<&str> {
+        None
+    }
+    /// Removes the latest request from the counts, as another box sends it to an upstream.
+    fn forget_request(&mut self, _: ServiceKey) {}
     /// Returns the state of the retry budget of a service, for logging.
     fn budget_use(&self, _: ServiceKey, _: Time) -> BudgetUsage {
         BudgetUsage::default()
--- a/crates/honeypulley_policy/src/router/refusal.rs
+++ b/crates/honeypulley_policy/src/router/refusal.rs
@@ -5,6 +5,9 @@
 /// Reason for which no upstream was picked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RefusalKind {
+    /// This box reaches no upstream of the service, and knows no other box that does.
+    #[error("no path to the service")]
+    NoPath,
     /// The service has no live upstream.
     #[error("no live upstream")]
     NoUpstream,
--- a/crates/honeypulley_proxy/src/answer.rs
+++ b/crates/honeypulley_proxy/src/answer.rs
@@ -2,8 +2,9 @@
 
 use crate::dialect::Dialect;
 use crate::headers;
+use crate::relay::RelayOutcome;
 use honeypulley_policy::router::{Refusal, RefusalKind};
-use http::{HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use salvo::http::ResBody;
 use salvo::prelude::Response;
 use std::time::Duration;
@@ -28,6 +29,8 @@
     pub retry_after: Option<Duration>,
     /// Reason, as a sentence for humans.
     pub reason: String,
+    /// Whether another box may be able to serve the request.
+    pub elsewhere: bool,
 }
 
 impl LocalAnswer {
@@ -36,13 +39,15 @@
     pub fn refusal(r: Refusal) -> Self {
         let status = match r.kind {
             RefusalKind::Rate | RefusalKind::CallerRate => StatusCode::TOO_MANY_REQUESTS,
-            RefusalKind::NoUpstream
+            RefusalKind::NoPath
+            | RefusalKind::NoUpstream
             | RefusalKind::ConnectionsExhausted
             | RefusalKind::Overload
             | RefusalKind::LimitsExhausted
             | RefusalKind::Backoff => StatusCode::SERVICE_UNAVAILABLE,
         };
-        Self::not_run(status, Some(r.retry_after), r.kind.to_string())
+        let answer = Self::not_run(status, Some(r.retry_after), r.kind.to_string());
+        Self { elsewhere: r.kind == RefusalKind::NoPath, ..answer }
     }
 
     /// Creates the answer to a request that was not run.
@@ -52,13 +57,38 @@
         retry_after: Option<Duration>,
         reason: String,
     ) -> Self {
-        Self { status, execution: Execution::NotRun, retry_after, reason }
+        Self { status, execution: Execution::NotRun, retry_after, reason, elsewhere: false }
+    }
+
+    /// Marks the answer as one that holds for this box alone.
+    #[must_use]
+    pub const fn with_elsewhere(mut self) -> Self {
+        self.elsewhere = true;
+        self
+    }
+
+    /// Returns the outcome for a box that relayed the request.
+    #[must_use]
+    pub const fn relay_outcome(&self) -> RelayOutcome {
+        match self.execution {
+            Execution::NotRun if self.elsewhere => RelayOutcome::Unusable,
+            Execution::NotRun => RelayOutcome::NotRun,
+            Execution::Unknown => RelayOutcome::Unknown,
+        }
     }
 
     /// Creates the answer to a request that may have been run.
     #[must_use]
     pub const fn unknown(status: StatusCode, retry_after: Duration, reason: String) -> Self {
-        Self { status, execution: Execution::Unknown, retry_after: Some(retry_after), reason }
+        let (execution, retry_after) = (Execution::Unknown, Some(retry_after));
+        Self { status, execution, retry_after, reason, elsewhere: false }
+    }
+
+    /// Sets when a box that relayed the request may retry.
+    pub fn set_retry_after_ms(&self, h: &mut HeaderMap) {
+        if let Some(d) = self.retry_after {
+            h.insert(headers::RETRY_AFTER_MS, HeaderValue::from(d.as_millis() as u64));
+        }
     }
 
     /// Writes the answer to a response.
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -11,6 +11,7 @@
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, UpstreamKey};
 use honeypulley_policy::time::Time;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,6 +37,10 @@
     pub buffered: bool,
     /// Fingerprints, which repeats of the request share.
     pub same: Fingerprints,
+    /// Address of the caller, if it is known.
+    pub caller: Option<IpAddr>,
+    /// The caller's key, which only boxes of the fleet receive.
+    pub key: Option<HeaderValue>,
 }
 
 /// Reports the outcome of an attempt to the policy when dropped.
@@ -135,7 +140,9 @@
     /// Body.
     pub body: AnswerBody,
     /// Guard of the attempt, to be kept until the body is forwarded.
-    pub guard: AttemptGuard,
+    ///
+    /// `None` if another box sent the request to the upstream.
+    pub guard: Option<AttemptGuard>,
 }
 
 /// Destination of an attempt.
@@ -171,7 +178,7 @@
             return Err((upstream, failure));
         }
     };
-    paths::record_contact(&gate, guard.service.id);
+    paths::record_contact(&gate, guard.service);
     if let Err(f) = check_head(&gate, &mut guard, (&to, &out), &response, id.as_ref()) {
         return Err((upstream, f));
     }
@@ -186,7 +193,7 @@
                 signals::record_complete(&gate, &head);
                 guard.ended(Outcome::Completed);
             }
-            Ok(Answer { head, body, guard })
+            Ok(Answer { head, body, guard: Some(guard) })
         }
         Err(why) => {
             judge_failure(&gate, guard, Outcome::Malformed, (&to, &out), began).await;
@@ -327,7 +334,7 @@
 }
 
 /// Buffers a body up to [`MAX_BUFFERED_ANSWER`] bytes.
-async fn read_body(mut r: reqwest::Response) -> Result<AnswerBody, String> {
+pub(crate) async fn read_body(mut r: reqwest::Response) -> Result<AnswerBody, String> {
     let mut buffer = BytesMut::new();
     while let Some(chunk) = r.chunk().await.map_err(|e| innermost(&e))? {
         buffer.extend_from_slice(&chunk);
@@ -339,7 +346,7 @@
 }
 
 /// Returns whether a truncated body could be detected.
-fn is_bounded(r: &reqwest::Response, method: &Method) -> bool {
+pub(crate) fn is_bounded(r: &reqwest::Response, method: &Method) -> bool {
     let is_empty = r.status().is_informational()
         || matches!(r.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
         || *method == Method::HEAD;
@@ -351,7 +358,7 @@
 }
 
 /// Returns the message of the innermost cause, which is the most specific one.
-fn innermost(e: &reqwest::Error) -> String {
+pub(crate) fn innermost(e: &reqwest::Error) -> String {
     let mut e: &dyn std::error::Error = e;
     while let Some(inner) = e.source() {
         e = inner;
--- a/crates/honeypulley_proxy/src/body.rs
+++ b/crates/honeypulley_proxy/src/body.rs
@@ -275,10 +275,10 @@
     pub const fn new(
         prefix: Option<Bytes>,
         inner: reqwest::Body,
-        guard: AttemptGuard,
+        guard: Option<AttemptGuard>,
         open: OpenGuard,
     ) -> Self {
-        Self { prefix, inner, guard: Some(guard), _open: open }
+        Self { prefix, inner, guard, _open: open }
     }
 
     fn finish(&mut self, outcome: Outcome) {
--- a/crates/honeypulley_proxy/src/gate.rs
+++ b/crates/honeypulley_proxy/src/gate.rs
@@ -3,6 +3,7 @@
 use crate::answer::LocalAnswer;
 use crate::dialect::Dialect;
 use crate::fingerprint::Fingerprinter;
+use crate::relay::Relays;
 use crate::suspects::RequestQuarantine;
 use cadence::{Counted, CountedExt, StatsdClient, Timed};
 use futures::future::BoxFuture;
@@ -44,6 +45,8 @@
     pub headers: &'a HeaderMap,
     /// Digest of the caller's key, if the request contains exactly one.
     pub key: Option<KeyDigest>,
+    /// Whether another box has admitted the request and relays it.
+    pub relayed: bool,
 }
 
 /// Organisation that a request belongs to, if any.
@@ -138,6 +141,8 @@
     pub source: Option<IpAddr>,
     /// Paths of this box to the upstreams of each service.
     pub paths: Mutex<PathMonitor>,
+    /// Relays for requests to services that this box can't reach, if there are any.
+    pub relays: Option<Relays>,
     /// Clock of the process.
     pub clock: Clock,
     /// Metrics client.
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -7,6 +7,7 @@
 use crate::gate::{OpenGuard, ProxyState, RouteRequest};
 use crate::headers;
 use crate::race::Race;
+use crate::relay::{RelayHead, RelayOutcome};
 use crate::upgrade;
 use async_trait::async_trait;
 use honeypulley_policy::quarantine::{Fingerprint, Fingerprints, Restriction};
@@ -18,21 +19,42 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Timeout for reading the buffered part of a caller's body, unless the deadline is earlier.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// HTTP handler for all requests of callers.
+/// Maximum number of relayed requests in flight.
+///
+/// It leaves most of the memory and connections of a box to its own callers.
+const MAX_RELAYED: usize = 256;
+
+/// HTTP handler for the requests of callers, or for those that other boxes relay.
 #[derive(Clone, Debug)]
 pub struct ProxyHandler {
     gate: Arc<ProxyState>,
+    /// Limits the relayed requests in flight, if the handler serves other boxes.
+    relayed: Option<Arc<Semaphore>>,
+}
+
+/// A relayed request that was accepted.
+#[derive(Debug)]
+struct Relayed {
+    head: RelayHead,
+    _permit: OwnedSemaphorePermit,
 }
 
 impl ProxyHandler {
     /// Creates the handler with the state of the serving path.
     #[must_use]
     pub const fn new(gate: Arc<ProxyState>) -> Self {
-        Self { gate }
+        Self { gate, relayed: None }
+    }
+
+    /// Creates the handler for requests that other boxes relay.
+    #[must_use]
+    pub fn for_peers(gate: Arc<ProxyState>) -> Self {
+        Self { gate, relayed: Some(Arc::new(Semaphore::new(MAX_RELAYED))) }
     }
 
     async fn run(&self, req: &mut Request, res: &mut Response) -> Result<(), LocalAnswer> {
@@ -42,6 +64,7 @@
         let id = self.request_id(req);
         check_framing(req)?;
         let host = host_of(req)?;
+        let relayed = self.accept_relayed(req)?;
         if let Some(ready) = self.gate.routes.wait_ready() {
             ready.await;
         }
@@ -52,14 +75,19 @@
             method: req.method(),
             headers: req.headers(),
             key: dialect.key_of(req.headers()),
+            relayed: relayed.is_some(),
         };
         let mut decision = self.gate.routes.route(&wanted, self.gate.now())?;
+        if let Some(r) = &relayed {
+            decision.max_attempts = decision.max_attempts.min(r.head.attempts);
+        }
         let requested =
             headers::number(req.headers(), &dialect.deadline).map(Duration::from_millis);
         let timeout = [requested, decision.timeout].into_iter().flatten().min();
         let deadline = timeout.map(|d| began + d);
         let on_upgrade = req.extensions_mut().remove::<OnUpgrade>();
         let mut out = self.outgoing(req, &id);
+        out.caller = relayed.as_ref().map_or_else(|| req.remote_addr().ip(), |r| r.head.caller);
         dialect.set_organisation(&decision.owner, &mut out.headers);
         out.buffered = decision.buffered && !out.upgrade;
         decision.info.repeatable &= !out.upgrade;
@@ -71,7 +99,7 @@
             method: &out.method,
             host: &host,
             path: &out.path,
-            caller: req.remote_addr().ip(),
+            caller: out.caller,
             caller_name: headers::text(req.headers(), &dialect.caller),
         };
         out.same = self.gate.fingerprints.fingerprint(&identity, &source);
@@ -85,6 +113,7 @@
             out: Arc::new(out),
             source,
             deadline,
+            relayed: relayed.is_some(),
         };
         let answer = race.run().await.map_err(|own| {
             // If the body could not be read, this is the cause of any later failure.
@@ -102,6 +131,27 @@
         Ok(())
     }
 
+    /// Checks a request that another box relays; returns `None` if this one comes from a caller.
+    fn accept_relayed(&self, req: &Request) -> Result<Option<Relayed>, LocalAnswer> {
+        let Some(limit) = &self.relayed else { return Ok(None) };
+        let path = path_of(req);
+        let key = self.gate.relays.as_ref().map(|r| &r.key);
+        let Some(head) = key.and_then(|k| k.decode(req.headers(), path)) else {
+            return Err(bad_request("no box of this fleet has relayed the request"));
+        };
+        let reject = |why: &str| {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            LocalAnswer::not_run(status, None, why.to_owned()).with_elsewhere()
+        };
+        if self.gate.leaving.load(Ordering::Relaxed) {
+            return Err(reject("a planned stop has begun"));
+        }
+        let permit = Arc::clone(limit).try_acquire_owned();
+        let permit = permit.map_err(|_| reject("this box relays too many requests"))?;
+        self.gate.count("requests.relayed");
+        Ok(Some(Relayed { head, _permit: permit }))
+    }
+
     /// Rejects a request that is held because it crashes upstreams.
     fn check_hold(&self, id: &str, same: Fingerprints) -> Result<(), LocalAnswer> {
         let now = self.gate.now();
@@ -148,6 +198,7 @@
         headers::strip_hop_by_hop(&mut h);
         h.remove(header::CONTENT_LENGTH);
         h.remove(header::EXPECT);
+        h.remove(headers::RELAY);
         if !dialect.caller_attempt {
             h.remove(&dialect.attempt);
             if let Ok(v) = HeaderValue::from_str(id) {
@@ -168,15 +219,20 @@
             h.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
             h.insert(header::UPGRADE, protocol);
         }
-        let path = req.uri().path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
+        let mut key = dialect.api_key.as_ref().and_then(|name| h.get(name).cloned());
+        if let Some(k) = &mut key {
+            k.set_sensitive(true);
+        }
         Outgoing {
             method: req.method().clone(),
-            path: path.to_owned(),
+            path: path_of(req).to_owned(),
             headers: h,
             upgrade: is_upgrade,
             body_bytes: 0,
             buffered: false,
             same: Fingerprints { caller: Fingerprint(0), content: Fingerprint(0) },
+            caller: None,
+            key,
         }
     }
 
@@ -191,6 +247,10 @@
             h.remove(&dialect.attempt);
             h.remove(&dialect.load);
         }
+        h.remove(headers::RELAY_OUTCOME);
+        if self.relayed.is_some() {
+            RelayOutcome::Answered.set(&mut h);
+        }
         res.status_code(head.status);
         *res.headers_mut() = h;
         let (prefix, rest) = match body {
@@ -225,6 +285,10 @@
                 "route: own answer, {}", own.reason
             );
             own.write(&self.gate.dialect, res);
+            if self.relayed.is_some() {
+                own.relay_outcome().set(res.headers_mut());
+                own.set_retry_after_ms(res.headers_mut());
+            }
         }
         let is_upgraded = res.status_code == Some(StatusCode::SWITCHING_PROTOCOLS);
         let leaving = self.gate.leaving.load(Ordering::Relaxed);
@@ -234,6 +298,11 @@
     }
 }
 
+/// Returns the path with its query.
+fn path_of(req: &Request) -> &str {
+    req.uri().path_and_query().map_or("/", http::uri::PathAndQuery::as_str)
+}
+
 /// Reads a caller's body, which is buffered if it is small.
 async fn read_body(
     req: &mut Request,
--- a/crates/honeypulley_proxy/src/headers.rs
+++ b/crates/honeypulley_proxy/src/headers.rs
@@ -21,6 +21,11 @@
 /// Milliseconds until a retry, since `Retry-After` has a resolution of one second.
 pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("retry-after-ms");
 
+/// On a request that another box relays: what that box passes on, authenticated.
+pub const RELAY: HeaderName = HeaderName::from_static("honeypulley-relay");
+/// On an answer to a relayed request: whose answer it is.
+pub const RELAY_OUTCOME: HeaderName = HeaderName::from_static("honeypulley-relay-outcome");
+
 /// Removes hop-by-hop headers (RFC 9110 section 7.6.1).
 pub fn strip_hop_by_hop(h: &mut HeaderMap) {
     let listed: Vec<HeaderName> = h
--- a/crates/honeypulley_proxy/src/lib.rs
+++ b/crates/honeypulley_proxy/src/lib.rs
@@ -1,7 +1,8 @@
 //! Forwards requests and upgraded sessions from callers to upstreams.
 //!
 //! [`handler`] receives a request, [`race`] runs its attempts, and [`attempt`] implements a
-//! single exchange with an upstream. All decisions are made by the policy; this crate sends,
+//! single exchange with an upstream. [`paths`] detects that this box reaches no upstream, and
+//! [`relay`] then sends requests through another box. All decisions are made by the policy; this crate sends,
 //! streams and answers. [`gate`] contains the state that they share, [`dialect`] the header
 //! names and formats, and [`shared`] the configuration by bundles and the product's own policy.
 
@@ -18,6 +19,7 @@
 pub mod named_limit;
 pub mod paths;
 pub mod race;
+pub mod relay;
 pub mod shared;
 pub mod signals;
 pub mod suspects;
--- a/crates/honeypulley_proxy/src/paths.rs
+++ b/crates/honeypulley_proxy/src/paths.rs
@@ -35,8 +35,8 @@
         return false;
     }
     match accepts_connection(gate, service.key, Some(failed)).await {
-        Some(true) => record_contact(gate, service.id),
-        Some(false) => record_partition(gate, service.id),
+        Some(true) => record_contact(gate, service),
+        Some(false) => record_partition(gate, service),
         None => return false,
     }
     gate.paths.lock().is_partitioned(service.id)
@@ -52,27 +52,42 @@
         match accepts_connection(&gate, service.key, None).await {
             Some(false) => {}
             // Without upstreams to check, the next request shows whether there is a path.
-            Some(true) | None => record_contact(&gate, service.id),
+            Some(true) | None => record_contact(&gate, service),
         }
     });
 }
 
 /// Records that an upstream of a service accepted a connection.
-pub fn record_contact(gate: &ProxyState, service: NameId) {
-    let is_recovered = gate.paths.lock().record_contact(service, gate.now());
+pub fn record_contact(gate: &ProxyState, service: CheckedService) {
+    let is_recovered = gate.paths.lock().record_contact(service.id, gate.now());
     if is_recovered {
-        log::info!(service = service.0; "path: an upstream of the service is reachable again");
+        let name = name_of(gate, service);
+        log::info!(service = name.as_str(); "path: {name} is reachable again");
+        announce(gate, service, false);
     }
 }
 
-fn record_partition(gate: &ProxyState, service: NameId) {
-    let is_new = gate.paths.lock().record_partition(service, gate.now());
+fn record_partition(gate: &ProxyState, service: CheckedService) {
+    let is_new = gate.paths.lock().record_partition(service.id, gate.now());
     if is_new {
         gate.count("partitions");
-        log::warn!(service = service.0; "path: no upstream of the service is reachable from this box");
+        let name = name_of(gate, service);
+        log::warn!(service = name.as_str(); "path: no upstream of {name} is reachable from this box");
+        announce(gate, service, true);
     }
 }
 
+fn announce(gate: &ProxyState, service: CheckedService, is_partitioned: bool) {
+    if let Some(relays) = &gate.relays {
+        relays.peers.announce(service.id, is_partitioned);
+    }
+}
+
+fn name_of(gate: &ProxyState, service: CheckedService) -> String {
+    let policy = gate.policy.lock();
+    policy.service_name(service.key).map_or_else(|| "a removed service".to_owned(), str::to_owned)
+}
+
 /// Returns whether one of some upstreams accepts a connection, or `None` if there are none.
 async fn accepts_connection(
     gate: &ProxyState,
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -1,10 +1,14 @@
 //! Runs the attempts of a request: the first one, retries and hedges, within its deadline.
 
+mod relaying;
+mod report;
+
 use crate::answer::LocalAnswer;
 use crate::attempt::{Answer, AttemptGuard, Destination, Failure, Outgoing, send};
 use crate::body::Source;
 use crate::gate::{ProxyState, RouteDecision};
 use crate::paths::CheckedService;
+use crate::relay::RelayFailure;
 use futures::future::{AbortHandle, Abortable, BoxFuture};
 use futures::stream::{FuturesUnordered, StreamExt};
 use honeypulley_policy::balance::RetryReason;
@@ -14,6 +18,8 @@
 use honeypulley_policy::router::{AttemptKey, Refusal, UpstreamKey};
 use honeypulley_policy::time::Time;
 use http::StatusCode;
+use relaying::Way;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,9 +48,20 @@
     pub source: Source,
     /// Deadline for the answer, if the route or the caller sets one.
     pub deadline: Option<Time>,
+    /// Whether another box relays the request, so that it is not relayed again.
+    pub relayed: bool,
 }
 
-type Running = FuturesUnordered<BoxFuture<'static, Result<Answer, (UpstreamKey, Failure)>>>;
+type Running = FuturesUnordered<BoxFuture<'static, Result<Answer, Ended>>>;
+
+/// An attempt that ended without an answer.
+#[derive(Debug)]
+enum Ended {
+    /// It was sent to an upstream.
+    Upstream(UpstreamKey, Failure),
+    /// It was sent to another box.
+    Peer(SocketAddr, RelayFailure),
+}
 
 /// An attempt in flight.
 #[derive(Clone, Debug)]
@@ -62,6 +79,8 @@
 #[derive(Debug, Default)]
 struct Progress {
     attempted: Vec<UpstreamKey>,
+    /// Other boxes to which the request was offered.
+    relays: Vec<SocketAddr>,
     /// Number of attempts that did not run.
     not_run: usize,
     in_flight: Vec<InFlight>,
@@ -103,38 +122,75 @@
                     continue;
                 }
             };
-            let (upstream, failure) = match ended {
+            match ended {
                 Ok(answer) if answer.head.status.is_server_error() => {
-                    self.log_server_error(&answer);
-                    progress.in_flight.retain(|a| a.upstream != answer.guard.upstream);
-                    // The upstream's failure answer is forwarded if no other attempt is in
-                    // flight or allowed.
-                    let again = self.should_retry(&mut progress)
-                        && self.start(&mut running, &mut progress, "retry").is_ok();
-                    if !again && running.is_empty() {
+                    let last = self.after_server_error(answer, &mut running, &mut progress);
+                    if let Some(answer) = last {
                         return Ok(answer);
                     }
-                    progress.failure = Some(answer);
-                    continue;
                 }
                 Ok(answer) => return Ok(answer),
-                Err(failure) => failure,
-            };
-            progress.in_flight.retain(|a| a.upstream != upstream);
-            self.record_failure(upstream, &failure, &mut progress);
-            if !running.is_empty() {
-                continue;
+                Err(ended) => {
+                    self.record_ended(&ended, &mut progress);
+                    if !running.is_empty() {
+                        continue;
+                    }
+                    if !self.should_retry_after(&ended, &mut progress)
+                        || self.start(&mut running, &mut progress, "retry").is_err()
+                    {
+                        return progress.failure.take().ok_or_else(|| self.exhausted(&progress));
+                    }
+                }
             }
-            if !self.should_retry_after(&failure, &mut progress)
-                || self.start(&mut running, &mut progress, "retry").is_err()
-            {
-                return progress.failure.take().ok_or_else(|| self.exhausted(&progress));
+        }
+    }
+
+    /// Retries after a failure answer, if that is allowed.
+    ///
+    /// Returns the answer if no attempt is left that could succeed. The box to which a request was
+    /// relayed has already retried it.
+    fn after_server_error(
+        &mut self,
+        answer: Answer,
+        running: &mut Running,
+        progress: &mut Progress,
+    ) -> Option<Answer> {
+        let mut again = false;
+        if let Some(guard) = &answer.guard {
+            self.log_server_error(guard.upstream, answer.head.status);
+            progress.in_flight.retain(|a| a.upstream != guard.upstream);
+            again = self.should_retry(progress) && self.start(running, progress, "retry").is_ok();
+        }
+        if !again && running.is_empty() {
+            return Some(answer);
+        }
+        progress.failure = Some(answer);
+        None
+    }
+
+    /// Starts an attempt at an upstream, or at another box while this one is partitioned.
+    fn start(
+        &mut self,
+        running: &mut Running,
+        progress: &mut Progress,
+        kind: &str,
+    ) -> Result<(), Refusal> {
+        match self.way(progress) {
+            Ok(Way::Upstream) => self.start_at_upstream(running, progress, kind),
+            Ok(Way::Peer(peer)) => {
+                self.start_at_peer(running, progress, kind, peer);
+                Ok(())
+            }
+            Err(r) => {
+                self.log_refusal(kind, r, None);
+                progress.retry_after = Some(r.retry_after);
+                Err(r)
             }
         }
     }
 
     /// Picks an upstream and sends one attempt there.
-    fn start(
+    fn start_at_upstream(
         &mut self,
         running: &mut Running,
         progress: &mut Progress,
@@ -193,7 +249,9 @@
         let upstream = pick.upstream;
         running.push(Box::pin(async move {
             let done = Abortable::new(attempt, abort_registration).await;
-            done.unwrap_or_else(|_| Err((upstream, Failure::Unknown { why: RESTARTED.to_owned() })))
+            let restarted = || Err((upstream, Failure::Unknown { why: RESTARTED.to_owned() }));
+            let answer = done.unwrap_or_else(|_| restarted());
+            answer.map_err(|(upstream, failure)| Ended::Upstream(upstream, failure))
         }));
         Ok(())
     }
@@ -294,11 +352,17 @@
         self.deadline.map(|d| d.since(self.gate.now()))
     }
 
-    fn should_retry_after(&self, failure: &Failure, progress: &mut Progress) -> bool {
-        if !self.has_attempts_left(progress)
-            || !self.can_meet_deadline()
-            || !self.has_upstream(progress)
-        {
+    fn should_retry_after(&self, ended: &Ended, progress: &mut Progress) -> bool {
+        if !self.has_attempts_left(progress) || !self.can_meet_deadline() {
+            return false;
+        }
+        let failure = match ended {
+            Ended::Upstream(_, failure) => failure,
+            Ended::Peer(_, RelayFailure::Unusable { .. }) => return true,
+            Ended::Peer(..) => return false,
+        };
+        let is_partitioned = self.gate.paths.lock().is_partitioned(self.checked_service().id);
+        if !is_partitioned && !self.has_upstream(progress) {
             return false;
         }
         let restriction = self.restriction();
@@ -343,54 +407,13 @@
         spent
     }
 
-    fn log_refusal(&self, kind: &str, r: Refusal, expected: Option<Duration>) {
-        log::info!(
-            request = self.id.as_str(), service = self.decision.service.as_str(),
-            version = self.decision.version,
-            aim_ms = self.decision.info.target.map(|d| d.as_millis() as u64),
-            expected_ms = expected.map(|d| d.as_millis() as u64);
-            "route: {kind} not sent, {}", r.kind
-        );
-    }
-
-    fn log_server_error(&self, answer: &Answer) {
-        let policy = self.gate.policy.lock();
-        let upstream = policy.endpoint(answer.guard.upstream).map_or("gone", |p| p.name);
-        log::warn!(
-            request = self.id.as_str(), service = self.decision.service.as_str(), upstream,
-            status = answer.head.status.as_u16();
-            "attempt: {upstream} answered with a failure"
-        );
-    }
-
-    fn record_failure(&self, upstream: UpstreamKey, failure: &Failure, progress: &mut Progress) {
-        let policy = self.gate.policy.lock();
-        let name = policy.endpoint(upstream).map_or("gone", |p| p.name);
-        let (request, service) = (self.id.as_str(), self.decision.service.as_str());
-        let reason = match failure {
-            Failure::NotSent { .. } => "not_sent",
-            Failure::NotRun { .. } => "not_run",
-            Failure::Unknown { .. } => "unknown",
-        };
-        self.gate.count_tagged("attempts.failed", &[("service", service), ("reason", reason)]);
-        match failure {
-            Failure::NotSent { why } => {
-                log::warn!(request, service, upstream = name; "attempt: not sent to {name}: {why}");
-                progress.not_run += 1;
-                progress.last_reason.clone_from(why);
-            }
-            Failure::NotRun { why } => {
-                log::warn!(request, service, upstream = name; "attempt: {name} did not run the request: {why}");
-                progress.not_run += 1;
-                progress.last_reason.clone_from(why);
-            }
-            Failure::Unknown { why } => {
-                log::warn!(
-                    request, service, upstream = name;
-                    "attempt: {name} failed, outcome unknown: {why}"
-                );
-                progress.unknown_reason = Some(why.clone());
+    fn record_ended(&self, ended: &Ended, progress: &mut Progress) {
+        match ended {
+            Ended::Upstream(upstream, failure) => {
+                progress.in_flight.retain(|a| a.upstream != *upstream);
+                self.record_failure(*upstream, failure, progress);
             }
+            Ended::Peer(peer, failure) => self.record_relay_failure(*peer, failure, progress),
         }
     }
 
@@ -401,11 +424,10 @@
         }
         let default_wait = || NOT_RUN_RETRY_AFTER.mul_f64(1.0 + fastrand::f64() / 2.0);
         let wait = progress.retry_after.unwrap_or_else(default_wait);
-        LocalAnswer::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            Some(wait),
-            progress.last_reason.clone(),
-        )
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let answer = LocalAnswer::not_run(status, Some(wait), progress.last_reason.clone());
+        let elsewhere = self.gate.paths.lock().is_partitioned(self.checked_service().id);
+        LocalAnswer { elsewhere, ..answer }
     }
 
     /// Returns the result at the deadline: an upstream's failure answer, or the proxy's own.
--- /dev/null
+++ b/crates/honeypulley_proxy/src/race/report.rs
@@ -0,0 +1,68 @@
+//! Log lines and counts of the attempts of a request.
+
+use super::{Progress, Race};
+use crate::attempt::Failure;
+use honeypulley_policy::router::{Refusal, UpstreamKey};
+use http::StatusCode;
+use std::time::Duration;
+
+impl Race {
+    /// Logs that an attempt was not sent.
+    pub(super) fn log_refusal(&self, kind: &str, r: Refusal, expected: Option<Duration>) {
+        log::info!(
+            request = self.id.as_str(), service = self.decision.service.as_str(),
+            version = self.decision.version,
+            aim_ms = self.decision.info.target.map(|d| d.as_millis() as u64),
+            expected_ms = expected.map(|d| d.as_millis() as u64);
+            "route: {kind} not sent, {}", r.kind
+        );
+    }
+
+    /// Logs the failure answer of an upstream.
+    pub(super) fn log_server_error(&self, upstream: UpstreamKey, status: StatusCode) {
+        let policy = self.gate.policy.lock();
+        let upstream = policy.endpoint(upstream).map_or("gone", |p| p.name);
+        log::warn!(
+            request = self.id.as_str(), service = self.decision.service.as_str(), upstream,
+            status = status.as_u16();
+            "attempt: {upstream} answered with a failure"
+        );
+    }
+
+    /// Records and logs an attempt at an upstream that got no answer.
+    pub(super) fn record_failure(
+        &self,
+        upstream: UpstreamKey,
+        failure: &Failure,
+        progress: &mut Progress,
+    ) {
+        let policy = self.gate.policy.lock();
+        let name = policy.endpoint(upstream).map_or("gone", |p| p.name);
+        let (request, service) = (self.id.as_str(), self.decision.service.as_str());
+        let reason = match failure {
+            Failure::NotSent { .. } => "not_sent",
+            Failure::NotRun { .. } => "not_run",
+            Failure::Unknown { .. } => "unknown",
+        };
+        self.gate.count_tagged("attempts.failed", &[("service", service), ("reason", reason)]);
+        match failure {
+            Failure::NotSent { why } => {
+                log::warn!(request, service, upstream = name; "attempt: not sent to {name}: {why}");
+                progress.not_run += 1;
+                progress.last_reason.clone_from(why);
+            }
+            Failure::NotRun { why } => {
+                log::warn!(request, service, upstream = name; "attempt: {name} did not run the request: {why}");
+                progress.not_run += 1;
+                progress.last_reason.clone_from(why);
+            }
+            Failure::Unknown { why } => {
+                log::warn!(
+                    request, service, upstream = name;
+                    "attempt: {name} failed, outcome unknown: {why}"
+                );
+                progress.unknown_reason = Some(why.clone());
+            }
+        }
+    }
+}
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -149,6 +149,7 @@
             client: client(source, Reuse::Pooled)?,
             source,
             paths: Mutex::default(),
+            relays: None,
             clock,
             metrics,
             open: AtomicUsize::new(0),
--- a/crates/honeypulley_proxy/src/upgrade.rs
+++ b/crates/honeypulley_proxy/src/upgrade.rs
@@ -35,12 +35,16 @@
     tokio::spawn(async move {
         let _open = open;
         let (Ok(caller), Ok(mut upstream)) = (caller.await, response.upgrade().await) else {
-            guard.ended(Outcome::Failed);
+            if let Some(g) = &mut guard {
+                g.ended(Outcome::Failed);
+            }
             return;
         };
         let mut caller = TokioIo::new(caller);
         let result = tokio::io::copy_bidirectional(&mut caller, &mut upstream).await;
-        guard.ended(Outcome::Completed);
+        if let Some(g) = &mut guard {
+            g.ended(Outcome::Completed);
+        }
         match result {
             Ok((up, down)) => {
                 log::info!(request = id.as_str(), up, down; "session: closed by caller or upstream");
--- a/crates/honeypulley_proxy/tests/race/partition.rs
+++ b/crates/honeypulley_proxy/tests/race/partition.rs
@@ -44,8 +44,8 @@
     }
     let test = test_gate(&addrs, Clock::start());
     send(&test).await;
-    assert!(is_partitioned(&test));
     assert_eq!(observations(&test), 0);
+    assert!(is_partitioned(&test));
 }
 
 #[tokio::test]
--- a/crates/honeypulley_proxy/tests/race/support.rs
+++ b/crates/honeypulley_proxy/tests/race/support.rs
@@ -71,6 +71,7 @@
         suspects: Arc::<LocalQuarantine>::default(),
         source: None,
         paths: Mutex::default(),
+        relays: None,
         client: client(None, Reuse::Fresh).expect("the client can be built"),
         clock,
         metrics: Arc::new(StatsdClient::from_sink("test", NopMetricSink)),
@@ -110,6 +111,8 @@
         body_bytes: 0,
         buffered: false,
         same: REQUEST,
+        caller: None,
+        key: None,
     };
     Race {
         gate: Arc::clone(&test.gate),
@@ -118,5 +121,6 @@
         out: Arc::new(out),
         source: Source::Buffered(Bytes::new()),
         deadline: Some(test.gate.now() + left),
+        relayed: false,
     }
 }
