Offer relayed requests to other data halls while most of this one is partitioned

A box offered each request to at most three boxes of its own hall, all of them partitioned: what it had heard of them was forgotten after five seconds, and each refusal counted for one.

Boxes of the own hall now come first only if an upstream answered them within the last second; then other halls of the region, then the rest of the own one, and last a hall most of whose boxes are unusable. A partitioned box repeats its announcement every four seconds, remembered for ten. Only upstreams whose connections were refused or broken are left out of a check, since they may have crashed as well; one that is slow or unreachable for others is not.

--- a/crates/honeypulley_mesh/src/admin.rs
+++ b/crates/honeypulley_mesh/src/admin.rs
@@ -19,7 +19,7 @@
     fn partitioned_services(&self) -> Vec<String> {
         let table = self.in_force.load();
         let directory = self.relay_directory();
-        let is_partitioned = |name: &str| directory.partitioned().contains(&NameId::of(name));
+        let is_partitioned = |name: &str| directory.is_partitioned(NameId::of(name));
         let names = table.iter().flat_map(|t| &t.services).map(|s| s.name.as_str());
         names.filter(|n| is_partitioned(n)).map(str::to_owned).collect()
     }
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -98,6 +98,9 @@
         if let Update::Partitioned { service, is_partitioned } = item {
             self.mesh.relay_directory().record_announcement(from, service, is_partitioned, at);
         }
+        if let Update::Ended { served: true, age, .. } = item {
+            self.mesh.relay_directory().record_success(from, at.before(age));
+        }
         if let Some(suspicion) = self.balancer.apply_update(from, item, at) {
             self.doubts.log(from, &suspicion, at);
         }
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -152,6 +152,8 @@
     last_failure: Option<Time>,
     /// Number of consecutive failures.
     streak: u32,
+    /// Whether a connection was refused or broken since its last success.
+    broken: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -106,7 +106,7 @@
         let listed = self.services.get(k).map_or(&[][..], |s| &s.upstreams);
         let is_usable = |k: &&UpstreamKey| {
             let u = &self.upstreams[**k];
-            !u.is_leaving() && failed.is_none_or(|f| f != **k && u.streak == 0)
+            !u.is_leaving() && failed.is_none_or(|f| f != **k && !u.broken)
         };
         let usable: Vec<UpstreamKey> = listed.iter().filter(is_usable).copied().collect();
         let drawn = self.rng.choose_multiple(usable, n);
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -302,12 +302,16 @@
     /// Updates the time and number of consecutive failures.
     fn update_failures(&mut self, observation: Observation, now: Time) {
         match observation {
-            Observation::Success => self.streak = 0,
+            Observation::Success => {
+                self.streak = 0;
+                self.broken = false;
+            }
             Observation::FailedWork | Observation::Overdue => {}
             _ => {
                 // Simultaneous failures count as one.
                 let is_separate = self.last_failure.is_none_or(|at| now.since(at) > FAILURE_GAP);
                 self.streak += u32::from(is_separate);
+                self.broken |= matches!(observation, Observation::Failure | Observation::Refused);
                 self.last_failure = Some(now);
                 self.recovery_announced = false;
             }
--- a/crates/honeypulley_policy/src/balance/listing.rs
+++ b/crates/honeypulley_policy/src/balance/listing.rs
@@ -99,6 +99,7 @@
             last_success: None,
             last_failure: None,
             streak: 0,
+            broken: false,
         };
         if up.local {
             self.services[service].local_slots += up.slots;
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -93,8 +93,8 @@
     fn endpoint(&self, k: UpstreamKey) -> Option<Endpoint<'_>>;
     /// Returns the addresses of up to `n` random upstreams of a service.
     ///
-    /// A box connects to them to check its own network paths. After a failure of `failed`, only
-    /// upstreams that have not failed since their last success can show that the path works.
+    /// A box connects to them to check its own network paths. After a failure of `failed`, upstreams
+    /// whose connections were refused or broken are left out: they may have crashed as well.
     fn sample(&mut self, _: ServiceKey, _failed: Option<UpstreamKey>, _n: usize) -> Vec<String> {
         Vec::new()
     }
--- a/crates/honeypulley_proxy/src/paths.rs
+++ b/crates/honeypulley_proxy/src/paths.rs
@@ -50,7 +50,7 @@
     let gate = Arc::clone(gate);
     tokio::spawn(async move {
         match accepts_connection(&gate, service.key, None).await {
-            Some(false) => {}
+            Some(false) => record_partition(&gate, service),
             // Without upstreams to check, the next request shows whether there is a path.
             Some(true) | None => record_contact(&gate, service),
         }
@@ -73,8 +73,8 @@
         gate.count("partitions");
         let name = name_of(gate, service);
         log::warn!(service = name.as_str(); "path: no upstream of {name} is reachable from this box");
-        announce(gate, service, true);
     }
+    announce(gate, service, true);
 }
 
 fn announce(gate: &ProxyState, service: CheckedService, is_partitioned: bool) {
--- a/crates/honeypulley_proxy/src/relay.rs
+++ b/crates/honeypulley_proxy/src/relay.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 /// Maximum number of boxes to which a request is offered.
-pub const MAX_RELAYS: usize = 3;
+pub const MAX_RELAYS: usize = 4;
 
 /// A request that needs another box.
 #[derive(Clone, Copy, Debug)]
@@ -38,7 +38,7 @@
     fn choose(&self, wanted: &RelayRequest<'_>, now: Time) -> Option<SocketAddr>;
     /// Records that a box can't serve requests for a service at present.
     fn record_unusable(&self, peer: SocketAddr, service: NameId, now: Time);
-    /// Announces whether this box is partitioned from all upstreams of a service.
+    /// Reports whether this box is partitioned from all upstreams of a service, after each check.
     fn announce(&self, service: NameId, is_partitioned: bool);
 }
 
