Relay requests of a box that has lost most of its paths; doubt its reports of refused connections

A box that still reaches a few upstreams counts as not partitioned.

A request is now offered to another box after two failed connections. A box whose report of a failed connection was followed by an answer of that upstream to another box is contradicted, as before for unreachable upstreams: for five seconds its reports of refused connections need a second box. A peer's success clears the mark of a broken connection.

Tests: policy/tests/balance/contradicted.rs, a_request_is_offered_to_another_box_after_two_failed_connections.

--- a/crates/honeypulley_observe/src/explain.rs
+++ b/crates/honeypulley_observe/src/explain.rs
@@ -163,7 +163,11 @@
 fn relay_phrase(lines: &[Line]) -> String {
     let relayed = lines.iter().rev().find(|l| l.message.contains(" relayed through "));
     relayed.map_or_else(String::new, |l| {
-        format!(", through the box at {}, since {} reached no upstream", l.field("peer"), l.origin)
+        format!(
+            ", through the box at {}, since connections from {} failed",
+            l.field("peer"),
+            l.origin
+        )
     })
 }
 
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -290,6 +290,7 @@
     /// Records a success and reverts what was announced while the attempt was in flight.
     pub(super) fn observe_success(&mut self, late: bool, announced: f64, now: Time) {
         self.observed = true;
+        self.broken = false;
         self.last_success = self.last_success.max(Some(now));
         if late || announced > OVERDUE_RATIO {
             self.shared.update(announced, LATE_RATIO, now);
@@ -302,10 +303,7 @@
     /// Updates the time and number of consecutive failures.
     fn update_failures(&mut self, observation: Observation, now: Time) {
         match observation {
-            Observation::Success => {
-                self.streak = 0;
-                self.broken = false;
-            }
+            Observation::Success => self.streak = 0,
             Observation::FailedWork | Observation::Overdue => {}
             _ => {
                 // Simultaneous failures count as one.
--- a/crates/honeypulley_policy/src/balance/received.rs
+++ b/crates/honeypulley_policy/src/balance/received.rs
@@ -12,7 +12,9 @@
 
 /// Probability of being unhealthy from which an upstream is logged as suspect.
 const SUSPECT_CHANCE: f64 = 0.5;
-/// Time for which reports of unreachable upstreams by a contradicted peer are ignored.
+/// Time for which a contradicted peer's reports of failed connections are doubted.
+///
+/// Those of unreachable upstreams are ignored, those of refused connections need a second peer.
 ///
 /// A peer is contradicted when the upstream answers another box. It has then lost its own
 /// network paths, and two such peers would corroborate each other.
@@ -205,9 +207,13 @@
         if observation == Observation::Unreachable {
             u.reset_last_sent();
         }
-        if observation != Observation::Unreachable
-            || (!is_contradicted && u.is_corroborated(from, now))
-        {
+        let is_believed = match observation {
+            Observation::Unreachable => !is_contradicted && u.is_corroborated(from, now),
+            // Without a contradiction, one box is enough: the upstream's machine has answered.
+            Observation::Refused => u.is_corroborated(from, now) || !is_contradicted,
+            _ => true,
+        };
+        if is_believed {
             u.observe(observation, shed_share, now);
         }
         let after = u.shared.probability(now);
--- a/crates/honeypulley_policy/tests/balance/main.rs
+++ b/crates/honeypulley_policy/tests/balance/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod choice;
+mod contradicted;
 mod halls;
 mod lives;
 mod open_attempts;
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -83,6 +83,8 @@
     relays: Vec<SocketAddr>,
     /// Number of attempts that did not run.
     not_run: usize,
+    /// Number of those for which no connection to an upstream was established.
+    not_sent: usize,
     in_flight: Vec<InFlight>,
     unknown_reason: Option<String>,
     last_reason: String,
--- a/crates/honeypulley_proxy/src/race/relaying.rs
+++ b/crates/honeypulley_proxy/src/race/relaying.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Number of failed connections after which a request is offered to another box.
+const MAX_NOT_SENT: usize = 2;
 /// `Retry-After` of a request to a service that this box can't reach by any way.
 const NO_PATH_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -25,20 +27,28 @@
 impl Race {
     /// Returns where the next attempt is sent.
     ///
-    /// While this box is partitioned from the service and knows no other box that is not, one
-    /// request at a time is sent to an upstream, which shows whether the partition has ended.
+    /// A box that reaches some of the upstreams counts as not partitioned. Its requests go through
+    /// another box after failed connections to several of them. While it is partitioned and knows
+    /// no usable box, one request at a time is sent to an upstream, which shows whether the
+    /// partition has ended.
     ///
     /// # Errors
     /// Returns a [`Refusal`] if the request can't be served from here.
     pub(super) fn way(&self, progress: &Progress) -> Result<Way, Refusal> {
         let (service, now) = (self.checked_service(), self.gate.now());
-        if !self.gate.paths.lock().is_partitioned(service.id) {
+        let is_partitioned = self.gate.paths.lock().is_partitioned(service.id);
+        if !is_partitioned && progress.not_sent < MAX_NOT_SENT {
             return Ok(Way::Upstream);
         }
         if let Some(peer) = self.choose_peer(progress, now) {
-            paths::recheck(&self.gate, service);
+            if is_partitioned {
+                paths::recheck(&self.gate, service);
+            }
             return Ok(Way::Peer(peer));
         }
+        if !is_partitioned {
+            return Ok(Way::Upstream);
+        }
         if self.relayed {
             paths::recheck(&self.gate, service);
         } else if self.gate.paths.lock().begin_check(service.id, now) {
@@ -80,7 +90,7 @@
         log::info!(
             request = self.id.as_str(), same:display = self.out.same.caller, service,
             peer:display, attempts, left_ms = left.map(|d| d.as_millis() as u64);
-            "route: {kind} relayed through {peer}, no upstream is reachable from this box"
+            "route: {kind} relayed through {peer}, connections from this box fail"
         );
         let head = RelayHead { caller: self.out.caller, attempts };
         let key = &self.gate.relays.as_ref().expect("a box was chosen").key;
--- a/crates/honeypulley_proxy/src/race/report.rs
+++ b/crates/honeypulley_proxy/src/race/report.rs
@@ -49,6 +49,7 @@
             Failure::NotSent { why } => {
                 log::warn!(request, service, upstream = name; "attempt: not sent to {name}: {why}");
                 progress.not_run += 1;
+                progress.not_sent += 1;
                 progress.last_reason.clone_from(why);
             }
             Failure::NotRun { why } => {
--- a/crates/honeypulley_proxy/tests/race/partition.rs
+++ b/crates/honeypulley_proxy/tests/race/partition.rs
@@ -1,9 +1,14 @@
 //! Tests what a box learns of upstreams while it is partitioned from them.
 
-use crate::support::{TestGate, race, test_gate};
+use crate::support::{TestGate, race, test_gate, test_gate_with_relays};
 use honeypulley_policy::balance::Update;
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::time::Time;
+use honeypulley_proxy::relay::{RelayKey, RelayPeers, RelayRequest, Relays};
 use honeypulley_supervisor::clock::Clock;
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 
@@ -61,6 +66,35 @@
     assert!(observations(&test) > 0);
 }
 
+/// Records to which services another box was asked for, and knows none.
+#[derive(Debug, Default)]
+struct NoPeers(Mutex<Vec<NameId>>);
+
+impl RelayPeers for NoPeers {
+    fn choose(&self, wanted: &RelayRequest<'_>, _: Time) -> Option<SocketAddr> {
+        self.0.lock().push(wanted.service);
+        None
+    }
+    fn record_unusable(&self, _: SocketAddr, _: NameId, _: Time) {}
+    fn announce(&self, _: NameId, _: bool) {}
+}
+
+/// A box that reaches some upstreams is not partitioned, and its requests still need another box.
+#[tokio::test]
+async fn a_request_is_offered_to_another_box_after_two_failed_connections() {
+    let mut addrs = vec![open_address().await, open_address().await];
+    for _ in 0..6 {
+        addrs.push(closed_address().await);
+    }
+    let peers = Arc::new(NoPeers::default());
+    let relays = Relays { peers: Arc::<NoPeers>::clone(&peers), key: RelayKey::new([0; 32]) };
+    let test = test_gate_with_relays(&addrs, Clock::start(), Some(relays));
+    for _ in 0..20 {
+        send(&test).await;
+    }
+    assert!(!peers.0.lock().is_empty());
+}
+
 /// Without another upstream to compare with, a refused connection is a fault of the upstream.
 #[tokio::test]
 async fn the_only_upstream_of_a_service_is_reported_at_once() {
