Bound the memory for buffered answers of all connections together

At most 32 MB are buffered at once now, counted until the bytes are sent, by the length in the head where there is one; answers beyond are streamed, where a cut shows as a cut.

--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -1,5 +1,6 @@
 //! A single exchange with an upstream.
 
+use crate::buffers::AnswerBuffers;
 use crate::dialect::Dialect;
 use crate::gate::ProxyState;
 use crate::liveness::refuses_connections;
@@ -15,11 +16,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest answer that is buffered before it is forwarded, in bytes.
-///
-/// The longest download specified by the deployments has 540,000 bytes.
-const MAX_BUFFERED_ANSWER: usize = 1_024 * 1_024;
-
 /// Request to be sent, which is the same for all attempts.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
@@ -183,8 +179,11 @@
         return Err((upstream, f));
     }
     let head = AnswerHead { status: response.status(), headers: response.headers().clone() };
-    let body =
-        if out.buffered { read_body(response).await } else { Ok(AnswerBody::Open(response)) };
+    let body = if out.buffered {
+        read_body(response, &gate.buffers).await
+    } else {
+        Ok(AnswerBody::Open(response))
+    };
     match body {
         Ok(body) => {
             if matches!(body, AnswerBody::Whole(_)) {
@@ -333,16 +332,24 @@
     Ok(())
 }
 
-/// Buffers a body up to [`MAX_BUFFERED_ANSWER`] bytes.
-pub(crate) async fn read_body(mut r: reqwest::Response) -> Result<AnswerBody, String> {
-    let mut buffer = BytesMut::new();
+/// Buffers a body, unless it is too long or too much is buffered.
+pub(crate) async fn read_body(
+    mut r: reqwest::Response,
+    buffers: &AnswerBuffers,
+) -> Result<AnswerBody, String> {
+    let mut held = buffers.begin();
+    let length = r.content_length().map(|n| usize::try_from(n).unwrap_or(usize::MAX));
+    if length.is_some_and(|n| !held.add(n)) {
+        return Ok(AnswerBody::Open(r));
+    }
+    let mut buffer = BytesMut::with_capacity(length.unwrap_or(0));
     while let Some(chunk) = r.chunk().await.map_err(|e| innermost(&e))? {
         buffer.extend_from_slice(&chunk);
-        if buffer.len() > MAX_BUFFERED_ANSWER {
-            return Ok(AnswerBody::Begun(buffer.freeze(), r));
+        if length.is_none() && !held.add(chunk.len()) {
+            return Ok(AnswerBody::Begun(held.attach(buffer.freeze()), r));
         }
     }
-    Ok(AnswerBody::Whole(buffer.freeze()))
+    Ok(AnswerBody::Whole(held.attach(buffer.freeze())))
 }
 
 /// Returns whether a truncated body could be detected.
--- a/crates/honeypulley_proxy/src/gate.rs
+++ b/crates/honeypulley_proxy/src/gate.rs
@@ -1,6 +1,7 @@
 //! State of the serving path, independent of the configuration source and the policy.
 
 use crate::answer::LocalAnswer;
+use crate::buffers::AnswerBuffers;
 use crate::dialect::Dialect;
 use crate::fingerprint::Fingerprinter;
 use crate::relay::Relays;
@@ -139,6 +140,8 @@
     pub client: reqwest::Client,
     /// Local address of connections to upstreams, if it is not left to the system.
     pub source: Option<IpAddr>,
+    /// Bound on the answers that are buffered whole.
+    pub buffers: AnswerBuffers,
     /// Paths of this box to the upstreams of each service.
     pub paths: Mutex<PathMonitor>,
     /// Relays for requests to services that this box can't reach, if there are any.
--- a/crates/honeypulley_proxy/src/lib.rs
+++ b/crates/honeypulley_proxy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod body;
+pub mod buffers;
 pub mod callers;
 pub mod dialect;
 pub mod fingerprint;
--- a/crates/honeypulley_proxy/src/relay.rs
+++ b/crates/honeypulley_proxy/src/relay.rs
@@ -195,7 +195,7 @@
     head.headers.remove(RELAY_OUTCOME);
     let body = if out.buffered {
         let cut = |why| RelayFailure::Unknown { why: format!("the answer was cut: {why}") };
-        read_body(response).await.map_err(cut)?
+        read_body(response, &gate.buffers).await.map_err(cut)?
     } else {
         AnswerBody::Open(response)
     };
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -1,6 +1,7 @@
 //! State of the serving thread, and the queues through which other duties update it.
 
 use crate::answer::LocalAnswer;
+use crate::buffers::AnswerBuffers;
 use crate::callers::CallerLimits;
 use crate::dialect::Dialect;
 use crate::fingerprint::Fingerprinter;
@@ -148,6 +149,7 @@
             suspects: Arc::<LocalQuarantine>::default(),
             client: client(source, Reuse::Pooled)?,
             source,
+            buffers: AnswerBuffers::default(),
             paths: Mutex::default(),
             relays: None,
             clock,
--- a/crates/honeypulley_proxy/tests/race/support.rs
+++ b/crates/honeypulley_proxy/tests/race/support.rs
@@ -12,6 +12,7 @@
 use honeypulley_proxy::answer::LocalAnswer;
 use honeypulley_proxy::attempt::Outgoing;
 use honeypulley_proxy::body::Source;
+use honeypulley_proxy::buffers::AnswerBuffers;
 use honeypulley_proxy::dialect::Dialect;
 use honeypulley_proxy::fingerprint::Fingerprinter;
 use honeypulley_proxy::gate::{
@@ -76,6 +77,7 @@
         fingerprints: Fingerprinter::new([0; 32]),
         suspects: Arc::<LocalQuarantine>::default(),
         source: None,
+        buffers: AnswerBuffers::default(),
         paths: Mutex::default(),
         relays,
         client: client(None, Reuse::Fresh).expect("the client can be built"),
