Count the attempts that another box was given as possibly run

Found by reading: a hedge that was relayed while the first attempt was in flight was not counted, so that a third attempt could have followed where the route allows two. The attempts passed on count until the other box says that nothing ran. A request that a quarantine holds is not offered to a second box after the first was unusable, as after a failed connection. No test of its own: the case needs a partition between a first attempt and its hedge.

--- a/crates/honeypulley_proxy/src/paths.rs
+++ b/crates/honeypulley_proxy/src/paths.rs
@@ -22,7 +22,7 @@
     pub id: NameId,
 }
 
-/// Returns whether a failure to connect to `failed` is explained by a partition of this box.
+/// Returns whether a partition of this box explains a failed exchange with `failed`.
 ///
 /// The attempt began at `began`. A service without other upstreams gives no evidence of a partition.
 pub async fn explains_failure(
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -81,6 +81,8 @@
     attempted: Vec<UpstreamKey>,
     /// Other boxes to which the request was offered.
     relays: Vec<SocketAddr>,
+    /// Number of upstreams that may run the request at another box.
+    passed_on: usize,
     /// Number of attempts that did not run.
     not_run: usize,
     /// Number of those for which no connection to an upstream was established.
@@ -97,7 +99,7 @@
 impl Progress {
     /// Returns the number of upstreams that may have run the request.
     const fn maybe_ran(&self) -> usize {
-        self.attempted.len() - self.not_run
+        self.attempted.len() - self.not_run + self.passed_on
     }
 }
 
@@ -358,11 +360,6 @@
         if !self.has_attempts_left(progress) || !self.can_meet_deadline() {
             return false;
         }
-        let failure = match ended {
-            Ended::Upstream(_, failure) => failure,
-            Ended::Peer(_, RelayFailure::Unusable { .. }) => return true,
-            Ended::Peer(..) => return false,
-        };
         let is_partitioned = self.gate.paths.lock().is_partitioned(self.checked_service().id);
         if !is_partitioned && !self.has_upstream(progress) {
             return false;
@@ -370,13 +367,17 @@
         let restriction = self.restriction();
         let is_limited = restriction >= Restriction::NoRetry;
         let is_safe = self.decision.info.repeatable || progress.unknown_reason.is_none();
-        match failure {
-            // Nothing was sent, so another attempt does not count as a retry.
-            Failure::NotSent { .. } => is_safe && !matches!(restriction, Restriction::Held { .. }),
-            Failure::NotRun { .. } => {
+        match ended {
+            // Nothing was sent to an upstream, so another attempt does not count as a retry.
+            Ended::Upstream(_, Failure::NotSent { .. })
+            | Ended::Peer(_, RelayFailure::Unusable { .. }) => {
+                is_safe && !matches!(restriction, Restriction::Held { .. })
+            }
+            Ended::Peer(..) => false,
+            Ended::Upstream(_, Failure::NotRun { .. }) => {
                 !is_limited && is_safe && self.spend_retry(RetryReason::Failed)
             }
-            Failure::Unknown { .. } => {
+            Ended::Upstream(_, Failure::Unknown { .. }) => {
                 !is_limited
                     && self.decision.info.repeatable
                     && self.spend_retry(RetryReason::Failed)
--- a/crates/honeypulley_proxy/src/race/relaying.rs
+++ b/crates/honeypulley_proxy/src/race/relaying.rs
@@ -87,6 +87,7 @@
         self.gate.count_tagged("relays", &[("service", service)]);
         let left = self.left();
         let attempts = self.decision.max_attempts.saturating_sub(progress.maybe_ran());
+        progress.passed_on += attempts;
         log::info!(
             request = self.id.as_str(), same:display = self.out.same.caller, service,
             peer:display, attempts, left_ms = left.map(|d| d.as_millis() as u64);
@@ -114,6 +115,7 @@
         let (request, service) = (self.id.as_str(), self.decision.service.as_str());
         match failure {
             RelayFailure::Unusable { why } => {
+                progress.passed_on = 0;
                 log::warn!(request, service, peer:display; "attempt: not relayed by {peer}: {why}");
                 progress.last_reason.clone_from(why);
                 if let Some(relays) = &self.gate.relays {
@@ -121,6 +123,7 @@
                 }
             }
             RelayFailure::Rejected { retry_after, why } => {
+                progress.passed_on = 0;
                 log::warn!(request, service, peer:display; "attempt: rejected by {peer}: {why}");
                 progress.last_reason.clone_from(why);
                 progress.retry_after = *retry_after;
