--- a/crates/honeypulley_mesh/tests/relay_directory.rs
+++ b/crates/honeypulley_mesh/tests/relay_directory.rs
@@ -35,7 +35,7 @@
     regions().set(&[name.to_owned()]).expect("the region exists")
 }
 
-/// Returns the address book of a box that has heard from a box in each of these data halls.
+/// Returns the address book of a box that has received a datagram of a box in each of these data halls.
 fn book(halls: &[&str]) -> AddressBook {
     let mut book = AddressBook::new(NameId(0), HALLS[0].0);
     for (n, hall) in (1..).zip(halls) {
@@ -89,7 +89,7 @@
 }
 
 #[test]
-fn a_box_that_could_not_serve_rests_for_a_second() {
+fn a_box_that_could_not_serve_is_excluded_for_a_second() {
     let (mut d, book) = (RelayDirectory::default(), book(&["a2", "a1"]));
     d.record_unusable(NameId(1), SERVICE, at(0));
     assert_eq!(choose(&d, &book, &WANTED, 999), Some(relay(2)));
@@ -122,9 +122,9 @@
     assert_eq!(choose(&RelayDirectory::default(), &book, &WANTED, 1), None);
 }
 
-/// Silent boxes are the last resort, in whichever data hall they are.
+/// A box from which nothing was received for five seconds comes last, whichever its data hall.
 #[test]
-fn a_box_that_was_heard_lately_goes_first() {
+fn a_reachable_box_goes_first() {
     let mut book = book(&["a1", "a2"]);
     book.record_contact(NameId(2), at(9_000));
     assert_eq!(choose(&RelayDirectory::default(), &book, &WANTED, 9_001), Some(relay(2)));
