--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -458,7 +458,12 @@
             policy.balancer().set_services(&table.services, now);
             let limits = table.organisations.iter().flat_map(Organisations::limits);
             policy.limits().replace_limits(limits);
-            log::info!(version = table.version; "table: version {} is in force", table.version);
+            let ranked = table.services.iter().filter(|s| s.mix.is_ranked()).count();
+            let mixed = table.services.iter().filter(|s| s.mix.is_mixed()).count();
+            log::info!(
+                version = table.version, ranked, mixed;
+                "table: version {} is in force", table.version
+            );
             self.mesh.in_force.store(Some(table));
         }
         let listed = self.mesh.list_known.load(Ordering::Acquire) && self.mesh.knows_evacuations();
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -168,6 +168,11 @@
     replaced @19;
     # The sender lost its paths to all upstreams of a service (count 1), or has one again (count 0).
     partitioned @20;
+    # Count: the admission level of a service at the sender, in thousandths.
+    pressure @21;
+    # For newly started boxes. Far: episodes of hanging of an upstream that the sender knows of.
+    # Count: seconds of its processing time over which they were counted.
+    hazard @22;
   }
 
   struct RequestItem {
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -191,6 +191,11 @@
                 (service, wire::NewsKind::Partitioned, u16::from(is_partitioned))
             }
             Update::Admitted { subject, sum } => (subject, wire::NewsKind::Admitted, sum),
+            Update::Pressure { service, level } => (service, wire::NewsKind::Pressure, level),
+            Update::Hazard { upstream, episodes, busy_s } => {
+                row.set_far(episodes);
+                (upstream, wire::NewsKind::Hazard, busy_s)
+            }
             Update::HallAdmitted { subject, count } => {
                 row.set_hall(count.hall.0);
                 row.set_latest(count.recent);
@@ -248,6 +253,10 @@
                 Update::Partitioned { service: id, is_partitioned: r.get_count() > 0 }
             }
             wire::NewsKind::Admitted => Update::Admitted { subject: id, sum: r.get_count() },
+            wire::NewsKind::Pressure => Update::Pressure { service: id, level: r.get_count() },
+            wire::NewsKind::Hazard => {
+                Update::Hazard { upstream: id, episodes: r.get_far(), busy_s: r.get_count() }
+            }
             wire::NewsKind::HallAdmitted => {
                 let hall = NameId(r.get_hall());
                 let count = HallCount {
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -75,7 +75,7 @@
         Just(Observation::Shed),
         Just(Observation::Hung),
     ];
-    let update = (any::<u64>(), observation, probability(), probability(), 0u8..13).prop_map(
+    let update = (any::<u64>(), observation, probability(), probability(), 0u8..15).prop_map(
         |(id, what, a, b, kind)| {
             let upstream = NameId(id);
             match kind {
@@ -108,6 +108,8 @@
                 }
                 11 => Update::Leaving { upstream },
                 12 => Update::Replaced { upstream },
+                13 => Update::Pressure { service: upstream, level: id as u16 },
+                14 => Update::Hazard { upstream, episodes: id as u8, busy_s: id as u16 },
                 5 => Update::Denied { service: upstream, requests: id as u16, retries: id as u8 },
                 _ => Update::Retry { service: upstream, requests: id as u16, retries: id as u8 },
             }
--- a/crates/honeypulley_policy/src/balance/received.rs
+++ b/crates/honeypulley_policy/src/balance/received.rs
@@ -97,6 +97,7 @@
             }
             // Counts and paths of other boxes are not handled by the balancer.
             Update::HallAdmitted { .. } | Update::Partitioned { .. } => {}
+            Update::Pressure { .. } | Update::Hazard { .. } => {}
         }
         None
     }
--- a/crates/honeypulley_policy/src/balance/update.rs
+++ b/crates/honeypulley_policy/src/balance/update.rs
@@ -98,6 +98,22 @@
         /// Retries that the sender made within that window; a lower bound.
         retries: u8,
     },
+    /// The sender's admission level for a service.
+    Pressure {
+        /// The service.
+        service: NameId,
+        /// Level in thousandths; zero while all priorities are admitted.
+        level: u16,
+    },
+    /// How often an upstream has hung, for a newly started box.
+    Hazard {
+        /// The upstream.
+        upstream: NameId,
+        /// Episodes of hanging that the sender knows of.
+        episodes: u8,
+        /// Seconds of processing time over which they were counted.
+        busy_s: u16,
+    },
     /// The sender admitted a rate-limited request; sent within its data hall.
     Admitted {
         /// What the limit applies to: an organisation or an upstream.
--- a/crates/honeypulley_policy/src/lib.rs
+++ b/crates/honeypulley_policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod quarantine;
 pub mod regions;
 pub mod revision;
+pub mod route_mix;
 pub mod router;
 pub mod routes;
 pub mod signals;
--- a/crates/honeypulley_policy/src/routes.rs
+++ b/crates/honeypulley_policy/src/routes.rs
@@ -2,6 +2,7 @@
 
 use crate::organisations::Organisations;
 use crate::regions::RegionSet;
+use crate::route_mix::RouteMix;
 use crate::spec::ServiceSpec;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -164,6 +165,14 @@
         /// Name of the service.
         service: String,
     },
+    /// A priority is out of range.
+    #[error("route {route}: priority {priority} is above {}", RouteMix::LOWEST_PRIORITY)]
+    Priority {
+        /// Name of the route.
+        route: String,
+        /// Priority in the table.
+        priority: u8,
+    },
     /// A path prefix does not begin and end with a slash.
     #[error("route {route}: prefix {prefix} does not begin and end with a slash")]
     Prefix {
@@ -181,13 +190,14 @@
     /// Returns an error for the first invalid route.
     pub fn new(
         version: u64,
-        services: Vec<ServiceSpec>,
+        mut services: Vec<ServiceSpec>,
         routes: Vec<Route>,
         limits: CallerLimits,
     ) -> Result<Self, RouteError> {
         let mut by_prefix = HashMap::with_capacity(routes.len());
         for r in routes {
             validate(&r, &services)?;
+            add_to_mix(&r, &mut services);
             by_prefix.insert(format!("{}{}", r.host, r.prefix), Arc::new(r));
         }
         Ok(Self {
@@ -251,9 +261,22 @@
     if !r.prefix.starts_with('/') || !r.prefix.ends_with('/') {
         return Err(RouteError::Prefix { route, prefix: r.prefix.clone() });
     }
+    if r.priority > RouteMix::LOWEST_PRIORITY {
+        return Err(RouteError::Priority { route, priority: r.priority });
+    }
     let is_unknown = |t: &&Target| !services.iter().any(|s| s.name == t.service);
     match r.targets.iter().find(is_unknown) {
         Some(t) => Err(RouteError::UnknownService { route, service: t.service.clone() }),
         None => Ok(()),
     }
 }
+
+/// Adds a route to the mixes of its services.
+fn add_to_mix(r: &Route, services: &mut [ServiceSpec]) {
+    let is_target =
+        |s: &&mut ServiceSpec| r.targets.iter().any(|t| t.weight > 0 && t.service == s.name);
+    services
+        .iter_mut()
+        .filter(is_target)
+        .for_each(|s| s.mix.add(r.priority, r.kind.is_repeatable()));
+}
--- a/crates/honeypulley_policy/src/spec.rs
+++ b/crates/honeypulley_policy/src/spec.rs
@@ -1,5 +1,6 @@
 //! Settings of services and entries of the list of upstreams.
 
+use crate::route_mix::RouteMix;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -117,6 +118,10 @@
     pub rate: Option<f64>,
     /// Requests per second that one upstream bears while it warms up, if there is a limit.
     pub warm_up_rate: Option<f64>,
+    /// Priorities and kinds of its routes, as derived from the routing table.
+    #[builder(default)]
+    #[serde(skip)]
+    pub mix: RouteMix,
 }
 
 /// State of an upstream in the platform's lagging list.
--- a/crates/honeypulley_policy/tests/routes.rs
+++ b/crates/honeypulley_policy/tests/routes.rs
@@ -1,5 +1,6 @@
 //! Tests prefix matching and validation of the routing table.
 
+use honeypulley_policy::route_mix::RouteMix;
 use honeypulley_policy::routes::{
     CallerLimits, RequestKind, Route, RouteError, RouteTable, Target,
 };
@@ -94,3 +95,30 @@
         prop_assert_eq!(t.find("h", &path).map(|r| &r.name), linear);
     }
 }
+
+/// Guards against scheduling by priority on services whose routes are all alike.
+#[rstest]
+#[case::one_route(&[(1, RequestKind::Safe)], (false, false))]
+#[case::alike(&[(1, RequestKind::Safe), (1, RequestKind::Download)], (false, false))]
+#[case::priorities(&[(1, RequestKind::Safe), (2, RequestKind::Safe)], (true, false))]
+#[case::kinds(&[(1, RequestKind::Safe), (1, RequestKind::Unsafe)], (false, true))]
+fn the_mix_of_a_service_shows_how_its_routes_differ(
+    #[case] routes: &[(u8, RequestKind)],
+    #[case] (is_ranked, is_mixed): (bool, bool),
+) {
+    let routes = routes.iter().enumerate().map(|(i, &(priority, kind))| Route {
+        priority,
+        kind,
+        ..route(&format!("r{i}"), "a.example", &format!("/{i}/"))
+    });
+    let t = table(routes.collect()).expect("table is valid");
+    let mix = t.services[0].mix;
+    assert_eq!((mix.is_ranked(), mix.is_mixed()), (is_ranked, is_mixed));
+}
+
+#[rstest]
+fn priorities_out_of_range_are_rejected() {
+    let priority = RouteMix::LOWEST_PRIORITY + 1;
+    let rejected = table(vec![Route { priority, ..route("r", "a", "/") }]);
+    assert_eq!(rejected.err(), Some(RouteError::Priority { route: "r".to_owned(), priority }));
+}
