Ports of test fleets: reserved among processes, and found free without binding them

A box of the evacuations test once found its port in use. Ports lie below the range for outgoing connections (32768 up), and a process draws none twice, so neither explains it. Two causes remain, and both are shown by a test that fails without the change:

- A probe binds the port for a moment.
A process that another test starts in that moment has a copy of the socket until it executes its program, so that the port stays in use.
- Two processes draw from the same range without knowledge of each other.
From a range of 20 ports, two processes that drew ten each were given 5 in common.

Free ports are now found in the kernel's tables of sockets. A process reserves each port by an abstract socket, which the kernel frees when the process ends. Locked files in the temporary directory were not used, since they need clean-up and may belong to another user.

--- a/tools/fleet/src/lib.rs
+++ b/tools/fleet/src/lib.rs
@@ -2,9 +2,12 @@
 //!
 //! This is a development tool; the shipped programs never start other processes.
 
+pub mod ports;
 pub mod process;
 pub mod shape;
 
+pub use ports::{choose_port, free_port};
+
 use eyre::{Result, WrapErr, bail, eyre};
 use honeypulley_daemon::status::BoxStatus;
 use honeypulley_platform::roster::{BoxEntry, Roster};
@@ -14,11 +17,9 @@
 use process::{Process, program};
 use reqwest::Client;
 use shape::{FLEET_KEY, FleetConfig};
-use std::collections::BTreeSet;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
-use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
@@ -381,49 +382,6 @@
     Ok(())
 }
 
-/// Range of ports for test fleets.
-///
-/// It lies below the kernel's range for outgoing connections, so that the kernel
-/// assigns none of them between the choice of a port and its use.
-const PORTS: std::ops::Range<u16> = 10_000..32_000;
-
-/// Ports that this process has allocated.
-///
-/// Tests start fleets concurrently, and a port looks free until the program that
-/// it was allocated for has bound it. Ports are shared by the whole machine, so
-/// the set is shared by all fleets of the process.
-static ALLOCATED_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
-
-/// Allocates a loopback port that is free for both TCP and UDP.
-///
-/// # Errors
-/// Returns an error if no free port is found.
-pub fn free_port() -> Result<SocketAddr> {
-    let mut allocated = ALLOCATED_PORTS.lock().unwrap_or_else(PoisonError::into_inner);
-    let loopback = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-    let is_free = |port| {
-        let addr = loopback(port);
-        TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok()
-    };
-    let port = choose_port(&mut allocated, || fastrand::u16(PORTS), is_free);
-    port.map(loopback).ok_or_else(|| eyre!("no free port found in {PORTS:?}"))
-}
-
-/// Chooses a port that was not allocated before; `None` after a thousand failed draws.
-///
-/// An allocated port is never probed, because its program could not bind it during
-/// the probe.
-pub fn choose_port(
-    allocated: &mut BTreeSet<u16>,
-    mut draw: impl FnMut() -> u16,
-    mut is_free: impl FnMut(u16) -> bool,
-) -> Option<u16> {
-    (0..1_000).find_map(|_| {
-        let port = draw();
-        (allocated.insert(port) && is_free(port)).then_some(port)
-    })
-}
-
 /// Returns a path as text.
 ///
 /// # Panics
