Stopping box: accept only what can finish before the process ends

In the second half of a bounded stop the box now accepts a request only if its time limit ends 0.2 s before the process does. Others get 503, not run, with Connection: close and Retry-After. The decision is in policy/src/shutdown.rs; the handler asks for it before it reads the body, while the body arrives and before the first attempt. Requests that are open shortly before the end get 504 in place of a closed connection.

--- a/crates/honeypulley_daemon/src/context.rs
+++ b/crates/honeypulley_daemon/src/context.rs
@@ -312,7 +312,7 @@
     /// # Errors
     /// Returns the reason why it is not ready.
     pub fn readiness(&self) -> Result<(), String> {
-        if self.shared.gate.leaving.load(Ordering::Relaxed) {
+        if self.shared.gate.stop.has_begun() {
             return Err("leaving".to_owned());
         }
         if self.shared.in_force().is_none() {
--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -1,6 +1,7 @@
 //! Serves callers, and shuts down once every open session has ended.
 
 use eyre::{Result, WrapErr, eyre};
+use honeypulley_policy::shutdown::PlannedStop;
 use honeypulley_proxy::gate::ProxyState;
 use honeypulley_proxy::handler::ProxyHandler;
 use honeypulley_proxy::shared::StateUpdater;
@@ -94,7 +95,7 @@
         let server_task = tokio::spawn(callers.serve(service(handler)));
         shutdown.drain.cancelled().await;
         let began = Instant::now();
-        gate.leaving.store(true, Ordering::Relaxed);
+        gate.stop.begin(PlannedStop::new(gate.now(), self.limits.grace));
         let wait = self.limits.leave_wait;
         log::info!(open = gate.open.load(Ordering::Relaxed); "stop: reporting not ready, closing the port in {wait:?}");
         tokio::time::sleep(wait).await;
--- a/crates/honeypulley_mesh/src/admin.rs
+++ b/crates/honeypulley_mesh/src/admin.rs
@@ -23,11 +23,20 @@
         let names = table.iter().flat_map(|t| &t.services).map(|s| s.name.as_str());
         names.filter(|n| is_partitioned(n)).map(str::to_owned).collect()
     }
+
+    /// Returns the time left in a planned stop, and how many requests it was too short for.
+    fn stop_status(&self) -> Option<serde_json::Value> {
+        let left = self.stop.current()?.left(self.now());
+        Some(serde_json::json!({
+            "left_ms": left.map(|l| l.as_millis() as u64),
+            "refused": self.stop.rejected(),
+        }))
+    }
 }
 
 impl AdminView for Mesh {
     fn readiness(&self) -> Result<(), String> {
-        if self.leaving.load(Ordering::Relaxed) {
+        if self.stop.has_begun() {
             return Err("a planned stop has begun".to_owned());
         }
         if self.in_force.load().is_none() {
@@ -60,6 +69,7 @@
             "held": self.quarantined_requests().len(),
             "evacuated": self.evacuated_halls(),
             "unknown_kinds": self.unknown_kinds(),
+            "stop": self.stop_status(),
             "not_ready": self.readiness().err(),
         });
         status.to_string().into_bytes()
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -28,6 +28,7 @@
 use honeypulley_policy::revision::Revision;
 use honeypulley_policy::routes::RouteTable;
 use honeypulley_policy::time::Time;
+use honeypulley_proxy::stop::StopState;
 use honeypulley_supervisor::clock::Clock;
 use honeypulley_supervisor::ring::{OverflowPolicy, Ring};
 use parking_lot::{Mutex, MutexGuard};
@@ -168,8 +169,8 @@
     pub list_known: AtomicBool,
     /// Set while the other boxes may not know this box's address.
     pub unannounced: AtomicBool,
-    /// Set during a planned shutdown.
-    pub leaving: Arc<AtomicBool>,
+    /// State of a planned stop.
+    pub stop: Arc<StopState>,
     seeds: Mutex<Vec<SocketAddr>>,
     pub(crate) registry: Registry,
     book: Mutex<AddressBook>,
@@ -207,7 +208,7 @@
         settings: MeshSettings,
         clock: Clock,
         decoder: Arc<dyn Decoder>,
-        leaving: Arc<AtomicBool>,
+        stop: Arc<StopState>,
     ) -> Self {
         let id = NameId::of(&settings.name);
         let is_slow = settings.link_mbps.is_some_and(|l| l < SLOW_LINK_MBPS);
@@ -234,7 +235,7 @@
             startup: Startup::default(),
             list_known: AtomicBool::new(false),
             unannounced: AtomicBool::new(settings.first_start),
-            leaving,
+            stop,
             seeds: Mutex::new(settings.seeds.clone()),
             registry: Registry::default(),
             book: Mutex::new(AddressBook::new(id, &settings.hall)),
--- a/crates/honeypulley_mesh/tests/boxes/support.rs
+++ b/crates/honeypulley_mesh/tests/boxes/support.rs
@@ -18,7 +18,6 @@
 use honeypulley_supervisor::tree::{Shutdown, Supervisor};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -138,8 +137,7 @@
         held_key: "h/requests".to_owned(),
         evacuation_prefix: None,
     };
-    let leaving = Arc::new(AtomicBool::new(false));
-    Arc::new(Mesh::new(settings, clock, Arc::new(TestDecoder(keys)), leaving))
+    Arc::new(Mesh::new(settings, clock, Arc::new(TestDecoder(keys)), Arc::default()))
 }
 
 /// A box that runs only its peer duty; the test takes the place of its store.
--- a/crates/honeypulley_observe/src/explain.rs
+++ b/crates/honeypulley_observe/src/explain.rs
@@ -155,7 +155,8 @@
     } else {
         format!("; the caller was told to come back after {wait} ms")
     };
-    let cause = failed.last().map_or_else(String::new, |l| format!(" ({})", l.message));
+    let attempt = failed.last().map(|l| format!(" ({})", l.message));
+    let cause = stop_cause(lines).or(attempt).unwrap_or_default();
     Some(format!("answered {status} by the box: {why}{cause}; {execution}{advice}"))
 }
 
@@ -171,6 +172,17 @@
     })
 }
 
+/// Returns the times that decided that a stopping box rejects the request, if it did.
+fn stop_cause(lines: &[Line]) -> Option<String> {
+    let refused =
+        lines.iter().rev().find(|l| l.message.starts_with("route: refused, the box stops"))?;
+    let limit = match refused.field("limit_ms") {
+        "" => "the request had no time limit".to_owned(),
+        ms => format!("the request might have taken {ms} ms"),
+    };
+    Some(format!(" (it was to end within {} ms, and {limit})", refused.field("left_ms")))
+}
+
 fn last_upstream(lines: &[Line]) -> &str {
     let named = lines.iter().rev().find(|l| l.message.contains(" sent to "));
     named.map_or("no upstream", |l| l.field("upstream"))
--- a/crates/honeypulley_observe/tests/explain.rs
+++ b/crates/honeypulley_observe/tests/explain.rs
@@ -19,6 +19,10 @@
 timestamp=2026-12-02T10:00:03.002Z level=INFO message="route: first sent to i-9" request=r5 upstream=i-9 box=b
 timestamp=2026-12-02T10:00:03.300Z level=INFO message="route: answered" request=r5 service=s status=200 took_ms=298 box=b
 timestamp=2026-12-02T10:00:03.301Z level=INFO message="route: answered" request=r5 service=s status=200 took_ms=301 box=a
+timestamp=2026-12-02T10:00:04.000Z level=INFO message="route: refused, the box stops before the request's time limit ends" request=r6 left_ms=2580 limit_ms=3000 box=a
+timestamp=2026-12-02T10:00:04.001Z level=WARN message="route: own answer, the box stops before the request's time limit ends" request=r6 status=503 outcome=NotRun retry_after_ms=100 box=a
+timestamp=2026-12-02T10:00:04.100Z level=INFO message="route: refused, the box stops before the request's time limit ends" request=r7 left_ms=2480 box=a
+timestamp=2026-12-02T10:00:04.101Z level=WARN message="route: own answer, the box stops before the request's time limit ends" request=r7 status=503 outcome=NotRun retry_after_ms=100 box=a
 "#;
 
 #[rstest]
@@ -39,6 +43,14 @@
     "r5",
     "i-9 answered with 200 after 301 ms, through the box at 10.0.0.2:7001, since connections from a failed"
 )]
+#[case(
+    "r6",
+    "answered 503 by the box: the box stops before the request's time limit ends (it was to end within 2580 ms, and the request might have taken 3000 ms); it was not run; the caller was told to come back after 100 ms"
+)]
+#[case(
+    "r7",
+    "answered 503 by the box: the box stops before the request's time limit ends (it was to end within 2480 ms, and the request had no time limit); it was not run; the caller was told to come back after 100 ms"
+)]
 fn a_request_is_explained_in_a_sentence(#[case] id: &str, #[case] expected: &str) {
     let found = explain::request(id, LINES.lines()).expect("the log names it");
     assert_eq!(found.verdict, expected);
--- a/crates/honeypulley_policy/src/lib.rs
+++ b/crates/honeypulley_policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod route_mix;
 pub mod router;
 pub mod routes;
+pub mod shutdown;
 pub mod signals;
 pub mod spec;
 pub mod spread;
--- /dev/null
+++ b/crates/honeypulley_policy/src/shutdown.rs
@@ -0,0 +1,73 @@
+//! Decides what a box still accepts during a planned stop.
+
+use crate::time::Time;
+use std::time::Duration;
+
+/// Time before the end of the process in which answers are written.
+///
+/// Twenty round trips of 10 ms, the longest within a region.
+pub const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
+/// A planned stop that has begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannedStop {
+    began: Time,
+    /// Time from the beginning to the end of the process, if it is bounded.
+    grace: Option<Duration>,
+}
+
+/// A request that may still run when the process ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the box stops before the request's time limit ends")]
+pub struct Unfinishable {
+    /// Time until the process ends.
+    pub left: Duration,
+    /// Time until the request's limit ends, if it has one.
+    pub limit: Option<Duration>,
+}
+
+impl PlannedStop {
+    /// Creates the state of a stop that begins now and lasts for `grace` at most.
+    #[must_use]
+    pub const fn new(began: Time, grace: Option<Duration>) -> Self {
+        Self { began, grace }
+    }
+
+    /// Returns whether a request may be sent to an upstream that has seen nothing of it.
+    ///
+    /// `deadline` is the end of the request's time limit. In the first half of the grace period
+    /// every request is accepted, since it has at least the second half to finish.
+    ///
+    /// # Errors
+    /// Returns an error if the request may still run when the process ends.
+    pub fn check(&self, deadline: Option<Time>, now: Time) -> Result<(), Unfinishable> {
+        let (Some(end), Some(half)) = (self.end(), self.half()) else { return Ok(()) };
+        let can_finish = deadline.is_some_and(|d| d + ANSWER_MARGIN <= end);
+        if now < half || can_finish {
+            return Ok(());
+        }
+        Err(Unfinishable { left: end.since(now), limit: deadline.map(|d| d.since(now)) })
+    }
+
+    /// Returns when the second half of the grace period begins, if the stop is bounded.
+    #[must_use]
+    pub fn half(&self) -> Option<Time> {
+        self.grace.map(|g| self.began + g / 2)
+    }
+
+    /// Returns when all open requests must be answered, if the stop is bounded.
+    #[must_use]
+    pub fn answer_by(&self) -> Option<Time> {
+        self.grace.map(|g| self.began + g.saturating_sub(ANSWER_MARGIN))
+    }
+
+    /// Returns the time until the process ends, if the stop is bounded.
+    #[must_use]
+    pub fn left(&self, now: Time) -> Option<Duration> {
+        self.end().map(|end| end.since(now))
+    }
+
+    fn end(&self) -> Option<Time> {
+        self.grace.map(|g| self.began + g)
+    }
+}
--- /dev/null
+++ b/crates/honeypulley_policy/tests/shutdown.rs
@@ -0,0 +1,75 @@
+//! Requests that a stopping box accepts.
+
+use honeypulley_policy::shutdown::{ANSWER_MARGIN, PlannedStop, Unfinishable};
+use honeypulley_policy::time::Time;
+use rstest::rstest;
+use std::time::Duration;
+
+/// When the stops of these tests begin, in milliseconds.
+const BEGAN: u64 = 10_000;
+const GRACE: Duration = Duration::from_millis(5_000);
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(BEGAN + ms)
+}
+
+fn stop() -> PlannedStop {
+    PlannedStop::new(at(0), Some(GRACE))
+}
+
+/// Guards against rejecting callers while there is time to serve them.
+#[rstest]
+#[case::at_once(0, Some(60_000))]
+#[case::before_the_half(2_499, Some(60_000))]
+#[case::without_a_limit(2_499, None)]
+#[case::expired(2_499, Some(100))]
+fn the_first_half_accepts_everything(#[case] now: u64, #[case] deadline: Option<u64>) {
+    assert_eq!(stop().check(deadline.map(at), at(now)), Ok(()));
+}
+
+#[rstest]
+#[case::fits(2_500, 4_800, true)]
+#[case::outlasts_by_a_moment(2_500, 4_801, false)]
+#[case::outlasts_the_box(2_500, 5_500, false)]
+#[case::late_and_short(4_700, 4_750, true)]
+#[case::late_and_long(4_700, 4_900, false)]
+#[case::after_the_end(5_100, 5_200, false)]
+fn the_second_half_accepts_what_ends_before_the_box(
+    #[case] now: u64,
+    #[case] deadline: u64,
+    #[case] is_accepted: bool,
+) {
+    assert_eq!(stop().check(Some(at(deadline)), at(now)).is_ok(), is_accepted);
+}
+
+#[test]
+fn the_second_half_rejects_requests_without_a_limit() {
+    let left = Duration::from_millis(1_000);
+    assert_eq!(stop().check(None, at(4_000)), Err(Unfinishable { left, limit: None }));
+}
+
+#[test]
+fn a_rejection_tells_what_is_left() {
+    let (left, limit) = (Duration::from_millis(2_000), Duration::from_millis(3_000));
+    let rejected = stop().check(Some(at(6_000)), at(3_000));
+    assert_eq!(rejected, Err(Unfinishable { left, limit: Some(limit) }));
+}
+
+#[rstest]
+#[case(0)]
+#[case(2_600)]
+#[case(3_600_000)]
+fn a_stop_without_a_bound_accepts_everything(#[case] now: u64) {
+    let unbounded = PlannedStop::new(at(0), None);
+    assert_eq!(unbounded.check(None, at(now)), Ok(()));
+    assert_eq!(unbounded.check(Some(at(now + 60_000)), at(now)), Ok(()));
+    assert_eq!((unbounded.half(), unbounded.answer_by()), (None, None));
+}
+
+/// Guards against an end of a very short grace period that lies before its beginning.
+#[test]
+fn a_grace_below_the_margin_accepts_nothing_in_its_second_half() {
+    let short = PlannedStop::new(at(0), Some(ANSWER_MARGIN / 2));
+    assert!(short.check(Some(at(60)), at(60)).is_err());
+    assert_eq!(short.answer_by(), Some(at(0)));
+}
--- a/crates/honeypulley_proxy/src/gate.rs
+++ b/crates/honeypulley_proxy/src/gate.rs
@@ -5,6 +5,7 @@
 use crate::dialect::Dialect;
 use crate::fingerprint::Fingerprinter;
 use crate::relay::Relays;
+use crate::stop::StopState;
 use crate::suspects::RequestQuarantine;
 use cadence::{Counted, CountedExt, StatsdClient, Timed};
 use futures::future::BoxFuture;
@@ -19,7 +20,7 @@
 use std::fmt::{self, Debug};
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// Timeout for connecting to an upstream.
@@ -152,8 +153,8 @@
     pub metrics: Arc<StatsdClient>,
     /// Number of open requests and upgraded sessions.
     pub open: AtomicUsize,
-    /// Set during a planned stop.
-    pub leaving: Arc<AtomicBool>,
+    /// State of a planned stop.
+    pub stop: Arc<StopState>,
 }
 
 impl Debug for ProxyState {
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -11,13 +11,14 @@
 use crate::upgrade;
 use async_trait::async_trait;
 use honeypulley_policy::quarantine::{Fingerprint, Fingerprints, Restriction};
+use honeypulley_policy::shutdown::Unfinishable;
+use honeypulley_policy::time::Time;
 use http::{HeaderValue, Method, StatusCode, Version, header};
 use http_body_util::BodyExt;
 use hyper::upgrade::OnUpgrade;
 use salvo::http::ResBody;
 use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -29,6 +30,11 @@
 /// It leaves most of the memory and connections of a box to its own callers.
 const MAX_RELAYED: usize = 256;
 
+/// `Retry-After` of a request that this box can't finish before it stops.
+///
+/// Another box serves the caller's next connection at once.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// HTTP handler for the requests of callers, or for those that other boxes relay.
 #[derive(Clone, Debug)]
 pub struct ProxyHandler {
@@ -91,9 +97,7 @@
         dialect.set_organisation(&decision.owner, &mut out.headers);
         out.buffered = decision.buffered && !out.upgrade;
         decision.info.repeatable &= !out.upgrade;
-        let left = deadline.map(|d| d.since(self.gate.now()));
-        let body_timeout = left.map_or(BODY_TIMEOUT, |l| l.min(BODY_TIMEOUT));
-        let source = read_body(req, decision.max_body, body_timeout).await?;
+        let source = self.read_finishable(req, &id, decision.max_body, deadline).await?;
         out.body_bytes = source.length().unwrap_or(source.prefix().len() as u64);
         let identity = Identity {
             method: &out.method,
@@ -143,7 +147,7 @@
             let status = StatusCode::SERVICE_UNAVAILABLE;
             LocalAnswer::not_run(status, None, why.to_owned()).with_elsewhere()
         };
-        if self.gate.leaving.load(Ordering::Relaxed) {
+        if self.gate.stop.has_begun() {
             return Err(reject("a planned stop has begun"));
         }
         let permit = Arc::clone(limit).try_acquire_owned();
@@ -152,6 +156,43 @@
         Ok(Some(Relayed { head, _permit: permit }))
     }
 
+    /// Reads a caller's body, unless the box stops before the request's time limit ends.
+    ///
+    /// The box decides last when the body is there, so that no upstream has seen a rejected request.
+    async fn read_finishable(
+        &self,
+        req: &mut Request,
+        id: &str,
+        max_bytes: u64,
+        deadline: Option<Time>,
+    ) -> Result<Source, LocalAnswer> {
+        let (stop, clock) = (&self.gate.stop, self.gate.clock);
+        let check = || stop.check(deadline, clock.now()).map_err(|e| self.reject_at_stop(id, e));
+        check()?;
+        let left = deadline.map(|d| d.since(clock.now()));
+        let timeout = left.map_or(BODY_TIMEOUT, |l| l.min(BODY_TIMEOUT));
+        let source = tokio::select! {
+            biased;
+            source = read_body(req, max_bytes, timeout) => source?,
+            e = stop.wait_unfinishable(deadline, clock) => return Err(self.reject_at_stop(id, e)),
+        };
+        check()?;
+        Ok(source)
+    }
+
+    /// Rejects a request that may still run when the process ends.
+    fn reject_at_stop(&self, id: &str, e: Unfinishable) -> LocalAnswer {
+        self.gate.stop.record_rejection();
+        self.gate.count("requests.unfinishable");
+        log::info!(
+            request = id, left_ms = e.left.as_millis() as u64,
+            limit_ms = e.limit.map(|l| l.as_millis() as u64);
+            "route: refused, {e}"
+        );
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        LocalAnswer::not_run(status, Some(STOP_RETRY_AFTER), e.to_string()).with_elsewhere()
+    }
+
     /// Rejects a request that is held because it crashes upstreams.
     fn check_hold(&self, id: &str, same: Fingerprints) -> Result<(), LocalAnswer> {
         let now = self.gate.now();
@@ -291,8 +332,7 @@
             }
         }
         let is_upgraded = res.status_code == Some(StatusCode::SWITCHING_PROTOCOLS);
-        let leaving = self.gate.leaving.load(Ordering::Relaxed);
-        if leaving && !is_upgraded && req.version() <= Version::HTTP_11 {
+        if self.gate.stop.has_begun() && !is_upgraded && req.version() <= Version::HTTP_11 {
             res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
     }
--- a/crates/honeypulley_proxy/src/lib.rs
+++ b/crates/honeypulley_proxy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod relay;
 pub mod shared;
 pub mod signals;
+pub mod stop;
 pub mod suspects;
 pub mod upgrade;
 
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -117,6 +117,9 @@
                 biased;
                 Some(ended) = running.next() => ended,
                 () = self.sleep_until(self.deadline) => return self.at_deadline(progress),
+                () = self.gate.stop.wait_answer_by(self.gate.clock) => {
+                    return self.at_deadline(progress);
+                }
                 () = self.sleep_until(check_at) => {
                     // Timers don't advance while the machine is suspended.
                     if self.left().is_some_and(|left| left.is_zero()) {
@@ -351,9 +354,10 @@
         CheckedService { key: self.decision.info.service, id: NameId::of(&self.decision.service) }
     }
 
-    /// Returns the time left until the deadline.
+    /// Returns the time left until the deadline, or until the box stops if that is earlier.
     fn left(&self) -> Option<Duration> {
-        self.deadline.map(|d| d.since(self.gate.now()))
+        let end = [self.deadline, self.gate.stop.answer_by()].into_iter().flatten().min();
+        end.map(|d| d.since(self.gate.now()))
     }
 
     fn should_retry_after(&self, ended: &Ended, progress: &mut Progress) -> bool {
@@ -442,13 +446,19 @@
     fn deadline_exceeded(&self, progress: &Progress) -> LocalAnswer {
         // Attempts in flight are cancelled when their futures are dropped.
         self.gate.count("requests.late");
-        let n = progress.attempted.len();
-        let why = format!("the deadline passed with {n} attempt(s) open");
-        let late_ms = self.deadline.map(|d| self.gate.now().since(d).as_millis() as u64);
+        let (n, now) = (progress.attempted.len(), self.gate.now());
+        let is_late = self.deadline.is_some_and(|d| d <= now);
+        let (cause, what) = if is_late {
+            ("at its deadline", "deadline passed")
+        } else {
+            ("since the box stops", "box stopped")
+        };
+        let why = format!("the {what} with {n} attempt(s) open");
+        let late_ms = self.deadline.filter(|_| is_late).map(|d| now.since(d).as_millis() as u64);
         log::warn!(
             request = self.id.as_str(), service = self.decision.service.as_str(), attempts = n,
             timeout_ms = self.decision.timeout.map(|t| t.as_millis() as u64), late_ms;
-            "route: given up at its deadline"
+            "route: given up {cause}"
         );
         LocalAnswer::unknown(StatusCode::GATEWAY_TIMEOUT, UNKNOWN_RETRY_AFTER, why)
     }
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -155,7 +155,7 @@
             clock,
             metrics,
             open: AtomicUsize::new(0),
-            leaving: Arc::new(AtomicBool::new(false)),
+            stop: Arc::default(),
         };
         Ok(Self {
             gate: Arc::new(gate),
--- /dev/null
+++ b/crates/honeypulley_proxy/src/stop.rs
@@ -0,0 +1,89 @@
+//! State of a planned stop, shared by the serving path and the admin server.
+
+use honeypulley_policy::shutdown::{PlannedStop, Unfinishable};
+use honeypulley_policy::time::Time;
+use honeypulley_supervisor::clock::Clock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::sync::watch;
+
+/// Whether a planned stop has begun, and what it leaves time for.
+#[derive(Debug, Default)]
+pub struct StopState {
+    stop: watch::Sender<Option<PlannedStop>>,
+    /// Number of requests that were rejected since they may outlast the process.
+    rejected: AtomicU64,
+}
+
+impl StopState {
+    /// Begins the stop; a stop that has already begun keeps its times.
+    pub fn begin(&self, stop: PlannedStop) {
+        self.stop.send_if_modified(|s| {
+            let is_new = s.is_none();
+            s.get_or_insert(stop);
+            is_new
+        });
+    }
+
+    /// Returns the stop, if it has begun.
+    #[must_use]
+    pub fn current(&self) -> Option<PlannedStop> {
+        *self.stop.borrow()
+    }
+
+    /// Returns whether a planned stop has begun.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.current().is_some()
+    }
+
+    /// Returns whether a request with this deadline may be sent to its first upstream.
+    ///
+    /// # Errors
+    /// Returns an error if the request may still run when the process ends.
+    pub fn check(&self, deadline: Option<Time>, now: Time) -> Result<(), Unfinishable> {
+        self.current().map_or(Ok(()), |s| s.check(deadline, now))
+    }
+
+    /// Returns when open requests must be answered, if the process ends at a known time.
+    #[must_use]
+    pub fn answer_by(&self) -> Option<Time> {
+        self.current().and_then(|s| s.answer_by())
+    }
+
+    /// Waits until open requests must be answered, or forever.
+    pub async fn wait_answer_by(&self, clock: Clock) {
+        self.wait_for(PlannedStop::answer_by, clock).await;
+    }
+
+    /// Waits until a request with this deadline is not accepted any more, or forever.
+    pub async fn wait_unfinishable(&self, deadline: Option<Time>, clock: Clock) -> Unfinishable {
+        self.wait_for(PlannedStop::half, clock).await;
+        match self.check(deadline, clock.now()) {
+            Ok(()) => std::future::pending().await,
+            Err(e) => e,
+        }
+    }
+
+    /// Counts a request that was rejected since it may outlast the process.
+    pub fn record_rejection(&self) {
+        self.rejected.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns how many requests were rejected since they may outlast the process.
+    #[must_use]
+    pub fn rejected(&self) -> u64 {
+        self.rejected.load(Ordering::Relaxed)
+    }
+
+    /// Waits until a point in time of the stop, or forever if the stop has no such point.
+    async fn wait_for(&self, point: fn(&PlannedStop) -> Option<Time>, clock: Clock) {
+        let mut stop = self.stop.subscribe();
+        let begun = stop.wait_for(Option::is_some).await.ok().and_then(|s| *s);
+        let Some(at) = begun.as_ref().and_then(point) else {
+            return std::future::pending().await;
+        };
+        while clock.now() < at {
+            tokio::time::sleep(at.since(clock.now())).await;
+        }
+    }
+}
--- a/crates/honeypulley_proxy/tests/race/main.rs
+++ b/crates/honeypulley_proxy/tests/race/main.rs
@@ -4,5 +4,6 @@
 mod ends;
 mod foreign;
 mod partition;
+mod stops;
 mod support;
 mod suspended;
--- a/crates/honeypulley_proxy/tests/race/support.rs
+++ b/crates/honeypulley_proxy/tests/race/support.rs
@@ -25,7 +25,7 @@
 use http::{HeaderMap, Method};
 use parking_lot::Mutex;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 /// Fingerprints of the request used in these tests.
@@ -84,7 +84,7 @@
         clock,
         metrics: Arc::new(StatsdClient::from_sink("test", NopMetricSink)),
         open: AtomicUsize::new(0),
-        leaving: Arc::new(AtomicBool::new(false)),
+        stop: Arc::default(),
     };
     TestGate { gate: Arc::new(gate), balancer, service }
 }
