PathMonitor: drop the list of partitioned services

Only a test used it; /status reads the list of RelayDirectory, which also has the time of each announcement.

--- a/crates/honeypulley_policy/src/paths.rs
+++ b/crates/honeypulley_policy/src/paths.rs
@@ -67,9 +67,4 @@
         }
         is_due
     }
-
-    /// Returns the services from which the box is partitioned.
-    pub fn partitioned(&self) -> impl Iterator<Item = NameId> + '_ {
-        self.services.iter().filter(|(_, s)| s.is_partitioned).map(|(id, _)| *id)
-    }
 }
