Admit less urgent requests only to waits that more urgent ones tolerate

The allowed wait of a request followed from its own target and deadline, so requests with long targets filled queues that made more urgent ones late. On services whose routes differ in priority, a less urgent request now meets at most three quarters of the wait that the next more urgent kind with recent traffic tolerates. Instead of a rejection it gets a free slot if any usable upstream has one. A tenth of each kind is judged as before. An announced level covers boxes that see no request of the more urgent kinds.

Ruled out: a share of 0.5 (2% of the slots free), a moving average of measured waits and undecayed load reports (4% free).

--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -15,6 +15,7 @@
 mod in_flight;
 mod learn;
 mod listing;
+mod priority;
 mod probe;
 mod rate_limits;
 mod received;
@@ -33,6 +34,8 @@
 use admit::QueueAverage;
 use failing::FailureWindow;
 use illness::FailureModes;
+use priority::PriorityState;
+pub use priority::{AdmissionState, Level, PriorityRule};
 use rate_limits::RateLimits;
 pub use rate_limits::{AdvertisedLimit, WarmUpRule};
 pub use received::Suspicion;
@@ -164,6 +167,7 @@
     retries: RetryWindow,
     failures: FailureWindow,
     queueing: QueueAverage,
+    priorities: PriorityState,
     /// When this box first learned of it.
     added: Time,
     upstreams: Vec<UpstreamKey>,
@@ -250,6 +254,8 @@
     limits: RateLimits,
     /// Bound on requests to upstreams that warm up.
     warm_up_rule: WarmUpRule,
+    /// How requests are admitted by priority.
+    priority_rule: PriorityRule,
     unlisted: Unlisted,
     regions: RegionMap,
     /// Data halls whose upstreams get no new requests.
@@ -278,6 +284,7 @@
             isolated: false,
             limits: RateLimits::new(hall, RetryHistory::Unknown, seed),
             warm_up_rule: WarmUpRule::default(),
+            priority_rule: PriorityRule::default(),
             retry_rule,
             history: RetryHistory::Unknown,
             services: SlotMap::with_key(),
@@ -432,6 +439,7 @@
             retries: RetryWindow::new(history, added),
             failures: FailureWindow::default(),
             queueing: QueueAverage::default(),
+            priorities: PriorityState::default(),
             added,
             upstreams: Vec::new(),
             local_slots: 0.0,
--- a/crates/honeypulley_policy/src/balance/admit.rs
+++ b/crates/honeypulley_policy/src/balance/admit.rs
@@ -63,16 +63,22 @@
 
 impl Balancer {
     /// Rejects a request that no upstream can be expected to answer in time.
+    ///
+    /// Returns the upstream for it, which is `k` unless more urgent requests need its slots and
+    /// another one of `open` has a free slot.
     pub(super) fn admit(
         &mut self,
         k: UpstreamKey,
+        open: &[UpstreamKey],
         info: &RequestInfo,
         is_first: bool,
         now: Time,
-    ) -> Result<(), Refusal> {
+    ) -> Result<UpstreamKey, Refusal> {
         let wait = self.wait(k, info, now);
         let expected = wait + self.latency_quantile(info, 0.5);
         let least = allowed_latency(info, STANDING_TARGETS);
+        let in_time = info.target.unwrap_or(DEFAULT_TARGET).mul_f64(STANDING_TARGETS);
+        self.record_pressure(info, wait, least.min(in_time), now);
         let service = self.services.get_mut(info.service);
         let is_standing = service.is_some_and(|s| s.queueing.record(expected > least, now));
         let most = match (is_standing, is_first) {
@@ -84,7 +90,8 @@
         // is unknown.
         let excess = expected.saturating_sub(most).min(wait);
         if excess.is_zero() {
-            return Ok(());
+            let refused = self.admit_by_priority(info, wait, now);
+            return refused.map(|()| k).or_else(|r| self.free_upstream(open, info, now).ok_or(r));
         }
         let (shortest, longest) = RETRY_AFTER_BOUNDS;
         let drained = (excess + most / 2).clamp(shortest, longest);
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -2,7 +2,9 @@
 
 use super::in_flight::latency_prior;
 use super::probe::ProbeRule;
-use super::{Attempt, Balancer, BudgetUsage, DEFAULT_TARGET, RetryReason, Service, Upstream};
+use super::{
+    AdmissionState, Attempt, Balancer, BudgetUsage, DEFAULT_TARGET, RetryReason, Service, Upstream,
+};
 use crate::belief::FAILS_SICK;
 use crate::chooser::{Endpoint, PickInputs, RequestInfo, RoutingPolicy};
 use crate::router::{
@@ -78,7 +80,7 @@
         let Some((upstream, reason)) = chosen else {
             return Err(self.refuse(RefusalKind::NoUpstream, NO_UPSTREAM_WAIT));
         };
-        self.admit(upstream, info, tried.is_empty(), now)?;
+        let upstream = self.admit(upstream, &open, info, tried.is_empty(), now)?;
         self.count_send(upstream, now);
         let u = &self.upstreams[upstream];
         let attempt = self.attempts.insert(Attempt {
@@ -136,6 +138,10 @@
         Some(wait + self.latency_quantile(info, 0.5))
     }
 
+    fn admission(&self, k: ServiceKey, now: Time) -> Option<AdmissionState> {
+        self.admission_state(k, now)
+    }
+
     fn recheck_delay(&self, info: &RequestInfo, age: Duration) -> Duration {
         self.next_check(info, age)
     }
--- /dev/null
+++ b/crates/honeypulley_policy/src/balance/priority.rs
@@ -0,0 +1,236 @@
+//! Admission by priority under shortage.
+//!
+//! A less urgent request may only wait a share of what the more urgent kinds with recent traffic
+//! tolerate, so that it is rejected before they become late. Requests that find a free slot don't
+//! wait and are never rejected here. The wait at the best upstream is nearly the same on all boxes
+//! of a data hall. The announced [`level`](LevelState) aligns data halls, and boxes that see no
+//! request of the more urgent kinds themselves.
+
+mod level;
+
+use super::admit::RETRY_AFTER_BOUNDS;
+use super::{Balancer, Update};
+use crate::chooser::RequestInfo;
+use crate::collector::NameId;
+use crate::router::{Refusal, RefusalKind, ServiceKey, UpstreamKey};
+use crate::time::Time;
+use level::{LEVEL_TTL, LevelState};
+pub use level::{Level, PriorityRule};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Share of the wait tolerated by the next more urgent kind that a less urgent request may meet.
+///
+/// At 0.5, 2% of the slots stayed free in a shortage; at 1.0, a tenth of the urgent answers was late.
+const TOLERANCE_SHARE: f64 = 0.75;
+/// Time within which a kind of request counts as having traffic.
+///
+/// A box of 128 gets a request of a kind with 100 requests/s about every second.
+const RECENT_TIME: Duration = Duration::from_secs(5);
+
+/// Chance of a fault from which an upstream is not used instead of a rejection.
+///
+/// A faulty upstream fails three quarters of the requests, so that half of them are served.
+const MAX_FAULT_CHANCE: f64 = 0.67;
+/// Latency quantile that stands for the time without a queue.
+///
+/// The median soon includes queues that the box did not know of.
+const USUAL_QUANTILE: f64 = 0.25;
+/// Highest pressure that is reported.
+const MAX_PRESSURE: f64 = 100.0;
+
+/// Wait that the requests of one priority tolerate.
+#[derive(Clone, Copy, Debug)]
+struct Tolerance {
+    /// Least of the current and of the previous interval.
+    least: [Duration; 2],
+    /// Start of the current interval.
+    since: Time,
+    /// Latest request.
+    seen: Time,
+}
+
+impl Tolerance {
+    const fn new(wait: Duration, now: Time) -> Self {
+        Self { least: [wait; 2], since: now, seen: now }
+    }
+
+    /// Records the wait that one request tolerates.
+    fn record(&mut self, wait: Duration, now: Time) {
+        if now.since(self.since) >= RECENT_TIME {
+            self.least = [wait, self.least[0]];
+            self.since = now;
+        }
+        self.least[0] = self.least[0].min(wait);
+        self.seen = now;
+    }
+
+    /// Returns the least tolerated wait, if there was a recent request.
+    fn get(&self, now: Time) -> Option<Duration> {
+        let is_recent = now.since(self.seen) < RECENT_TIME;
+        is_recent.then(|| self.least[0].min(self.least[1]))
+    }
+}
+
+/// State of the admission by priority for one service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PriorityState {
+    tolerances: BTreeMap<u8, Tolerance>,
+    levels: LevelState,
+    /// Wait that the latest request met, relative to the bound of the least urgent kind.
+    pressure: f64,
+}
+
+impl PriorityState {
+    /// Returns the longest wait at which requests of a priority are admitted.
+    ///
+    /// `None` if there is no recent traffic of a more urgent kind.
+    fn bound(&self, priority: u8, now: Time) -> Option<Duration> {
+        let recent = self.tolerances.range(..priority).filter_map(|(_, t)| t.get(now));
+        recent.fold(None, |bound: Option<Duration>, tolerated| {
+            let least = bound.map_or(tolerated, |b| b.min(tolerated));
+            Some(least.mul_f64(TOLERANCE_SHARE))
+        })
+    }
+
+    /// Records a request that met `wait`, for its own kind and for the level.
+    fn record(&mut self, priority: u8, tolerated: Duration, wait: Duration, now: Time) {
+        self.tolerances
+            .entry(priority)
+            .and_modify(|t| t.record(tolerated, now))
+            .or_insert_with(|| Tolerance::new(tolerated, now));
+        let kinds: Vec<u8> =
+            self.tolerances.iter().filter(|(_, t)| t.get(now).is_some()).map(|(&p, _)| p).collect();
+        let bounds = kinds.into_iter().filter_map(|p| Some((p, self.bound(p, now)?)));
+        let bounds: Vec<(u8, Duration)> = bounds.collect();
+        let least = bounds.last().map_or(Duration::MAX, |&(_, b)| b);
+        let pressure = wait.as_secs_f64() / least.as_secs_f64().max(f64::MIN_POSITIVE);
+        self.pressure = pressure.min(MAX_PRESSURE);
+        self.levels.record(bounds.into_iter().map(|(p, b)| (p, wait > b)), now);
+    }
+}
+
+/// Admission state of a service, for logs and operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AdmissionState {
+    /// Level in force, in thousandths.
+    pub level: u16,
+    /// Wait that the latest request met, relative to what the least urgent kind may meet.
+    pub pressure: f64,
+    /// Age of the newest measurement or announcement behind the level.
+    pub age: Duration,
+}
+
+impl AdmissionState {
+    /// Returns the state after some time without a request; a level expires.
+    #[must_use]
+    pub fn aged(self, elapsed: Duration) -> Self {
+        let age = self.age + elapsed;
+        Self { level: if age < LEVEL_TTL { self.level } else { 0 }, age, ..self }
+    }
+}
+
+impl Balancer {
+    /// Sets how requests are admitted by priority.
+    #[must_use]
+    pub const fn with_priority_rule(mut self, rule: PriorityRule) -> Self {
+        self.priority_rule = rule;
+        self
+    }
+
+    /// Records the wait that a request meets, and announces the level if it has changed.
+    ///
+    /// `allowed` is the latency at which the request is still in time in a standing queue.
+    pub(super) fn record_pressure(
+        &mut self,
+        info: &RequestInfo,
+        wait: Duration,
+        allowed: Duration,
+        now: Time,
+    ) {
+        if !self.services.get(info.service).is_some_and(|s| s.spec.mix.is_ranked()) {
+            return;
+        }
+        let usual = self.latency_quantile(info, USUAL_QUANTILE);
+        let Some(s) = self.services.get_mut(info.service) else { return };
+        s.priorities.record(info.priority, allowed.saturating_sub(usual), wait, now);
+        if let Some(level) = s.priorities.levels.due_announcement(now) {
+            self.updates.push(Update::Pressure { service: s.id, level: level.to_thousandths() });
+        }
+    }
+
+    /// Rejects a request whose wait would make more urgent requests late.
+    ///
+    /// # Errors
+    /// Returns a [`Refusal`] if the request is to be rejected.
+    pub(super) fn admit_by_priority(
+        &mut self,
+        info: &RequestInfo,
+        wait: Duration,
+        now: Time,
+    ) -> Result<(), Refusal> {
+        let Some(s) = self.services.get(info.service).filter(|s| s.spec.mix.is_ranked()) else {
+            return Ok(());
+        };
+        // A request that finds a free slot delays no other.
+        if wait.is_zero() {
+            return Ok(());
+        }
+        let excess = s.priorities.bound(info.priority, now).map(|b| wait.saturating_sub(b));
+        let share = s.priorities.levels.in_force(now).rejected_share(info.priority);
+        let is_excess = excess.is_some_and(|e| !e.is_zero());
+        if !is_excess && (share <= 0.0 || self.rng.f64() >= share) {
+            return Ok(());
+        }
+        if self.rng.f64() < self.priority_rule.floor {
+            return Ok(());
+        }
+        // A shortage lasts on average about as long again as it has lasted.
+        let lasted = s.priorities.levels.shortage_age(now);
+        let (shortest, longest) = RETRY_AFTER_BOUNDS;
+        let drained = excess.unwrap_or_default() + wait / 2;
+        let released = drained.max(lasted).clamp(shortest, longest);
+        Err(self.refuse(RefusalKind::Priority, released))
+    }
+
+    /// Returns the upstream with a free slot that is the least likely to fail, if any is usable.
+    ///
+    /// It serves a request that would be rejected since healthier upstreams have no free slot.
+    pub(super) fn free_upstream(
+        &self,
+        open: &[UpstreamKey],
+        info: &RequestInfo,
+        now: Time,
+    ) -> Option<UpstreamKey> {
+        let free = open.iter().filter(|&&k| self.wait(k, info, now).is_zero());
+        let chances = free.map(|&k| (k, self.fault_chance(k, now)));
+        let usable = chances.filter(|&(_, chance)| chance < MAX_FAULT_CHANCE);
+        usable.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(k, _)| k)
+    }
+
+    /// Applies a peer's announced admission level.
+    pub(super) fn apply_pressure(&mut self, from: NameId, service: NameId, level: u16, now: Time) {
+        let k = self.services_by_id.get(&service).copied();
+        let s = k.and_then(|k| self.services.get_mut(k)).filter(|s| s.spec.mix.is_ranked());
+        if let Some(s) = s {
+            s.priorities.levels.receive(from, Level::from_thousandths(level), now);
+        }
+    }
+
+    /// Returns the admission state of a service, if its routes differ in priority.
+    pub(super) fn admission_state(&self, k: ServiceKey, now: Time) -> Option<AdmissionState> {
+        let s = self.services.get(k).filter(|s| s.spec.mix.is_ranked())?;
+        Some(s.priorities.state(now))
+    }
+}
+
+impl PriorityState {
+    /// Returns the state for logs and operators.
+    pub(super) fn state(&self, now: Time) -> AdmissionState {
+        AdmissionState {
+            level: self.levels.in_force(now).to_thousandths(),
+            pressure: self.pressure,
+            age: self.levels.age(now),
+        }
+    }
+}
--- a/crates/honeypulley_policy/src/balance/received.rs
+++ b/crates/honeypulley_policy/src/balance/received.rs
@@ -97,7 +97,8 @@
             }
             // Counts and paths of other boxes are not handled by the balancer.
             Update::HallAdmitted { .. } | Update::Partitioned { .. } => {}
-            Update::Pressure { .. } | Update::Hazard { .. } => {}
+            Update::Pressure { service, level } => self.apply_pressure(from, service, level, now),
+            Update::Hazard { .. } => {}
         }
         None
     }
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -1,6 +1,6 @@
 //! Interface between the serving path and a routing policy.
 
-use crate::balance::{AdvertisedLimit, BudgetUsage, RetryReason};
+use crate::balance::{AdmissionState, AdvertisedLimit, BudgetUsage, RetryReason};
 use crate::collector::NameId;
 use crate::regions::RegionSet;
 use crate::revision::Revision;
@@ -110,6 +110,10 @@
     fn expected_latency(&self, _: &RequestInfo, _: Time) -> Option<Duration> {
         None
     }
+    /// Returns the admission state of a service, if its routes differ in priority.
+    fn admission(&self, _: ServiceKey, _: Time) -> Option<AdmissionState> {
+        None
+    }
     /// Returns the delay until an open attempt of this age is checked again.
     fn recheck_delay(&self, info: &RequestInfo, age: Duration) -> Duration;
     /// Records that an attempt is still pending.
--- a/crates/honeypulley_policy/src/router/refusal.rs
+++ b/crates/honeypulley_policy/src/router/refusal.rs
@@ -17,6 +17,9 @@
     /// The whole service is so slow that requests would miss their deadline.
     #[error("the service is overloaded")]
     Overload,
+    /// The request would make more urgent ones late.
+    #[error("more urgent requests wait for slots")]
+    Priority,
     /// The rate limits announced by the live upstreams are all exhausted.
     #[error("the limits that the upstreams name are used up")]
     LimitsExhausted,
--- /dev/null
+++ b/crates/honeypulley_policy/tests/priority/main.rs
@@ -0,0 +1,234 @@
+//! Simulates shortages of a service whose routes differ in priority.
+
+mod fleet;
+mod plan;
+
+use fleet::{Fleet, simulate};
+use plan::{Counts, Kind, Plan};
+use rstest::rstest;
+
+const READS: Kind = Kind {
+    priority: 1,
+    repeatable: true,
+    rate: 304.0,
+    work: 190.0,
+    target: 800,
+    limit: 1_200,
+    hall: None,
+};
+const ORDERS: Kind = Kind {
+    priority: 2,
+    repeatable: false,
+    rate: 754.0,
+    work: 240.0,
+    target: 2_000,
+    limit: 1_500,
+    hall: None,
+};
+const POSTS: Kind = Kind {
+    priority: 1,
+    repeatable: false,
+    rate: 586.0,
+    work: 230.0,
+    target: 1_000,
+    limit: 3_000,
+    hall: None,
+};
+const HISTORY: Kind = Kind { priority: 2, repeatable: true, rate: 223.0, work: 180.0, ..POSTS };
+const SHOPS: &[Kind] = &[READS, ORDERS];
+const LEDGERS: &[Kind] = &[POSTS, HISTORY];
+/// An urgent kind that few boxes see.
+const RARE: &[Kind] = &[Kind { priority: 0, rate: 40.0, hall: Some(0), ..READS }, READS, ORDERS];
+
+const BASE: Plan = Plan {
+    kinds: SHOPS,
+    is_ranked: true,
+    announces: true,
+    floor: 0.1,
+    halls: 3,
+    boxes: 10,
+    upstreams: 16,
+    usual: 0.5,
+    peak: 1.3,
+    step: (6_000, 11_000),
+    until: 16_000,
+    skew: 0.0,
+    loss: 0.01,
+    cut: false,
+    frozen: false,
+    down: 0,
+    hanging: false,
+    shedding: 0.0,
+    seed: 1,
+};
+
+const LONG: Plan = Plan { step: (6_000, 26_000), until: 30_000, ..BASE };
+
+#[test]
+#[ignore = "prints the figures of the design note"]
+fn figures() {
+    let loads = [
+        ("shops 1.3", BASE),
+        ("shops 1.3 20s", LONG),
+        ("shops 2", Plan { peak: 2.0, ..BASE }),
+        ("shops 2 20s", Plan { peak: 2.0, ..LONG }),
+        ("shops skewed", Plan { skew: 0.6, ..LONG }),
+        ("shops crash", Plan { down: 3, peak: 0.9, usual: 0.6, ..LONG }),
+        ("shops hangs", Plan { hanging: true, peak: 1.0, ..LONG }),
+        ("shops shed", Plan { shedding: 0.45, peak: 0.5, ..BASE }),
+        ("rare", Plan { kinds: RARE, ..LONG }),
+        ("rare 2", Plan { kinds: RARE, peak: 2.0, ..BASE }),
+        ("ledgers 1.3", Plan { kinds: LEDGERS, ..LONG }),
+        ("ledgers 2", Plan { kinds: LEDGERS, peak: 2.0, ..LONG }),
+        ("ledgers skewed", Plan { kinds: LEDGERS, skew: 0.6, ..LONG }),
+        ("ledgers hangs", Plan { kinds: LEDGERS, hanging: true, peak: 1.0, ..LONG }),
+    ];
+    for (name, plan) in loads {
+        for (way, is_ranked, announces) in
+            [("present", false, false), ("bounds", true, false), ("level", true, true)]
+        {
+            print!("{name:15} {way:8}");
+            let runs: Vec<(Plan, Fleet)> = (1..=3)
+                .map(|seed| Plan { seed, is_ranked, announces, ..plan })
+                .map(|p| (p, simulate(p)))
+                .collect();
+            let all: Vec<_> = runs.iter().flat_map(|(_, f)| f.ended.iter().copied()).collect();
+            let in_step = |e: &fleet::Ended| (plan.step.0..plan.step.1).contains(&e.began);
+            for kind in 0..plan.kinds.len() {
+                let c = Counts::of(&plan, &all, |e| e.kind == kind && in_step(e));
+                print!("  {:.3}/{:.3}", c.served(), c.in_time());
+            }
+            let c = Counts::of(&plan, &all, in_step);
+            let announced: usize = runs.iter().map(|(_, f)| f.announced).sum();
+            let slots = plan.halls * plan.upstreams * fleet::SLOTS;
+            let used = runs.iter().flat_map(|(_, f)| f.used.iter());
+            let used: Vec<f64> = used
+                .filter(|(at, _)| (plan.step.0 + 500..plan.step.1).contains(at))
+                .map(|&(_, n)| n as f64 / slots as f64)
+                .collect();
+            let used = used.iter().sum::<f64>() / used.len() as f64;
+            println!(
+                "  used {used:.3} all {:.3} value {:.3} announced {announced}",
+                c.served(),
+                c.value()
+            );
+        }
+    }
+}
+
+/// Length of the windows in which kinds are compared, in ms.
+const WINDOW_MS: u64 = 2_000;
+/// Standard deviations that count as sampling.
+const SAMPLING: f64 = 3.0;
+
+/// Returns the counts of a kind over the requests that began within a span.
+fn counts(fleet: &Fleet, plan: &Plan, kind: usize, from: u64, to: u64) -> Counts {
+    Counts::of(plan, &fleet.ended, |e| e.kind == kind && (from..to).contains(&e.began))
+}
+
+/// Returns how much less often the first counts are served than the second, beyond sampling.
+fn shortfall(first: &Counts, second: &Counts) -> f64 {
+    let all = (first.served + second.served) / (first.sent + second.sent);
+    let deviation = (all * (1.0 - all) * (1.0 / first.sent + 1.0 / second.sent)).sqrt();
+    second.served() - first.served() - SAMPLING * deviation
+}
+
+/// Guards against a shortage that hits more urgent requests harder than less urgent ones.
+#[rstest]
+#[case::step(BASE)]
+#[case::large_step(Plan { peak: 2.0, ..BASE })]
+#[case::three_kinds(Plan { kinds: RARE, ..BASE })]
+#[case::ledgers(Plan { kinds: LEDGERS, skew: 0.6, ..BASE })]
+#[case::one_hall(Plan { skew: 0.6, ..BASE })]
+#[case::lost_updates(Plan { loss: 0.1, ..BASE })]
+#[case::partitioned_box(Plan { cut: true, ..BASE })]
+#[case::frozen_box(Plan { frozen: true, ..BASE })]
+#[case::crash(Plan { down: 3, peak: 0.9, ..BASE })]
+fn urgent_kinds_are_served_as_often(#[case] plan: Plan) {
+    let fleet = simulate(plan);
+    for from in (plan.step.0..plan.step.1).step_by(250) {
+        let all = (0..plan.kinds.len()).map(|k| counts(&fleet, &plan, k, from, from + WINDOW_MS));
+        let all: Vec<Counts> = all.collect();
+        for pair in all.windows(2).filter(|p| p[0].sent > 0.0 && p[1].sent > 0.0) {
+            assert!(shortfall(&pair[0], &pair[1]) <= 0.0, "from {from}: {all:?}");
+        }
+    }
+}
+
+/// Guards against urgent requests that are late although the less urgent ones could yield.
+#[rstest]
+#[case::step(BASE)]
+#[case::large_step(Plan { peak: 2.0, ..BASE })]
+#[case::crash(Plan { down: 3, peak: 0.9, ..BASE })]
+#[case::hangs(Plan { hanging: true, peak: 1.0, ..LONG })]
+fn urgent_requests_are_in_time_more_often(#[case] plan: Plan) {
+    let [present, ranked] = [false, true].map(|is_ranked| {
+        let plan = Plan { is_ranked, ..plan };
+        counts(&simulate(plan), &plan, 0, plan.step.0, plan.step.1).in_time()
+    });
+    assert!(ranked > present + 0.1, "{present:.3} by the rule without priorities, {ranked:.3}");
+}
+
+/// Guards against free slots while less urgent requests are rejected, and against less value.
+#[rstest]
+#[case::step(LONG)]
+#[case::large_step(Plan { peak: 2.0, ..LONG })]
+#[case::crash(Plan { down: 3, peak: 0.9, ..LONG })]
+#[case::shedding(Plan { shedding: 0.45, peak: 0.5, ..BASE })]
+fn capacity_is_not_wasted(#[case] plan: Plan) {
+    let [present, ranked] = [false, true].map(|is_ranked| {
+        let plan = Plan { is_ranked, ..plan };
+        let in_step = |e: &fleet::Ended| (plan.step.0..plan.step.1).contains(&e.began);
+        Counts::of(&plan, &simulate(plan).ended, in_step)
+    });
+    assert!(ranked.served() > present.served() - 0.01, "{present:?} {ranked:?}");
+    assert!(ranked.value() > present.value() - 0.01, "{present:?} {ranked:?}");
+}
+
+/// Guards against an admission that is slow, overshoots or oscillates.
+#[rstest]
+#[case::step(1.3)]
+#[case::large_step(2.0)]
+fn the_admission_settles(#[case] peak: f64) {
+    let plan = Plan { peak, ..LONG };
+    let fleet = simulate(plan);
+    let (from, to) = plan.step;
+    let steady = counts(&fleet, &plan, 1, from + 5_000, to).served();
+    for at in (from + 1_000..to - 1_000).step_by(250) {
+        let second = counts(&fleet, &plan, 1, at, at + 1_000);
+        let deviation = (steady * (1.0 - steady) / second.sent).sqrt();
+        let off = (second.served() - steady).abs() - SAMPLING * deviation;
+        assert!(off < 0.1, "from {at}: {:.3} instead of {steady:.3}", second.served());
+    }
+    for at in (to + 1_000..plan.until - 1_000).step_by(250) {
+        let second = counts(&fleet, &plan, 1, at, at + 1_000).served();
+        assert!(second > 0.99, "from {at}: {second:.3} after the shortage");
+    }
+    let after = fleet.levels.iter().filter(|(at, _)| *at >= to + 1_000);
+    let most = after.flat_map(|(_, levels)| levels).max();
+    assert_eq!(most, Some(&0), "the level is not released");
+}
+
+/// Guards against a kind that is shut out, and against a floor of all that is not judged as today.
+#[test]
+fn the_floor_is_kept() {
+    let served = |floor: f64| {
+        let plan = Plan { floor, peak: 2.0, ..BASE };
+        let fleet = simulate(plan);
+        [0, 1].map(|k| counts(&fleet, &plan, k, plan.step.0 + 1_000, plan.step.1).served())
+    };
+    let (none, all) = (served(0.0), served(1.0));
+    assert!(none[0] > all[0] + 0.2, "{none:?} without a floor, {all:?} with a floor of all");
+    assert!(all[1] > none[1] + 0.05, "{none:?} without a floor, {all:?} with a floor of all");
+}
+
+/// Guards against any effect on a service whose routes have one priority.
+#[test]
+fn a_service_that_is_not_ranked_is_unaffected() {
+    let plan = Plan { is_ranked: false, ..BASE };
+    let runs = [0.0, 1.0].map(|floor| simulate(Plan { floor, ..plan }));
+    let results = runs.each_ref().map(|f| f.ended.iter().map(|e| (e.kind, e.began, e.took)));
+    let [a, b] = results;
+    assert!(a.eq(b), "the floor has an effect");
+    assert_eq!(runs[0].announced, 0);
+}
--- a/crates/honeypulley_proxy/src/answer.rs
+++ b/crates/honeypulley_proxy/src/answer.rs
@@ -43,6 +43,7 @@
             | RefusalKind::NoUpstream
             | RefusalKind::ConnectionsExhausted
             | RefusalKind::Overload
+            | RefusalKind::Priority
             | RefusalKind::LimitsExhausted
             | RefusalKind::Backoff => StatusCode::SERVICE_UNAVAILABLE,
         };
