Show whom the admission by priority refuses, and why

The line of a refusal names priority, admission level, pressure and the age of the level. A counter has service and priority, /status the level by service, and honeypulley why the reason.

--- a/crates/honeypulley_mesh/src/admin.rs
+++ b/crates/honeypulley_mesh/src/admin.rs
@@ -60,6 +60,7 @@
             "held": self.quarantined_requests().len(),
             "evacuated": self.evacuated_halls(),
             "unknown_kinds": self.unknown_kinds(),
+            "admission": self.admission.lock().to_json(self.now()),
             "not_ready": self.readiness().err(),
         });
         status.to_string().into_bytes()
--- a/crates/honeypulley_mesh/src/lib.rs
+++ b/crates/honeypulley_mesh/src/lib.rs
@@ -11,6 +11,7 @@
 //! ([`relay_directory`]).
 
 pub mod admin;
+pub mod admission;
 pub mod book;
 pub mod catch_up;
 pub mod decoder;
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -6,7 +6,7 @@
 use crate::update_batch::ReceivedUpdate;
 use async_trait::async_trait;
 use futures::future::BoxFuture;
-use honeypulley_policy::balance::{Balancer, BudgetUsage, RetryReason, Update};
+use honeypulley_policy::balance::{AdmissionState, Balancer, BudgetUsage, RetryReason, Update};
 use honeypulley_policy::chooser::{Endpoint, PickInputs, RequestInfo, RoutingPolicy};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::fleet_limits::{FleetRateLimiter, LimitUsage};
@@ -161,6 +161,11 @@
     ) -> Result<Pick, Refusal> {
         self.apply_received(now);
         let picked = self.balancer.pick(info, tried, now);
+        if let Some(state) = self.balancer.admission(info.service, now)
+            && let Some(name) = self.balancer.service_name(info.service)
+        {
+            self.mesh.admission.lock().record(name, state, now);
+        }
         self.announce();
         picked
     }
@@ -185,6 +190,10 @@
         self.balancer.expected_latency(info, now)
     }
 
+    fn admission(&self, k: ServiceKey, now: Time) -> Option<AdmissionState> {
+        self.balancer.admission(k, now)
+    }
+
     fn recheck_delay(&self, info: &RequestInfo, age: Duration) -> Duration {
         self.balancer.recheck_delay(info, age)
     }
@@ -464,6 +473,9 @@
                 version = table.version, ranked, mixed;
                 "table: version {} is in force", table.version
             );
+            let is_ranked =
+                |name: &str| table.services.iter().any(|s| s.name == name && s.mix.is_ranked());
+            self.mesh.admission.lock().retain(is_ranked);
             self.mesh.in_force.store(Some(table));
         }
         let listed = self.mesh.list_known.load(Ordering::Acquire) && self.mesh.knows_evacuations();
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -1,5 +1,6 @@
 //! State that the duties of one box share.
 
+use crate::admission::AdmissionView;
 use crate::book::AddressBook;
 use crate::catch_up::CatchUp;
 use crate::decoder::Decoder;
@@ -172,6 +173,7 @@
     pub leaving: Arc<AtomicBool>,
     seeds: Mutex<Vec<SocketAddr>>,
     pub(crate) registry: Registry,
+    pub(crate) admission: Mutex<AdmissionView>,
     book: Mutex<AddressBook>,
     pub(crate) lists: Mutex<Lists>,
     readers: Mutex<Readers>,
@@ -237,6 +239,7 @@
             leaving,
             seeds: Mutex::new(settings.seeds.clone()),
             registry: Registry::default(),
+            admission: Mutex::default(),
             book: Mutex::new(AddressBook::new(id, &settings.hall)),
             lists: Mutex::new(Lists::default()),
             catch_up: Mutex::new(CatchUp::new(settings.first_start)),
--- a/crates/honeypulley_observe/src/explain.rs
+++ b/crates/honeypulley_observe/src/explain.rs
@@ -156,7 +156,22 @@
         format!("; the caller was told to come back after {wait} ms")
     };
     let cause = failed.last().map_or_else(String::new, |l| format!(" ({})", l.message));
-    Some(format!("answered {status} by the box: {why}{cause}; {execution}{advice}"))
+    let rank = rank_phrase(lines);
+    Some(format!("answered {status} by the box: {why}{cause}{rank}; {execution}{advice}"))
+}
+
+/// Returns how the admission by priority decided, or nothing if it did not.
+fn rank_phrase(lines: &[Line]) -> String {
+    let outranked = lines.iter().rev().find(|l| !l.field("admission_level").is_empty());
+    outranked.map_or_else(String::new, |l| {
+        format!(
+            " (its priority is {}, the admission level was {} thousandths as of {} ms before, and the wait was {} times what requests of lower priority may meet)",
+            l.field("priority"),
+            l.field("admission_level"),
+            l.field("level_age_ms"),
+            l.field("pressure")
+        )
+    })
 }
 
 /// Returns how the request went through another box, or nothing if it did not.
--- a/crates/honeypulley_observe/tests/explain.rs
+++ b/crates/honeypulley_observe/tests/explain.rs
@@ -19,6 +19,8 @@
 timestamp=2026-12-02T10:00:03.002Z level=INFO message="route: first sent to i-9" request=r5 upstream=i-9 box=b
 timestamp=2026-12-02T10:00:03.300Z level=INFO message="route: answered" request=r5 service=s status=200 took_ms=298 box=b
 timestamp=2026-12-02T10:00:03.301Z level=INFO message="route: answered" request=r5 service=s status=200 took_ms=301 box=a
+timestamp=2026-12-02T10:00:04.000Z level=INFO message="route: first not sent, more urgent requests wait for slots" request=r6 service=s priority=2 admission_level=13500 pressure=1.4 level_age_ms=12 box=a
+timestamp=2026-12-02T10:00:04.001Z level=WARN message="route: own answer, more urgent requests wait for slots" request=r6 status=503 outcome=NotRun retry_after_ms=700 box=a
 "#;
 
 #[rstest]
@@ -39,6 +41,10 @@
     "r5",
     "i-9 answered with 200 after 301 ms, through the box at 10.0.0.2:7001, since connections from a failed"
 )]
+#[case(
+    "r6",
+    "answered 503 by the box: more urgent requests wait for slots (its priority is 2, the admission level was 13500 thousandths as of 12 ms before, and the wait was 1.4 times what requests of lower priority may meet); it was not run; the caller was told to come back after 700 ms"
+)]
 fn a_request_is_explained_in_a_sentence(#[case] id: &str, #[case] expected: &str) {
     let found = explain::request(id, LINES.lines()).expect("the log names it");
     assert_eq!(found.verdict, expected);
--- a/crates/honeypulley_proxy/src/race/report.rs
+++ b/crates/honeypulley_proxy/src/race/report.rs
@@ -2,18 +2,33 @@
 
 use super::{Progress, Race};
 use crate::attempt::Failure;
-use honeypulley_policy::router::{Refusal, UpstreamKey};
+use honeypulley_policy::router::{Refusal, RefusalKind, UpstreamKey};
 use http::StatusCode;
 use std::time::Duration;
 
 impl Race {
-    /// Logs that an attempt was not sent.
+    /// Logs that an attempt was not sent; counts it if more urgent requests are the reason.
     pub(super) fn log_refusal(&self, kind: &str, r: Refusal, expected: Option<Duration>) {
+        let is_outranked = r.kind == RefusalKind::Priority;
+        let info = &self.decision.info;
+        let state = is_outranked.then(|| {
+            let policy = self.gate.policy.lock();
+            policy.admission(info.service, self.gate.now()).unwrap_or_default()
+        });
+        if is_outranked {
+            let (service, priority) = (self.decision.service.as_str(), info.priority.to_string());
+            let tags = [("service", service), ("priority", priority.as_str())];
+            self.gate.count_tagged("priority.refused", &tags);
+        }
         log::info!(
             request = self.id.as_str(), service = self.decision.service.as_str(),
             version = self.decision.version,
             aim_ms = self.decision.info.target.map(|d| d.as_millis() as u64),
-            expected_ms = expected.map(|d| d.as_millis() as u64);
+            expected_ms = expected.map(|d| d.as_millis() as u64),
+            priority = is_outranked.then_some(info.priority),
+            admission_level = state.map(|s| s.level),
+            pressure = state.map(|s| (s.pressure * 100.0).round() / 100.0),
+            level_age_ms = state.map(|s| s.age.as_millis() as u64);
             "route: {kind} not sent, {}", r.kind
         );
     }
