--- a/crates/honeypulley_mesh/src/admin.rs
+++ b/crates/honeypulley_mesh/src/admin.rs
@@ -70,6 +70,7 @@
             "evacuated": self.evacuated_halls(),
             "unknown_kinds": self.unknown_kinds(),
             "stop": self.stop_status(),
+            "admission": self.admission.lock().to_json(self.now()),
             "not_ready": self.readiness().err(),
         });
         status.to_string().into_bytes()
--- a/crates/honeypulley_observe/tests/explain.rs
+++ b/crates/honeypulley_observe/tests/explain.rs
@@ -23,6 +23,8 @@
 timestamp=2026-12-02T10:00:04.001Z level=WARN message="route: own answer, the box stops before the request's time limit ends" request=r6 status=503 outcome=NotRun retry_after_ms=100 box=a
 timestamp=2026-12-02T10:00:04.100Z level=INFO message="route: refused, the box stops before the request's time limit ends" request=r7 left_ms=2480 box=a
 timestamp=2026-12-02T10:00:04.101Z level=WARN message="route: own answer, the box stops before the request's time limit ends" request=r7 status=503 outcome=NotRun retry_after_ms=100 box=a
+timestamp=2026-12-02T10:00:04.000Z level=INFO message="route: first not sent, more urgent requests wait for slots" request=r8 service=s priority=2 admission_level=13500 pressure=1.4 level_age_ms=12 box=a
+timestamp=2026-12-02T10:00:04.001Z level=WARN message="route: own answer, more urgent requests wait for slots" request=r8 status=503 outcome=NotRun retry_after_ms=700 box=a
 "#;
 
 #[rstest]
@@ -51,6 +53,10 @@
     "r7",
     "answered 503 by the box: the box stops before the request's time limit ends (it was to end within 2480 ms, and the request had no time limit); it was not run; the caller was told to come back after 100 ms"
 )]
+#[case(
+    "r8",
+    "answered 503 by the box: more urgent requests wait for slots (its priority is 2, the admission level was 13500 thousandths as of 12 ms before, and the wait was 1.4 times what requests of lower priority may meet); it was not run; the caller was told to come back after 700 ms"
+)]
 fn a_request_is_explained_in_a_sentence(#[case] id: &str, #[case] expected: &str) {
     let found = explain::request(id, LINES.lines()).expect("the log names it");
     assert_eq!(found.verdict, expected);
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -16,6 +16,7 @@
 mod in_flight;
 mod learn;
 mod listing;
+mod priority;
 mod probe;
 mod rate_limits;
 mod received;
@@ -35,6 +36,8 @@
 use failing::FailureWindow;
 use hazard::{HangRecord, HazardModel};
 use illness::FailureModes;
+use priority::PriorityState;
+pub use priority::{AdmissionState, Level, PriorityRule};
 use rate_limits::RateLimits;
 pub use rate_limits::{AdvertisedLimit, WarmUpRule};
 pub use received::Suspicion;
@@ -170,6 +173,7 @@
     queueing: QueueAverage,
     /// Hazard of hanging of its upstreams.
     hazards: HazardModel,
+    priorities: PriorityState,
     /// When this box first learned of it.
     added: Time,
     upstreams: Vec<UpstreamKey>,
@@ -256,6 +260,8 @@
     limits: RateLimits,
     /// Bound on requests to upstreams that warm up.
     warm_up_rule: WarmUpRule,
+    /// How requests are admitted by priority.
+    priority_rule: PriorityRule,
     unlisted: Unlisted,
     regions: RegionMap,
     /// Data halls whose upstreams get no new requests.
@@ -284,6 +290,7 @@
             isolated: false,
             limits: RateLimits::new(hall, RetryHistory::Unknown, seed),
             warm_up_rule: WarmUpRule::default(),
+            priority_rule: PriorityRule::default(),
             retry_rule,
             history: RetryHistory::Unknown,
             services: SlotMap::with_key(),
@@ -439,6 +446,7 @@
             failures: FailureWindow::default(),
             queueing: QueueAverage::default(),
             hazards: HazardModel::default(),
+            priorities: PriorityState::default(),
             added,
             upstreams: Vec::new(),
             local_slots: 0.0,
--- a/crates/honeypulley_policy/src/balance/received.rs
+++ b/crates/honeypulley_policy/src/balance/received.rs
@@ -97,10 +97,10 @@
             }
             // Counts and paths of other boxes are not handled by the balancer.
             Update::HallAdmitted { .. } | Update::Partitioned { .. } => {}
-            Update::Pressure { .. } => {}
             Update::Hazard { upstream, episodes, busy_s } => {
                 self.apply_hazard(upstream, episodes, busy_s);
             }
+            Update::Pressure { service, level } => self.apply_pressure(from, service, level, now),
         }
         None
     }
