Divide the retry budget by box, second and value of a retry

Cause: the budget was spent first come, first served, up to 0.8 of an estimate. A burst of failures emptied the window, less urgent requests took what urgent ones needed, and both sides of a partition could spend the whole.

For services whose routes differ in priority or include the highest one, each box owns a share by its own requests, fed into a token bucket. Peers' unused shares are lent by their announcements and lapse with their age. A reserve of bucket and fleet budget grows as more urgent retries are denied. Rejected callers return soon after random shedding, or after the queues.

--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -217,6 +217,16 @@
         spent
     }
 
+    fn spend_retry_for(&mut self, info: &RequestInfo, why: RetryReason, now: Time) -> bool {
+        let spent = self.balancer.spend_retry_for(info, why, now);
+        self.announce();
+        spent
+    }
+
+    fn wait_after_rejection(&self, info: &RequestInfo, now: Time) -> Option<Duration> {
+        self.balancer.wait_after_rejection(info, now)
+    }
+
     fn service_name(&self, k: ServiceKey) -> Option<&str> {
         self.balancer.service_name(k)
     }
--- a/crates/honeypulley_observe/src/explain.rs
+++ b/crates/honeypulley_observe/src/explain.rs
@@ -155,10 +155,20 @@
     } else {
         format!("; the caller was told to come back after {wait} ms")
     };
+    let advice = format!("{}{advice}", denied_phrase(lines));
     let cause = failed.last().map_or_else(String::new, |l| format!(" ({})", l.message));
     Some(format!("answered {status} by the box: {why}{cause}; {execution}{advice}"))
 }
 
+/// Returns why the request was not sent again, or nothing if the retry budget did not decide.
+fn denied_phrase(lines: &[Line]) -> String {
+    let denied = lines.iter().rev().find(|l| l.message.starts_with("route: not sent again"));
+    let Some(denied) = denied else { return String::new() };
+    let priority = denied.field("priority");
+    let rank = if priority.is_empty() { String::new() } else { format!(" at priority {priority}") };
+    format!("; the retry budget allowed no further attempt{rank}")
+}
+
 /// Returns how the request went through another box, or nothing if it did not.
 fn relay_phrase(lines: &[Line]) -> String {
     let relayed = lines.iter().rev().find(|l| l.message.contains(" relayed through "));
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -168,6 +168,14 @@
         self.spend(k, why, now)
     }
 
+    fn spend_retry_for(&mut self, info: &RequestInfo, why: RetryReason, now: Time) -> bool {
+        self.spend_for(info, why, now)
+    }
+
+    fn wait_after_rejection(&self, info: &RequestInfo, now: Time) -> Option<Duration> {
+        self.wait_after_rejection(info, now)
+    }
+
     fn service_name(&self, k: ServiceKey) -> Option<&str> {
         self.services.get(k).map(|s| s.spec.name.as_str())
     }
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -1,5 +1,6 @@
 //! Retry budget shared by all boxes.
 
+use super::retry_share::{OwnCounts, RetryShare, RetryValue};
 use crate::collector::NameId;
 use crate::time::Time;
 use std::collections::VecDeque;
@@ -101,6 +102,8 @@
     traffic: Vec<Traffic>,
     /// When this box last announced its traffic.
     announced: Option<Time>,
+    /// Shares of all boxes, for services whose budget is divided.
+    shares: RetryShare,
 }
 
 /// A peer's update about its requests and retries for a service.
@@ -135,6 +138,7 @@
             inherited: None,
             traffic: Vec::new(),
             announced: None,
+            shares: RetryShare::new(),
         }
     }
 
@@ -170,12 +174,14 @@
 
     pub(super) fn record_request(&mut self, rule: &RetryRule, now: Time) {
         self.arrivals.push_back(now);
+        self.shares.record_request();
         self.expire(rule, now);
     }
 
     /// Removes the latest request, which counts at another box.
     pub(super) fn forget_request(&mut self) {
         self.arrivals.pop_back();
+        self.shares.forget_request();
     }
 
     /// Records a peer's update about its requests and retries within the window.
@@ -184,6 +190,7 @@
     /// partition, and count as well.
     pub(super) fn apply_report(&mut self, rule: &RetryRule, report: RetryReport, now: Time) {
         self.expire(rule, now);
+        self.shares.apply_report(rule, report, now);
         let known = self.others.iter().filter(|(_, from)| *from == report.from).count();
         let missed = usize::from(report.retries).saturating_sub(known);
         let more = missed.max(usize::from(report.retried));
@@ -259,6 +266,30 @@
         true
     }
 
+    /// Takes one retry from this box's share of the budget; returns whether it is allowed.
+    pub(super) fn spend_by_value(
+        &mut self,
+        rule: &RetryRule,
+        fleet_scope: FleetScope,
+        value: RetryValue,
+        now: Time,
+    ) -> bool {
+        self.expire(rule, now);
+        let own = OwnCounts {
+            requests: self.arrivals.len(),
+            retries: self.own.len(),
+            boxes: fleet_scope.boxes,
+            // An inherited sum does not tell which boxes used the slack.
+            history_known: self.knows_window(rule, now) && self.inherited.is_none(),
+        };
+        if !self.shares.spend(rule, own, value, now) {
+            return false;
+        }
+        self.own.push_back(now);
+        self.announced = Some(now);
+        true
+    }
+
     /// Returns the retries that the fleet may make, by the known traffic.
     ///
     /// This is a lower bound: it only includes boxes that announced their traffic, as each does
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -138,6 +138,16 @@
     }
     /// Spends one retry token and returns whether there was one.
     fn spend_retry(&mut self, k: ServiceKey, why: RetryReason, now: Time) -> bool;
+    /// Spends one retry token on a request and returns whether there was one for it.
+    ///
+    /// Policies that rank retries take its priority and its remaining time into account.
+    fn spend_retry_for(&mut self, info: &RequestInfo, why: RetryReason, now: Time) -> bool {
+        self.spend_retry(info.service, why, now)
+    }
+    /// Returns when a request that upstreams rejected may be sent again, if the policy knows.
+    fn wait_after_rejection(&self, _: &RequestInfo, _: Time) -> Option<Duration> {
+        None
+    }
     /// Returns the name of a service, for logging.
     fn service_name(&self, _: ServiceKey) -> Option<&str> {
         None
--- a/crates/honeypulley_policy/tests/balance/main.rs
+++ b/crates/honeypulley_policy/tests/balance/main.rs
@@ -1,6 +1,7 @@
 //! Tests of one box with upstreams `u0`, `u1` and so on.
 
 mod budget;
+mod budget_shares;
 mod choice;
 mod contradicted;
 mod halls;
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -394,7 +394,8 @@
     fn spend_retry(&self, why: RetryReason) -> bool {
         let now = self.gate.now();
         let mut policy = self.gate.policy.lock();
-        let spent = policy.spend_retry(self.decision.info.service, why, now);
+        let info = RequestInfo { remaining: self.left(), ..self.decision.info };
+        let spent = policy.spend_retry_for(&info, why, now);
         if !spent {
             let known = policy.budget_use(self.decision.info.service, now);
             drop(policy);
@@ -402,6 +403,7 @@
                 .count_tagged("retries.denied", &[("service", self.decision.service.as_str())]);
             log::info!(
                 request = self.id.as_str(), service = self.decision.service.as_str(), why:debug = why,
+                priority = info.priority, left_ms = info.remaining.map(|d| d.as_millis() as u64),
                 seen = known.requests, own = known.own, others = known.others, budget = known.budget as f32,
                 past_known = known.history_known;
                 "route: not sent again, the retry budget is spent"
@@ -425,14 +427,21 @@
         if let Some(why) = &progress.unknown_reason {
             return LocalAnswer::unknown(StatusCode::BAD_GATEWAY, UNKNOWN_RETRY_AFTER, why.clone());
         }
-        let default_wait = || NOT_RUN_RETRY_AFTER.mul_f64(1.0 + fastrand::f64() / 2.0);
-        let wait = progress.retry_after.unwrap_or_else(default_wait);
+        let jitter = |wait: Duration| wait.mul_f64(1.0 + fastrand::f64() / 2.0);
+        let wait = progress.retry_after.unwrap_or_else(|| jitter(self.rejected_wait()));
         let status = StatusCode::SERVICE_UNAVAILABLE;
         let answer = LocalAnswer::not_run(status, Some(wait), progress.last_reason.clone());
         let elsewhere = self.gate.paths.lock().is_partitioned(self.checked_service().id);
         LocalAnswer { elsewhere, ..answer }
     }
 
+    /// Returns when the caller may return if upstreams rejected the request.
+    fn rejected_wait(&self) -> Duration {
+        let known =
+            self.gate.policy.lock().wait_after_rejection(&self.decision.info, self.gate.now());
+        known.unwrap_or(NOT_RUN_RETRY_AFTER)
+    }
+
     /// Returns the result at the deadline: an upstream's failure answer, or the proxy's own.
     fn at_deadline(&self, mut progress: Progress) -> Result<Answer, LocalAnswer> {
         let late = self.deadline_exceeded(&progress);
