Spare unrepeatable requests the trials of unknown upstreams after a restart of all boxes

Cause: a newly started box tries each upstream that it has heard nothing of, with any request. After a restart of all boxes every box does so, and unrepeatable requests are lost at those that hang. Repeatable requests, which a hedge saves, now do it alone, where both kinds and several priorities share the service and the start is not the fleet's first.

Ruled out by the simulation in tests/balance/restart_all.rs: a bound on attempts in flight. At 1.0 and 1.5 times the usual load, no request was lost behind a queue of more than a few, so that it would only reject.

--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -9,6 +9,7 @@
 mod admit;
 mod availability;
 mod choice;
+mod cold_start;
 mod failing;
 mod floor;
 pub(crate) mod illness;
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -68,8 +68,8 @@
         let rule = ProbeRule::of(s, info, now);
         let open = self.sendable(info, tried, now)?;
         // Retries are not used as probes.
-        let probe_target =
-            if tried.is_empty() { self.probe_target(&open, rule, now) } else { None };
+        let may_probe = tried.is_empty() && !self.is_spared(info, now);
+        let probe_target = if may_probe { self.probe_target(&open, rule, now) } else { None };
         let probe_target = probe_target.map(|u| (u, Reason::Canary));
         let chosen = probe_target.or_else(|| {
             let least = self.least_loss(&open, info, service_time, now)?;
--- a/crates/honeypulley_policy/tests/balance/main.rs
+++ b/crates/honeypulley_policy/tests/balance/main.rs
@@ -10,6 +10,7 @@
 mod probes;
 mod rate_limits;
 mod replaced;
+mod restart_all;
 mod signals;
 mod warm_up;
 
