--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -9,6 +9,7 @@
 mod admit;
 mod availability;
 mod choice;
+mod cold_start;
 mod failing;
 mod floor;
 mod hazard;
@@ -20,7 +21,9 @@
 mod probe;
 mod rate_limits;
 mod received;
+mod rejected;
 mod retry;
+mod retry_share;
 mod signals;
 mod sizes;
 mod update;
--- a/crates/honeypulley_policy/tests/balance/main.rs
+++ b/crates/honeypulley_policy/tests/balance/main.rs
@@ -1,6 +1,7 @@
 //! Tests of one box with upstreams `u0`, `u1` and so on.
 
 mod budget;
+mod budget_shares;
 mod choice;
 mod contradicted;
 mod halls;
@@ -10,6 +11,7 @@
 mod probes;
 mod rate_limits;
 mod replaced;
+mod restart_all;
 mod signals;
 mod warm_up;
 
