Keep a box that lost its peers from spending the refill of a small burst

Cause: a box counts as isolated after a silence only while the subject is near its limit, and it judged that by its own bucket. A burst of 4.2 at 40/s refills in 0.1 s, before the 0.3 s of silence, so an isolated box never noticed until the membership did (1.5 s) and spent the refill that its peers spent as well.

Change: the subject stays near its limit until another box is heard (or the silence is too long to mean isolation), whatever the bucket refills to.

--- a/crates/honeypulley_policy/src/fleet_limits/buckets.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/buckets.rs
@@ -180,7 +180,7 @@
         let scope = self.scope;
         let u = self.usage_mut(id, limit, now);
         u.refill(scope, now);
-        u.received_at = now;
+        u.record_received(now);
         let known = u.peer_sums.get(&from).copied();
         if known.is_some_and(|k| k.wrapping_sub(sum) <= MAX_MISSED) {
             return;
@@ -188,6 +188,7 @@
         u.peer_sums.insert(from, sum);
         let missed = known.map(|k| sum.wrapping_sub(k)).filter(|&n| n <= MAX_MISSED);
         u.record_admitted(missed.unwrap_or(1).into(), now);
+        u.record_received(now);
     }
 
     /// Applies the cumulative count of a data hall, announced by one of its boxes.
@@ -197,8 +198,8 @@
         let is_own_hall = count.hall == self.hall;
         let u = self.usage_mut(id, limit, now);
         u.refill(scope, now);
-        u.received_at = now;
         u.correct(count.tokens);
+        u.record_received(now);
         if is_own_hall {
             u.announced_at = Some(now);
             return;
@@ -218,6 +219,7 @@
             (None, Some(f)) => count.recent_estimate(now.since(f.received_at), window),
             (None, None) => count.excess(limit, scope, window),
         };
+        u.record_received(now);
     }
 
     /// Returns the subjects whose update to the other data halls is due.
--- a/crates/honeypulley_policy/src/fleet_limits/usage.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/usage.rs
@@ -73,7 +73,7 @@
     pub(super) unannounced: bool,
     /// Time of the last update of a peer about this subject.
     pub(super) received_at: Time,
-    /// Whether the subject was near its limit when this box was last connected.
+    /// Whether the subject was near its limit when this box last heard another box.
     pub(super) near_limit: bool,
     /// Whether the remaining tokens are an estimate made after a start.
     pub(super) estimated: bool,
@@ -144,11 +144,30 @@
         let RateLimit { rate, burst } = self.limit;
         self.bucket.refill(rate, burst, now);
         self.own_share.refill(self.own_rate(scope), burst / scope.boxes.max(1) as f64, now);
-        if !self.is_isolated(scope, now) {
-            self.near_limit = self.bucket.level < NEAR_LIMIT_SHARE * burst;
+        let is_near = self.bucket.level < NEAR_LIMIT_SHARE * burst;
+        // Tokens refilled since the last update may have been spent by peers that this box does
+        // not hear. They must not end the state, since a small burst refills before the silence
+        // counts as isolation.
+        let is_known = self.max_silence().is_none()
+            || scope.boxes < 2
+            || now.since(self.received_at) >= DETECTED_SILENCE;
+        if !scope.isolated {
+            self.near_limit = is_near || (self.near_limit && !is_known);
         }
     }
 
+    /// Records that an update of another box about this subject was applied.
+    pub(super) fn record_received(&mut self, now: Time) {
+        self.received_at = now;
+        self.near_limit = self.bucket.level < NEAR_LIMIT_SHARE * self.limit.burst;
+    }
+
+    /// Returns the silence that counts as isolation, unless the limit is too small for that.
+    fn max_silence(&self) -> Option<Duration> {
+        let secs = SILENCE_REQUESTS / self.limit.rate;
+        (secs <= MAX_SILENCE.as_secs_f64()).then(|| Duration::from_secs_f64(secs).max(MIN_SILENCE))
+    }
+
     /// Returns the rate at which this box may admit requests while it is isolated.
     pub(super) fn own_rate(&self, scope: LimitScope) -> f64 {
         let share = if self.near_limit { ISOLATED_SHARE } else { 1.0 };
@@ -164,13 +183,8 @@
         if scope.isolated || scope.boxes < 2 || !self.near_limit {
             return scope.isolated;
         }
-        let silence_secs = SILENCE_REQUESTS / self.limit.rate;
-        if silence_secs > MAX_SILENCE.as_secs_f64() {
-            return false;
-        }
         let silence = now.since(self.received_at);
-        silence > Duration::from_secs_f64(silence_secs).max(MIN_SILENCE)
-            && silence < DETECTED_SILENCE
+        self.max_silence().is_some_and(|max| silence > max && silence < DETECTED_SILENCE)
     }
 
     pub(super) fn record_admitted(&mut self, n: u32, now: Time) {
