Admit an organisation's urgent requests first while it exceeds its limit

Change: where an organisation has a limit and no priority of its own, and its routes differ in priority, each box admits a fraction of the demand, the most urgent first, and adjusts it so that the bucket keeps a reserve. The level that steers it is the mean of those the data halls announce already, so that all boxes hold back the same; there is no new message. The bucket itself and the draws of organisations without such a mix are unchanged.

Ruled out: a reserve of tokens alone (trunk reservation by the level that each box sees).

--- a/crates/honeypulley_mesh/src/admin.rs
+++ b/crates/honeypulley_mesh/src/admin.rs
@@ -58,6 +58,7 @@
             "boxes": self.address_book().count(),
             "partitioned": self.partitioned_services(),
             "held": self.quarantined_requests().len(),
+            "outranked": self.outranked.load(Ordering::Relaxed),
             "evacuated": self.evacuated_halls(),
             "unknown_kinds": self.unknown_kinds(),
             "not_ready": self.readiness().err(),
@@ -81,7 +82,8 @@
              honeypulley_entries_foreign_total {}\n\
              honeypulley_routes_unknown_kind {}\n\
              honeypulley_halls_evacuated {}\n\
-             honeypulley_services_partitioned {}\n",
+             honeypulley_services_partitioned {}\n\
+             honeypulley_requests_outranked_total {}\n",
             self.registry.text(),
             beacon.table,
             beacon.list.number,
@@ -96,6 +98,7 @@
             self.unknown_kinds().len(),
             self.evacuated_halls().len(),
             self.partitioned_services().len(),
+            self.outranked.load(Ordering::Relaxed),
         )
     }
 
--- a/crates/honeypulley_mesh/src/lib.rs
+++ b/crates/honeypulley_mesh/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod list;
 pub mod lists;
 pub mod numbers;
+mod over_limit;
 pub mod peers;
 pub mod pending_broadcast;
 pub mod readers;
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -1,6 +1,7 @@
 //! Routing and balancing on the serving thread, and the updates for other boxes that they produce.
 
 use crate::list::ListChange;
+use crate::over_limit::over_limit;
 use crate::state::Mesh;
 use crate::suspicion_log::SuspicionLog;
 use crate::update_batch::ReceivedUpdate;
@@ -9,9 +10,10 @@
 use honeypulley_policy::balance::{Balancer, BudgetUsage, RetryReason, Update};
 use honeypulley_policy::chooser::{Endpoint, PickInputs, RequestInfo, RoutingPolicy};
 use honeypulley_policy::collector::NameId;
-use honeypulley_policy::fleet_limits::{FleetRateLimiter, LimitUsage};
+use honeypulley_policy::fleet_limits::{FleetRateLimiter, LimitRefusal};
 use honeypulley_policy::organisations::{Organisation, Organisations};
 use honeypulley_policy::regions::RegionSet;
+use honeypulley_policy::route_mix::RouteMix;
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, Refusal, ServiceKey, UpstreamKey};
 use honeypulley_policy::routes::{Route, RouteTable};
 use honeypulley_policy::signals::{SignalChanges, Signals};
@@ -115,12 +117,28 @@
 
     /// Admits one request of an organisation, if its fleet-wide limit allows it.
     ///
+    /// Where the organisation's requests differ in priority (`mix`), the more urgent go first.
+    ///
     /// # Errors
-    /// Returns the time until the limit allows another request.
-    fn admit(&mut self, organisation: NameId, now: Time) -> Result<(), Duration> {
+    /// Returns the reason, and the time until the limit allows another request.
+    fn admit(
+        &mut self,
+        organisation: &Organisation,
+        priority: u8,
+        mix: RouteMix,
+        now: Time,
+    ) -> Result<(), LimitRefusal> {
         self.set_scope(now);
-        let admitted = self.limits.admit(organisation, now);
+        let id = organisation.id;
+        let admitted = if organisation.priority.is_none() && mix.is_ranked() {
+            self.limits.admit_ranked(id, priority, mix.is_most_urgent(priority), now)
+        } else {
+            self.limits.admit(id, now).map_err(|wait| LimitRefusal { wait, reserved: None })
+        };
         self.prepare_limit_reports(now);
+        if admitted.is_err_and(|r| r.reserved.is_some()) {
+            self.mesh.outranked.fetch_add(1, Ordering::Relaxed);
+        }
         admitted
     }
 
@@ -295,10 +313,10 @@
         policy.balancer().record_request(service, now);
         // A relayed request was admitted by the box that received it from the caller.
         if let Some(o) = organisation.as_ref().filter(|_| !wanted.relayed)
-            && let Err(wait) = policy.admit(o.id, now)
+            && let Err(refusal) = policy.admit(o, priority, table.limited_mix, now)
         {
-            let usage = policy.limits().usage(o.id, now);
-            return Err(over_limit(wanted.request, o, wait, usage.unwrap_or_default()));
+            let usage = policy.limits().usage(o.id, now).unwrap_or_default();
+            return Err(over_limit(wanted.request, o, priority, refusal, usage));
         }
         let owner = match (&table.organisations, organisation) {
             (None, _) => RequestOwner::NotConfigured,
@@ -390,21 +408,6 @@
     regions.into_iter().flatten().reduce(RegionSet::intersection)
 }
 
-/// Refuses a request over its organisation's limit, with a time to retry after.
-fn over_limit(request: &str, o: &Organisation, wait: Duration, usage: LimitUsage) -> LocalAnswer {
-    log::info!(
-        request, organisation = &*o.name, rate = usage.rate as f32, level = usage.tokens as f32,
-        hall = usage.hall, others = usage.other_halls,
-        others_age_ms = usage.age.map(|d| d.as_millis() as u64),
-        wait_ms = wait.as_millis() as u64;
-        "route: refused, its organisation is over its limit"
-    );
-    // Jitter, so that callers refused together don't retry together.
-    let retry_after = wait.mul_f64(1.0 + fastrand::f64());
-    let why = format!("{} sends more than its limit allows", o.name);
-    LocalAnswer::not_run(StatusCode::TOO_MANY_REQUESTS, Some(retry_after), why)
-}
-
 /// Refuses a request that this box can't route yet, with a time to retry after.
 fn not_ready(why: String) -> LocalAnswer {
     let retry_after = NOT_READY_RETRY_AFTER.mul_f64(1.0 + fastrand::f64() / 2.0);
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -132,6 +132,8 @@
     pub decoder: Arc<dyn Decoder>,
     /// Routing table in force; set by the serving thread.
     pub in_force: ArcSwapOption<RouteTable>,
+    /// Requests refused in favour of more urgent ones of their organisations.
+    pub outranked: AtomicU64,
     /// News of this box, to be sent to the other boxes.
     pub updates_out: Ring<Update>,
     /// News received from other boxes, for the serving thread.
@@ -216,6 +218,7 @@
             clock,
             decoder,
             in_force: ArcSwapOption::empty(),
+            outranked: AtomicU64::new(0),
             updates_out: Ring::new(4_096, OverflowPolicy::DropOldest),
             updates_in: Ring::new(16_384, OverflowPolicy::DropOldest),
             requests_out: Ring::new(1_024, OverflowPolicy::DropOldest),
--- a/crates/honeypulley_observe/src/explain.rs
+++ b/crates/honeypulley_observe/src/explain.rs
@@ -156,7 +156,8 @@
         format!("; the caller was told to come back after {wait} ms")
     };
     let cause = failed.last().map_or_else(String::new, |l| format!(" ({})", l.message));
-    Some(format!("answered {status} by the box: {why}{cause}; {execution}{advice}"))
+    let outranked = reserve_phrase(lines);
+    Some(format!("answered {status} by the box: {why}{cause}{outranked}; {execution}{advice}"))
 }
 
 /// Returns how the request went through another box, or nothing if it did not.
@@ -171,6 +172,18 @@
     })
 }
 
+/// Returns what was reserved for more urgent requests, if that is why the request was refused.
+fn reserve_phrase(lines: &[Line]) -> String {
+    let refused = lines.iter().rev().find(|l| !l.field("reserved").is_empty());
+    refused.map_or_else(String::new, |l| {
+        format!(
+            ", as {} requests of the limit were reserved for priorities above its own ({})",
+            l.field("reserved"),
+            l.field("priority")
+        )
+    })
+}
+
 fn last_upstream(lines: &[Line]) -> &str {
     let named = lines.iter().rev().find(|l| l.message.contains(" sent to "));
     named.map_or("no upstream", |l| l.field("upstream"))
--- a/crates/honeypulley_policy/src/fleet_limits.rs
+++ b/crates/honeypulley_policy/src/fleet_limits.rs
@@ -6,9 +6,10 @@
 mod buckets;
 mod hall_count;
 mod recent;
+mod reserve;
 mod rule;
 mod usage;
 
-pub use buckets::{FleetRateLimiter, LimitUsage};
+pub use buckets::{FleetRateLimiter, LimitRefusal, LimitUsage};
 pub use hall_count::HallCount;
 pub use rule::{LimitRule, LimitScope, RateLimit};
--- a/crates/honeypulley_policy/src/fleet_limits/buckets.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/buckets.rs
@@ -13,6 +13,7 @@
 //! and after a network partition each side is charged for the admissions of the other.
 
 use super::hall_count::{HallCount, RemoteHall};
+use super::reserve::Demand;
 use super::rule::{LimitRule, LimitScope, RateLimit};
 use super::usage::{ANNOUNCE_INTERVAL, MIN_LEVEL, Usage};
 use crate::balance::{RetryHistory, Update};
@@ -60,6 +61,17 @@
     pub age: Option<Duration>,
 }
 
+/// Rejection of a request over its subject's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitRefusal {
+    /// Time until a request like it may be admitted.
+    pub wait: Duration,
+    /// Tokens reserved for more urgent requests, if they are the reason.
+    ///
+    /// `None` if the limit itself is exhausted.
+    pub reserved: Option<f64>,
+}
+
 /// Enforces fleet-wide rate limits on one box.
 #[derive(Debug)]
 pub struct FleetRateLimiter {
@@ -75,6 +87,8 @@
     changed: BTreeSet<NameId>,
     updates: Vec<Update>,
     rng: fastrand::Rng,
+    /// Separate, so that the draws of `rng` do not depend on priorities.
+    rank_rng: fastrand::Rng,
 }
 
 impl FleetRateLimiter {
@@ -92,6 +106,7 @@
             changed: BTreeSet::new(),
             updates: Vec::new(),
             rng: fastrand::Rng::with_seed(seed),
+            rank_rng: fastrand::Rng::with_seed(!seed),
         }
     }
 
@@ -133,6 +148,42 @@
         Ok(())
     }
 
+    /// Consumes one token, unless it is kept for more urgent requests of the subject.
+    ///
+    /// Less urgent requests are held back only while the subject's demand exceeds its limit and
+    /// this box hears the others. `is_highest` tells that no request of the subject is more urgent.
+    ///
+    /// # Errors
+    /// Returns the reason and the time until a request is allowed; no token is consumed.
+    pub fn admit_ranked(
+        &mut self,
+        id: NameId,
+        priority: u8,
+        is_highest: bool,
+        now: Time,
+    ) -> Result<(), LimitRefusal> {
+        let Some(&limit) = self.limits.get(&id) else { return Ok(()) };
+        let (scope, window, draw) = (self.scope, self.rule.window, self.rank_rng.f64());
+        let u = self.usage_mut(id, limit, now);
+        u.refill(scope, now);
+        let pressure = u.pressure(window, now);
+        let is_isolated = u.is_isolated(scope, now);
+        let demand = u.demand.get_or_insert_with(|| Box::new(Demand::new(now)));
+        demand.record(priority);
+        demand.adjust(&pressure, now);
+        let probability = demand.probability(priority, &pressure);
+        let over_limit = |wait| LimitRefusal { wait, reserved: None };
+        self.check(id, 1.0, now).map_err(over_limit)?;
+        if !is_highest && !is_isolated && draw >= probability {
+            let secs = 1.0 / (limit.rate * probability).max(f64::MIN_POSITIVE);
+            let wait = Duration::try_from_secs_f64(secs).unwrap_or(window);
+            let wait = wait.min(window).max(MIN_RETRY_AFTER);
+            return Err(LimitRefusal { wait, reserved: Some(pressure.reserve()) });
+        }
+        self.consume(id, now);
+        Ok(())
+    }
+
     /// Checks whether a subject's limit allows one more request.
     ///
     /// The bucket must hold `wanted` tokens, or be full if its capacity is smaller.
@@ -199,6 +250,7 @@
         let u = self.usage_mut(id, limit, now);
         u.refill(scope, now);
         u.correct(count.tokens);
+        u.record_level(count.hall, count.tokens, now);
         u.record_received(now);
         if is_own_hall {
             u.announced_at = Some(now);
@@ -252,6 +304,7 @@
         u.unannounced = false;
         let recent = u16::try_from(u.hall_recent.latest(now)).unwrap_or(u16::MAX);
         let count = HallCount { hall, sum: u.hall_sum, recent, tokens: u.announced_level() };
+        u.record_level(hall, count.tokens, now);
         self.updates.push(Update::HallAdmitted { subject: id, count });
     }
 
--- a/crates/honeypulley_policy/src/fleet_limits/usage.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/usage.rs
@@ -2,6 +2,7 @@
 
 use super::hall_count::{LATEST_SHARE, RemoteHall};
 use super::recent::SlidingCount;
+use super::reserve::{Demand, Pressure};
 use super::rule::{LimitRule, LimitScope, RateLimit};
 use crate::collector::NameId;
 use crate::time::Time;
@@ -19,6 +20,8 @@
 ///
 /// The excess admitted in the meantime is small compared with the allowed slack.
 pub(super) const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(50);
+/// Announcement intervals for which a data hall's level counts.
+const LEVEL_INTERVALS: u32 = 6;
 /// Time for which an update of another data hall makes this one announce as well.
 const REPLY_TIME: Duration = Duration::from_secs(2);
 /// Fraction of the burst below which a subject counts as near its limit.
@@ -65,6 +68,10 @@
     pub(super) hall_sum: u16,
     /// Last updates of the other data halls.
     pub(super) remote_halls: BTreeMap<NameId, RemoteHall>,
+    /// Remaining tokens that each data hall last announced, and when.
+    pub(super) hall_levels: BTreeMap<NameId, (Time, i16)>,
+    /// Time at which the limit was last exhausted, as seen by this box or an announcer.
+    pub(super) exhausted_at: Option<Time>,
     /// Time at which an update was last found to be due.
     pub(super) due_at: Option<Time>,
     /// Time of this data hall's last update to the others.
@@ -77,6 +84,8 @@
     pub(super) near_limit: bool,
     /// Whether the remaining tokens are an estimate made after a start.
     pub(super) estimated: bool,
+    /// Demand by priority, for subjects whose requests differ in it.
+    pub(super) demand: Option<Box<Demand>>,
 }
 
 /// A token bucket.
@@ -117,12 +126,15 @@
             hall_recent: SlidingCount::new(window),
             hall_sum: initial,
             remote_halls: BTreeMap::new(),
+            hall_levels: BTreeMap::new(),
+            exhausted_at: None,
             due_at: None,
             announced_at: None,
             unannounced: false,
             received_at: now,
             near_limit: false,
             estimated: false,
+            demand: None,
         }
     }
 
@@ -194,6 +206,44 @@
         self.unannounced = true;
     }
 
+    /// Returns the mean of the levels that the data halls lately announced.
+    ///
+    /// The levels of single boxes differ by what they have not heard yet. All boxes know the same
+    /// announcements, so that they hold back the same requests. Without any, the own level counts.
+    pub(super) fn shared_level(&self, now: Time) -> f64 {
+        let is_current = |at: Time| now.since(at) < ANNOUNCE_INTERVAL * LEVEL_INTERVALS;
+        let levels = self.hall_levels.values().filter(|(at, _)| is_current(*at));
+        let (n, sum) =
+            levels.fold((0, 0.0), |(n, sum), (_, level)| (n + 1, sum + f64::from(*level)));
+        if n == 0 { self.bucket.level } else { sum / f64::from(n) }
+    }
+
+    /// Records the level that a data hall announces.
+    pub(super) fn record_level(&mut self, hall: NameId, level: i16, now: Time) {
+        self.hall_levels.insert(hall, (now, level));
+        if level < 1 {
+            self.exhausted_at = Some(now);
+        }
+    }
+
+    /// Returns how far the demand of all boxes presses on the limit, as far as is known.
+    pub(super) fn pressure(&mut self, window: Duration, now: Time) -> Pressure {
+        if self.bucket.level < 1.0 {
+            self.exhausted_at = Some(now);
+        }
+        let is_current = |f: &&RemoteHall| now.since(f.received_at) < REPLY_TIME;
+        let remote = self.remote_halls.values().filter(is_current);
+        let remote: f64 = remote.map(|f| f64::from(f.recent)).sum();
+        // The newest of the two counted buckets is half full on average.
+        let secs = 0.75 * LATEST_SHARE * window.as_secs_f64();
+        Pressure {
+            limit: self.limit,
+            level: self.shared_level(now),
+            admitted_rate: (f64::from(self.hall_recent.latest(now)) + remote) / secs,
+            is_exhausted: self.exhausted_at.is_some_and(|at| now.since(at) < REPLY_TIME),
+        }
+    }
+
     /// Returns whether an update is due, at most once per [`ANNOUNCE_INTERVAL`].
     pub(super) fn is_update_due(&mut self, rule: LimitRule, scope: LimitScope, now: Time) -> bool {
         let is_too_soon = self.due_at.is_some_and(|at| now.since(at) < ANNOUNCE_INTERVAL);
--- a/crates/honeypulley_policy/src/route_mix.rs
+++ b/crates/honeypulley_policy/src/route_mix.rs
@@ -32,6 +32,12 @@
         self.priorities.count_ones() > 1
     }
 
+    /// Returns whether no route is more urgent than `priority`.
+    #[must_use]
+    pub const fn is_most_urgent(self, priority: u8) -> bool {
+        priority as u32 <= self.priorities.trailing_zeros()
+    }
+
     /// Returns whether repeatable and unrepeatable requests share the service.
     #[must_use]
     pub const fn is_mixed(self) -> bool {
--- a/crates/honeypulley_policy/src/routes.rs
+++ b/crates/honeypulley_policy/src/routes.rs
@@ -145,6 +145,8 @@
     pub organisations: Option<Organisations>,
     /// Routes of unknown kind.
     pub unknown_kinds: Vec<UnknownKind>,
+    /// Priorities and kinds of the routes for which an organisation's limit counts.
+    pub limited_mix: RouteMix,
     routes: HashMap<String, Arc<Route>>,
 }
 
@@ -195,9 +197,13 @@
         limits: CallerLimits,
     ) -> Result<Self, RouteError> {
         let mut by_prefix = HashMap::with_capacity(routes.len());
+        let mut limited_mix = RouteMix::default();
         for r in routes {
             validate(&r, &services)?;
             add_to_mix(&r, &mut services);
+            if !r.public {
+                limited_mix.add(r.priority, r.kind.is_repeatable());
+            }
             by_prefix.insert(format!("{}{}", r.host, r.prefix), Arc::new(r));
         }
         Ok(Self {
@@ -206,6 +212,7 @@
             limits,
             organisations: None,
             unknown_kinds: Vec::new(),
+            limited_mix,
             routes: by_prefix,
         })
     }
--- a/crates/honeypulley_policy/tests/limits/fleet.rs
+++ b/crates/honeypulley_policy/tests/limits/fleet.rs
@@ -64,6 +64,8 @@
 pub enum Strategy {
     /// Boxes announce admissions in their hall, and halls exchange cumulative counts.
     Told,
+    /// The same, with a reserve for more urgent requests.
+    Ranked,
     /// Each box admits an equal share.
     EqualShare,
     /// One box hands out tokens in batches.
@@ -107,6 +109,10 @@
     pub skew: f64,
     /// Share of the requests that arrive in the first data hall, if not even.
     pub home: Option<f64>,
+    /// Weights of the priorities 0, 1 and 2, if the requests differ in priority.
+    pub mix: Option<[f64; 3]>,
+    /// Whether each box gets requests of one priority only.
+    pub sorted: bool,
     pub seed: u64,
 }
 
@@ -119,6 +125,12 @@
     pub used: f64,
     /// Datagrams received per box and second.
     pub datagrams: f64,
+    /// Requests by priority while the load was increased.
+    pub asked: [u32; 3],
+    /// Those that were admitted.
+    pub admitted: [u32; 3],
+    /// Requests that were rejected during the whole run.
+    pub rejected: u32,
 }
 
 /// Topology and connectivity of the simulated fleet.
@@ -194,6 +206,10 @@
         Strategy::Told => {
             Box::new(Told::new(b, fleet, limit, past, Time::from_millis(fleet.now_ms)))
         }
+        Strategy::Ranked => {
+            let now = Time::from_millis(fleet.now_ms);
+            Box::new(Told::new(b, fleet, limit, past, now).ranked())
+        }
         Strategy::EqualShare => Box::new(EqualShare::new(fleet, limit)),
         Strategy::Batches => Box::new(Batches::new(b, limit)),
         Strategy::Alone => Box::new(Alone::new(limit)),
@@ -233,6 +249,7 @@
     let mut in_transit: BTreeMap<u64, Vec<Message>> = BTreeMap::new();
     let mut down_until = vec![0; n];
     let (mut ideal_sum, mut datagrams) = (0.0, 0_u64);
+    let (mut asked, mut taken, mut rejected) = ([0; 3], [0; 3], 0);
     for ms in 0..RUN_MS {
         fleet.now_ms = ms;
         let now = Time::from_millis(ms);
@@ -274,14 +291,28 @@
                 ideal_sum += 1.0;
             }
             let first_tenth = (n / 10).max(1);
-            let i = match plan.home {
-                Some(home) => draw_box(plan, home, &mut rng),
+            let draw = |rng: &mut fastrand::Rng| match plan.home {
+                Some(home) => draw_box(plan, home, rng),
                 None if rng.f64() < plan.skew => rng.usize(..first_tenth),
                 None => rng.usize(..n),
             };
-            if down_until[i] <= ms && boxes[i].admit(&fleet, now, &mut out) {
+            let priority = plan.mix.map(|mix| draw_priority(mix, &mut rng));
+            let mut i = draw(&mut rng);
+            while plan.sorted && Some(i / plan.halls % 3) != priority {
+                i = draw(&mut rng);
+            }
+            let is_admitted = down_until[i] <= ms
+                && match priority {
+                    Some(p) => boxes[i].admit_ranked(&fleet, p as u8, now, &mut out),
+                    None => boxes[i].admit(&fleet, now, &mut out),
+                };
+            if is_admitted {
                 admitted.push(ms);
             }
+            rejected += u32::from(!is_admitted);
+            let p = priority.unwrap_or(0);
+            asked[p] += u32::from(is_hot);
+            taken[p] += u32::from(is_hot && is_admitted);
         }
         for m in out {
             let at = ms + rng.u64(DELAY_MS.0..=DELAY_MS.1);
@@ -292,6 +323,21 @@
         worst: max_ratio(&admitted, plan),
         used: admitted.len() as f64 / f64::max(ideal_sum, 1.0),
         datagrams: datagrams as f64 / n as f64 / (RUN_MS as f64 / 1e3),
+        asked,
+        admitted: taken,
+        rejected,
+    }
+}
+
+/// Draws the priority of a request.
+fn draw_priority(mix: [f64; 3], rng: &mut fastrand::Rng) -> usize {
+    let draw = rng.f64() * mix.iter().sum::<f64>();
+    if draw < mix[0] {
+        0
+    } else if draw < mix[0] + mix[1] {
+        1
+    } else {
+        2
     }
 }
 
--- a/crates/honeypulley_policy/tests/limits/main.rs
+++ b/crates/honeypulley_policy/tests/limits/main.rs
@@ -7,6 +7,7 @@
 
 mod alone;
 mod fleet;
+mod priorities;
 mod upstreams;
 mod ways;
 
@@ -45,6 +46,8 @@
         lowered: None,
         skew: 0.0,
         home: None,
+        mix: None,
+        sorted: false,
         seed: 0,
     }
 }
@@ -57,10 +60,17 @@
 fn averaged(plan: Plan) -> Outcome {
     let all: Vec<Outcome> = (0..SEEDS).map(|seed| simulate(Plan { seed, ..plan })).collect();
     let mean = |f: fn(&Outcome) -> f64| all.iter().map(f).sum::<f64>() / all.len() as f64;
+    let sum = |f: fn(&Outcome) -> [u32; 3]| {
+        let add = |a: [u32; 3], o| std::array::from_fn(|i| a[i] + f(o)[i]);
+        all.iter().fold([0; 3], add)
+    };
     Outcome {
         worst: all.iter().map(|o| o.worst).fold(0.0, f64::max),
         used: mean(|o| o.used),
         datagrams: mean(|o| o.datagrams),
+        asked: sum(|o| o.asked),
+        admitted: sum(|o| o.admitted),
+        rejected: all.iter().map(|o| o.rejected).sum(),
     }
 }
 
--- a/crates/honeypulley_policy/tests/limits/upstreams.rs
+++ b/crates/honeypulley_policy/tests/limits/upstreams.rs
@@ -38,6 +38,8 @@
         lowered: None,
         skew: 0.0,
         home: Some(HOME_SHARE),
+        mix: None,
+        sorted: false,
         seed: 0,
     }
 }
--- a/crates/honeypulley_policy/tests/limits/ways.rs
+++ b/crates/honeypulley_policy/tests/limits/ways.rs
@@ -17,6 +17,16 @@
 pub trait Limiter {
     /// Returns whether a request is admitted, and appends updates to `out`.
     fn admit(&mut self, fleet: &Fleet, now: Time, out: &mut Vec<Message>) -> bool;
+    /// Returns whether a request of this priority is admitted.
+    fn admit_ranked(
+        &mut self,
+        fleet: &Fleet,
+        _priority: u8,
+        now: Time,
+        out: &mut Vec<Message>,
+    ) -> bool {
+        self.admit(fleet, now, out)
+    }
     /// Applies a message of another box.
     fn receive(&mut self, fleet: &Fleet, m: &Message, now: Time, out: &mut Vec<Message>);
     /// Replaces the limit.
@@ -27,9 +37,16 @@
 pub struct Told {
     this_box: BoxId,
     limits: FleetRateLimiter,
+    /// Whether tokens are reserved for more urgent requests.
+    is_ranked: bool,
 }
 
 impl Told {
+    /// Returns the limiter with a reserve for more urgent requests.
+    pub fn ranked(self) -> Self {
+        Self { is_ranked: true, ..self }
+    }
+
     pub fn new(
         this_box: BoxId,
         fleet: &Fleet,
@@ -45,7 +62,7 @@
             now,
         );
         limits.replace_limits([(organisation(), limit)]);
-        Self { this_box, limits }
+        Self { this_box, limits, is_ranked: false }
     }
 
     fn set_scope(&mut self, fleet: &Fleet, now: Time) {
@@ -77,6 +94,23 @@
         admitted
     }
 
+    fn admit_ranked(
+        &mut self,
+        fleet: &Fleet,
+        priority: u8,
+        now: Time,
+        out: &mut Vec<Message>,
+    ) -> bool {
+        if !self.is_ranked {
+            return self.admit(fleet, now, out);
+        }
+        self.set_scope(fleet, now);
+        let admitted =
+            self.limits.admit_ranked(organisation(), priority, priority == 0, now).is_ok();
+        self.announce(fleet, now, out);
+        admitted
+    }
+
     fn receive(&mut self, fleet: &Fleet, m: &Message, now: Time, out: &mut Vec<Message>) {
         let from = fleet.id(m.from);
         self.set_scope(fleet, now);
