Test the retry budget and the warm-up limits for relayed requests

Nothing covered these on the way through another box. The tests guard against a retry that no box counts, a request that counts at both boxes, a retry by both boxes, and relayed requests beyond the limit of an upstream that warms up.

--- a/crates/honeypulley_proxy/tests/race/main.rs
+++ b/crates/honeypulley_proxy/tests/race/main.rs
@@ -4,5 +4,6 @@
 mod ends;
 mod foreign;
 mod partition;
+mod relayed;
 mod support;
 mod suspended;
