--- a/crates/honeypulley_mesh/tests/boxes/main.rs
+++ b/crates/honeypulley_mesh/tests/boxes/main.rs
@@ -3,6 +3,7 @@
 mod departures;
 mod foreign;
 mod join;
+mod limits;
 mod model;
 mod pulls;
 mod received;
