--- a/crates/honeypulley_observe/src/explain.rs
+++ b/crates/honeypulley_observe/src/explain.rs
@@ -158,7 +158,7 @@
     let advice = format!("{}{advice}", denied_phrase(lines));
     let attempt = failed.last().map(|l| format!(" ({})", l.message));
     let cause = stop_cause(lines).or(attempt).unwrap_or_default();
-    let rank = rank_phrase(lines);
+    let rank = format!("{}{}", rank_phrase(lines), reserve_phrase(lines));
     Some(format!("answered {status} by the box: {why}{cause}{rank}; {execution}{advice}"))
 }
 
@@ -208,6 +208,18 @@
     Some(format!(" (it was to end within {} ms, and {limit})", refused.field("left_ms")))
 }
 
+/// Returns what was reserved for more urgent requests, if that is why the request was refused.
+fn reserve_phrase(lines: &[Line]) -> String {
+    let refused = lines.iter().rev().find(|l| !l.field("reserved").is_empty());
+    refused.map_or_else(String::new, |l| {
+        format!(
+            ", as {} requests of the limit were reserved for priorities above its own ({})",
+            l.field("reserved"),
+            l.field("priority")
+        )
+    })
+}
+
 fn last_upstream(lines: &[Line]) -> &str {
     let named = lines.iter().rev().find(|l| l.message.contains(" sent to "));
     named.map_or("no upstream", |l| l.field("upstream"))
--- a/crates/honeypulley_proxy/tests/race/main.rs
+++ b/crates/honeypulley_proxy/tests/race/main.rs
@@ -4,6 +4,7 @@
 mod ends;
 mod foreign;
 mod partition;
+mod relayed;
 mod stops;
 mod support;
 mod suspended;
