Date a hang by its start and probe upstreams whose slots hang

Cause: the probe backoff of an upstream began when a hang was noticed, seconds after its request was sent, and an upstream whose slots were all taken by hung requests got no probe although it may have recovered.

A hang now counts from the start of its attempt; that of a peer in the data hall is known from its announced start. While much of a service fails, a repeatable request may queue behind requests that hang; others may not.

--- a/crates/honeypulley_policy/src/balance/in_flight.rs
+++ b/crates/honeypulley_policy/src/balance/in_flight.rs
@@ -55,6 +55,15 @@
         self.in_flight_ratio(&self.upstreams[k], now) >= NO_PROBE_RATIO
     }
 
+    /// Returns whether requests that hang take up all slots.
+    pub(super) fn is_stuck(&self, u: &Upstream, now: Time) -> bool {
+        let is_hung = |a: &&Attempt| a.announced >= HUNG_RATIO;
+        let own = u.in_flight.iter().filter_map(|&a| self.attempts.get(a)).filter(is_hung).count();
+        let fresh = u.peers.iter().filter(|p| now.since(p.since) < IN_FLIGHT_TTL);
+        let peers: u16 = fresh.filter(|p| p.announced >= HUNG_RATIO).map(|p| p.count).sum();
+        own as f64 + f64::from(peers) >= u.slots
+    }
+
     /// Returns the likelihood ratio (unhealthy to healthy) of all attempts in flight.
     fn in_flight_ratio(&self, u: &Upstream, now: Time) -> f64 {
         let Some(s) = self.services.get(u.service) else { return 1.0 };
--- a/crates/honeypulley_policy/src/balance/learn.rs
+++ b/crates/honeypulley_policy/src/balance/learn.rs
@@ -109,7 +109,7 @@
     pub(super) fn record_in_flight(&mut self, k: AttemptKey, now: Time) {
         let Some(&a) = self.attempts.get(k) else { return };
         for observation in self.due_observations(&a, now) {
-            self.record_observation(a.upstream, observation, now);
+            self.record_observation(a.upstream, observation, a.started, now);
             if let Some(a) = self.attempts.get_mut(k) {
                 a.announced = raise_announced(a.announced, observation);
             }
@@ -136,9 +136,9 @@
             self.record_latency(&a, took);
             self.record_success(&a, late, now);
         } else if self.is_early(&a, took) {
-            self.record_observation(a.upstream, Observation::Failure, now);
+            self.record_observation(a.upstream, Observation::Failure, now, now);
         } else if self.route_latencies.contains_key(&a.route) {
-            self.record_observation(a.upstream, Observation::FailedWork, now);
+            self.record_observation(a.upstream, Observation::FailedWork, now, now);
         }
     }
 
@@ -171,7 +171,7 @@
             Outcome::Completed | Outcome::Cancelled | Outcome::TimedOut => {
                 // The caller or the deadline ended the attempt, so only its age is evidence.
                 if hung {
-                    self.record_observation(a.upstream, Observation::Hung, now);
+                    self.record_observation(a.upstream, Observation::Hung, a.started, now);
                 }
                 return;
             }
@@ -192,7 +192,7 @@
                 return;
             }
         };
-        self.record_observation(a.upstream, observation, now);
+        self.record_observation(a.upstream, observation, now, now);
     }
 
     /// Records a successful answer to an attempt of this box.
@@ -221,7 +221,15 @@
     }
 
     /// Records an observation of this box and broadcasts it.
-    fn record_observation(&mut self, k: UpstreamKey, observation: Observation, now: Time) {
+    ///
+    /// A hang counts from `began`, when its attempt was sent.
+    fn record_observation(
+        &mut self,
+        k: UpstreamKey,
+        observation: Observation,
+        began: Time,
+        now: Time,
+    ) {
         let Some(service) = self.upstreams.get(k).map(|u| u.service) else { return };
         self.count_failure(service, observation, now);
         let shed_share = self.services.get(service).map_or(0.0, |s| s.failures.shed_share());
@@ -231,7 +239,7 @@
             u.path.observe(observation, now);
             u.reset_last_sent();
         } else {
-            u.observe(observation, shed_share, now);
+            u.observe(observation, shed_share, began, now);
         }
         self.updates.push(Update::Seen { upstream: u.id, observation });
     }
@@ -262,11 +270,18 @@
     /// Updates the belief by an observation of any box.
     ///
     /// Shedding is the weaker evidence against one upstream, the more of it all upstreams do.
-    pub(super) fn observe(&mut self, observation: Observation, shed_share: f64, now: Time) {
+    /// What was observed began at `began` and was noticed at `now`.
+    pub(super) fn observe(
+        &mut self,
+        observation: Observation,
+        shed_share: f64,
+        began: Time,
+        now: Time,
+    ) {
         self.observed = true;
         self.hangs.record(observation, now);
         if observation != Observation::Shed {
-            self.update_failures(observation, now);
+            self.update_failures(observation, began);
             self.shared.observe(observation, now);
             return;
         }
@@ -304,16 +319,19 @@
     }
 
     /// Updates the time and number of consecutive failures.
-    fn update_failures(&mut self, observation: Observation, now: Time) {
+    ///
+    /// A hang is noticed seconds after its upstream may have recovered, so failures are dated by
+    /// when they began.
+    fn update_failures(&mut self, observation: Observation, began: Time) {
         match observation {
             Observation::Success => self.streak = 0,
             Observation::FailedWork | Observation::Overdue => {}
             _ => {
                 // Simultaneous failures count as one.
-                let is_separate = self.last_failure.is_none_or(|at| now.since(at) > FAILURE_GAP);
+                let is_separate = self.last_failure.is_none_or(|at| began.since(at) > FAILURE_GAP);
                 self.streak += u32::from(is_separate);
                 self.broken |= matches!(observation, Observation::Failure | Observation::Refused);
-                self.last_failure = Some(now);
+                self.last_failure = self.last_failure.max(Some(began));
                 self.recovery_announced = false;
             }
         }
--- a/crates/honeypulley_policy/src/balance/probe.rs
+++ b/crates/honeypulley_policy/src/balance/probe.rs
@@ -75,6 +75,10 @@
     is_floor_enough: bool,
     /// Whether upstreams with a low hazard of hanging are probed first.
     is_hazard_weighed: bool,
+    /// Whether a probe may queue behind requests that hang.
+    ///
+    /// An upstream may have recovered while earlier requests still take up its slots.
+    is_queueing_allowed: bool,
     /// Requests of this data hall per second, once they are known.
     rate: Option<f64>,
 }
@@ -97,8 +101,17 @@
         // Where requests are placed by hazard, probes with others meet the upstreams that are avoided.
         let is_floor_enough = !is_starting && !info.repeatable && (!failing || s.weighs_hazard());
         let is_hazard_weighed = s.weighs_hazard() && !info.repeatable;
+        let is_queueing_allowed = failing && info.repeatable;
         let rate = s.failures.attempt_rate(now);
-        Self { backoff, max_idle, floor, is_floor_enough, is_hazard_weighed, rate }
+        Self {
+            backoff,
+            max_idle,
+            floor,
+            is_floor_enough,
+            is_hazard_weighed,
+            is_queueing_allowed,
+            rate,
+        }
     }
 }
 
@@ -138,7 +151,8 @@
     fn is_due(&self, k: UpstreamKey, rule: ProbeRule, now: Time) -> bool {
         let u = &self.upstreams[k];
         let is_available = !u.is_backed_off(rule.backoff, now);
-        let is_free = u.local && u.busy(now) < u.slots && u.path.probability(now) < BAD_PATH_CHANCE;
+        let has_slot = u.busy(now) < u.slots || (rule.is_queueing_allowed && self.is_stuck(u, now));
+        let is_free = u.local && has_slot && u.path.probability(now) < BAD_PATH_CHANCE;
         let idle = u.idle_time(rule.backoff, now);
         is_available
             && is_free
--- a/crates/honeypulley_policy/src/balance/received.rs
+++ b/crates/honeypulley_policy/src/balance/received.rs
@@ -204,8 +204,12 @@
         let contradicted = self.contradicted.get(&from);
         let is_contradicted = contradicted.is_some_and(|&at| now.since(at) < CONTRADICTED_TIME);
         let u = self.upstream_by_id(upstream)?;
+        let mut began = now;
         if let Some(p) = u.peer_entry(from) {
             p.announced = raise_announced(p.announced, observation);
+            if observation == Observation::Hung {
+                began = p.since;
+            }
         }
         let before = u.shared.probability(now);
         if observation == Observation::Unreachable {
@@ -218,7 +222,7 @@
             _ => true,
         };
         if is_believed {
-            u.observe(observation, shed_share, now);
+            u.observe(observation, shed_share, began, now);
         }
         let after = u.shared.probability(now);
         let became_suspect = before < SUSPECT_CHANCE && after >= SUSPECT_CHANCE;
--- a/crates/honeypulley_policy/tests/balance/probes.rs
+++ b/crates/honeypulley_policy/tests/balance/probes.rs
@@ -1,11 +1,13 @@
 //! Probes: requests to idle upstreams that would not be selected by their loss.
 
 use crate::{balancer, failure, listed, send};
+use honeypulley_policy::balance::{Balancer, Update};
+use honeypulley_policy::belief::Observation;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::spec::MemberState;
 use honeypulley_policy::time::Time;
 use rstest::rstest;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[rstest]
 #[case::calm(0, false)]
@@ -51,7 +53,7 @@
             b.apply_update(NameId::of("other"), failure(name), Time::from_millis(at));
         }
     }
-    let mut probed = std::collections::BTreeSet::new();
+    let mut probed = BTreeSet::new();
     for from in (8_610..12_600).step_by(100) {
         // Failures of an upstream that never answers.
         for _ in 0..6 {
@@ -144,3 +146,55 @@
     let picks = send(&mut b, 300, 10_020, false);
     assert!(picks.contains_key("new"), "{picks:?}");
 }
+
+/// Lets requests of a peer start at `u1` at 4 s, and reports them as hung at `noticed` ms.
+fn hang(count: u16, noticed: u64) -> Balancer {
+    let mut b = balancer(10);
+    send(&mut b, 400, 10, true);
+    let (peer, upstream) = (NameId::of("peer"), NameId::of("u1"));
+    b.apply_update(peer, Update::Open { upstream, count }, Time::from_millis(4_010));
+    send(&mut b, (noticed - 4_020) / 10, 4_020, true);
+    for observation in [Observation::Overdue, Observation::Hung] {
+        b.apply_update(peer, Update::Seen { upstream, observation }, Time::from_millis(noticed));
+    }
+    b
+}
+
+/// Sends requests for `secs` while many fail; returns the upstreams that got some.
+fn send_while_failing(
+    b: &mut Balancer,
+    from: u64,
+    secs: u64,
+    repeatable: bool,
+) -> BTreeSet<String> {
+    let windows = (from..from + secs * 1_000).step_by(100);
+    windows
+        .flat_map(|at| {
+            // Failures of an upstream that never answers.
+            for _ in 0..6 {
+                b.apply_update(NameId::of("other"), failure("u9"), Time::from_millis(at));
+            }
+            send(b, 10, at, repeatable).into_keys()
+        })
+        .collect()
+}
+
+/// Guards against a probe backoff that starts when a hang is noticed.
+///
+/// Downloads that hang are noticed seconds after their upstream may have recovered.
+#[test]
+fn a_hang_counts_from_when_it_began() {
+    let mut b = hang(1, 7_500);
+    let probed = send_while_failing(&mut b, 7_510, 1, true);
+    assert!(probed.contains("u1"), "it has hung since 4 s: {probed:?}");
+}
+
+/// Guards against an upstream that gets no request as long as all of its slots hang.
+#[rstest]
+#[case::repeatable(true)]
+#[case::unsafe_requests(false)]
+fn only_repeatable_requests_queue_behind_hung_ones(#[case] repeatable: bool) {
+    let mut b = hang(3, 6_000);
+    let probed = send_while_failing(&mut b, 6_010, 3, repeatable);
+    assert_eq!(probed.contains("u1"), repeatable, "{probed:?}");
+}
