--- a/crates/honeypulley_observe/tests/explain.rs
+++ b/crates/honeypulley_observe/tests/explain.rs
@@ -19,6 +19,9 @@
 timestamp=2026-12-02T10:00:03.002Z level=INFO message="route: first sent to i-9" request=r5 upstream=i-9 box=b
 timestamp=2026-12-02T10:00:03.300Z level=INFO message="route: answered" request=r5 service=s status=200 took_ms=298 box=b
 timestamp=2026-12-02T10:00:03.301Z level=INFO message="route: answered" request=r5 service=s status=200 took_ms=301 box=a
+timestamp=2026-12-02T10:00:04.000Z level=INFO message="route: first sent to i-9" request=r6 upstream=i-9 box=a
+timestamp=2026-12-02T10:00:04.003Z level=INFO message="route: not sent again, the retry budget is spent" request=r6 service=s why=Failed priority=2 left_ms=1497 box=a
+timestamp=2026-12-02T10:00:04.004Z level=WARN message="route: own answer, the upstream sheds load" request=r6 status=503 outcome=NotRun retry_after_ms=200 box=a
 "#;
 
 #[rstest]
@@ -39,6 +42,10 @@
     "r5",
     "i-9 answered with 200 after 301 ms, through the box at 10.0.0.2:7001, since connections from a failed"
 )]
+#[case(
+    "r6",
+    "answered 503 by the box: the upstream sheds load; it was not run; the retry budget allowed no further attempt at priority 2; the caller was told to come back after 200 ms"
+)]
 fn a_request_is_explained_in_a_sentence(#[case] id: &str, #[case] expected: &str) {
     let found = explain::request(id, LINES.lines()).expect("the log names it");
     assert_eq!(found.verdict, expected);
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -18,7 +18,7 @@
 const BOX_SHARE: f64 = 0.5;
 
 /// Interval at which a box announces its traffic while its retries are denied.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Limit on sends beyond the first of each request, over all boxes.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/honeypulley_policy/src/balance/retry_share.rs
+++ b/crates/honeypulley_policy/src/balance/retry_share.rs
@@ -6,7 +6,7 @@
 //! bucket spreads the share over the window, and less valuable retries leave it half filled.
 
 use super::in_flight::latency_prior;
-use super::retry::{RetryReport, RetryRule};
+use super::retry::{ANNOUNCE_INTERVAL, RetryReport, RetryRule};
 use super::{Balancer, DEFAULT_TARGET, RetryReason, Service, Update};
 use crate::chooser::RequestInfo;
 use crate::collector::NameId;
@@ -35,6 +35,8 @@
 const CURRENT_TIME: Duration = Duration::from_secs(3);
 /// Age at which it counts no more, as its owner may use it unheard.
 const LAPSE_TIME: Duration = Duration::from_secs(5);
+/// Share of the retries of an even pace that a silent peer is assumed to make.
+const UNHEARD_SHARE: f64 = 0.5;
 /// Part of the reserve left to more urgent requests, for each share of them that is denied.
 const URGENCY_GAIN: f64 = 8.0;
 /// Weight of one retry in the moving average of the share of denied ones.
@@ -266,11 +268,20 @@
             _ if self.retries == u8::MAX => unused.min(0.0) * left(self.at),
             // Its retries beyond its share leave the window in the course of time.
             n if n < 0.0 => n * left(self.at),
-            n => n * self.currency(now),
+            n => (n - self.unheard(rule, slack, now)).max(0.0) * self.currency(now),
         };
         unused - debt
     }
 
+    /// Returns the retries that it may have made unheard.
+    ///
+    /// Without them, 0.5 of lost announcements and few requests gave 1.03 of the rule.
+    fn unheard(&self, rule: &RetryRule, slack: f64, now: Time) -> f64 {
+        let silent = now.since(self.at).saturating_sub(ANNOUNCE_INTERVAL);
+        let windows = silent.as_secs_f64() / rule.window.as_secs_f64();
+        UNHEARD_SHARE * self.share(rule, slack, now) * windows
+    }
+
     /// Returns the weight of its unused share by the age of the announcement.
     fn currency(&self, now: Time) -> f64 {
         let left = LAPSE_TIME.saturating_sub(now.since(self.at));
--- a/crates/honeypulley_policy/tests/balance/budget_shares.rs
+++ b/crates/honeypulley_policy/tests/balance/budget_shares.rs
@@ -290,7 +290,7 @@
 #[case::burst(Plan { shed: 0.9, shed_ms: (20_000, 28_500), ..STEADY })]
 #[case::half_failing(Plan { failing: 0.5, ..STEADY })]
 #[case::half_failing_split(Plan { failing: 0.5, split_ms: (14_000, 40_000), ..STEADY })]
-fn the_rule_holds_in_every_window(#[case] plan: Plan, #[values(1, 2)] seed: u64) {
+fn the_rule_holds_in_every_window(#[case] plan: Plan, #[values(1, 2, 3, 4, 5, 6)] seed: u64) {
     let used = Fleet::run(Plan { seed, ..plan }).most_used();
     println!("used {used:.3}");
     assert!(used <= 1.0, "retries are {used:.3} of what the rule allows");
