--- a/crates/honeypulley_mesh/src/admin.rs
+++ b/crates/honeypulley_mesh/src/admin.rs
@@ -57,6 +57,7 @@
             "in_touch": self.readers().in_touch(self.now()),
             "boxes": self.address_book().count(),
             "partitioned": self.partitioned_services(),
+            "retries_denied": self.retries_denied.load(Ordering::Relaxed),
             "held": self.quarantined_requests().len(),
             "evacuated": self.evacuated_halls(),
             "unknown_kinds": self.unknown_kinds(),
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -219,6 +219,7 @@
 
     fn spend_retry_for(&mut self, info: &RequestInfo, why: RetryReason, now: Time) -> bool {
         let spent = self.balancer.spend_retry_for(info, why, now);
+        self.mesh.retries_denied.fetch_add(u64::from(!spent), Ordering::Relaxed);
         self.announce();
         spent
     }
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -168,6 +168,8 @@
     pub list_known: AtomicBool,
     /// Set while the other boxes may not know this box's address.
     pub unannounced: AtomicBool,
+    /// Number of further attempts that the retry budget did not allow.
+    pub(crate) retries_denied: AtomicU64,
     /// Set during a planned shutdown.
     pub leaving: Arc<AtomicBool>,
     seeds: Mutex<Vec<SocketAddr>>,
@@ -234,6 +236,7 @@
             startup: Startup::default(),
             list_known: AtomicBool::new(false),
             unannounced: AtomicBool::new(settings.first_start),
+            retries_denied: AtomicU64::new(0),
             leaving,
             seeds: Mutex::new(settings.seeds.clone()),
             registry: Registry::default(),
