--- a/crates/honeypulley_policy/tests/balance/main.rs
+++ b/crates/honeypulley_policy/tests/balance/main.rs
@@ -11,6 +11,7 @@
 mod rate_limits;
 mod replaced;
 mod restart_all;
+mod restart_hall;
 mod signals;
 mod warm_up;
 
