--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -174,6 +174,8 @@
     pub unannounced: AtomicBool,
     /// State of a planned stop.
     pub stop: Arc<StopState>,
+    /// Number of further attempts that the retry budget did not allow.
+    pub(crate) retries_denied: AtomicU64,
     seeds: Mutex<Vec<SocketAddr>>,
     pub(crate) registry: Registry,
     pub(crate) admission: Mutex<AdmissionView>,
@@ -241,6 +243,7 @@
             list_known: AtomicBool::new(false),
             unannounced: AtomicBool::new(settings.first_start),
             stop,
+            retries_denied: AtomicU64::new(0),
             seeds: Mutex::new(settings.seeds.clone()),
             registry: Registry::default(),
             admission: Mutex::default(),
