Judge requests of ranked services by their target in a standing queue

Routes with long time limits were admitted to half of the time beyond their target, so that a standing queue made most answers late although a shorter one serves as many.

Services that are not ranked are unchanged.

--- a/crates/honeypulley_policy/src/balance/admit.rs
+++ b/crates/honeypulley_policy/src/balance/admit.rs
@@ -79,6 +79,10 @@
         let least = allowed_latency(info, STANDING_TARGETS);
         let in_time = info.target.unwrap_or(DEFAULT_TARGET).mul_f64(STANDING_TARGETS);
         self.record_pressure(info, wait, least.min(in_time), now);
+        // Where routes differ in priority, a queue in which most answers are late serves nobody
+        // better than a shorter one.
+        let is_ranked = self.services.get(info.service).is_some_and(|s| s.spec.mix.is_ranked());
+        let least = if is_ranked { least.min(in_time) } else { least };
         let service = self.services.get_mut(info.service);
         let is_standing = service.is_some_and(|s| s.queueing.record(expected > least, now));
         let most = match (is_standing, is_first) {
--- a/crates/honeypulley_policy/tests/priority/main.rs
+++ b/crates/honeypulley_policy/tests/priority/main.rs
@@ -161,6 +161,8 @@
 #[case::large_step(Plan { peak: 2.0, ..BASE })]
 #[case::crash(Plan { down: 3, peak: 0.9, ..BASE })]
 #[case::hangs(Plan { hanging: true, peak: 1.0, ..LONG })]
+#[case::ledgers(Plan { kinds: LEDGERS, ..LONG })]
+#[case::large_ledgers(Plan { kinds: LEDGERS, peak: 2.0, ..LONG })]
 fn urgent_requests_are_in_time_more_often(#[case] plan: Plan) {
     let [present, ranked] = [false, true].map(|is_ranked| {
         let plan = Plan { is_ranked, ..plan };
