Bound the announcements of admission levels, and use them only without own knowledge

A box stays silent after eight announcements within a renewal, so that the cost doesn't grow with the fleet. One long wait at usual load no longer raises the level.

--- a/crates/honeypulley_policy/src/balance/priority.rs
+++ b/crates/honeypulley_policy/src/balance/priority.rs
@@ -177,9 +177,13 @@
             return Ok(());
         }
         let excess = s.priorities.bound(info.priority, now).map(|b| wait.saturating_sub(b));
-        let share = s.priorities.levels.in_force(now).rejected_share(info.priority);
-        let is_excess = excess.is_some_and(|e| !e.is_zero());
-        if !is_excess && (share <= 0.0 || self.rng.f64() >= share) {
+        // A box that knows the more urgent kinds judges by their tolerance, since the level lags.
+        let share = match excess {
+            Some(e) if e.is_zero() => 0.0,
+            Some(_) => 1.0,
+            None => s.priorities.levels.in_force(now).rejected_share(info.priority),
+        };
+        if share <= 0.0 || share < 1.0 && self.rng.f64() >= share {
             return Ok(());
         }
         if self.rng.f64() < self.priority_rule.floor {
--- a/crates/honeypulley_policy/src/balance/priority/level.rs
+++ b/crates/honeypulley_policy/src/balance/priority/level.rs
@@ -10,8 +10,12 @@
 const DEFAULT_FLOOR: f64 = 0.1;
 /// Time constant of the moving average over the requests that meet too long a wait.
 const LEVEL_TIME: Duration = Duration::from_millis(250);
+/// Highest weight of one request in that average, on a box with few requests.
+const MAX_WEIGHT: f64 = 0.2;
 /// Rejected share of a kind below which it counts as admitted.
-const LEAST_SHARE: f64 = 0.05;
+///
+/// Above [`MAX_WEIGHT`], so that a single long wait at usual load is no shortage.
+const LEAST_SHARE: f64 = 0.25;
 /// Time after which an announced level expires; a box that froze acts on none after it.
 pub(super) const LEVEL_TTL: Duration = Duration::from_secs(1);
 /// Interval at which a level is renewed; one of two renewals may be lost.
@@ -24,6 +28,8 @@
 ///
 /// A few announcements serve all boxes, so that the cost per box doesn't grow with the fleet.
 const ENOUGH_VOICES: usize = 3;
+/// Number of recent announcements of any level from which a box stays silent.
+const MANY_VOICES: usize = 8;
 /// Maximum number of received levels that are kept.
 const MAX_RECEIVED: usize = 32;
 /// Thousandths per priority.
@@ -105,10 +111,11 @@
     /// Records for each kind with a bound whether a request met a longer wait.
     pub(super) fn record(&mut self, kinds: impl Iterator<Item = (u8, bool)>, now: Time) {
         let kept = Self::kept(now.since(self.measured));
+        let weight = (1.0 - kept).min(MAX_WEIGHT);
         // Kinds whose traffic has ended count as admitted.
         self.shares.values_mut().for_each(|share| *share *= kept);
         for (priority, is_above) in kinds {
-            *self.shares.entry(priority).or_default() += if is_above { 1.0 - kept } else { 0.0 };
+            *self.shares.entry(priority).or_default() += if is_above { weight } else { 0.0 };
         }
         self.measured = now;
         let is_short = self.in_force(now) > Level::default();
@@ -166,7 +173,7 @@
             return None;
         }
         let agreeing = self.fresh(now, RENEWAL).filter(|r| r.level.is_near(level)).count();
-        if agreeing >= ENOUGH_VOICES {
+        if agreeing >= ENOUGH_VOICES || self.fresh(now, RENEWAL).count() >= MANY_VOICES {
             return None;
         }
         self.announced = Some((level, now));
--- a/crates/honeypulley_policy/tests/priority/main.rs
+++ b/crates/honeypulley_policy/tests/priority/main.rs
@@ -1,6 +1,7 @@
 //! Simulates shortages of a service whose routes differ in priority.
 
 mod fleet;
+mod level;
 mod plan;
 
 use fleet::{Fleet, simulate};
@@ -211,6 +212,16 @@
     assert_eq!(most, Some(&0), "the level is not released");
 }
 
+/// Guards against announcements whose cost per box grows with the number of boxes.
+#[test]
+fn few_boxes_announce() {
+    let plan = Plan { boxes: 30, upstreams: 8, usual: 1.3, until: 11_000, ..BASE };
+    let fleet = simulate(plan);
+    let second = plan.until as f64 / 1e3;
+    let rate = fleet.announced as f64 / second;
+    assert!(fleet.announced > 10 && rate < 45.0, "{rate:.1} announcements/s of 90 boxes");
+}
+
 /// Guards against a kind that is shut out, and against a floor of all that is not judged as today.
 #[test]
 fn the_floor_is_kept() {
