--- a/crates/honeypulley_policy/tests/priority/main.rs
+++ b/crates/honeypulley_policy/tests/priority/main.rs
@@ -1,6 +1,7 @@
 //! Simulates shortages of a service whose routes differ in priority.
 
 mod fleet;
+mod level;
 mod plan;
 
 use fleet::{Fleet, simulate};
@@ -161,6 +162,8 @@
 #[case::large_step(Plan { peak: 2.0, ..BASE })]
 #[case::crash(Plan { down: 3, peak: 0.9, ..BASE })]
 #[case::hangs(Plan { hanging: true, peak: 1.0, ..LONG })]
+#[case::ledgers(Plan { kinds: LEDGERS, ..LONG })]
+#[case::large_ledgers(Plan { kinds: LEDGERS, peak: 2.0, ..LONG })]
 fn urgent_requests_are_in_time_more_often(#[case] plan: Plan) {
     let [present, ranked] = [false, true].map(|is_ranked| {
         let plan = Plan { is_ranked, ..plan };
@@ -209,6 +212,16 @@
     assert_eq!(most, Some(&0), "the level is not released");
 }
 
+/// Guards against announcements whose cost per box grows with the number of boxes.
+#[test]
+fn few_boxes_announce() {
+    let plan = Plan { boxes: 30, upstreams: 8, usual: 1.3, until: 11_000, ..BASE };
+    let fleet = simulate(plan);
+    let second = plan.until as f64 / 1e3;
+    let rate = fleet.announced as f64 / second;
+    assert!(fleet.announced > 10 && rate < 45.0, "{rate:.1} announcements/s of 90 boxes");
+}
+
 /// Guards against a kind that is shut out, and against a floor of all that is not judged as today.
 #[test]
 fn the_floor_is_kept() {
