Let boxes with few requests of an organisation keep step in a shortage

The fraction was adjusted only with requests at the box, by 0.2 s at most, so that a box with less than 5 requests/s of the organisation lagged. It is now adjusted with each announcement of a data hall as well.

--- a/crates/honeypulley_policy/src/fleet_limits/buckets.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/buckets.rs
@@ -251,6 +251,8 @@
         u.refill(scope, now);
         u.correct(count.tokens);
         u.record_level(count.hall, count.tokens, now);
+        // Boxes with few requests of the subject keep step with the others.
+        u.adjust_demand(window, now);
         u.record_received(now);
         if is_own_hall {
             u.announced_at = Some(now);
--- a/crates/honeypulley_policy/src/fleet_limits/reserve.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/reserve.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Returns whether requests are held back.
+    pub(super) const fn is_short(&self) -> bool {
+        self.fraction.is_some()
+    }
+
     /// Adjusts the fraction of the demand to admit.
     pub(super) fn adjust(&mut self, p: &Pressure, now: Time) {
         let secs = now.since(self.adjusted_at).min(MAX_STEP).as_secs_f64();
--- a/crates/honeypulley_policy/src/fleet_limits/usage.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/usage.rs
@@ -244,6 +244,17 @@
         }
     }
 
+    /// Adjusts the fraction of the demand that is admitted, if there is a shortage.
+    pub(super) fn adjust_demand(&mut self, window: Duration, now: Time) {
+        if !self.demand.as_ref().is_some_and(|d| d.is_short()) {
+            return;
+        }
+        let pressure = self.pressure(window, now);
+        if let Some(demand) = &mut self.demand {
+            demand.adjust(&pressure, now);
+        }
+    }
+
     /// Returns whether an update is due, at most once per [`ANNOUNCE_INTERVAL`].
     pub(super) fn is_update_due(&mut self, rule: LimitRule, scope: LimitScope, now: Time) -> bool {
         let is_too_soon = self.due_at.is_some_and(|at| now.since(at) < ANNOUNCE_INTERVAL);
