--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -50,7 +50,7 @@
     local: bool,
     /// Expected loss, including that by a future hang.
     loss: f64,
-    /// Expected loss by a future hang.
+    /// Expected loss of an unrepeatable request by a future hang.
     hang_loss: f64,
 }
 
@@ -235,7 +235,12 @@
             upstream,
             local: self.upstreams[upstream].local,
             loss: self.loss(upstream, info, service_time, now),
-            hang_loss: self.hang_loss(upstream, info, failure_loss(info)),
+            // Repeatable requests keep the upstreams in use that others avoid.
+            hang_loss: if info.repeatable {
+                0.0
+            } else {
+                self.hang_loss(upstream, info, failure_loss(info))
+            },
         };
         let candidates: Vec<Candidate> = open.iter().map(candidate).collect();
         let least = candidates.iter().min_by(|a, b| a.loss.total_cmp(&b.loss))?;
--- a/crates/honeypulley_policy/src/balance/floor.rs
+++ b/crates/honeypulley_policy/src/balance/floor.rs
@@ -30,6 +30,8 @@
     pub(super) share: f64,
     /// Number of upstreams of the service, in all data halls.
     pub(super) upstreams: usize,
+    /// Whether the count of active upstreams has to allow for the uncertainty of their health.
+    pub(super) has_margin: bool,
 }
 
 impl FloorRule {
@@ -39,6 +41,9 @@
     }
 
     fn required_share(&self) -> f64 {
+        if !self.has_margin {
+            return self.share;
+        }
         let variance = self.share * (1.0 - self.share) / self.upstreams.max(1) as f64;
         self.share + MARGIN + variance.sqrt()
     }
--- a/crates/honeypulley_policy/src/balance/probe.rs
+++ b/crates/honeypulley_policy/src/balance/probe.rs
@@ -95,12 +95,15 @@
         let failing = s.failures.is_failing(now);
         let backoff = if failing { FAILING_BACKOFF } else { NORMAL_BACKOFF };
         let upstreams = s.upstreams.len();
-        let floor = FloorRule { share: s.spec.floor.share(upstreams), upstreams };
+        let is_hazard_weighed = s.weighs_hazard() && !info.repeatable;
+        // The floor is evaluated only while many requests fail. At other times, a margin costs
+        // requests that meet upstreams which are avoided.
+        let has_margin = failing || !is_hazard_weighed;
+        let floor = FloorRule { share: s.spec.floor.share(upstreams), upstreams, has_margin };
         // While the failure rate is high, beliefs are least certain and the floor is evaluated.
         // Probing with a repeatable request costs no more than a retry.
         // Where requests are placed by hazard, probes with others meet the upstreams that are avoided.
         let is_floor_enough = !is_starting && !info.repeatable && (!failing || s.weighs_hazard());
-        let is_hazard_weighed = s.weighs_hazard() && !info.repeatable;
         let is_queueing_allowed = failing && info.repeatable;
         let rate = s.failures.attempt_rate(now);
         Self {
--- a/crates/honeypulley_policy/tests/load/main.rs
+++ b/crates/honeypulley_policy/tests/load/main.rs
@@ -281,6 +281,34 @@
     );
 }
 
+/// Guards against a floor that breaks where orders alone use a service and avoid upstreams.
+#[rstest]
+#[case::large(112, 250.0, 0.3, 9.0)]
+#[case::large_many_faults(112, 250.0, 0.7, 5.0)]
+#[case::small(14, 60.0, 0.3, 9.0)]
+#[case::small_many_faults(14, 60.0, 0.7, 5.0)]
+fn orders_that_avoid_upstreams_leave_the_floor(
+    #[case] upstreams: usize,
+    #[case] orders: f64,
+    #[case] prone: f64,
+    #[case] gap_s: f64,
+) {
+    let plan = Plan { upstreams, orders, prone, gap_s, reads: 0.0, ..PRONE };
+    let floor = |mixed| {
+        (1..=2 * SEEDS)
+            .map(|seed| simulate(Plan { seed, mixed, ..plan }, SECS).degraded_floor)
+            .fold(1.0, f64::min)
+    };
+    let (before, after) = (floor(false), floor(true));
+    println!(
+        "{upstreams} upstreams, {prone} prone: floor {before:.2} without and {after:.2} with hazards"
+    );
+    assert!(
+        after >= 0.7,
+        "{after} of the healthy upstreams received requests, {before} without hazards"
+    );
+}
+
 /// Prints the orders that hung with and without placement by hazard.
 #[rstest]
 #[case::prone("prone", PRONE)]
