--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -35,8 +35,9 @@
 const TIE_MARGIN: f64 = 0.06;
 /// Difference of the loss by future hangs up to which upstreams are equivalent.
 ///
-/// Smaller, as the hazards of most upstreams are nearly equal.
-const HANG_TIE_MARGIN: f64 = 0.02;
+/// Smaller, since an upstream that is avoided costs nothing while others have free slots. Herding is no
+/// concern: the hazards of most upstreams are nearly equal.
+const HANG_TIE_MARGIN: f64 = 0.005;
 /// Time constant by which the reported load of other data halls decays.
 const LOAD_DECAY: Duration = Duration::from_millis(500);
 /// Latency quantile that the remaining time must allow for a send.
@@ -51,7 +52,7 @@
     local: bool,
     /// Expected loss, including that by a future hang.
     loss: f64,
-    /// Expected loss by a future hang.
+    /// Expected loss of an unrepeatable request by a future hang.
     hang_loss: f64,
 }
 
@@ -248,7 +249,12 @@
             upstream,
             local: self.upstreams[upstream].local,
             loss: self.loss(upstream, info, service_time, now),
-            hang_loss: self.hang_loss(upstream, info, failure_loss(info)),
+            // Repeatable requests keep the upstreams in use that others avoid.
+            hang_loss: if info.repeatable {
+                0.0
+            } else {
+                self.hang_loss(upstream, info, failure_loss(info))
+            },
         };
         let candidates: Vec<Candidate> = open.iter().map(candidate).collect();
         let least = candidates.iter().min_by(|a, b| a.loss.total_cmp(&b.loss))?;
