Keep the line of an ordinary 429 as it was, and explain one in favour of urgent requests

An absent value is written as `reserved=None`, which changed the line where no request is held back and made `honeypulley why` name a reserve of None. Each reason has its own line now; the test of `why` covers both.

--- a/crates/honeypulley_mesh/src/over_limit.rs
+++ b/crates/honeypulley_mesh/src/over_limit.rs
@@ -14,23 +14,26 @@
     usage: LimitUsage,
 ) -> LocalAnswer {
     let LimitRefusal { wait, reserved } = refusal;
-    let reason = match reserved {
-        Some(_) => "its organisation is over its limit, and more urgent requests go first",
-        None => "its organisation is over its limit",
+    let why = if let Some(reserved) = reserved {
+        log::info!(
+            request, organisation = &*o.name, rate = usage.rate as f32, level = usage.tokens as f32,
+            priority, reserved = reserved as f32, hall = usage.hall, others = usage.other_halls,
+            others_age_ms = usage.age.map(|d| d.as_millis() as u64),
+            wait_ms = wait.as_millis() as u64;
+            "route: refused, its organisation is over its limit, and more urgent requests go first"
+        );
+        format!("{} sends more than its limit allows, urgent requests first", o.name)
+    } else {
+        log::info!(
+            request, organisation = &*o.name, rate = usage.rate as f32, level = usage.tokens as f32,
+            hall = usage.hall, others = usage.other_halls,
+            others_age_ms = usage.age.map(|d| d.as_millis() as u64),
+            wait_ms = wait.as_millis() as u64;
+            "route: refused, its organisation is over its limit"
+        );
+        format!("{} sends more than its limit allows", o.name)
     };
-    log::info!(
-        request, organisation = &*o.name, rate = usage.rate as f32, level = usage.tokens as f32,
-        priority = reserved.map(|_| priority), reserved = reserved.map(|r| r as f32),
-        hall = usage.hall, others = usage.other_halls,
-        others_age_ms = usage.age.map(|d| d.as_millis() as u64),
-        wait_ms = wait.as_millis() as u64;
-        "route: refused, {reason}"
-    );
     // Jitter, so that callers refused together don't retry together.
     let retry_after = wait.mul_f64(1.0 + fastrand::f64());
-    let why = match reserved {
-        Some(_) => format!("{} sends more than its limit allows, urgent requests first", o.name),
-        None => format!("{} sends more than its limit allows", o.name),
-    };
     LocalAnswer::not_run(StatusCode::TOO_MANY_REQUESTS, Some(retry_after), why)
 }
--- a/crates/honeypulley_observe/tests/explain.rs
+++ b/crates/honeypulley_observe/tests/explain.rs
@@ -19,6 +19,10 @@
 timestamp=2026-12-02T10:00:03.002Z level=INFO message="route: first sent to i-9" request=r5 upstream=i-9 box=b
 timestamp=2026-12-02T10:00:03.300Z level=INFO message="route: answered" request=r5 service=s status=200 took_ms=298 box=b
 timestamp=2026-12-02T10:00:03.301Z level=INFO message="route: answered" request=r5 service=s status=200 took_ms=301 box=a
+timestamp=2026-12-02T10:00:04.000Z level=INFO message="route: refused, its organisation is over its limit, and more urgent requests go first" request=r6 organisation=acme rate=192 level=14.5 priority=2 reserved=17.1 wait_ms=40 box=a
+timestamp=2026-12-02T10:00:04.001Z level=WARN message="route: own answer, acme sends more than its limit allows, urgent requests first" request=r6 status=429 outcome=NotRun retry_after_ms=60 box=a
+timestamp=2026-12-02T10:00:04.002Z level=INFO message="route: refused, its organisation is over its limit" request=r7 organisation=acme rate=192 level=-1 wait_ms=40 box=a
+timestamp=2026-12-02T10:00:04.003Z level=WARN message="route: own answer, acme sends more than its limit allows" request=r7 status=429 outcome=NotRun retry_after_ms=60 box=a
 "#;
 
 #[rstest]
@@ -39,6 +43,14 @@
     "r5",
     "i-9 answered with 200 after 301 ms, through the box at 10.0.0.2:7001, since connections from a failed"
 )]
+#[case(
+    "r6",
+    "answered 429 by the box: acme sends more than its limit allows, urgent requests first, as 17.1 requests of the limit were reserved for priorities above its own (2); it was not run; the caller was told to come back after 60 ms"
+)]
+#[case(
+    "r7",
+    "answered 429 by the box: acme sends more than its limit allows; it was not run; the caller was told to come back after 60 ms"
+)]
 fn a_request_is_explained_in_a_sentence(#[case] id: &str, #[case] expected: &str) {
     let found = explain::request(id, LINES.lines()).expect("the log names it");
     assert_eq!(found.verdict, expected);
