--- a/crates/honeypulley_observe/tests/explain.rs
+++ b/crates/honeypulley_observe/tests/explain.rs
@@ -28,6 +28,10 @@
 timestamp=2026-12-02T10:00:04.000Z level=INFO message="route: first sent to i-9" request=r9 upstream=i-9 box=a
 timestamp=2026-12-02T10:00:04.003Z level=INFO message="route: not sent again, the retry budget is spent" request=r9 service=s why=Failed priority=2 left_ms=1497 box=a
 timestamp=2026-12-02T10:00:04.004Z level=WARN message="route: own answer, the upstream sheds load" request=r9 status=503 outcome=NotRun retry_after_ms=200 box=a
+timestamp=2026-12-02T10:00:04.000Z level=INFO message="route: refused, its organisation is over its limit, and more urgent requests go first" request=r10 organisation=acme rate=192 level=14.5 priority=2 reserved=17.1 wait_ms=40 box=a
+timestamp=2026-12-02T10:00:04.001Z level=WARN message="route: own answer, acme sends more than its limit allows, urgent requests first" request=r10 status=429 outcome=NotRun retry_after_ms=60 box=a
+timestamp=2026-12-02T10:00:04.002Z level=INFO message="route: refused, its organisation is over its limit" request=r11 organisation=acme rate=192 level=-1 wait_ms=40 box=a
+timestamp=2026-12-02T10:00:04.003Z level=WARN message="route: own answer, acme sends more than its limit allows" request=r11 status=429 outcome=NotRun retry_after_ms=60 box=a
 "#;
 
 #[rstest]
@@ -64,6 +68,14 @@
     "r9",
     "answered 503 by the box: the upstream sheds load; it was not run; the retry budget allowed no further attempt at priority 2; the caller was told to come back after 200 ms"
 )]
+#[case(
+    "r10",
+    "answered 429 by the box: acme sends more than its limit allows, urgent requests first, as 17.1 requests of the limit were reserved for priorities above its own (2); it was not run; the caller was told to come back after 60 ms"
+)]
+#[case(
+    "r11",
+    "answered 429 by the box: acme sends more than its limit allows; it was not run; the caller was told to come back after 60 ms"
+)]
 fn a_request_is_explained_in_a_sentence(#[case] id: &str, #[case] expected: &str) {
     let found = explain::request(id, LINES.lines()).expect("the log names it");
     assert_eq!(found.verdict, expected);
