--- a/crates/honeypulley_policy/tests/priority/main.rs
+++ b/crates/honeypulley_policy/tests/priority/main.rs
@@ -41,6 +41,9 @@
 /// An urgent kind that few boxes see.
 const RARE: &[Kind] = &[Kind { priority: 0, rate: 40.0, hall: Some(0), ..READS }, READS, ORDERS];
 
+/// An urgent kind of one data hall, whose boxes alone know of it.
+const LOCAL: &[Kind] = &[Kind { rate: 150.0, hall: Some(0), ..READS }, ORDERS];
+
 const BASE: Plan = Plan {
     kinds: SHOPS,
     is_ranked: true,
@@ -79,6 +82,8 @@
         ("shops shed", Plan { shedding: 0.45, peak: 0.5, ..BASE }),
         ("rare", Plan { kinds: RARE, ..LONG }),
         ("rare 2", Plan { kinds: RARE, peak: 2.0, ..BASE }),
+        ("local", Plan { kinds: LOCAL, ..LONG }),
+        ("local 2", Plan { kinds: LOCAL, peak: 2.0, ..LONG }),
         ("ledgers 1.3", Plan { kinds: LEDGERS, ..LONG }),
         ("ledgers 2", Plan { kinds: LEDGERS, peak: 2.0, ..LONG }),
         ("ledgers skewed", Plan { kinds: LEDGERS, skew: 0.6, ..LONG }),
@@ -139,6 +144,7 @@
 #[case::step(BASE)]
 #[case::large_step(Plan { peak: 2.0, ..BASE })]
 #[case::three_kinds(Plan { kinds: RARE, ..BASE })]
+#[case::unknown_kind(Plan { kinds: LOCAL, peak: 2.0, ..BASE })]
 #[case::ledgers(Plan { kinds: LEDGERS, skew: 0.6, ..BASE })]
 #[case::one_hall(Plan { skew: 0.6, ..BASE })]
 #[case::lost_updates(Plan { loss: 0.1, ..BASE })]
@@ -162,6 +168,7 @@
 #[case::large_step(Plan { peak: 2.0, ..BASE })]
 #[case::crash(Plan { down: 3, peak: 0.9, ..BASE })]
 #[case::hangs(Plan { hanging: true, peak: 1.0, ..LONG })]
+#[case::unknown_kind(Plan { kinds: LOCAL, peak: 2.0, ..LONG })]
 #[case::ledgers(Plan { kinds: LEDGERS, ..LONG })]
 #[case::large_ledgers(Plan { kinds: LEDGERS, peak: 2.0, ..LONG })]
 fn urgent_requests_are_in_time_more_often(#[case] plan: Plan) {
