Probe failed upstreams while boxes reject much themselves; tolerances by first attempts alone

Cause: while an organisation sends many times its limit, more than a tenth of a service's requests are not served, so that the floor is evaluated, but only failures at upstreams made probes frequent. Rejections now count, and where requests are placed by hazard further episodes don't prolong the backoff. Also from review: retries don't lower what a kind tolerates, and a request of a ranked service that would be rejected under overload gets a free slot if a usable upstream has one.

--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -335,6 +335,7 @@
         if let Some(o) = organisation.as_ref().filter(|_| !wanted.relayed)
             && let Err(refusal) = policy.admit(o, priority, table.limited_mix, now)
         {
+            policy.balancer().record_rejection(service, now);
             let usage = policy.limits().usage(o.id, now).unwrap_or_default();
             return Err(over_limit(wanted.request, o, priority, refusal, usage));
         }
--- a/crates/honeypulley_policy/src/balance.rs
+++ b/crates/honeypulley_policy/src/balance.rs
@@ -409,6 +409,14 @@
     pub fn record_request(&mut self, k: ServiceKey, now: Time) {
         if let Some(s) = self.services.get_mut(k) {
             s.retries.record_request(&self.retry_rule, now);
+            s.failures.record_request(now);
+        }
+    }
+
+    /// Counts a request of a service that this box rejected before an upstream was picked.
+    pub fn record_rejection(&mut self, k: ServiceKey, now: Time) {
+        if let Some(s) = self.services.get_mut(k) {
+            s.failures.record_rejection(now);
         }
     }
 
--- a/crates/honeypulley_policy/src/balance/admit.rs
+++ b/crates/honeypulley_policy/src/balance/admit.rs
@@ -78,7 +78,10 @@
         let expected = wait + self.latency_quantile(info, 0.5);
         let least = allowed_latency(info, STANDING_TARGETS);
         let in_time = info.target.unwrap_or(DEFAULT_TARGET).mul_f64(STANDING_TARGETS);
-        self.record_pressure(info, wait, least.min(in_time), now);
+        if is_first {
+            // A retry has less time left, which says nothing of what its kind tolerates.
+            self.record_pressure(info, wait, in_time, now);
+        }
         // Where routes differ in priority, a queue in which most answers are late serves nobody
         // better than a shorter one.
         let is_ranked = self.services.get(info.service).is_some_and(|s| s.spec.mix.is_ranked());
@@ -97,6 +100,9 @@
             let refused = self.admit_by_priority(info, wait, now);
             return refused.map(|()| k).or_else(|r| self.free_upstream(open, info, now).ok_or(r));
         }
+        if let Some(free) = is_ranked.then(|| self.free_upstream(open, info, now)).flatten() {
+            return Ok(free);
+        }
         let (shortest, longest) = RETRY_AFTER_BOUNDS;
         let drained = (excess + most / 2).clamp(shortest, longest);
         Err(self.refuse(RefusalKind::Overload, drained))
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -90,7 +90,12 @@
         let Some((upstream, reason)) = chosen else {
             return Err(self.refuse(RefusalKind::NoUpstream, NO_UPSTREAM_WAIT));
         };
-        let upstream = self.admit(upstream, &open, info, tried.is_empty(), now)?;
+        let is_first = tried.is_empty();
+        let admitted = self.admit(upstream, &open, info, is_first, now);
+        if is_first && admitted.is_err() {
+            self.record_rejection(info.service, now);
+        }
+        let upstream = admitted?;
         self.count_send(upstream, now);
         let u = &self.upstreams[upstream];
         let attempt = self.attempts.insert(Attempt {
--- a/crates/honeypulley_policy/src/balance/failing.rs
+++ b/crates/honeypulley_policy/src/balance/failing.rs
@@ -23,6 +23,8 @@
 const PRIOR_REQUESTS: f64 = 10.0;
 /// Minimum number of failures in the window for a detection.
 const MIN_FAILURES: usize = 5;
+/// Minimum number of rejected requests of this box, decayed, for a detection.
+const MIN_REJECTED: f64 = 1.0;
 
 /// Recent failures and requests of a service, as far as this box knows.
 #[derive(Clone, Debug, Default)]
@@ -33,6 +35,10 @@
     attempts: f64,
     /// Shed requests per data hall, decaying likewise.
     shed: f64,
+    /// Requests of this box, decaying likewise.
+    requests: f64,
+    /// Those of them that this box rejected, decaying likewise.
+    rejected: f64,
     at: Time,
     /// Time of the first attempt.
     first: Option<Time>,
@@ -48,6 +54,24 @@
         self.first.get_or_insert(now);
     }
 
+    /// Counts a request of a caller of this box.
+    pub(super) fn record_request(&mut self, now: Time) {
+        self.decay(now);
+        self.requests += 1.0;
+    }
+
+    /// Counts a request that this box rejected, for example over its organisation's limit.
+    pub(super) fn record_rejection(&mut self, now: Time) {
+        self.decay(now);
+        self.rejected += 1.0;
+    }
+
+    /// Returns whether this box lately rejected so many requests that the floor is evaluated.
+    pub(super) fn is_rejecting(&self, now: Time) -> bool {
+        let decayed = (-now.since(self.at).as_secs_f64() / RATE_TIME.as_secs_f64()).exp();
+        self.rejected * decayed >= MIN_REJECTED && self.rejected > FAILURE_SHARE * self.requests
+    }
+
     /// Returns the attempts of this data hall per second, once they have been counted for a while.
     pub(super) fn attempt_rate(&self, now: Time) -> Option<f64> {
         let counted = now.since(self.first?);
@@ -75,6 +99,8 @@
         let factor = (-now.since(self.at).as_secs_f64() / RATE_TIME.as_secs_f64()).exp();
         self.attempts *= factor;
         self.shed *= factor;
+        self.requests *= factor;
+        self.rejected *= factor;
         // A delayed announcement may be older than the last update.
         self.at = self.at.max(now);
     }
--- a/crates/honeypulley_policy/src/balance/probe.rs
+++ b/crates/honeypulley_policy/src/balance/probe.rs
@@ -34,6 +34,11 @@
 /// The floor includes a recovered upstream after two seconds, so it must be probed within four.
 const FAILING_BACKOFF: ProbeBackoff =
     ProbeBackoff { base: Duration::from_secs(2), tolerated: 2, doublings: 1 };
+/// The same where requests are placed by hazard, which keeps them from prone upstreams anyway.
+///
+/// Each episode of a prone upstream counts as a further failure, and the floor includes the
+/// upstream again two seconds after each of them.
+const FLOOR_BACKOFF: ProbeBackoff = ProbeBackoff { doublings: 0, ..FAILING_BACKOFF };
 /// Last share of the idle time, in which boxes spread their probes.
 ///
 /// Otherwise boxes would probe the same upstream at once, before they learn of each other's
@@ -92,8 +97,14 @@
             (false, true) => MAX_IDLE,
             (false, false) => FLOOR_WINDOW,
         };
-        let failing = s.failures.is_failing(now);
-        let backoff = if failing { FAILING_BACKOFF } else { NORMAL_BACKOFF };
+        // Requests over their organisations' limits count as not served for the floor as well.
+        let is_rejecting = s.weighs_hazard() && s.failures.is_rejecting(now);
+        let failing = s.failures.is_failing(now) || is_rejecting;
+        let backoff = match (failing, s.weighs_hazard()) {
+            (false, _) => NORMAL_BACKOFF,
+            (true, false) => FAILING_BACKOFF,
+            (true, true) => FLOOR_BACKOFF,
+        };
         let upstreams = s.upstreams.len();
         let is_hazard_weighed = s.weighs_hazard() && !info.repeatable;
         // The floor is evaluated only while many requests fail. At other times, a margin costs
@@ -102,8 +113,7 @@
         let floor = FloorRule { share: s.spec.floor.share(upstreams), upstreams, has_margin };
         // While the failure rate is high, beliefs are least certain and the floor is evaluated.
         // Probing with a repeatable request costs no more than a retry.
-        // Where requests are placed by hazard, probes with others meet the upstreams that are avoided.
-        let is_floor_enough = !is_starting && !info.repeatable && (!failing || s.weighs_hazard());
+        let is_floor_enough = !is_starting && !info.repeatable && !failing;
         let is_queueing_allowed = failing && info.repeatable;
         let rate = s.failures.attempt_rate(now);
         Self {
--- a/crates/honeypulley_policy/tests/balance/probes.rs
+++ b/crates/honeypulley_policy/tests/balance/probes.rs
@@ -4,7 +4,8 @@
 use honeypulley_policy::balance::{Balancer, Update};
 use honeypulley_policy::belief::Observation;
 use honeypulley_policy::collector::NameId;
-use honeypulley_policy::spec::MemberState;
+use honeypulley_policy::route_mix::RouteMix;
+use honeypulley_policy::spec::{MemberState, ServiceSpec};
 use honeypulley_policy::time::Time;
 use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
@@ -198,3 +199,36 @@
     let probed = send_while_failing(&mut b, 6_010, 3, repeatable);
     assert_eq!(probed.contains("u1"), repeatable, "{probed:?}");
 }
+
+/// Guards against idle upstreams while boxes reject many requests themselves.
+///
+/// With an organisation at many times its limit, 5 of 16 healthy upstreams that had hung in
+/// several episodes got no request for two seconds.
+#[rstest]
+#[case::rejected_much(4, true)]
+#[case::rejected_little(0, false)]
+fn while_much_is_rejected_failed_upstreams_are_tried_within_four_seconds(
+    #[case] rejected: usize,
+    #[case] is_probed: bool,
+) {
+    let mut b = balancer(30);
+    let mut mix = RouteMix::default();
+    mix.add(0, false);
+    b.set_services(&[ServiceSpec::builder().name("s").mix(mix).build()], Time::ZERO);
+    let service = b.service("s").expect("service is configured");
+    send(&mut b, 600, 10, false);
+    let failed: Vec<String> = (0..6).map(|i| format!("u{i}")).collect();
+    for at in [6_000, 7_000, 8_600] {
+        for name in &failed {
+            b.apply_update(NameId::of("other"), failure(name), Time::from_millis(at));
+        }
+    }
+    let mut probed = BTreeSet::new();
+    for from in (8_610..12_600).step_by(100) {
+        (0..10).for_each(|_| b.record_request(service, Time::from_millis(from)));
+        (0..rejected).for_each(|_| b.record_rejection(service, Time::from_millis(from)));
+        probed.extend(send(&mut b, 10, from, false).into_keys());
+    }
+    let tried = failed.iter().filter(|n| probed.contains(*n)).count();
+    assert_eq!(tried == failed.len(), is_probed, "{tried} of {} were tried", failed.len());
+}
