Judge the wait after a rejection by upstreams that get the request

The least wait over all upstreams in service included those of other data halls, of regions that may not serve the request, and crashed ones. Their known load is near zero, so that the answer nearly always was that slots are free, and callers returned within 250 ms to full queues. Only local upstreams count now (all if none is local), those in allowed regions, and suspected ones only if all are suspected.

The service time is computed once for each decision, here and in free_upstream, instead of a histogram quantile for each upstream.

--- a/crates/honeypulley_policy/src/balance/priority.rs
+++ b/crates/honeypulley_policy/src/balance/priority.rs
@@ -9,7 +9,7 @@
 mod level;
 
 use super::admit::RETRY_AFTER_BOUNDS;
-use super::{Balancer, Update};
+use super::{Balancer, Update, Upstream};
 use crate::chooser::RequestInfo;
 use crate::collector::NameId;
 use crate::router::{Refusal, RefusalKind, ServiceKey, UpstreamKey};
@@ -206,7 +206,9 @@
         info: &RequestInfo,
         now: Time,
     ) -> Option<UpstreamKey> {
-        let free = open.iter().filter(|&&k| self.wait(k, info, now).is_zero());
+        let service_time = self.service_time(info);
+        let wait = |u: &Upstream| u.wait(u.busy(now), service_time);
+        let free = open.iter().filter(|&&k| wait(&self.upstreams[k]).is_zero());
         let chances = free.map(|&k| (k, self.fault_chance(k, now)));
         let usable = chances.filter(|&(_, chance)| chance < MAX_FAULT_CHANCE);
         usable.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(k, _)| k)
--- a/crates/honeypulley_policy/tests/balance/budget_shares.rs
+++ b/crates/honeypulley_policy/tests/balance/budget_shares.rs
@@ -5,6 +5,7 @@
 };
 use honeypulley_policy::chooser::{RequestInfo, RoutingPolicy};
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::regions::RegionMap;
 use honeypulley_policy::route_mix::RouteMix;
 use honeypulley_policy::spec::{MemberState, ServiceSpec};
 use honeypulley_policy::time::Time;
@@ -348,6 +349,33 @@
     let _ = b.apply_update(NameId::of("peer"), queue, now);
     let queued = b.wait_after_rejection(&info, now).expect("an upstream is listed");
     assert!(queued > 2 * shed, "{queued:?} behind a queue, {shed:?} with free slots");
+    // Idle upstreams that get none of the requests don't shorten the queue.
+    b.set_upstream(crate::listed("u1", "other", MemberState::Live), Time::ZERO);
+    assert_eq!(b.wait_after_rejection(&info, now), Some(queued), "idle in another data hall");
+    b.set_upstream(crate::listed("u2", "h", MemberState::Live), Time::ZERO);
+    assert_eq!(b.wait_after_rejection(&info, now), Some(shed), "idle and not suspected");
+    for peer in ["peer", "second", "third"] {
+        let _ = b.apply_update(NameId::of(peer), crate::failure("u2"), now);
+    }
+    assert_eq!(b.wait_after_rejection(&info, now), Some(queued), "idle and suspected");
+}
+
+/// Guards against callers that return early for upstreams of a region that may not serve them.
+#[test]
+fn a_rejected_caller_returns_by_the_upstreams_of_its_regions() {
+    let halls = [("h".to_owned(), "r0".to_owned()), ("other".to_owned(), "r1".to_owned())];
+    let regions = RegionMap::new(&halls.into()).expect("two regions are few");
+    let own = regions.set(&["r1".to_owned()]).expect("the region is known");
+    let mut b = new_box(&STEADY, 0, RetryHistory::Empty, 0).with_regions(regions);
+    b.set_upstream(crate::listed("u0", "h", MemberState::Live), Time::ZERO);
+    b.set_upstream(crate::listed("u1", "other", MemberState::Live), Time::ZERO);
+    let now = Time::from_millis(100);
+    let free = b.wait_after_rejection(&info(&b, true), now).expect("an upstream is listed");
+    let queue = Update::Open { upstream: NameId::of("u1"), count: 9 };
+    let _ = b.apply_update(NameId::of("peer"), queue, now);
+    let info = RequestInfo { regions: Some(own), ..info(&b, true) };
+    let queued = b.wait_after_rejection(&info, now).expect("an upstream is listed");
+    assert!(queued > 2 * free, "{queued:?} in its own region, {free:?} elsewhere");
 }
 
 /// Guards against a change of the budget of services without priorities.
