Keep peers' retry shares only where the budget is divided

Each report walked all peers, which costs a box the square of their number, and services whose budget is not divided kept state that nothing reads. Silent peers are now removed once a second, and a peer that was silent for a whole window still counts as new.

--- a/crates/honeypulley_policy/src/balance/received.rs
+++ b/crates/honeypulley_policy/src/balance/received.rs
@@ -109,6 +109,9 @@
         let rule = self.retry_rule;
         if let Some(s) = self.service_by_id(service) {
             s.retries.apply_report(&rule, report, now);
+            if s.divides_budget() {
+                s.retries.apply_share(&rule, report, now);
+            }
         }
     }
 
--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -138,7 +138,7 @@
             inherited: None,
             traffic: Vec::new(),
             announced: None,
-            shares: RetryShare::new(),
+            shares: RetryShare::new(started),
         }
     }
 
@@ -190,7 +190,6 @@
     /// partition, and count as well.
     pub(super) fn apply_report(&mut self, rule: &RetryRule, report: RetryReport, now: Time) {
         self.expire(rule, now);
-        self.shares.apply_report(rule, report, now);
         let known = self.others.iter().filter(|(_, from)| *from == report.from).count();
         let missed = usize::from(report.retries).saturating_sub(known);
         let more = missed.max(usize::from(report.retried));
@@ -203,6 +202,11 @@
         self.traffic.push(Traffic { from: report.from, requests: report.requests, at: now });
     }
 
+    /// Records the same for the peer's share, if the budget of the service is divided.
+    pub(super) fn apply_share(&mut self, rule: &RetryRule, report: RetryReport, now: Time) {
+        self.shares.apply_report(rule, report, now);
+    }
+
     fn expire(&mut self, rule: &RetryRule, now: Time) {
         let is_expired = |t: Time| now.since(t) > rule.window;
         while self.arrivals.pop_front_if(|t| is_expired(*t)).is_some() {}
--- a/crates/honeypulley_policy/src/balance/retry_share.rs
+++ b/crates/honeypulley_policy/src/balance/retry_share.rs
@@ -35,6 +35,10 @@
 const CURRENT_TIME: Duration = Duration::from_secs(3);
 /// Age at which it counts no more, as its owner may use it unheard.
 const LAPSE_TIME: Duration = Duration::from_secs(5);
+/// Interval at which peers are removed that were silent for a whole window.
+///
+/// Walking all peers at each announcement would cost a box the square of their number.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Share of the retries of an even pace that a silent peer is assumed to make.
 const UNHEARD_SHARE: f64 = 0.5;
 /// Part of the reserve left to more urgent requests, for each share of them that is denied.
@@ -84,6 +88,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct RetryShare {
     peers: BTreeMap<NameId, PeerShare>,
+    /// When peers that announce nothing any more were last removed.
+    swept: Time,
     /// Slack of each box, as of the last retry that this box wanted.
     slack: f64,
     /// Retries that this box may make now, once it has wanted one.
@@ -113,9 +119,10 @@
 }
 
 impl RetryShare {
-    pub(super) const fn new() -> Self {
+    pub(super) const fn new(now: Time) -> Self {
         Self {
             peers: BTreeMap::new(),
+            swept: now,
             slack: 0.0,
             tokens: None,
             arrived: 0,
@@ -137,7 +144,8 @@
     pub(super) fn apply_report(&mut self, rule: &RetryRule, report: RetryReport, now: Time) {
         let (requests, retries) = (report.requests, report.retries);
         let mut peer = PeerShare { requests, retries, at: now, debt: 0.0, restarted: None };
-        if let Some(before) = self.peers.get(&report.from) {
+        let known = self.peers.get(&report.from);
+        if let Some(before) = known.filter(|p| now.since(p.at) <= rule.window) {
             let has_restarted = f64::from(requests) < RESTART_DROP * f64::from(before.requests);
             if has_restarted {
                 let owed = -before.balance(rule, self.slack, now);
@@ -147,7 +155,10 @@
             }
         }
         self.peers.insert(report.from, peer);
-        self.peers.retain(|_, p| now.since(p.at) <= rule.window);
+        if now.since(self.swept) >= SWEEP_INTERVAL {
+            self.peers.retain(|_, p| now.since(p.at) <= rule.window);
+            self.swept = now;
+        }
     }
 
     /// Returns the budget that this box shares with the peers it hears of.
--- a/crates/honeypulley_policy/tests/balance/budget_shares.rs
+++ b/crates/honeypulley_policy/tests/balance/budget_shares.rs
@@ -392,3 +392,25 @@
     assert_eq!((allowed, b.take_updates()), (expected, other.take_updates()));
     assert_eq!(b.wait_after_rejection(&info, now), None);
 }
+
+/// Returns the number of peers whose shares a box knows.
+fn known_shares(b: &Balancer) -> usize {
+    format!("{b:?}").matches("PeerShare {").count()
+}
+
+/// Guards against state that grows with the boxes of the fleet where nothing reads it.
+#[test]
+fn shares_of_peers_are_kept_where_the_budget_is_divided() {
+    let report = Update::Retry { service: NameId::of("s"), requests: 9, retries: 1 };
+    let (mut divided, mut common) =
+        (new_box(&STEADY, 0, RetryHistory::Empty, 0), crate::balancer(1));
+    for i in 1..=20 {
+        let now = Time::from_millis(i * 10);
+        let _ = divided.apply_update(NameId(i), report, now);
+        let _ = common.apply_update(NameId(i), report, now);
+    }
+    assert_eq!((known_shares(&divided), known_shares(&common)), (20, 0));
+    // Peers that were silent for a window are removed.
+    let _ = divided.apply_update(NameId(1), report, Time::from_millis(WINDOW_MS + 1_500));
+    assert_eq!(known_shares(&divided), 1);
+}
