--- a/crates/honeypulley_policy/src/balance/retry.rs
+++ b/crates/honeypulley_policy/src/balance/retry.rs
@@ -168,6 +168,11 @@
         self.history == RetryHistory::Empty || now.since(self.started) >= rule.window
     }
 
+    /// Returns whether the retries before this box started are known, also from a peer.
+    pub(super) fn has_history(&self) -> bool {
+        self.history == RetryHistory::Empty
+    }
+
     fn total_retries(&self) -> usize {
         self.own.len() + self.others.len() + self.inherited.map_or(0, |(n, _)| n)
     }
