--- a/crates/honeypulley_policy/tests/balance/budget_shares.rs
+++ b/crates/honeypulley_policy/tests/balance/budget_shares.rs
@@ -25,6 +25,9 @@
 /// Share of requests of the more urgent route.
 const URGENT_SHARE: f64 = 0.4;
 
+/// Least share of the requests served by retries, of those that the budget can serve.
+const MIN_GAIN: f64 = 0.8;
+
 /// Load and faults of a simulated fleet.
 #[derive(Clone, Copy, Debug)]
 struct Plan {
@@ -273,6 +276,8 @@
     let gained = (served - (1.0 - plan.shed)) / (can - (1.0 - plan.shed));
     println!("{served:.3} of {can:.3}, gained {gained:.3}, most used {:.3}", fleet.most_used());
     assert!(served >= 0.95 * can, "{served:.3} served where {can:.3} can be");
+    // Most requests are served by their first attempt, whatever the budget is used for.
+    assert!(gained >= MIN_GAIN, "retries gain {gained:.3} of what the budget allows");
 }
 
 /// Guards against exceeding the rule in any window.
