End the first half of a short stop two answer margins before its end

With a grace period below 0.4 s, open requests were cut off before the first half ended, so that requests in between were sent to upstreams and answered with 504 at once. Grace periods of 0.8 s and more are unaffected.

--- a/crates/honeypulley_policy/src/shutdown.rs
+++ b/crates/honeypulley_policy/src/shutdown.rs
@@ -36,7 +36,8 @@
     /// Returns whether a request may be sent to an upstream that has seen nothing of it.
     ///
     /// `deadline` is the end of the request's time limit. In the first half of the grace period
-    /// every request is accepted, since it has at least the second half to finish.
+    /// every request is accepted, since it has at least the second half to finish, less the time
+    /// in which answers are written.
     ///
     /// # Errors
     /// Returns an error if the request may still run when the process ends.
@@ -50,9 +51,13 @@
     }
 
     /// Returns when the second half of the grace period begins, if the stop is bounded.
+    ///
+    /// It begins two answer margins before the end at the latest, as a request that is accepted
+    /// later than one margin before the end is answered with a time-out at once.
     #[must_use]
     pub fn half(&self) -> Option<Time> {
-        self.grace.map(|g| self.began + g / 2)
+        let first = |g: Duration| (g / 2).min(g.saturating_sub(2 * ANSWER_MARGIN));
+        self.grace.map(|g| self.began + first(g))
     }
 
     /// Returns when all open requests must be answered, if the stop is bounded.
--- a/crates/honeypulley_policy/tests/shutdown.rs
+++ b/crates/honeypulley_policy/tests/shutdown.rs
@@ -73,3 +73,18 @@
     assert!(short.check(Some(at(60)), at(60)).is_err());
     assert_eq!(short.answer_by(), Some(at(0)));
 }
+
+/// Guards against sending requests that are answered with a time-out at once.
+#[rstest]
+#[case::shorter_than_a_margin(100, 0)]
+#[case::two_margins(400, 0)]
+#[case::three_margins(600, 200)]
+#[case::four_margins(800, 400)]
+#[case::longer(5_000, 2_500)]
+fn the_first_half_ends_two_margins_before_the_end(#[case] grace: u64, #[case] half: u64) {
+    let stop = PlannedStop::new(at(0), Some(Duration::from_millis(grace)));
+    assert_eq!(stop.half(), Some(at(half)));
+    let least = Duration::from_millis(half) + ANSWER_MARGIN;
+    assert!(half == 0 || stop.answer_by().is_some_and(|by| at(0) + least <= by));
+    assert!(stop.check(None, at(half)).is_err(), "the second half has begun");
+}
