Explain denied retries and ranks only where they decided

A hedge that the retry budget denied, followed by a retry that was sent, was still explained by the budget. The admission level was also given for answers to requests that may have run, which it did not decide. The first counts only if nothing was sent afterwards, the second only if the request was not run.

--- a/crates/honeypulley_observe/src/explain.rs
+++ b/crates/honeypulley_observe/src/explain.rs
@@ -158,13 +158,17 @@
     let advice = format!("{}{advice}", denied_phrase(lines));
     let attempt = failed.last().map(|l| format!(" ({})", l.message));
     let cause = stop_cause(lines).or(attempt).unwrap_or_default();
-    let rank = format!("{}{}", rank_phrase(lines), reserve_phrase(lines));
+    let rank = format!("{}{}", rank_phrase(lines, end), reserve_phrase(lines));
     Some(format!("answered {status} by the box: {why}{cause}{rank}; {execution}{advice}"))
 }
 
 /// Returns how the admission by priority decided, or nothing if it did not.
-fn rank_phrase(lines: &[Line]) -> String {
-    let outranked = lines.iter().rev().find(|l| !l.field("admission_level").is_empty());
+///
+/// An attempt that it stopped does not explain the answer to a request that may have run.
+fn rank_phrase(lines: &[Line], end: &Line) -> String {
+    let is_decisive = end.field("outcome") == "NotRun";
+    let mut latest = lines.iter().rev().filter(|_| is_decisive);
+    let outranked = latest.find(|l| !l.field("admission_level").is_empty());
     outranked.map_or_else(String::new, |l| {
         format!(
             " (its priority is {}, the admission level was {} thousandths as of {} ms before, and the wait was {} times what requests of lower priority may meet)",
@@ -177,8 +181,12 @@
 }
 
 /// Returns why the request was not sent again, or nothing if the retry budget did not decide.
+///
+/// A request whose hedge was denied may have been sent again after its first attempt failed.
 fn denied_phrase(lines: &[Line]) -> String {
-    let denied = lines.iter().rev().find(|l| l.message.starts_with("route: not sent again"));
+    let is_send = |l: &Line| l.message.starts_with("route:") && l.message.contains(" sent to ");
+    let mut since_sent = lines.iter().rev().take_while(|l| !is_send(l));
+    let denied = since_sent.find(|l| l.message.starts_with("route: not sent again"));
     let Some(denied) = denied else { return String::new() };
     let priority = denied.field("priority");
     let rank = if priority.is_empty() { String::new() } else { format!(" at priority {priority}") };
--- a/crates/honeypulley_observe/tests/explain.rs
+++ b/crates/honeypulley_observe/tests/explain.rs
@@ -28,6 +28,17 @@
 timestamp=2026-12-02T10:00:04.000Z level=INFO message="route: first sent to i-9" request=r9 upstream=i-9 box=a
 timestamp=2026-12-02T10:00:04.003Z level=INFO message="route: not sent again, the retry budget is spent" request=r9 service=s why=Failed priority=2 left_ms=1497 box=a
 timestamp=2026-12-02T10:00:04.004Z level=WARN message="route: own answer, the upstream sheds load" request=r9 status=503 outcome=NotRun retry_after_ms=200 box=a
+timestamp=2026-12-02T10:00:05.000Z level=INFO message="route: first sent to i-9" request=r10 upstream=i-9 box=a
+timestamp=2026-12-02T10:00:05.300Z level=INFO message="route: not sent again, the retry budget is spent" request=r10 service=s why="Overdue { stuck: 0.2 }" priority=2 left_ms=900 box=a
+timestamp=2026-12-02T10:00:05.400Z level=INFO message="route: retry sent to i-8" request=r10 upstream=i-8 box=a
+timestamp=2026-12-02T10:00:05.500Z level=WARN message="route: own answer, the upstream sheds load" request=r10 status=503 outcome=NotRun retry_after_ms=200 box=a
+timestamp=2026-12-02T10:00:06.000Z level=INFO message="route: first sent to i-9" request=r11 upstream=i-9 box=a
+timestamp=2026-12-02T10:00:06.300Z level=INFO message="route: hedge not sent, more urgent requests wait for slots" request=r11 service=s priority=2 admission_level=13500 pressure=1.4 level_age_ms=12 box=a
+timestamp=2026-12-02T10:00:07.200Z level=WARN message="route: own answer, the time limit has passed" request=r11 status=504 outcome=Unknown box=a
+timestamp=2026-12-02T10:00:08.000Z level=INFO message="route: first sent to i-9" request=r12 upstream=i-9 box=a
+timestamp=2026-12-02T10:00:08.100Z level=INFO message="route: not sent again, the retry budget is spent" request=r12 service=s why=Failed priority=2 left_ms=900 box=a
+timestamp=2026-12-02T10:00:08.101Z level=WARN message="attempt: not sent to i-9: connect: refused" request=r12 upstream=i-9 box=a
+timestamp=2026-12-02T10:00:08.102Z level=WARN message="route: own answer, connect: refused" request=r12 status=503 outcome=NotRun retry_after_ms=200 box=a
 "#;
 
 #[rstest]
@@ -64,6 +75,18 @@
     "r9",
     "answered 503 by the box: the upstream sheds load; it was not run; the retry budget allowed no further attempt at priority 2; the caller was told to come back after 200 ms"
 )]
+#[case::sent_again_after_a_denied_hedge(
+    "r10",
+    "answered 503 by the box: the upstream sheds load; it was not run; the caller was told to come back after 200 ms"
+)]
+#[case::hedge_outranked(
+    "r11",
+    "answered 504 by the box: the time limit has passed; it may have been run, and is not sent again"
+)]
+#[case::denied_before_an_attempt_ended(
+    "r12",
+    "answered 503 by the box: connect: refused (attempt: not sent to i-9: connect: refused); it was not run; the retry budget allowed no further attempt at priority 2; the caller was told to come back after 200 ms"
+)]
 fn a_request_is_explained_in_a_sentence(#[case] id: &str, #[case] expected: &str) {
     let found = explain::request(id, LINES.lines()).expect("the log names it");
     assert_eq!(found.verdict, expected);
