Reserve only ports that are not bound, and report unreadable tables

A port that turned out to be bound stayed reserved by this process. A table of sockets that could not be read for another reason than its absence counted as empty, so that bound ports would have been offered.

--- a/tools/fleet/src/ports.rs
+++ b/tools/fleet/src/ports.rs
@@ -2,6 +2,7 @@
 
 use eyre::{Result, WrapErr, eyre};
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::ops::Range;
 use std::os::linux::net::SocketAddrExt;
@@ -58,9 +59,12 @@
     };
     let loopback = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
     let is_free = |port| {
+        if bound.contains(&port) {
+            return false;
+        }
         let Some(reservation) = reserve(port) else { return false };
         reserved.insert(port, reservation);
-        !bound.contains(&port)
+        true
     };
     let port = choose_port(drawn, || fastrand::u16(range.clone()), is_free);
     port.map(loopback).ok_or_else(|| eyre!("no free port found in {range:?}"))
@@ -75,8 +79,12 @@
     let mut ports = BTreeSet::new();
     for table in ["tcp", "tcp6", "udp", "udp6"] {
         let path = format!("/proc/net/{table}");
-        // A kernel without IPv6 has no tables for it.
-        let Ok(text) = std::fs::read_to_string(&path) else { continue };
+        let text = match std::fs::read_to_string(&path) {
+            Ok(text) => text,
+            // A kernel without IPv6 has no tables for it.
+            Err(e) if e.kind() == ErrorKind::NotFound => continue,
+            Err(e) => return Err(e).wrap_err(path),
+        };
         let rows = text.lines().skip(1);
         let local = rows.filter_map(|row| row.split_whitespace().nth(1)?.rsplit(':').next());
         for port in local {
--- a/tools/fleet/tests/ports.rs
+++ b/tools/fleet/tests/ports.rs
@@ -5,13 +5,20 @@
 use fleet::{choose_port, free_port};
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Write, stdin, stdout};
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, TcpListener};
 use std::ops::Range;
+use std::os::linux::net::SocketAddrExt;
+use std::os::unix::net::{SocketAddr, UnixDatagram};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 /// Ports below the kernel's range for outgoing connections that no fleet uses.
 const CONTESTED: Range<u16> = 32_000..32_020;
+/// Ports of which one is bound, for the same reason.
+const BINDABLE: Range<u16> = 32_020..32_040;
+/// Time after which bound ports are looked up again.
+const LOOKUP_TIME: Duration = Duration::from_millis(1_100);
 /// Ports that each of two processes allocates.
 const SHARE: usize = 10;
 /// Ports that are bound while processes start.
@@ -86,6 +93,20 @@
     Ok(())
 }
 
+/// Guards against reservations of ports that this process can't use.
+///
+/// Each kept a socket open, and took the port from other processes once it was free again.
+#[test]
+fn a_bound_port_is_not_reserved() -> Result<()> {
+    let bind = |port: u16| Some((port, TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok()?));
+    let (port, _listener) = BINDABLE.into_iter().find_map(bind).ok_or_eyre("a port is free")?;
+    std::thread::sleep(LOOKUP_TIME);
+    assert!(free_port_in(port..port + 1).is_err(), "port {port} is bound");
+    let name = SocketAddr::from_abstract_name(format!("fleet-port-{port}"))?;
+    assert!(UnixDatagram::bind_addr(&name).is_ok(), "port {port} is reserved");
+    Ok(())
+}
+
 /// Guards against a probe whose socket outlives it in a process that is being started.
 ///
 /// Such a process has copies of all sockets until it executes its program.
