--- a/crates/honeypulley_policy/tests/balance/budget_shares.rs
+++ b/crates/honeypulley_policy/tests/balance/budget_shares.rs
@@ -5,6 +5,7 @@
 };
 use honeypulley_policy::chooser::{RequestInfo, RoutingPolicy};
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::regions::RegionMap;
 use honeypulley_policy::route_mix::RouteMix;
 use honeypulley_policy::spec::{MemberState, ServiceSpec};
 use honeypulley_policy::time::Time;
@@ -24,6 +25,9 @@
 /// Share of requests of the more urgent route.
 const URGENT_SHARE: f64 = 0.4;
 
+/// Least share of the requests served by retries, of those that the budget can serve.
+const MIN_GAIN: f64 = 0.8;
+
 /// Load and faults of a simulated fleet.
 #[derive(Clone, Copy, Debug)]
 struct Plan {
@@ -272,6 +276,8 @@
     let gained = (served - (1.0 - plan.shed)) / (can - (1.0 - plan.shed));
     println!("{served:.3} of {can:.3}, gained {gained:.3}, most used {:.3}", fleet.most_used());
     assert!(served >= 0.95 * can, "{served:.3} served where {can:.3} can be");
+    // Most requests are served by their first attempt, whatever the budget is used for.
+    assert!(gained >= MIN_GAIN, "retries gain {gained:.3} of what the budget allows");
 }
 
 /// Guards against exceeding the rule in any window.
@@ -348,6 +354,33 @@
     let _ = b.apply_update(NameId::of("peer"), queue, now);
     let queued = b.wait_after_rejection(&info, now).expect("an upstream is listed");
     assert!(queued > 2 * shed, "{queued:?} behind a queue, {shed:?} with free slots");
+    // Idle upstreams that get none of the requests don't shorten the queue.
+    b.set_upstream(crate::listed("u1", "other", MemberState::Live), Time::ZERO);
+    assert_eq!(b.wait_after_rejection(&info, now), Some(queued), "idle in another data hall");
+    b.set_upstream(crate::listed("u2", "h", MemberState::Live), Time::ZERO);
+    assert_eq!(b.wait_after_rejection(&info, now), Some(shed), "idle and not suspected");
+    for peer in ["peer", "second", "third"] {
+        let _ = b.apply_update(NameId::of(peer), crate::failure("u2"), now);
+    }
+    assert_eq!(b.wait_after_rejection(&info, now), Some(queued), "idle and suspected");
+}
+
+/// Guards against callers that return early for upstreams of a region that may not serve them.
+#[test]
+fn a_rejected_caller_returns_by_the_upstreams_of_its_regions() {
+    let halls = [("h".to_owned(), "r0".to_owned()), ("other".to_owned(), "r1".to_owned())];
+    let regions = RegionMap::new(&halls.into()).expect("two regions are few");
+    let own = regions.set(&["r1".to_owned()]).expect("the region is known");
+    let mut b = new_box(&STEADY, 0, RetryHistory::Empty, 0).with_regions(regions);
+    b.set_upstream(crate::listed("u0", "h", MemberState::Live), Time::ZERO);
+    b.set_upstream(crate::listed("u1", "other", MemberState::Live), Time::ZERO);
+    let now = Time::from_millis(100);
+    let free = b.wait_after_rejection(&info(&b, true), now).expect("an upstream is listed");
+    let queue = Update::Open { upstream: NameId::of("u1"), count: 9 };
+    let _ = b.apply_update(NameId::of("peer"), queue, now);
+    let info = RequestInfo { regions: Some(own), ..info(&b, true) };
+    let queued = b.wait_after_rejection(&info, now).expect("an upstream is listed");
+    assert!(queued > 2 * free, "{queued:?} in its own region, {free:?} elsewhere");
 }
 
 /// Guards against a change of the budget of services without priorities.
@@ -364,3 +397,25 @@
     assert_eq!((allowed, b.take_updates()), (expected, other.take_updates()));
     assert_eq!(b.wait_after_rejection(&info, now), None);
 }
+
+/// Returns the number of peers whose shares a box knows.
+fn known_shares(b: &Balancer) -> usize {
+    format!("{b:?}").matches("PeerShare {").count()
+}
+
+/// Guards against state that grows with the boxes of the fleet where nothing reads it.
+#[test]
+fn shares_of_peers_are_kept_where_the_budget_is_divided() {
+    let report = Update::Retry { service: NameId::of("s"), requests: 9, retries: 1 };
+    let (mut divided, mut common) =
+        (new_box(&STEADY, 0, RetryHistory::Empty, 0), crate::balancer(1));
+    for i in 1..=20 {
+        let now = Time::from_millis(i * 10);
+        let _ = divided.apply_update(NameId(i), report, now);
+        let _ = common.apply_update(NameId(i), report, now);
+    }
+    assert_eq!((known_shares(&divided), known_shares(&common)), (20, 0));
+    // Peers that were silent for a window are removed.
+    let _ = divided.apply_update(NameId(1), report, Time::from_millis(WINDOW_MS + 1_500));
+    assert_eq!(known_shares(&divided), 1);
+}
