balance: compute the exposure to hangs once per selection

Each selection evaluated hang_loss twice for each candidate of a non-repeatable request, each time with two quantiles of the same histogram (three for repeatable requests, with the hedge delay). These terms do not depend on the candidate. HangExposure holds them, and loss no longer includes the hang, which the candidate adds.

--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -250,16 +250,17 @@
         now: Time,
     ) -> Option<UpstreamKey> {
         self.fit_hazards(info.service, now);
-        let candidate = |&upstream: &UpstreamKey| Candidate {
-            upstream,
-            local: self.upstreams[upstream].local,
-            loss: self.loss(upstream, info, service_time, now),
-            // Repeatable requests keep the upstreams in use that others avoid.
-            hang_loss: if info.repeatable {
-                0.0
-            } else {
-                self.hang_loss(upstream, info, failure_loss(info))
-            },
+        let exposure = self.hang_exposure(info, failure_loss(info));
+        let candidate = |&upstream: &UpstreamKey| {
+            let u = &self.upstreams[upstream];
+            let hang_loss = exposure.as_ref().map_or(0.0, |e| u.hang_loss(e));
+            Candidate {
+                upstream,
+                local: u.local,
+                loss: self.loss(upstream, info, service_time, now) + hang_loss,
+                // Repeatable requests keep the upstreams in use that others avoid.
+                hang_loss: if info.repeatable { 0.0 } else { hang_loss },
+            }
         };
         let candidates: Vec<Candidate> = open.iter().map(candidate).collect();
         let least = candidates.iter().min_by(|a, b| a.loss.total_cmp(&b.loss))?;
@@ -267,15 +268,15 @@
         Some(tied[self.rng.usize(..tied.len())].upstream)
     }
 
-    /// Returns the expected loss of one attempt, in requests.
+    /// Returns the expected loss of one attempt, in requests, apart from future hangs.
     fn loss(&self, k: UpstreamKey, info: &RequestInfo, service_time: Duration, now: Time) -> f64 {
         let u = &self.upstreams[k];
         let failure = self.fault_chance(k, now) * FAILS_SICK;
-        let weight = failure_loss(info);
         let busy = u.busy(now);
         let wait = u.wait(busy, service_time);
         let targets = wait.as_secs_f64() / info.target.unwrap_or(DEFAULT_TARGET).as_secs_f64();
-        let mut loss = failure * weight + targets * WAIT_LOSS + busy / u.slots * CONCURRENCY_LOSS;
+        let mut loss =
+            failure * failure_loss(info) + targets * WAIT_LOSS + busy / u.slots * CONCURRENCY_LOSS;
         if !u.local {
             loss += CROSS_HALL_LOSS
                 + self.sizes.expected(info.route, info.large_transfer) * self.byte_cost;
@@ -283,7 +284,7 @@
         if now < u.warm_up_until {
             loss += WARMUP_LOSS;
         }
-        loss + self.hang_loss(k, info, weight)
+        loss
     }
 
     /// Builds a refusal; the wait is randomised so that callers don't return all at once.
--- a/crates/honeypulley_policy/src/balance/hazard.rs
+++ b/crates/honeypulley_policy/src/balance/hazard.rs
@@ -193,6 +193,22 @@
     }
 }
 
+/// What a request loses by hangs, apart from the hazard of its upstream.
+///
+/// It is the same for all upstreams and costs several quantiles of histograms, so it is computed
+/// once per selection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HangExposure {
+    /// Hazard of an upstream whose hazard is not known.
+    prior: f64,
+    /// Time within which the start of a hang affects the request.
+    exposed: Duration,
+    /// Loss of a failed attempt, in requests.
+    weight: f64,
+    /// Share of the loss that a hedge does not prevent.
+    left: f64,
+}
+
 impl Service {
     /// Returns whether its requests are placed by hazard.
     pub(super) const fn weighs_hazard(&self) -> bool {
@@ -240,20 +256,18 @@
         upstreams.retain(|k| rate(k) <= least * EQUIVALENT_RATES);
     }
 
-    /// Returns the expected loss of a request by a hang that begins or is not yet noticed.
+    /// Returns what a request loses by hangs, apart from the hazard of its upstream.
     ///
-    /// Zero for services whose requests are not placed by hazard.
-    pub(super) fn hang_loss(&self, k: UpstreamKey, info: &RequestInfo, weight: f64) -> f64 {
-        let Some(s) = self.services.get(info.service).filter(|s| s.weighs_hazard()) else {
-            return 0.0;
-        };
-        let prior = || s.hazards.rate(s.hazards.share);
-        let rate = self.upstreams[k].hangs.rate.unwrap_or_else(prior);
+    /// `None` for services whose requests are not placed by hazard.
+    pub(super) fn hang_exposure(&self, info: &RequestInfo, weight: f64) -> Option<HangExposure> {
+        let s = self.services.get(info.service).filter(|s| s.weighs_hazard())?;
         let noticed = s.latencies.quantile(NOTICE_QUANTILE, latency_prior(DEFAULT_TARGET));
-        let exposed = s.service_time() + noticed;
-        let chance = 1.0 - (-rate * exposed.as_secs_f64()).exp();
-        let left = if info.repeatable { self.unhedged_share(info) } else { 1.0 };
-        chance * FAILS_SICK * weight * left
+        Some(HangExposure {
+            prior: s.hazards.rate(s.hazards.share),
+            exposed: s.service_time() + noticed,
+            weight,
+            left: if info.repeatable { self.unhedged_share(info) } else { 1.0 },
+        })
     }
 
     /// Returns the share of a hang's loss that a hedge does not prevent.
@@ -285,6 +299,13 @@
 }
 
 impl Upstream {
+    /// Returns the expected loss of a request by a hang that begins or is not yet noticed.
+    pub(super) fn hang_loss(&self, exposure: &HangExposure) -> f64 {
+        let rate = self.hangs.rate.unwrap_or(exposure.prior);
+        let chance = 1.0 - (-rate * exposure.exposed.as_secs_f64()).exp();
+        chance * FAILS_SICK * exposure.weight * exposure.left
+    }
+
     /// Returns the update with its counts, unless they are zero.
     fn hazard_update(&self, service_time: Duration) -> Option<Update> {
         let episodes = self.hangs.episodes.round().min(f64::from(u8::MAX)) as u8;
