priority: spread what would be rejected over usable upstreams

Each box took the usable upstream with the least fault chance. As boxes hold similar beliefs, all of them sent their rejected requests to the same one at once. A box now takes the better of two drawn at random, as for probes, whose draw it shares. Only ranked services get here, so others draw as before.

--- a/crates/honeypulley_policy/src/balance/priority.rs
+++ b/crates/honeypulley_policy/src/balance/priority.rs
@@ -197,19 +197,21 @@
         Err(self.refuse(RefusalKind::Priority, released))
     }
 
-    /// Returns the upstream with a free slot that is the least likely to fail, if any is usable.
+    /// Returns a usable upstream with a free slot, if there is any.
     ///
     /// It serves a request that would be rejected since healthier upstreams have no free slot.
+    /// It is the less likely to fail of two drawn at random. If all boxes took the least likely
+    /// one, it would get the rejected requests of all of them at once.
     pub(super) fn free_upstream(
-        &self,
+        &mut self,
         open: &[UpstreamKey],
         info: &RequestInfo,
         now: Time,
     ) -> Option<UpstreamKey> {
         let free = open.iter().filter(|&&k| self.wait(k, info, now).is_zero());
-        let chances = free.map(|&k| (k, self.fault_chance(k, now)));
-        let usable = chances.filter(|&(_, chance)| chance < MAX_FAULT_CHANCE);
-        usable.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(k, _)| k)
+        let usable = free.filter(|&&k| self.fault_chance(k, now) < MAX_FAULT_CHANCE);
+        let usable: Vec<UpstreamKey> = usable.copied().collect();
+        self.draw_better(&usable, |b, k| b.fault_chance(k, now))
     }
 
     /// Applies a peer's announced admission level.
--- a/crates/honeypulley_policy/src/balance/probe.rs
+++ b/crates/honeypulley_policy/src/balance/probe.rs
@@ -187,13 +187,21 @@
     ///
     /// If all boxes took the one with the longest idle time, they would probe it at once.
     fn less_suspect(&mut self, due: &[UpstreamKey], now: Time) -> Option<UpstreamKey> {
-        if due.is_empty() {
+        self.draw_better(due, |b, k| b.upstreams[k].shared.probability(now))
+    }
+
+    /// Returns the one with the lower value of two upstreams drawn at random.
+    pub(super) fn draw_better(
+        &mut self,
+        among: &[UpstreamKey],
+        value: impl Fn(&Self, UpstreamKey) -> f64,
+    ) -> Option<UpstreamKey> {
+        if among.is_empty() {
             return None;
         }
-        let mut draw = || due[self.rng.usize(..due.len())];
+        let mut draw = || among[self.rng.usize(..among.len())];
         let (a, b) = (draw(), draw());
-        let probability = |k: UpstreamKey| self.upstreams[k].shared.probability(now);
-        Some(if probability(b) < probability(a) { b } else { a })
+        Some(if value(self, b) < value(self, a) { b } else { a })
     }
 }
 
