--- a/crates/honeypulley_mesh/src/lib.rs
+++ b/crates/honeypulley_mesh/src/lib.rs
@@ -3,15 +3,16 @@
 //! A few boxes read the platform's store ([`readers`]). The others receive changes by datagram
 //! and pull what they lack ([`peers`]). Each box keeps the list of upstreams ([`list`]), the
 //! addresses of the other boxes ([`book`]) and the routing table, and passes them to the serving
-//! thread ([`serving`]). A box detects gaps in the changes of the list and requests the missing
-//! ones ([`catch_up`]); a digest shows it that its list differs from a reader's ([`repair`]). Answers
-//! to such requests leave part of its link free ([`uplink`]). What a box observes of an upstream is
-//! broadcast to all others at once. Operators evacuate data halls through the platform
-//! ([`evacuations`]). A box that reaches no upstream of a service finds others that do
+//! thread ([`serving`], [`balancer_updater`]). A box detects gaps in the changes of the list and
+//! requests the missing ones ([`catch_up`]); a digest shows it that its list differs from a reader's
+//! ([`repair`]). Answers to such requests leave part of its link free ([`uplink`]). What a box
+//! observes of an upstream is broadcast to all others at once. Operators evacuate data halls through
+//! the platform ([`evacuations`]). A box that reaches no upstream of a service finds others that do
 //! ([`relay_directory`]).
 
 pub mod admin;
 pub mod admission;
+pub mod balancer_updater;
 pub mod book;
 pub mod catch_up;
 pub mod decoder;
@@ -43,10 +44,11 @@
 /// Commonly used types of this crate.
 pub mod prelude {
     pub use crate::{
+        balancer_updater::BalancerUpdater,
         decoder::{Decoder, StoreKeys},
         epoch::EpochTracker,
         peers::PeerDuty,
-        serving::{BalancerUpdater, BroadcastBalancer, TableRoutes},
+        serving::{BroadcastBalancer, TableRoutes},
         state::{Mesh, MeshSettings},
         store::StoreDuty,
     };
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -1,17 +1,15 @@
 //! Routing and balancing on the serving thread, and the updates for other boxes that they produce.
 
-use crate::list::ListChange;
 use crate::over_limit::over_limit;
 use crate::state::Mesh;
 use crate::suspicion_log::SuspicionLog;
 use crate::update_batch::ReceivedUpdate;
-use async_trait::async_trait;
 use futures::future::BoxFuture;
 use honeypulley_policy::balance::{AdmissionState, Balancer, BudgetUsage, RetryReason, Update};
 use honeypulley_policy::chooser::{Endpoint, PickInputs, RequestInfo, RoutingPolicy};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::fleet_limits::{FleetRateLimiter, LimitRefusal};
-use honeypulley_policy::organisations::{Organisation, Organisations};
+use honeypulley_policy::organisations::Organisation;
 use honeypulley_policy::regions::RegionSet;
 use honeypulley_policy::route_mix::RouteMix;
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, Refusal, ServiceKey, UpstreamKey};
@@ -20,7 +18,6 @@
 use honeypulley_policy::time::Time;
 use honeypulley_proxy::answer::LocalAnswer;
 use honeypulley_proxy::gate::{RequestOwner, RouteDecision, RouteRequest, Routes};
-use honeypulley_proxy::shared::StateUpdater;
 use http::StatusCode;
 use parking_lot::Mutex;
 use std::sync::Arc;
@@ -30,11 +27,6 @@
 /// Minimum `Retry-After` while this box lacks a table or list.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// Time for which received updates are collected while no request is decided.
-///
-/// Each wake-up of the serving thread costs more than what it applies.
-const BATCH_TIME: Duration = Duration::from_millis(25);
-
 /// A balancer and the organisations' limits, whose updates are queued for broadcast at once.
 #[derive(Debug)]
 pub struct BroadcastBalancer {
@@ -65,7 +57,7 @@
     /// Applies all updates received from other boxes so far.
     ///
     /// It runs before each decision, so that the serving thread need not be woken for each of them.
-    fn apply_received(&mut self, now: Time) {
+    pub(crate) fn apply_received(&mut self, now: Time) {
         let mut next = self.mesh.updates_in.pop();
         if next.is_none() {
             return;
@@ -434,78 +426,3 @@
     let retry_after = NOT_READY_RETRY_AFTER.mul_f64(1.0 + fastrand::f64() / 2.0);
     LocalAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, Some(retry_after), why).with_elsewhere()
 }
-
-/// Applies tables, lists and updates of other boxes to the policy on the serving thread.
-#[derive(Debug)]
-pub struct BalancerUpdater {
-    /// Shared state of this box.
-    pub mesh: Arc<Mesh>,
-    /// Balancer and limits.
-    pub policy: Arc<Mutex<BroadcastBalancer>>,
-}
-
-#[async_trait]
-impl StateUpdater for BalancerUpdater {
-    async fn run(&self) {
-        loop {
-            self.apply_updates();
-            tokio::select! {
-                () = self.mesh.serve_wakeup.notified() => {}
-                () = self.collect_updates() => {}
-                requester = self.mesh.belief_requests.recv() => {
-                    let now = self.mesh.now();
-                    let mut policy = self.policy.lock();
-                    let mut replies = policy.balancer().retry_sums(now);
-                    replies.extend(policy.balancer().belief_snapshot(now));
-                    drop(policy);
-                    self.mesh.belief_replies.push((requester, replies));
-                }
-            }
-        }
-    }
-}
-
-impl BalancerUpdater {
-    /// Waits for updates of other boxes and applies them in batches.
-    async fn collect_updates(&self) {
-        self.mesh.updates_in.wait().await;
-        tokio::time::sleep(BATCH_TIME).await;
-        self.policy.lock().apply_received(self.mesh.now());
-    }
-
-    /// Puts a new routing table in force and applies pending changes of the list.
-    fn apply_updates(&self) {
-        let mut policy = self.policy.lock();
-        let now = self.mesh.now();
-        // Services come first, so that no route leads to a service that is not set up.
-        if let Some(table) = self.mesh.take_next_table() {
-            policy.balancer().set_services(&table.services, now);
-            let limits = table.organisations.iter().flat_map(Organisations::limits);
-            policy.limits().replace_limits(limits);
-            let ranked = table.services.iter().filter(|s| s.mix.is_ranked()).count();
-            let mixed = table.services.iter().filter(|s| s.mix.is_mixed()).count();
-            log::info!(
-                version = table.version, ranked, mixed;
-                "table: version {} is in force", table.version
-            );
-            let is_ranked =
-                |name: &str| table.services.iter().any(|s| s.name == name && s.mix.is_ranked());
-            self.mesh.admission.lock().retain(is_ranked);
-            self.mesh.in_force.store(Some(table));
-        }
-        let listed = self.mesh.list_known.load(Ordering::Acquire) && self.mesh.knows_evacuations();
-        if let Some(halls) = self.mesh.take_evacuations() {
-            policy.balancer().set_evacuated(halls);
-        }
-        for change in self.mesh.take_list_changes() {
-            match change {
-                ListChange::Set(l) => policy.balancer().set_upstream(l, now),
-                ListChange::Gone(name) => policy.balancer().remove_upstream(&name),
-            }
-        }
-        policy.apply_received(now);
-        if listed && self.mesh.startup.is_pending() && self.mesh.in_force.load().is_some() {
-            self.mesh.startup.mark_complete();
-        }
-    }
-}
