priority: test that announced levels leave unranked services alone

The test varied the floor only, on a service without any mix, so it could not see an effect of an announced level. It now has a mix of one priority, gets the highest level from three boxes, and compares the results, the levels and the announcements. The same level changes the results of a ranked service.

--- a/crates/honeypulley_policy/tests/priority/fleet.rs
+++ b/crates/honeypulley_policy/tests/priority/fleet.rs
@@ -191,6 +191,7 @@
     fn step(&mut self, now: u64) {
         let at = Time::from_millis(now);
         self.deliver(now);
+        self.announce_planned(now);
         for r in std::mem::take(&mut self.open) {
             self.advance(r, now);
         }
@@ -247,6 +248,18 @@
         }
     }
 
+    /// Lets three boxes outside of the simulated fleet announce the planned level to all.
+    fn announce_planned(&mut self, now: u64) {
+        let level = self.plan.announced_level(now).filter(|_| now.is_multiple_of(200));
+        let Some(level) = level else { return };
+        let update = Update::Pressure { service: NameId::of("s"), level: level.to_thousandths() };
+        for b in &mut self.boxes {
+            for from in ["x1", "x2", "x3"].map(NameId::of) {
+                b.apply_update(from, update, Time::from_millis(now));
+            }
+        }
+    }
+
     /// Ends a request that is due, or retries it as the serving path does.
     fn advance(&mut self, mut r: Open, now: u64) {
         let at = Time::from_millis(now);
--- a/crates/honeypulley_policy/tests/priority/main.rs
+++ b/crates/honeypulley_policy/tests/priority/main.rs
@@ -5,6 +5,7 @@
 mod plan;
 
 use fleet::{Fleet, simulate};
+use honeypulley_policy::balance::Level;
 use plan::{Counts, Kind, Plan};
 use rstest::rstest;
 
@@ -44,6 +45,9 @@
 /// An urgent kind of one data hall, whose boxes alone know of it.
 const LOCAL: &[Kind] = &[Kind { rate: 150.0, hall: Some(0), ..READS }, ORDERS];
 
+/// Kinds of one priority.
+const ALIKE: &[Kind] = &[Kind { priority: 2, ..READS }, ORDERS];
+
 const BASE: Plan = Plan {
     kinds: SHOPS,
     is_ranked: true,
@@ -63,6 +67,7 @@
     down: 0,
     hanging: false,
     shedding: 0.0,
+    announced: None,
     seed: 1,
 };
 
@@ -245,10 +250,16 @@
 /// Guards against any effect on a service whose routes have one priority.
 #[test]
 fn a_service_that_is_not_ranked_is_unaffected() {
-    let plan = Plan { is_ranked: false, ..BASE };
-    let runs = [0.0, 1.0].map(|floor| simulate(Plan { floor, ..plan }));
-    let results = runs.each_ref().map(|f| f.ended.iter().map(|e| (e.kind, e.began, e.took)));
-    let [a, b] = results;
-    assert!(a.eq(b), "the floor has an effect");
-    assert_eq!(runs[0].announced, 0);
+    let run = |kinds, floor, announced| {
+        let fleet = simulate(Plan { kinds, floor, announced, until: 9_000, ..BASE });
+        let results: Vec<_> = fleet.ended.iter().map(|e| (e.kind, e.began, e.took)).collect();
+        (results, fleet.levels, fleet.announced)
+    };
+    let high = Some(Level::at(0, 1.0));
+    let without = run(ALIKE, 1.0, None);
+    assert!(run(ALIKE, 0.0, None) == without, "the floor has an effect");
+    assert!(run(ALIKE, 0.0, high) == without, "the announced level has an effect");
+    assert_eq!(without.2, 0, "a level is announced");
+    // The level does have an effect where priorities differ.
+    assert!(run(SHOPS, 0.0, high).0 != run(SHOPS, 0.0, None).0, "no effect to be seen");
 }
--- a/crates/honeypulley_policy/tests/priority/plan.rs
+++ b/crates/honeypulley_policy/tests/priority/plan.rs
@@ -1,6 +1,7 @@
 //! Loads and faults of a simulated fleet.
 
 use crate::fleet::{Ended, SLOTS};
+use honeypulley_policy::balance::Level;
 
 /// A kind of request.
 #[derive(Clone, Copy, Debug)]
@@ -50,6 +51,8 @@
     pub hanging: bool,
     /// Share of requests that upstreams shed during the step although slots are free.
     pub shedding: f64,
+    /// Level that boxes outside of the simulated fleet announce during the step.
+    pub announced: Option<Level>,
     pub seed: u64,
 }
 
@@ -84,6 +87,10 @@
         self.hanging && upstream % 10 < 3 && (now + upstream as u64 * 1_700) % 9_000 < 3_000
     }
 
+    pub fn announced_level(&self, now: u64) -> Option<Level> {
+        self.announced.filter(|_| self.in_step(now))
+    }
+
     pub fn shed_share(&self, now: u64) -> f64 {
         if self.in_step(now) { self.shedding } else { 0.0 }
     }
