--- a/crates/honeypulley_policy/src/balance/priority.rs
+++ b/crates/honeypulley_policy/src/balance/priority.rs
@@ -108,6 +108,15 @@
         self.pressure = pressure.min(MAX_PRESSURE);
         self.levels.record(bounds.into_iter().map(|(p, b)| (p, wait > b)), now);
     }
+
+    /// Returns the state for logs and operators.
+    fn state(&self, now: Time) -> AdmissionState {
+        AdmissionState {
+            level: self.levels.in_force(now).to_thousandths(),
+            pressure: self.pressure,
+            age: self.levels.age(now),
+        }
+    }
 }
 
 /// Admission state of a service, for logs and operators.
@@ -229,14 +238,3 @@
         Some(s.priorities.state(now))
     }
 }
-
-impl PriorityState {
-    /// Returns the state for logs and operators.
-    pub(super) fn state(&self, now: Time) -> AdmissionState {
-        AdmissionState {
-            level: self.levels.in_force(now).to_thousandths(),
-            pressure: self.pressure,
-            age: self.levels.age(now),
-        }
-    }
-}
--- a/crates/honeypulley_policy/src/balance/priority/level.rs
+++ b/crates/honeypulley_policy/src/balance/priority/level.rs
@@ -27,9 +27,9 @@
 /// Number of recent announcements of the same level from which a box stays silent.
 ///
 /// A few announcements serve all boxes, so that the cost per box doesn't grow with the fleet.
-const ENOUGH_VOICES: usize = 3;
+const ENOUGH_ANNOUNCERS: usize = 3;
 /// Number of recent announcements of any level from which a box stays silent.
-const MANY_VOICES: usize = 8;
+const MANY_ANNOUNCERS: usize = 8;
 /// Maximum number of received levels that are kept.
 const MAX_RECEIVED: usize = 32;
 /// Thousandths per priority.
@@ -173,7 +173,7 @@
             return None;
         }
         let agreeing = self.fresh(now, RENEWAL).filter(|r| r.level.is_near(level)).count();
-        if agreeing >= ENOUGH_VOICES || self.fresh(now, RENEWAL).count() >= MANY_VOICES {
+        if agreeing >= ENOUGH_ANNOUNCERS || self.fresh(now, RENEWAL).count() >= MANY_ANNOUNCERS {
             return None;
         }
         self.announced = Some((level, now));
