--- a/crates/honeypulley_policy/tests/priority/level.rs
+++ b/crates/honeypulley_policy/tests/priority/level.rs
@@ -169,3 +169,26 @@
     assert!(*most < 30, "{counts:?}");
     assert!(!counts.contains_key("u"), "its slots are taken: {counts:?}");
 }
+
+/// Guards against one urgent caller in haste that makes the box reject less urgent requests.
+#[test]
+fn an_urgent_request_in_haste_leaves_the_tolerance() {
+    let now = Time::from_millis(100);
+    let admitted = |left: Duration| {
+        let mut b = balancer(true, 7);
+        let urgent = RequestInfo { remaining: Some(left), ..info(&b, 1) };
+        b.pick(&urgent, &[], now).expect("two slots are free");
+        let info = info(&b, 2);
+        let mut admitted = 0;
+        loop {
+            match b.pick(&info, &[], now) {
+                Ok(_) => admitted += 1,
+                Err(refused) => return (admitted, refused.kind),
+            }
+        }
+    };
+    let (usual, kind) = admitted(Duration::from_secs(2));
+    assert_eq!(kind, RefusalKind::Priority);
+    assert!(usual > 1, "no request waits");
+    assert_eq!(admitted(Duration::from_millis(100)), (usual, kind));
+}
