--- a/crates/honeypulley_policy/tests/limits/fleet.rs
+++ b/crates/honeypulley_policy/tests/limits/fleet.rs
@@ -235,97 +235,161 @@
     if hall < sharing { 1.0 / sharing as f64 } else { 0.0 }
 }
 
+/// State of a simulated run.
+struct Run {
+    plan: Plan,
+    rng: fastrand::Rng,
+    fleet: Fleet,
+    boxes: Vec<Box<dyn Limiter>>,
+    limit: RateLimit,
+    /// Tokens of a single ideal bucket.
+    ideal: f64,
+    ideal_sum: f64,
+    /// Times of the admitted requests.
+    admitted: Vec<u64>,
+    in_transit: BTreeMap<u64, Vec<Message>>,
+    down_until: Vec<u64>,
+    datagrams: u64,
+    asked: [u32; 3],
+    taken: [u32; 3],
+    rejected: u32,
+}
+
 /// Runs a simulation.
 pub fn simulate(plan: Plan) -> Outcome {
-    let mut rng = fastrand::Rng::with_seed(plan.seed);
-    let ids = (0..plan.boxes).map(|i| NameId::of(&format!("box{i}"))).collect();
-    let n = plan.boxes;
-    let mut fleet = Fleet { plan, ids, connected_at: vec![0; n], cut: vec![false; n], now_ms: 0 };
-    let mut boxes: Vec<Box<dyn Limiter>> =
-        (0..n).map(|i| limiter(&fleet, BoxId(i), plan.limit, RetryHistory::Empty)).collect();
-    let mut limit = plan.limit;
-    let mut ideal = (limit.burst, 0.0_f64);
-    let mut admitted: Vec<u64> = Vec::new();
-    let mut in_transit: BTreeMap<u64, Vec<Message>> = BTreeMap::new();
-    let mut down_until = vec![0; n];
-    let (mut ideal_sum, mut datagrams) = (0.0, 0_u64);
-    let (mut asked, mut taken, mut rejected) = ([0; 3], [0; 3], 0);
+    let mut run = Run::new(plan);
     for ms in 0..RUN_MS {
-        fleet.now_ms = ms;
-        let now = Time::from_millis(ms);
+        run.step(ms);
+    }
+    run.outcome()
+}
+
+impl Run {
+    fn new(plan: Plan) -> Self {
+        let n = plan.boxes;
+        let ids = (0..n).map(|i| NameId::of(&format!("box{i}"))).collect();
+        let fleet = Fleet { plan, ids, connected_at: vec![0; n], cut: vec![false; n], now_ms: 0 };
+        let boxes =
+            (0..n).map(|i| limiter(&fleet, BoxId(i), plan.limit, RetryHistory::Empty)).collect();
+        Self {
+            plan,
+            rng: fastrand::Rng::with_seed(plan.seed),
+            fleet,
+            boxes,
+            limit: plan.limit,
+            ideal: plan.limit.burst,
+            ideal_sum: 0.0,
+            admitted: Vec::new(),
+            in_transit: BTreeMap::new(),
+            down_until: vec![0; n],
+            datagrams: 0,
+            asked: [0; 3],
+            taken: [0; 3],
+            rejected: 0,
+        }
+    }
+
+    /// Simulates one millisecond.
+    fn step(&mut self, ms: u64) {
+        self.fleet.now_ms = ms;
+        self.apply_faults(ms);
+        let mut out = Vec::new();
+        self.deliver(ms, &mut out);
+        let is_hot = ms >= self.plan.hot.0 && ms < self.plan.hot.1;
+        let rate = self.plan.usual * if is_hot { self.plan.times } else { 1.0 };
+        self.ideal = (self.ideal + self.limit.rate / 1e3).min(self.limit.burst);
+        for _ in 0..arrivals(rate / 1e3, &mut self.rng) {
+            self.request(ms, is_hot, &mut out);
+        }
+        for m in out {
+            let at = ms + self.rng.u64(DELAY_MS.0..=DELAY_MS.1);
+            self.in_transit.entry(at).or_default().push(m);
+        }
+    }
+
+    /// Isolates, kills and restarts boxes, and lowers the limit, as planned.
+    fn apply_faults(&mut self, ms: u64) {
+        let (plan, n) = (self.plan, self.plan.boxes);
         let (share, (from, to)) = plan.cut;
         let is_cut = ms >= from && ms < to;
         for i in 0..n {
-            fleet.cut[i] = is_cut && (i as f64) < share * n as f64;
-            if !fleet.cut[i] {
-                fleet.connected_at[i] = ms;
+            self.fleet.cut[i] = is_cut && (i as f64) < share * n as f64;
+            if !self.fleet.cut[i] {
+                self.fleet.connected_at[i] = ms;
             }
         }
         if plan.killed.0 > 0.0 && ms == plan.killed.1 {
             for i in (0..n).filter(|&i| (i as f64) < plan.killed.0 * n as f64) {
-                boxes[i] = limiter(&fleet, BoxId(i), limit, RetryHistory::Unknown);
-                down_until[i] = ms + 500;
+                self.boxes[i] = limiter(&self.fleet, BoxId(i), self.limit, RetryHistory::Unknown);
+                self.down_until[i] = ms + 500;
             }
         }
         if let Some((at, lower)) = plan.lowered
             && at == ms
         {
-            limit = lower;
-            boxes.iter_mut().for_each(|b| b.set(lower));
+            self.limit = lower;
+            self.boxes.iter_mut().for_each(|b| b.set(lower));
         }
-        let mut out = Vec::new();
-        for m in in_transit.remove(&ms).unwrap_or_default() {
-            let crosses = fleet.cut[m.from.0] || fleet.cut[m.to.0];
-            if crosses || down_until[m.to.0] > ms || rng.f64() < plan.lost {
+    }
+
+    /// Delivers the messages that arrive now, unless they are lost.
+    fn deliver(&mut self, ms: u64, out: &mut Vec<Message>) {
+        for m in self.in_transit.remove(&ms).unwrap_or_default() {
+            let crosses = self.fleet.cut[m.from.0] || self.fleet.cut[m.to.0];
+            let is_down = self.down_until[m.to.0] > ms;
+            if crosses || is_down || self.rng.f64() < self.plan.lost {
                 continue;
             }
-            datagrams += 1;
-            boxes[m.to.0].receive(&fleet, &m, now, &mut out);
+            self.datagrams += 1;
+            self.boxes[m.to.0].receive(&self.fleet, &m, Time::from_millis(ms), out);
         }
-        let is_hot = ms >= plan.hot.0 && ms < plan.hot.1;
-        let rate = plan.usual * if is_hot { plan.times } else { 1.0 };
-        ideal.0 = (ideal.0 + limit.rate / 1e3).min(limit.burst);
-        for _ in 0..arrivals(rate / 1e3, &mut rng) {
-            if ideal.0 >= 1.0 {
-                ideal.0 -= 1.0;
-                ideal_sum += 1.0;
-            }
-            let first_tenth = (n / 10).max(1);
-            let draw = |rng: &mut fastrand::Rng| match plan.home {
-                Some(home) => draw_box(plan, home, rng),
-                None if rng.f64() < plan.skew => rng.usize(..first_tenth),
-                None => rng.usize(..n),
+    }
+
+    /// Sends one request to a box, and counts it.
+    fn request(&mut self, ms: u64, is_hot: bool, out: &mut Vec<Message>) {
+        let (plan, now) = (self.plan, Time::from_millis(ms));
+        if self.ideal >= 1.0 {
+            self.ideal -= 1.0;
+            self.ideal_sum += 1.0;
+        }
+        let priority = plan.mix.map(|mix| draw_priority(mix, &mut self.rng));
+        let mut i = draw_receiver(plan, &mut self.rng);
+        while plan.sorted && Some(i / plan.halls % 3) != priority {
+            i = draw_receiver(plan, &mut self.rng);
+        }
+        let is_admitted = self.down_until[i] <= ms
+            && match priority {
+                Some(p) => self.boxes[i].admit_ranked(&self.fleet, p as u8, now, out),
+                None => self.boxes[i].admit(&self.fleet, now, out),
             };
-            let priority = plan.mix.map(|mix| draw_priority(mix, &mut rng));
-            let mut i = draw(&mut rng);
-            while plan.sorted && Some(i / plan.halls % 3) != priority {
-                i = draw(&mut rng);
-            }
-            let is_admitted = down_until[i] <= ms
-                && match priority {
-                    Some(p) => boxes[i].admit_ranked(&fleet, p as u8, now, &mut out),
-                    None => boxes[i].admit(&fleet, now, &mut out),
-                };
-            if is_admitted {
-                admitted.push(ms);
-            }
-            rejected += u32::from(!is_admitted);
-            let p = priority.unwrap_or(0);
-            asked[p] += u32::from(is_hot);
-            taken[p] += u32::from(is_hot && is_admitted);
+        if is_admitted {
+            self.admitted.push(ms);
         }
-        for m in out {
-            let at = ms + rng.u64(DELAY_MS.0..=DELAY_MS.1);
-            in_transit.entry(at).or_default().push(m);
+        self.rejected += u32::from(!is_admitted);
+        let p = priority.unwrap_or(0);
+        self.asked[p] += u32::from(is_hot);
+        self.taken[p] += u32::from(is_hot && is_admitted);
+    }
+
+    fn outcome(&self) -> Outcome {
+        let boxes = self.plan.boxes as f64;
+        Outcome {
+            worst: max_ratio(&self.admitted, self.plan),
+            used: self.admitted.len() as f64 / f64::max(self.ideal_sum, 1.0),
+            datagrams: self.datagrams as f64 / boxes / (RUN_MS as f64 / 1e3),
+            asked: self.asked,
+            admitted: self.taken,
+            rejected: self.rejected,
         }
     }
-    Outcome {
-        worst: max_ratio(&admitted, plan),
-        used: admitted.len() as f64 / f64::max(ideal_sum, 1.0),
-        datagrams: datagrams as f64 / n as f64 / (RUN_MS as f64 / 1e3),
-        asked,
-        admitted: taken,
-        rejected,
+}
+
+/// Draws the box that receives a request.
+fn draw_receiver(plan: Plan, rng: &mut fastrand::Rng) -> usize {
+    match plan.home {
+        Some(home) => draw_box(plan, home, rng),
+        None if rng.f64() < plan.skew => rng.usize(..(plan.boxes / 10).max(1)),
+        None => rng.usize(..plan.boxes),
     }
 }
 
