--- a/crates/honeypulley_policy/src/fleet_limits/usage.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/usage.rs
@@ -158,11 +158,9 @@
         self.own_share.refill(self.own_rate(scope), burst / scope.boxes.max(1) as f64, now);
         let is_near = self.bucket.level < NEAR_LIMIT_SHARE * burst;
         // Tokens refilled since the last update may have been spent by peers that this box does
-        // not hear. They must not end the state if the whole burst refills before any silence
-        // counts as isolation. A larger burst must end it: after a pause of the callers, a box
-        // hears nobody either, and its tokens are left.
+        // not hear. They must not end the state, since a small burst refills before the silence
+        // counts as isolation.
         let is_known = self.max_silence().is_none()
-            || burst >= rate * MIN_SILENCE.as_secs_f64()
             || scope.boxes < 2
             || now.since(self.received_at) >= DETECTED_SILENCE;
         if !scope.isolated {
