Tell held-back callers to retry once nothing is held back

Cause: the Retry-After of a request held back for more urgent ones was the time of the next token of its priority. All refused callers share these tokens, so that most were refused again.

Change: it is at least the time in which the level reaches the point from which nothing is held back, if only more urgent requests are admitted meanwhile; the window if these take the whole limit. Which requests are admitted is unchanged.

--- a/crates/honeypulley_policy/src/fleet_limits/buckets.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/buckets.rs
@@ -172,12 +172,15 @@
         demand.record(priority);
         demand.adjust(&pressure, now);
         let probability = demand.probability(priority, &pressure);
+        let full_wait = demand.full_wait(priority, &pressure);
         let over_limit = |wait| LimitRefusal { wait, reserved: None };
         self.check(id, 1.0, now).map_err(over_limit)?;
         if !is_highest && !is_isolated && draw >= probability {
+            // All callers held back share the tokens that their priority gets. A retry is
+            // therefore worthwhile only once nothing is held back.
             let secs = 1.0 / (limit.rate * probability).max(f64::MIN_POSITIVE);
             let wait = Duration::try_from_secs_f64(secs).unwrap_or(window);
-            let wait = wait.min(window).max(MIN_RETRY_AFTER);
+            let wait = wait.max(full_wait.unwrap_or(window)).min(window).max(MIN_RETRY_AFTER);
             return Err(LimitRefusal { wait, reserved: Some(pressure.reserve()) });
         }
         self.consume(id, now);
--- a/crates/honeypulley_policy/src/fleet_limits/reserve.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/reserve.rs
@@ -74,6 +74,11 @@
         (admitted + admitted.sqrt()).min(MAX_RESERVE_SHARE * self.limit.burst).max(0.1)
     }
 
+    /// Returns the level from which nothing is held back.
+    fn full_level(&self) -> f64 {
+        1.0 + FULL_LEVEL * self.reserve()
+    }
+
     /// Returns the deviation of the level from the reserve, in reserves.
     fn deviation(&self) -> f64 {
         let reserve = self.reserve();
@@ -105,7 +110,7 @@
         self.adjusted_at = now;
         let Some(fraction) = self.fraction else {
             let is_busy = p.admitted_rate >= BUSY_SHARE * p.limit.rate;
-            if p.is_exhausted && is_busy && p.level < 1.0 + FULL_LEVEL * p.reserve() {
+            if p.is_exhausted && is_busy && p.level < p.full_level() {
                 self.fraction = Some((p.limit.rate / p.admitted_rate).min(1.0));
             }
             return;
@@ -122,14 +127,33 @@
     /// Returns the probability with which a request of this priority is admitted.
     pub(super) fn probability(&self, priority: u8, p: &Pressure) -> f64 {
         let Some(fraction) = self.fraction else { return 1.0 };
-        if p.level >= 1.0 + FULL_LEVEL * p.reserve() {
+        if p.level >= p.full_level() {
             return 1.0;
         }
+        let (urgent, own) = self.shares(priority);
+        let admitted = fraction * DAMPING.mul_add(p.deviation(), 1.0).max(0.0);
+        ((admitted - urgent) / own.max(f64::EPSILON)).clamp(0.0, 1.0)
+    }
+
+    /// Returns the time until the level may reach the point from which nothing is held back.
+    ///
+    /// It is reached then if nothing but more urgent requests is admitted. `None` if these take
+    /// the whole limit.
+    pub(super) fn full_wait(&self, priority: u8, p: &Pressure) -> Option<Duration> {
+        let (urgent, _) = self.shares(priority);
+        // The admitted fraction of the demand makes up the rate.
+        let urgent_rate = p.limit.rate * urgent / self.fraction.unwrap_or(1.0);
+        let refill = p.limit.rate - urgent_rate;
+        let missing = (p.full_level() - p.level).max(0.0);
+        let secs = (refill > 0.0).then(|| missing / refill)?;
+        Duration::try_from_secs_f64(secs).ok()
+    }
+
+    /// Returns the shares of the demand that are more urgent and equally urgent.
+    fn shares(&self, priority: u8) -> (f64, f64) {
         let index = usize::from(priority.min(RouteMix::LOWEST_PRIORITY));
         let total = f64::from(self.counts.iter().sum::<f32>()).max(1.0);
-        let urgent = f64::from(self.counts[..index].iter().sum::<f32>()) / total;
-        let own = (f64::from(self.counts[index]) / total).max(f64::EPSILON);
-        let admitted = fraction * DAMPING.mul_add(p.deviation(), 1.0).max(0.0);
-        ((admitted - urgent) / own).clamp(0.0, 1.0)
+        let urgent = f64::from(self.counts[..index].iter().sum::<f32>());
+        (urgent / total, f64::from(self.counts[index]) / total)
     }
 }
--- a/crates/honeypulley_policy/tests/limits/alone.rs
+++ b/crates/honeypulley_policy/tests/limits/alone.rs
@@ -30,3 +30,32 @@
         }
     }
 }
+
+/// Guards against a `Retry-After` after which a held-back request is held back again.
+///
+/// All callers held back share the tokens of their priority. The waiting time of the next token,
+/// for example 20 ms at 100 requests/s, is therefore too short for each of them.
+#[test]
+fn a_held_back_caller_that_respects_retry_after_is_admitted() {
+    let id = NameId::of("acme");
+    for seed in 0..20 {
+        let mut limits =
+            FleetRateLimiter::new("h", LimitRule::default(), RetryHistory::Empty, seed, Time::ZERO);
+        limits.replace_limits([(id, RateLimit { rate: 100.0, burst: 100.0 })]);
+        let mut now = Time::ZERO;
+        let mut refused = None;
+        // Four times the limit, a fifth of it urgent, until a request is held back after 4 s.
+        for n in 0..4_000_u64 {
+            now = Time::from_millis(n * 5 / 2);
+            let is_urgent = n % 5 == 0;
+            let admitted = limits.admit_ranked(id, if is_urgent { 0 } else { 2 }, is_urgent, now);
+            refused = admitted.err().filter(|r| r.reserved.is_some() && n > 1_600);
+            if refused.is_some() {
+                break;
+            }
+        }
+        let refusal = refused.expect("a request is held back");
+        let admitted = limits.admit_ranked(id, 2, false, now + refusal.wait);
+        assert_eq!(admitted, Ok(()), "seed {seed}, told to retry after {:?}", refusal.wait);
+    }
+}
