--- a/crates/honeypulley_policy/tests/limits/priorities.rs
+++ b/crates/honeypulley_policy/tests/limits/priorities.rs
@@ -11,9 +11,18 @@
     Plan { mix: Some(MIX), ..plan }
 }
 
+/// Returns a plan whose requests all have the least urgent priority.
+fn alike(plan: Plan) -> Plan {
+    Plan { mix: Some([0.0, 0.0, 1.0]), ..plan }
+}
+
 /// Returns the outcome of a plan with and without the reserve.
 fn compare(plan: Plan) -> (Outcome, Outcome) {
-    let plan = with_mix(plan);
+    compare_plan(with_mix(plan))
+}
+
+/// Returns the outcome of a plan that has a mix of its own with and without the reserve.
+fn compare_plan(plan: Plan) -> (Outcome, Outcome) {
     let run = |strategy| averaged(Plan { strategy, ..plan });
     (run(Strategy::Ranked), run(Strategy::Told))
 }
@@ -25,7 +34,12 @@
 
 /// Prints the outcome of a plan with and without the reserve.
 fn print(name: &str, plan: Plan) {
-    let (ranked, told) = compare(plan);
+    print_plan(name, with_mix(plan));
+}
+
+/// Prints the outcome of a plan that has a mix of its own.
+fn print_plan(name: &str, plan: Plan) {
+    let (ranked, told) = compare_plan(plan);
     for (way, o) in [("ranked", ranked), ("told", told)] {
         let [a, b, c] = shares(&o);
         println!(
@@ -45,6 +59,7 @@
             print(&format!("{usual} at {times}"), hot);
             print(&format!("{usual} at {times}, skewed"), Plan { skew: 0.6, ..hot });
             print(&format!("{usual} at {times}, sorted"), Plan { sorted: true, ..hot });
+            print_plan(&format!("{usual} at {times}, alike"), alike(hot));
         }
     }
 }
