--- a/crates/honeypulley_policy/src/balance/cold_start.rs
+++ b/crates/honeypulley_policy/src/balance/cold_start.rs
@@ -1,7 +1,7 @@
 //! First requests after a restart of all boxes.
 //!
 //! No box knows then which upstreams hang. A newly started box tries each upstream that it has
-//! heard nothing of, and a request that must not be repeated is lost if its upstream hangs. Such
+//! received no update about, and a request that must not be repeated is lost if its upstream hangs. Such
 //! requests are left out of these trials where others, which a hedge can save, share the service.
 //!
 //! A box whose peers announced the retries before its start is not part of such a restart.
--- a/crates/honeypulley_policy/src/balance/priority.rs
+++ b/crates/honeypulley_policy/src/balance/priority.rs
@@ -31,7 +31,7 @@
 /// Chance of a fault from which an upstream is not used instead of a rejection.
 ///
 /// A faulty upstream fails three quarters of the requests, so that half of them are served.
-const MAX_FAULT_CHANCE: f64 = 0.67;
+pub(super) const MAX_FAULT_CHANCE: f64 = 0.67;
 /// Latency quantile that stands for the time without a queue.
 ///
 /// The median soon includes queues that the box did not know of.
--- a/crates/honeypulley_policy/src/balance/priority/level.rs
+++ b/crates/honeypulley_policy/src/balance/priority/level.rs
@@ -141,7 +141,7 @@
 
     /// Returns the level that applies: the median of the own and the received ones.
     ///
-    /// A single box with a wrong view doesn't move it while three or more boxes are heard.
+    /// A single box with a wrong view doesn't move it while three or more boxes announce theirs.
     pub(super) fn in_force(&self, now: Time) -> Level {
         let received = self.fresh(now, LEVEL_TTL).map(|r| r.level);
         let mut levels: Vec<Level> = received.chain([self.own(now)]).collect();
--- a/crates/honeypulley_policy/src/balance/rejected.rs
+++ b/crates/honeypulley_policy/src/balance/rejected.rs
@@ -2,6 +2,7 @@
 
 use super::admit::RETRY_AFTER_BOUNDS;
 use super::in_flight::latency_prior;
+use super::priority::MAX_FAULT_CHANCE;
 use super::{Balancer, DEFAULT_TARGET, Service, Upstream};
 use crate::chooser::RequestInfo;
 use crate::router::UpstreamKey;
@@ -17,10 +18,6 @@
 /// Bounds of the wait while slots are free.
 const SHED_WAIT_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(20), Duration::from_millis(250));
-/// Chance of a fault from which an upstream's free slots don't count.
-///
-/// A request is not sent there while others can serve it, so that its queue stays short.
-const MAX_FAULT_CHANCE: f64 = 0.67;
 
 impl Balancer {
     /// Returns the wait after which a rejected request may be sent again.
--- a/crates/honeypulley_policy/src/balance/retry_share.rs
+++ b/crates/honeypulley_policy/src/balance/retry_share.rs
@@ -33,7 +33,7 @@
 const LENT_WEIGHT: f64 = 1.2;
 /// Time for which an announced unused share counts in full, longer than the announcing interval.
 const CURRENT_TIME: Duration = Duration::from_secs(3);
-/// Age at which it counts no more, as its owner may use it unheard.
+/// Age at which it counts no more, as its owner may use it without this box knowing.
 const LAPSE_TIME: Duration = Duration::from_secs(5);
 /// Interval at which peers are removed that were silent for a whole window.
 ///
@@ -109,7 +109,7 @@
     at: Option<Time>,
 }
 
-/// Budget of the boxes that are heard of.
+/// Budget of the boxes whose announcements are current.
 #[derive(Clone, Copy, Debug)]
 struct FleetBudget {
     /// Usable retries within the window.
@@ -161,7 +161,7 @@
         }
     }
 
-    /// Returns the budget that this box shares with the peers it hears of.
+    /// Returns the budget that this box shares with the peers whose announcements are current.
     fn fleet_budget(&self, rule: &RetryRule, own: OwnCounts, now: Time) -> FleetBudget {
         let start =
             FleetBudget { share: own.share(rule), free: own.share(rule) - own.retries as f64 };
@@ -279,15 +279,15 @@
             _ if self.retries == u8::MAX => unused.min(0.0) * left(self.at),
             // Its retries beyond its share leave the window in the course of time.
             n if n < 0.0 => n * left(self.at),
-            n => (n - self.unheard(rule, slack, now)).max(0.0) * self.currency(now),
+            n => (n - self.unannounced(rule, slack, now)).max(0.0) * self.currency(now),
         };
         unused - debt
     }
 
-    /// Returns the retries that it may have made unheard.
+    /// Returns the retries that it may have made since its last announcement.
     ///
     /// Without them, 0.5 of lost announcements and few requests gave 1.03 of the rule.
-    fn unheard(&self, rule: &RetryRule, slack: f64, now: Time) -> f64 {
+    fn unannounced(&self, rule: &RetryRule, slack: f64, now: Time) -> f64 {
         let silent = now.since(self.at).saturating_sub(ANNOUNCE_INTERVAL);
         let windows = silent.as_secs_f64() / rule.window.as_secs_f64();
         UNHEARD_SHARE * self.share(rule, slack, now) * windows
--- a/crates/honeypulley_policy/src/fleet_limits/buckets.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/buckets.rs
@@ -151,7 +151,7 @@
     /// Consumes one token, unless it is kept for more urgent requests of the subject.
     ///
     /// Less urgent requests are held back only while the subject's demand exceeds its limit and
-    /// this box hears the others. `is_highest` tells that no request of the subject is more urgent.
+    /// this box receives updates of the others. `is_highest` tells that no request of the subject is more urgent.
     ///
     /// # Errors
     /// Returns the reason and the time until a request is allowed; no token is consumed.
--- a/crates/honeypulley_policy/src/fleet_limits/reserve.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/reserve.rs
@@ -2,7 +2,7 @@
 //!
 //! Each box admits a fraction of the subject's demand, the most urgent requests first, and adjusts
 //! it so that the bucket keeps a reserve. The most urgent requests use the reserve; it covers what
-//! all boxes admit before they hear of each other. Since all boxes see about the same level, their
+//! all boxes admit before they receive each other's counts. Since all boxes see about the same level, their
 //! fractions agree without a message.
 //!
 //! Requests are held back only during a shortage, so that none is rejected that would fit while
@@ -17,7 +17,7 @@
 const PRIORITIES: usize = RouteMix::LOWEST_PRIORITY as usize + 1;
 /// Requests after which the counts by priority are halved.
 const MAX_COUNTED: f32 = 256.0;
-/// Time until all boxes have heard of an admission: the interval of the data halls and its way.
+/// Time until all boxes know of an admission: the announcing interval of the data halls and the transit.
 const STALENESS: Duration = Duration::from_millis(70);
 /// Largest reserve, as a fraction of the burst.
 const MAX_RESERVE_SHARE: f64 = 0.25;
--- a/crates/honeypulley_policy/src/fleet_limits/usage.rs
+++ b/crates/honeypulley_policy/src/fleet_limits/usage.rs
@@ -80,7 +80,7 @@
     pub(super) unannounced: bool,
     /// Time of the last update of a peer about this subject.
     pub(super) received_at: Time,
-    /// Whether the subject was near its limit when this box last heard another box.
+    /// Whether the subject was near its limit when this box last received an update of another box.
     pub(super) near_limit: bool,
     /// Whether the remaining tokens are an estimate made after a start.
     pub(super) estimated: bool,
@@ -157,8 +157,8 @@
         self.bucket.refill(rate, burst, now);
         self.own_share.refill(self.own_rate(scope), burst / scope.boxes.max(1) as f64, now);
         let is_near = self.bucket.level < NEAR_LIMIT_SHARE * burst;
-        // Tokens refilled since the last update may have been spent by peers that this box does
-        // not hear. They must not end the state, since a small burst refills before the silence
+        // Tokens refilled since the last update may have been spent by peers whose updates
+        // this box does not receive. They must not end the state, since a small burst refills before the silence
         // counts as isolation.
         let is_known = self.max_silence().is_none()
             || scope.boxes < 2
@@ -208,7 +208,7 @@
 
     /// Returns the mean of the levels that the data halls lately announced.
     ///
-    /// The levels of single boxes differ by what they have not heard yet. All boxes know the same
+    /// The levels of single boxes differ by updates still in transit. All boxes know the same
     /// announcements, so that they hold back the same requests. Without any, the own level counts.
     pub(super) fn shared_level(&self, now: Time) -> f64 {
         let is_current = |at: Time| now.since(at) < ANNOUNCE_INTERVAL * LEVEL_INTERVALS;
