--- a/crates/honeypulley_policy/src/balance/admit.rs
+++ b/crates/honeypulley_policy/src/balance/admit.rs
@@ -79,7 +79,7 @@
         let least = allowed_latency(info, STANDING_TARGETS);
         let in_time = info.target.unwrap_or(DEFAULT_TARGET).mul_f64(STANDING_TARGETS);
         if is_first {
-            // A retry has less time left, which says nothing of what its kind tolerates.
+            // A retry meets the queue of the same request a second time.
             self.record_pressure(info, wait, in_time, now);
         }
         // Where routes differ in priority, a queue in which most answers are late serves nobody
@@ -110,11 +110,14 @@
 
     /// Returns the queueing delay to expect at an upstream.
     pub(super) fn wait(&self, k: UpstreamKey, info: &RequestInfo, now: Time) -> Duration {
-        let (Some(u), Some(s)) = (self.upstreams.get(k), self.services.get(info.service)) else {
-            return Duration::ZERO;
-        };
-        let service_time =
-            s.latencies.quantile(0.5, latency_prior(info.target.unwrap_or(DEFAULT_TARGET)));
-        u.wait(u.busy(now), service_time)
+        let Some(u) = self.upstreams.get(k) else { return Duration::ZERO };
+        u.wait(u.busy(now), self.service_time(info))
+    }
+
+    /// Returns the usual time that an upstream takes for a request of a service.
+    pub(super) fn service_time(&self, info: &RequestInfo) -> Duration {
+        let prior = latency_prior(info.target.unwrap_or(DEFAULT_TARGET));
+        let service = self.services.get(info.service);
+        service.map_or(Duration::ZERO, |s| s.latencies.quantile(0.5, prior))
     }
 }
--- a/crates/honeypulley_policy/src/balance/choice.rs
+++ b/crates/honeypulley_policy/src/balance/choice.rs
@@ -1,6 +1,5 @@
 //! Selection of an upstream by expected loss.
 
-use super::in_flight::latency_prior;
 use super::probe::ProbeRule;
 use super::{
     AdmissionState, Attempt, Balancer, BudgetUsage, DEFAULT_TARGET, RetryReason, Service, Upstream,
@@ -76,7 +75,7 @@
             return Err(self.refuse(RefusalKind::NoUpstream, NO_UPSTREAM_WAIT));
         };
         let target = info.target.unwrap_or(DEFAULT_TARGET);
-        let service_time = s.latencies.quantile(0.5, latency_prior(target));
+        let service_time = self.service_time(info);
         let rule = ProbeRule::of(s, info, now);
         let open = self.sendable(info, tried, now)?;
         // Retries are not used as probes.
--- a/crates/honeypulley_policy/src/balance/rejected.rs
+++ b/crates/honeypulley_policy/src/balance/rejected.rs
@@ -1,7 +1,6 @@
 //! When a caller may return with a request that upstreams rejected.
 
 use super::admit::RETRY_AFTER_BOUNDS;
-use super::in_flight::latency_prior;
 use super::priority::MAX_FAULT_CHANCE;
 use super::{Balancer, DEFAULT_TARGET, Service, Upstream};
 use crate::chooser::RequestInfo;
@@ -52,13 +51,6 @@
         let usable = narrowed(usable.collect(), |k| self.upstreams[k].local);
         narrowed(usable, |k| self.fault_chance(k, now) < MAX_FAULT_CHANCE)
     }
-
-    /// Returns the usual time that an upstream takes for a request of a service.
-    pub(super) fn service_time(&self, info: &RequestInfo) -> Duration {
-        let prior = latency_prior(info.target.unwrap_or(DEFAULT_TARGET));
-        let service = self.services.get(info.service);
-        service.map_or(Duration::ZERO, |s| s.latencies.quantile(0.5, prior))
-    }
 }
 
 /// Returns the upstreams that match, or all of them if none does.
