Close the callers' port of a stopping box while its requests are still open

Callers whose connections came 3.2 s after SIGTERM or later were accepted by the kernel, their requests were read by nobody, and the connections were reset when the process ended, up to 2.2 s later. The same happened to a connection that was opened shortly before the port closed and whose first request was on its way.

Cause: the HTTP server owns its acceptor until the last connection has ended, so that a duplicate of the listening socket stayed open while the box waited for open requests. Dropping the box's own handle closed nothing.

The acceptor is now one of ours around the library's: on request it takes over what the kernel has accepted, drops the socket and stays pending. Idle connections are closed 0.2 s after the port, so that a first request that is on its way is still answered. Ruled out: shutdown(2) of the listening socket, which drops the connections that wait in its queue.

--- a/crates/honeypulley_daemon/src/lib.rs
+++ b/crates/honeypulley_daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod peer;
 pub mod permit;
 pub mod platform;
+pub mod port;
 pub mod program;
 pub mod pull;
 pub mod serve;
--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -1,13 +1,14 @@
 //! Serves callers, and shuts down once every open session has ended.
 
+use crate::port::{PortAcceptor, PortCloser};
 use eyre::{Result, WrapErr, eyre};
+use futures::future::join_all;
 use honeypulley_policy::shutdown::PlannedStop;
 use honeypulley_proxy::gate::ProxyState;
 use honeypulley_proxy::handler::ProxyHandler;
 use honeypulley_proxy::shared::StateUpdater;
 use honeypulley_supervisor::tree::{Duty, Shutdown, block_on};
 use parking_lot::Mutex;
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use salvo::prelude::{Router, Server, Service};
 use std::net::TcpListener;
@@ -17,6 +18,10 @@
 
 /// Maximum pause within a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time between the close of the port and the close of idle connections.
+///
+/// Requests on connections that were just accepted arrive in it. Twenty round trips of 10 ms.
+const CLOSE_DELAY: Duration = Duration::from_millis(200);
 /// Time between two checks for open requests and sessions during a shutdown.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -62,26 +67,30 @@
 
 impl ServeDuty {
     /// Creates a server on a bound listener, unless that is closed.
-    fn server(&self, listener: &Mutex<Option<TcpListener>>) -> Result<Option<Server<TcpAcceptor>>> {
+    fn server(
+        &self,
+        listener: &Mutex<Option<TcpListener>>,
+    ) -> Result<Option<(Server<PortAcceptor>, PortCloser)>> {
         let listener = listener.lock().as_ref().map(TcpListener::try_clone).transpose()?;
         let Some(listener) = listener else { return Ok(None) };
-        let listener = tokio::net::TcpListener::from_std(listener)?;
-        let acceptor = TcpAcceptor::try_from(listener).wrap_err("serve: listen")?;
+        let acceptor = PortAcceptor::new(listener)?;
+        let closer = acceptor.closer();
         let fuse = FuseConfig::default()
             .with_http1_header_timeout(Some(self.limits.head_time))
             .with_request_body_timeout(Some(BODY_TIMEOUT))
             .with_write_stall_timeout(self.limits.write_stall);
         let server = Server::new(acceptor).fuse_config(fuse);
-        Ok(Some(server.max_connections(self.limits.max_callers)))
+        Ok(Some((server.max_connections(self.limits.max_callers), closer)))
     }
 
     async fn serve(&self, shutdown: &Shutdown) -> Result<()> {
         let gate = Arc::clone(&self.gate);
         let callers = self.server(&self.listener)?;
-        let callers = callers.ok_or_else(|| eyre!("serve: the listener is already closed"))?;
+        let (callers, port) =
+            callers.ok_or_else(|| eyre!("serve: the listener is already closed"))?;
         let handle = callers.handle();
         let service = |handler| Service::new(Router::with_path("{**rest}").goal(handler));
-        let relayed = self.server(&self.relay_listener)?;
+        let (relayed, relay_port) = self.server(&self.relay_listener)?.unzip();
         let relay_handle = relayed.as_ref().map(Server::handle);
         let relay_task = relayed.map(|server| {
             let handler = ProxyHandler::for_peers(Arc::clone(&gate));
@@ -99,12 +108,14 @@
         let wait = self.limits.leave_wait;
         log::info!(open = gate.open.load(Ordering::Relaxed); "stop: reporting not ready, closing the port in {wait:?}");
         tokio::time::sleep(wait).await;
-        handle.stop_graceful(None);
-        relay_handle.inspect(|h| h.stop_graceful(None));
-        // The kernel keeps accepting connections, which nobody would serve, until the
-        // last handle of the socket is closed.
+        // The kernel accepts connections until the last handle of the socket is closed.
         drop(self.listener.lock().take());
         drop(self.relay_listener.lock().take());
+        let ports = [Some(port), relay_port].into_iter().flatten();
+        join_all(ports.map(|p| async move { p.close().await })).await;
+        tokio::time::sleep(CLOSE_DELAY).await;
+        handle.stop_graceful(None);
+        relay_handle.inspect(|h| h.stop_graceful(None));
         let drained = async {
             server_task.await.wrap_err("serve: server task failed")?;
             if let Some(task) = relay_task {
