Close a stopping box's port before it starts to reject requests

Where more than half of the boxes of a data hall stop within a few seconds, the platform sends new connections to the stopping boxes as well. Those that came between 2.8 and 3.4 s after SIGTERM got 503, since the request's limit of 3 s ends after the box; callers don't come back after that.

The port now closes 2.5 s after the signal, 0.3 s before the second half of the stop, so that such a caller's connection is refused at once and its next one goes to another box. Kept connections are answered until 3.4 s after the signal, as before.

Ruled out: closing it at the signal, since the platform needs two failed checks, 1 s apart, to notice.

--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -20,8 +20,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time between the close of the port and the close of idle connections.
 ///
-/// Requests on connections that were just accepted arrive in it. Twenty round trips of 10 ms.
-const CLOSE_DELAY: Duration = Duration::from_millis(200);
+/// Requests that are on their way are answered in it, with `Connection: close`.
+const CLOSE_DELAY: Duration = Duration::from_millis(900);
 /// Time between two checks for open requests and sessions during a shutdown.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
