A planned stop counts from the earliest time of its signal

Callers saw requests that a stopping box accepted and that were cut when the service manager killed it. The box had been suspended, or its serving thread was busy, when SIGTERM came.

Cause: the serving thread began the stop when it took note of the signal, and counted the whole grace period from then on. The service manager counts from its own signal.

The duty that takes signals now begins the stop on its own thread. It ticks each 100 ms, and the stop has two times: when the signal was noticed, and the tick before the last one, before which it can't have been sent. Requests are accepted by the earlier time. Requests accepted before the notice keep the grace from the notice, since giving them up would be a certain loss. Requests accepted since then are answered by the earliest end; without this, one without a time limit was still open when the box was killed. The end of the process counts from the notice, by the box's clock, and the close of the port no longer delays it.

Ruled out: the last tick as the earliest time, since the wait for signals is interrupted by a suspension, so that a tick can precede a signal that was pending; ticks at fixed times, since two would follow a resume within milliseconds.

--- a/crates/honeypulley_daemon/src/lib.rs
+++ b/crates/honeypulley_daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod settings;
 pub mod start;
 pub mod status;
+pub mod ticks;
 
 /// Types and functions that most users of this crate need.
 pub mod prelude {
--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -13,7 +13,7 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Maximum pause within a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
@@ -94,11 +94,15 @@
         let handler = ProxyHandler::new(Arc::clone(&gate));
         let server_task = tokio::spawn(callers.serve(service(handler)));
         shutdown.drain.cancelled().await;
-        let began = Instant::now();
-        gate.stop.begin(PlannedStop::new(gate.now(), self.limits.grace));
+        // The signal duty has begun the stop; this one counts if nobody has.
+        let stop = gate.stop.begin(PlannedStop::new(gate.now(), self.limits.grace));
         let wait = self.limits.leave_wait;
-        log::info!(open = gate.open.load(Ordering::Relaxed); "stop: reporting not ready, closing the port in {wait:?}");
-        tokio::time::sleep(wait).await;
+        let notice_ms = gate.now().since(stop.earliest()).as_millis() as u64;
+        log::info!(open = gate.open.load(Ordering::Relaxed), notice_ms; "stop: reporting not ready, closing the port in {wait:?}");
+        tokio::select! {
+            () = tokio::time::sleep(wait) => {}
+            () = gate.stop.wait_end(gate.clock) => {}
+        }
         handle.stop_graceful(None);
         relay_handle.inspect(|h| h.stop_graceful(None));
         // The kernel keeps accepting connections, which nobody would serve, until the
@@ -116,14 +120,10 @@
             }
             Ok::<_, eyre::Report>(())
         };
-        match self.limits.grace {
-            None => drained.await?,
-            Some(grace) => {
-                let left = grace.saturating_sub(began.elapsed());
-                if let Ok(r) = tokio::time::timeout(left, drained).await {
-                    r?;
-                }
-            }
+        tokio::select! {
+            biased;
+            drained = drained => drained?,
+            () = gate.stop.wait_end(gate.clock) => {}
         }
         let open = gate.open.load(Ordering::Relaxed);
         log::info!(open; "stop: complete, {open} requests and sessions open");
--- a/crates/honeypulley_daemon/src/start.rs
+++ b/crates/honeypulley_daemon/src/start.rs
@@ -8,13 +8,17 @@
 use crate::platform::PlatformDuty;
 use crate::serve::{ServeDuty, ServeLimits};
 use crate::settings::Settings;
+use crate::ticks::Ticks;
 use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 use eyre::{Result, WrapErr};
 use honeypulley_observe::logs::{self, LogGuard};
 use honeypulley_platform::http::HttpPlatform;
 use honeypulley_policy::router::Router;
+use honeypulley_policy::shutdown::PlannedStop;
+use honeypulley_policy::time::Time;
 use honeypulley_proxy::fingerprint::Fingerprinter;
 use honeypulley_proxy::shared::{BundleState, ServingQueues};
+use honeypulley_proxy::stop::StopState;
 use honeypulley_supervisor::clock::Clock;
 use honeypulley_supervisor::tree::{Duty, Shutdown, Supervisor, block_on};
 use logforth::record::LevelFilter;
@@ -22,10 +26,14 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::MissedTickBehavior;
 
 /// Prefix of every metric.
 const METRICS_PREFIX: &str = "honeypulley";
+/// Time between two ticks of the duty that takes signals.
+const TICK: Duration = Duration::from_millis(100);
 
 /// Reads and checks the settings at `path`.
 ///
@@ -70,6 +78,11 @@
         grace: None,
         write_stall: None,
     };
+    let stop = StopOnSignal {
+        state: Arc::clone(&shared.gate.stop),
+        clock: shared.gate.clock,
+        grace: limits.grace,
+    };
     let serve = ServeDuty {
         gate: Arc::clone(&shared.gate),
         feeder: Arc::<BundleState>::clone(&shared),
@@ -79,7 +92,7 @@
     };
     let ctx = Arc::new(Context::new(settings, shared));
     Supervisor::new(Shutdown::default())
-        .duty(SignalDuty::default())
+        .duty(SignalDuty { stop: Some(stop), reload: None })
         .duty(AdminDuty { view: Arc::<Context>::clone(&ctx), listener: admin_listener })
         .duty(PlatformDuty { ctx: Arc::clone(&ctx), platform: platform.clone() })
         .duty(PermitDuty { ctx: Arc::clone(&ctx), platform })
@@ -133,10 +146,31 @@
 /// Starts a graceful shutdown on SIGTERM or SIGINT, and a reload on SIGHUP.
 #[derive(Debug, Default)]
 pub struct SignalDuty {
+    /// State of the stop; without it, the duty that serves callers begins the stop.
+    pub stop: Option<StopOnSignal>,
     /// Reload action of SIGHUP; without one, the signal is only logged.
     pub reload: Option<Reload>,
 }
 
+/// State of the planned stop that a signal begins.
+#[derive(Clone, Debug)]
+pub struct StopOnSignal {
+    /// State that the duties share.
+    pub state: Arc<StopState>,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Maximum duration of a planned stop, if it is bounded.
+    pub grace: Option<Duration>,
+}
+
+impl StopOnSignal {
+    /// Begins the stop, whose signal was sent since `earliest`.
+    fn begin(&self, earliest: Time) {
+        let stop = PlannedStop::new(self.clock.now(), self.grace).with_earliest(earliest);
+        self.state.begin(stop);
+    }
+}
+
 /// Action that reloads the settings.
 #[derive(Clone)]
 pub struct Reload(pub Arc<dyn Fn() -> Result<()> + Send + Sync>);
@@ -148,6 +182,18 @@
 }
 
 impl SignalDuty {
+    /// Returns the current time, which is needed only for a stop.
+    fn now(&self) -> Time {
+        self.stop.as_ref().map_or(Time::ZERO, |s| s.clock.now())
+    }
+
+    fn on_stop(&self, ticks: Ticks, shutdown: &Shutdown) {
+        if let Some(stop) = &self.stop {
+            stop.begin(ticks.earliest());
+        }
+        shutdown.drain.cancel();
+    }
+
     fn on_hangup(&self) {
         let Some(Reload(reload)) = &self.reload else {
             log::info!("reload: SIGHUP ignored, this daemon can't reload its settings");
@@ -167,15 +213,22 @@
 
     fn run(&self, shutdown: &Shutdown) -> Result<()> {
         block_on(async {
+            let mut ticks = Ticks::new(self.now());
+            let mut timer = tokio::time::interval(TICK);
+            // Ticks that follow a suspension at once would hide it.
+            timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
             let mut term = signal(SignalKind::terminate()).wrap_err("signal: listen")?;
             let mut int = signal(SignalKind::interrupt()).wrap_err("signal: listen")?;
             let mut hup = signal(SignalKind::hangup()).wrap_err("signal: listen")?;
             loop {
                 tokio::select! {
-                    _ = term.recv() => shutdown.drain.cancel(),
-                    _ = int.recv() => shutdown.drain.cancel(),
+                    // A tick says that no signal was pending.
+                    biased;
+                    _ = term.recv() => self.on_stop(ticks, shutdown),
+                    _ = int.recv() => self.on_stop(ticks, shutdown),
                     _ = hup.recv() => self.on_hangup(),
                     () = shutdown.stop.cancelled() => return Ok(()),
+                    _ = timer.tick() => ticks.record(self.now()),
                 }
             }
         })
--- /dev/null
+++ b/crates/honeypulley_daemon/tests/ticks.rs
@@ -0,0 +1,19 @@
+//! Bounds on the time at which a signal was sent.
+
+use honeypulley_daemon::ticks::Ticks;
+use honeypulley_policy::time::Time;
+use rstest::rstest;
+
+/// Guards against counting from the end of a suspension.
+#[rstest]
+#[case::no_tick_yet(&[], 1_000)]
+#[case::one_tick(&[1_100], 1_000)]
+#[case::on_time(&[1_100, 1_200, 1_300], 1_200)]
+#[case::resumed_and_signalled(&[1_100, 1_200], 1_100)]
+#[case::handler_ran_after_a_tick(&[1_100, 1_200, 9_000], 1_200)]
+#[case::resumed_long_ago(&[1_100, 9_000, 9_100], 9_000)]
+fn the_signal_was_sent_after_the_tick_before_the_last(#[case] ticks: &[u64], #[case] ms: u64) {
+    let mut state = Ticks::new(Time::from_millis(1_000));
+    ticks.iter().for_each(|t| state.record(Time::from_millis(*t)));
+    assert_eq!(state.earliest(), Time::from_millis(ms));
+}
--- a/crates/honeypulley_policy/src/shutdown.rs
+++ b/crates/honeypulley_policy/src/shutdown.rs
@@ -9,10 +9,17 @@
 pub const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
 /// A planned stop that has begun.
+///
+/// The service manager counts the grace period from its own signal, which a process may notice
+/// late: it was suspended, or had no processor time. A stop therefore has two times. New requests
+/// are accepted by the earliest time of the signal. Requests that were accepted before the signal
+/// was noticed have the whole grace period from then on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlannedStop {
-    began: Time,
-    /// Time from the beginning to the end of the process, if it is bounded.
+    noticed: Time,
+    /// Earliest time at which the signal may have been sent, not after `noticed`.
+    earliest: Time,
+    /// Time from the signal to the end of the process, if it is bounded.
     grace: Option<Duration>,
 }
 
@@ -20,17 +27,33 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the box stops before the request's time limit ends")]
 pub struct Unfinishable {
-    /// Time until the process ends.
+    /// Time until the process may end.
     pub left: Duration,
     /// Time until the request's limit ends, if it has one.
     pub limit: Option<Duration>,
 }
 
 impl PlannedStop {
-    /// Creates the state of a stop that begins now and lasts for `grace` at most.
+    /// Creates the state of a stop whose signal is noticed as it is sent.
+    ///
+    /// The stop lasts for `grace` at most.
     #[must_use]
-    pub const fn new(began: Time, grace: Option<Duration>) -> Self {
-        Self { began, grace }
+    pub const fn new(noticed: Time, grace: Option<Duration>) -> Self {
+        Self { noticed, earliest: noticed, grace }
+    }
+
+    /// Sets the earliest time at which the signal may have been sent.
+    ///
+    /// A time after that of the notice has no effect.
+    #[must_use]
+    pub fn with_earliest(self, earliest: Time) -> Self {
+        Self { earliest: earliest.min(self.noticed), ..self }
+    }
+
+    /// Returns the earliest time at which the signal may have been sent.
+    #[must_use]
+    pub const fn earliest(&self) -> Time {
+        self.earliest
     }
 
     /// Returns whether a request may be sent to an upstream that has seen nothing of it.
@@ -42,7 +65,7 @@
     /// # Errors
     /// Returns an error if the request may still run when the process ends.
     pub fn check(&self, deadline: Option<Time>, now: Time) -> Result<(), Unfinishable> {
-        let (Some(end), Some(half)) = (self.end(), self.half()) else { return Ok(()) };
+        let (Some(end), Some(half)) = (self.earliest_end(), self.half()) else { return Ok(()) };
         let can_finish = deadline.is_some_and(|d| d + ANSWER_MARGIN <= end);
         if now < half || can_finish {
             return Ok(());
@@ -57,22 +80,33 @@
     #[must_use]
     pub fn half(&self) -> Option<Time> {
         let first = |g: Duration| (g / 2).min(g.saturating_sub(2 * ANSWER_MARGIN));
-        self.grace.map(|g| self.began + first(g))
+        self.grace.map(|g| self.earliest + first(g))
     }
 
-    /// Returns when all open requests must be answered, if the stop is bounded.
+    /// Returns when a request that is open must be answered, if the stop is bounded.
+    ///
+    /// `accepted` is when the request was accepted. Before the notice, nobody could reject it, and
+    /// giving it up at the earliest end would be a certain loss in place of a possible one. Since
+    /// the notice, requests are accepted only to be answered by the earliest end.
     #[must_use]
-    pub fn answer_by(&self) -> Option<Time> {
-        self.grace.map(|g| self.began + g.saturating_sub(ANSWER_MARGIN))
+    pub fn answer_by(&self, accepted: Time) -> Option<Time> {
+        let began = if accepted < self.noticed { self.noticed } else { self.earliest };
+        self.grace.map(|g| began + g.saturating_sub(ANSWER_MARGIN))
     }
 
-    /// Returns the time until the process ends, if the stop is bounded.
+    /// Returns the time until the process may end, if the stop is bounded.
     #[must_use]
     pub fn left(&self, now: Time) -> Option<Duration> {
-        self.end().map(|end| end.since(now))
+        self.earliest_end().map(|end| end.since(now))
+    }
+
+    /// Returns when the process ends by itself, if the stop is bounded.
+    #[must_use]
+    pub fn end(&self) -> Option<Time> {
+        self.grace.map(|g| self.noticed + g)
     }
 
-    fn end(&self) -> Option<Time> {
-        self.grace.map(|g| self.began + g)
+    fn earliest_end(&self) -> Option<Time> {
+        self.grace.map(|g| self.earliest + g)
     }
 }
--- a/crates/honeypulley_policy/tests/shutdown.rs
+++ b/crates/honeypulley_policy/tests/shutdown.rs
@@ -63,7 +63,7 @@
     let unbounded = PlannedStop::new(at(0), None);
     assert_eq!(unbounded.check(None, at(now)), Ok(()));
     assert_eq!(unbounded.check(Some(at(now + 60_000)), at(now)), Ok(()));
-    assert_eq!((unbounded.half(), unbounded.answer_by()), (None, None));
+    assert_eq!((unbounded.half(), unbounded.answer_by(at(now))), (None, None));
 }
 
 /// Guards against an end of a very short grace period that lies before its beginning.
@@ -71,7 +71,7 @@
 fn a_grace_below_the_margin_accepts_nothing_in_its_second_half() {
     let short = PlannedStop::new(at(0), Some(ANSWER_MARGIN / 2));
     assert!(short.check(Some(at(60)), at(60)).is_err());
-    assert_eq!(short.answer_by(), Some(at(0)));
+    assert_eq!(short.answer_by(at(0)), Some(at(0)));
 }
 
 /// Guards against sending requests that are answered with a time-out at once.
@@ -85,6 +85,57 @@
     let stop = PlannedStop::new(at(0), Some(Duration::from_millis(grace)));
     assert_eq!(stop.half(), Some(at(half)));
     let least = Duration::from_millis(half) + ANSWER_MARGIN;
-    assert!(half == 0 || stop.answer_by().is_some_and(|by| at(0) + least <= by));
+    assert!(half == 0 || stop.answer_by(at(half)).is_some_and(|by| at(0) + least <= by));
     assert!(stop.check(None, at(half)).is_err(), "the second half has begun");
 }
+
+/// Returns a stop whose signal was noticed 2 s after it may have been sent.
+fn noticed_late() -> PlannedStop {
+    PlannedStop::new(at(2_000), Some(GRACE)).with_earliest(at(0))
+}
+
+/// Guards against accepting requests by a signal that may have been sent earlier.
+#[rstest]
+#[case::first_half(2_499, None, true)]
+#[case::half_by_the_earliest_signal(2_500, None, false)]
+#[case::fits(2_500, Some(4_800), true)]
+#[case::outlasts_the_earliest_end(2_500, Some(4_801), false)]
+#[case::ends_before_the_latest_end(2_500, Some(6_800), false)]
+#[case::after_the_earliest_end(5_500, Some(5_600), false)]
+fn requests_are_accepted_by_the_earliest_signal(
+    #[case] now: u64,
+    #[case] deadline: Option<u64>,
+    #[case] is_accepted: bool,
+) {
+    let checked = noticed_late().check(deadline.map(at), at(now));
+    assert_eq!(checked.is_ok(), is_accepted, "{checked:?}");
+}
+
+/// Guards against giving up requests in flight by a signal that may have been sent later.
+#[rstest]
+#[case::long_before(0, 6_800)]
+#[case::at_the_notice(2_000, 4_800)]
+#[case::since_then(2_400, 4_800)]
+fn requests_in_flight_keep_their_time(#[case] accepted: u64, #[case] answer_by: u64) {
+    assert_eq!(noticed_late().answer_by(at(accepted)), Some(at(answer_by)));
+}
+
+#[test]
+fn what_is_left_counts_from_the_earliest_signal() {
+    let stop = noticed_late();
+    assert_eq!(stop.left(at(3_000)), Some(Duration::from_millis(2_000)));
+    assert_eq!(stop.left(at(6_000)), Some(Duration::ZERO));
+    let left = Duration::from_millis(2_000);
+    assert_eq!(stop.check(None, at(3_000)), Err(Unfinishable { left, limit: None }));
+}
+
+#[test]
+fn the_process_ends_by_the_notice() {
+    assert_eq!(noticed_late().end(), Some(at(7_000)));
+    assert_eq!(noticed_late().earliest(), at(0));
+}
+
+#[test]
+fn a_signal_is_not_later_than_its_notice() {
+    assert_eq!(stop().with_earliest(at(500)), stop());
+}
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -98,6 +98,7 @@
         out.buffered = decision.buffered && !out.upgrade;
         decision.info.repeatable &= !out.upgrade;
         let source = self.read_finishable(req, &id, decision.max_body, deadline).await?;
+        let accepted = self.gate.now();
         out.body_bytes = source.length().unwrap_or(source.prefix().len() as u64);
         let identity = Identity {
             method: &out.method,
@@ -117,6 +118,7 @@
             out: Arc::new(out),
             source,
             deadline,
+            accepted,
             relayed: relayed.is_some(),
         };
         let answer = race.run().await.map_err(|own| {
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -48,6 +48,8 @@
     pub source: Source,
     /// Deadline for the answer, if the route or the caller sets one.
     pub deadline: Option<Time>,
+    /// When the box accepted the request.
+    pub accepted: Time,
     /// Whether another box relays the request, so that it is not relayed again.
     pub relayed: bool,
 }
@@ -117,7 +119,7 @@
                 biased;
                 Some(ended) = running.next() => ended,
                 () = self.sleep_until(self.deadline) => return self.at_deadline(progress),
-                () = self.gate.stop.wait_answer_by(self.gate.clock) => {
+                () = self.gate.stop.wait_answer_by(self.accepted, self.gate.clock) => {
                     return self.at_deadline(progress);
                 }
                 () = self.sleep_until(check_at) => {
@@ -356,7 +358,8 @@
 
     /// Returns the time left until the deadline, or until the box stops if that is earlier.
     fn left(&self) -> Option<Duration> {
-        let end = [self.deadline, self.gate.stop.answer_by()].into_iter().flatten().min();
+        let end =
+            [self.deadline, self.gate.stop.answer_by(self.accepted)].into_iter().flatten().min();
         end.map(|d| d.since(self.gate.now()))
     }
 
--- a/crates/honeypulley_proxy/src/stop.rs
+++ b/crates/honeypulley_proxy/src/stop.rs
@@ -15,13 +15,15 @@
 }
 
 impl StopState {
-    /// Begins the stop; a stop that has already begun keeps its times.
-    pub fn begin(&self, stop: PlannedStop) {
+    /// Begins the stop, unless one has begun; returns the one that is in force.
+    pub fn begin(&self, stop: PlannedStop) -> PlannedStop {
+        let mut current = stop;
         self.stop.send_if_modified(|s| {
             let is_new = s.is_none();
-            s.get_or_insert(stop);
+            current = *s.get_or_insert(stop);
             is_new
         });
+        current
     }
 
     /// Returns the stop, if it has begun.
@@ -44,15 +46,20 @@
         self.current().map_or(Ok(()), |s| s.check(deadline, now))
     }
 
-    /// Returns when open requests must be answered, if the process ends at a known time.
+    /// Returns when a request accepted at `accepted` must be answered, if that is known.
     #[must_use]
-    pub fn answer_by(&self) -> Option<Time> {
-        self.current().and_then(|s| s.answer_by())
+    pub fn answer_by(&self, accepted: Time) -> Option<Time> {
+        self.current().and_then(|s| s.answer_by(accepted))
     }
 
-    /// Waits until open requests must be answered, or forever.
-    pub async fn wait_answer_by(&self, clock: Clock) {
-        self.wait_for(PlannedStop::answer_by, clock).await;
+    /// Waits until a request accepted at `accepted` must be answered, or forever.
+    pub async fn wait_answer_by(&self, accepted: Time, clock: Clock) {
+        self.wait_for(|s| s.answer_by(accepted), clock).await;
+    }
+
+    /// Waits until the process ends by itself, or forever.
+    pub async fn wait_end(&self, clock: Clock) {
+        self.wait_for(PlannedStop::end, clock).await;
     }
 
     /// Waits until a request with this deadline is not accepted any more, or forever.
@@ -76,7 +83,7 @@
     }
 
     /// Waits until a point in time of the stop, or forever if the stop has no such point.
-    async fn wait_for(&self, point: fn(&PlannedStop) -> Option<Time>, clock: Clock) {
+    async fn wait_for(&self, point: impl Fn(&PlannedStop) -> Option<Time>, clock: Clock) {
         let mut stop = self.stop.subscribe();
         let begun = stop.wait_for(Option::is_some).await.ok().and_then(|s| *s);
         let Some(at) = begun.as_ref().and_then(point) else {
--- a/crates/honeypulley_proxy/tests/race/support.rs
+++ b/crates/honeypulley_proxy/tests/race/support.rs
@@ -129,6 +129,7 @@
         out: Arc::new(out),
         source: Source::Buffered(Bytes::new()),
         deadline: Some(test.gate.now() + left),
+        accepted: test.gate.now(),
         relayed: false,
     }
 }
