A request read after a suspension waits for a signal that is pending

Callers saw requests that were cut when the service manager killed the box: they were sent while the box was suspended, after SIGTERM.

Cause: when the box runs again, the serving thread may read a request before the thread that takes signals has run. No stop had begun then, so that the request was accepted as in usual operation.

The thread that takes signals now records each tick at which no signal was pending. A request is accepted if the last such tick is at most 0.3 s old, and otherwise waits for the next one or the stop, for 0.1 s at most. The first tick after a suspension is not recorded: the suspension interrupts the wait for events, so that the tick can precede the signal. Another follows after 10 ms. In usual operation a decision costs one atomic load and one reading of the clock.

Ruled out: a wait without a bound, which would hold all requests while the duty restarts; a handler of our own that sets a flag, which needs unsafe code.

--- a/crates/honeypulley_daemon/src/start.rs
+++ b/crates/honeypulley_daemon/src/start.rs
@@ -8,7 +8,7 @@
 use crate::platform::PlatformDuty;
 use crate::serve::{ServeDuty, ServeLimits};
 use crate::settings::Settings;
-use crate::ticks::Ticks;
+use crate::ticks::{TICK, Ticks};
 use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 use eyre::{Result, WrapErr};
 use honeypulley_observe::logs::{self, LogGuard};
@@ -28,12 +28,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Interval, MissedTickBehavior};
 
 /// Prefix of every metric.
 const METRICS_PREFIX: &str = "honeypulley";
-/// Time between two ticks of the duty that takes signals.
-const TICK: Duration = Duration::from_millis(100);
+/// Time from a late tick to the next one, in which handlers of signals run.
+const SETTLE_TIME: Duration = Duration::from_millis(10);
 
 /// Reads and checks the settings at `path`.
 ///
@@ -194,6 +194,17 @@
         shutdown.drain.cancel();
     }
 
+    /// Records a tick; after a late one, another follows soon.
+    fn on_tick(&self, ticks: &mut Ticks, timer: &mut Interval) {
+        let now = self.now();
+        if ticks.is_late(now) {
+            timer.reset_after(SETTLE_TIME);
+        } else if let Some(stop) = &self.stop {
+            stop.state.record_quiet(now);
+        }
+        ticks.record(now);
+    }
+
     fn on_hangup(&self) {
         let Some(Reload(reload)) = &self.reload else {
             log::info!("reload: SIGHUP ignored, this daemon can't reload its settings");
@@ -228,7 +239,7 @@
                     _ = int.recv() => self.on_stop(ticks, shutdown),
                     _ = hup.recv() => self.on_hangup(),
                     () = shutdown.stop.cancelled() => return Ok(()),
-                    _ = timer.tick() => ticks.record(self.now()),
+                    _ = timer.tick() => self.on_tick(&mut ticks, &mut timer),
                 }
             }
         })
--- a/crates/honeypulley_daemon/src/ticks.rs
+++ b/crates/honeypulley_daemon/src/ticks.rs
@@ -1,6 +1,14 @@
 //! Bounds the time at which a signal was sent.
 
 use honeypulley_policy::time::Time;
+use std::time::Duration;
+
+/// Time between two ticks.
+pub const TICK: Duration = Duration::from_millis(100);
+/// Time after which a tick is late, as it is after a suspension.
+const LATE_TICK: Duration = Duration::from_millis(200);
+/// Least time between two ticks that are recorded.
+const MIN_TICK: Duration = Duration::from_millis(50);
 
 /// The last two ticks of a thread at which it had no signal pending.
 ///
@@ -30,10 +38,23 @@
         Self { last: now, previous: now }
     }
 
+    /// Returns whether a tick at `now` follows a time in which the thread did not run.
+    ///
+    /// Such a tick may precede a signal that was sent in that time.
+    #[must_use]
+    pub fn is_late(&self, now: Time) -> bool {
+        now.since(self.last) > LATE_TICK
+    }
+
     /// Records a tick at which no signal was pending.
-    pub const fn record(&mut self, now: Time) {
-        self.previous = self.last;
-        self.last = now;
+    ///
+    /// A tick shortly after the last one is left out, since the handler of a signal may need that
+    /// time.
+    pub fn record(&mut self, now: Time) {
+        if now.since(self.last) >= MIN_TICK {
+            self.previous = self.last;
+            self.last = now;
+        }
     }
 
     /// Returns the earliest time at which a signal that is taken now may have been sent.
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -170,6 +170,7 @@
     ) -> Result<Source, LocalAnswer> {
         let (stop, clock) = (&self.gate.stop, self.gate.clock);
         let check = || stop.check(deadline, clock.now()).map_err(|e| self.reject_at_stop(id, e));
+        stop.wait_noticed(clock).await;
         check()?;
         let left = deadline.map(|d| d.since(clock.now()));
         let timeout = left.map_or(BODY_TIMEOUT, |l| l.min(BODY_TIMEOUT));
@@ -178,6 +179,7 @@
             source = read_body(req, max_bytes, timeout) => source?,
             e = stop.wait_unfinishable(deadline, clock) => return Err(self.reject_at_stop(id, e)),
         };
+        stop.wait_noticed(clock).await;
         check()?;
         Ok(source)
     }
--- a/crates/honeypulley_proxy/src/stop.rs
+++ b/crates/honeypulley_proxy/src/stop.rs
@@ -4,14 +4,26 @@
 use honeypulley_policy::time::Time;
 use honeypulley_supervisor::clock::Clock;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 use tokio::sync::watch;
 
+/// Time without a sign of the thread that takes signals after which a stop may be unnoticed.
+///
+/// Three of its ticks; less than the part of the grace period that a stop leaves unused.
+const QUIET_LIMIT: Duration = Duration::from_millis(300);
+/// Maximum time to wait for that thread.
+const QUIET_WAIT: Duration = Duration::from_millis(100);
+/// Time between two looks for it.
+const QUIET_POLL: Duration = Duration::from_millis(2);
+
 /// Whether a planned stop has begun, and what it leaves time for.
 #[derive(Debug, Default)]
 pub struct StopState {
     stop: watch::Sender<Option<PlannedStop>>,
     /// Number of requests that were rejected since they may outlast the process.
     rejected: AtomicU64,
+    /// Last time at which no signal was pending, in microseconds; zero if nobody records it.
+    quiet: AtomicU64,
 }
 
 impl StopState {
@@ -38,6 +50,28 @@
         self.current().is_some()
     }
 
+    /// Records that no signal was pending at `now`.
+    pub fn record_quiet(&self, now: Time) {
+        self.quiet.store(now.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Waits shortly if the process may have been suspended and told to stop meanwhile.
+    ///
+    /// After a suspension, requests may be read before the signal is. Returns at once if the
+    /// thread that takes signals has run lately.
+    pub async fn wait_noticed(&self, clock: Clock) {
+        let waited = clock.now() + QUIET_WAIT;
+        while self.may_be_unnoticed(clock.now()) && clock.now() < waited {
+            tokio::time::sleep(QUIET_POLL).await;
+        }
+    }
+
+    /// Returns whether a signal may be pending that nobody has noticed.
+    fn may_be_unnoticed(&self, now: Time) -> bool {
+        let quiet = self.quiet.load(Ordering::Relaxed);
+        quiet > 0 && now.since(Time::from_micros(quiet)) > QUIET_LIMIT && !self.has_begun()
+    }
+
     /// Returns whether a request with this deadline may be sent to its first upstream.
     ///
     /// # Errors
