Waits of a planned stop end on time after a suspension of the machine

A box whose machine is suspended during a stop rejected callers with slow bodies, and ended, as much later as the suspension took, though the clock of the box had gone on.

Cause: the waits slept for the whole rest in one go, and timers don't advance while a machine is suspended. Races look at the clock by themselves, so that open requests were answered in time.

The waits now look at the clock each 100 ms.

Evidence: waits_end_soon_after_a_suspension_of_the_machine in tests/stop.rs failed before with "the waits go on after the end of the stop". A simulated clock stands in for the machine; a suspended machine was not tried.

--- a/crates/honeypulley_proxy/src/stop.rs
+++ b/crates/honeypulley_proxy/src/stop.rs
@@ -16,6 +16,9 @@
 /// Time between two looks for it.
 const QUIET_POLL: Duration = Duration::from_millis(2);
 
+/// Maximum time between two looks at the clock during a stop.
+const WAIT_SLICE: Duration = Duration::from_millis(100);
+
 /// Whether a planned stop has begun, and what it leaves time for.
 #[derive(Debug, Default)]
 pub struct StopState {
@@ -124,7 +127,8 @@
             return std::future::pending().await;
         };
         while clock.now() < at {
-            tokio::time::sleep(at.since(clock.now())).await;
+            // Timers don't advance while the machine is suspended, but the clock does.
+            tokio::time::sleep(at.since(clock.now()).min(WAIT_SLICE)).await;
         }
     }
 }
--- a/crates/honeypulley_proxy/tests/stop.rs
+++ b/crates/honeypulley_proxy/tests/stop.rs
@@ -4,6 +4,7 @@
 use honeypulley_proxy::stop::StopState;
 use honeypulley_supervisor::clock::Clock;
 use rstest::rstest;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// Time without a sign of the thread that takes signals.
@@ -82,3 +83,31 @@
     assert_eq!(stop.begin(PlannedStop::new(clock.now(), None)), first);
     assert_eq!(stop.current(), Some(first));
 }
+
+/// Simulated time since boot, which a test advances.
+static BOOT_MS: AtomicU64 = AtomicU64::new(0);
+
+fn time_since_boot() -> Duration {
+    Duration::from_millis(BOOT_MS.load(Ordering::Relaxed))
+}
+
+/// Guards against waiting on after a suspension of the machine, in which timers stand still.
+#[tokio::test]
+async fn waits_end_soon_after_a_suspension_of_the_machine() {
+    let (stop, clock) = (StopState::default(), Clock::with_source(time_since_boot));
+    stop.begin(PlannedStop::new(clock.now(), Some(Duration::from_secs(30))));
+    let resume = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        BOOT_MS.fetch_add(60_000, Ordering::Relaxed);
+    };
+    let ends = async {
+        tokio::join!(
+            stop.wait_unfinishable(None, clock),
+            stop.wait_answer_by(clock.now(), clock),
+            stop.wait_end(clock),
+        )
+    };
+    let ends = tokio::time::timeout(Duration::from_secs(2), ends);
+    let (ended, ()) = tokio::join!(ends, resume);
+    assert!(ended.is_ok(), "the waits go on after the end of the stop");
+}
