--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -14,7 +14,7 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Maximum pause within a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
@@ -83,6 +83,16 @@
         Ok(Some((server.max_connections(self.limits.max_callers), closer)))
     }
 
+    /// Closes the ports after `wait`, and returns when idle connections are to be closed.
+    async fn close_ports(&self, wait: Duration, ports: impl Iterator<Item = PortCloser>) {
+        tokio::time::sleep(wait).await;
+        // The kernel accepts connections until the last handle of the socket is closed.
+        drop(self.listener.lock().take());
+        drop(self.relay_listener.lock().take());
+        join_all(ports.map(|p| async move { p.close().await })).await;
+        tokio::time::sleep(CLOSE_DELAY).await;
+    }
+
     async fn serve(&self, shutdown: &Shutdown) -> Result<()> {
         let gate = Arc::clone(&self.gate);
         let callers = self.server(&self.listener)?;
@@ -103,17 +113,16 @@
         let handler = ProxyHandler::new(Arc::clone(&gate));
         let server_task = tokio::spawn(callers.serve(service(handler)));
         shutdown.drain.cancelled().await;
-        let began = Instant::now();
-        gate.stop.begin(PlannedStop::new(gate.now(), self.limits.grace));
+        // The signal duty has begun the stop; this one counts if nobody has.
+        let stop = gate.stop.begin(PlannedStop::new(gate.now(), self.limits.grace));
         let wait = self.limits.leave_wait;
-        log::info!(open = gate.open.load(Ordering::Relaxed); "stop: reporting not ready, closing the port in {wait:?}");
-        tokio::time::sleep(wait).await;
-        // The kernel accepts connections until the last handle of the socket is closed.
-        drop(self.listener.lock().take());
-        drop(self.relay_listener.lock().take());
+        let notice_ms = gate.now().since(stop.earliest()).as_millis() as u64;
+        log::info!(open = gate.open.load(Ordering::Relaxed), notice_ms; "stop: reporting not ready, closing the port in {wait:?}");
         let ports = [Some(port), relay_port].into_iter().flatten();
-        join_all(ports.map(|p| async move { p.close().await })).await;
-        tokio::time::sleep(CLOSE_DELAY).await;
+        tokio::select! {
+            () = self.close_ports(wait, ports) => {}
+            () = gate.stop.wait_end(gate.clock) => {}
+        }
         handle.stop_graceful(None);
         relay_handle.inspect(|h| h.stop_graceful(None));
         let drained = async {
@@ -127,14 +136,10 @@
             }
             Ok::<_, eyre::Report>(())
         };
-        match self.limits.grace {
-            None => drained.await?,
-            Some(grace) => {
-                let left = grace.saturating_sub(began.elapsed());
-                if let Ok(r) = tokio::time::timeout(left, drained).await {
-                    r?;
-                }
-            }
+        tokio::select! {
+            biased;
+            drained = drained => drained?,
+            () = gate.stop.wait_end(gate.clock) => {}
         }
         let open = gate.open.load(Ordering::Relaxed);
         log::info!(open; "stop: complete, {open} requests and sessions open");
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -98,6 +98,7 @@
         out.buffered = decision.buffered && !out.upgrade;
         decision.info.repeatable &= !out.upgrade;
         let source = self.read_finishable(req, &id, decision.max_body, deadline).await?;
+        let accepted = self.gate.now();
         out.body_bytes = source.length().unwrap_or(source.prefix().len() as u64);
         let identity = Identity {
             method: &out.method,
@@ -117,6 +118,7 @@
             out: Arc::new(out),
             source,
             deadline,
+            accepted,
             relayed: relayed.is_some(),
         };
         let answer = race.run().await.map_err(|own| {
@@ -168,6 +170,7 @@
     ) -> Result<Source, LocalAnswer> {
         let (stop, clock) = (&self.gate.stop, self.gate.clock);
         let check = || stop.check(deadline, clock.now()).map_err(|e| self.reject_at_stop(id, e));
+        stop.wait_noticed(clock).await;
         check()?;
         let left = deadline.map(|d| d.since(clock.now()));
         let timeout = left.map_or(BODY_TIMEOUT, |l| l.min(BODY_TIMEOUT));
@@ -176,6 +179,7 @@
             source = read_body(req, max_bytes, timeout) => source?,
             e = stop.wait_unfinishable(deadline, clock) => return Err(self.reject_at_stop(id, e)),
         };
+        stop.wait_noticed(clock).await;
         check()?;
         Ok(source)
     }
