honeypulley why reads a field without a value as absent

What operators saw: for a request refused by a stopping box without a time limit, `honeypulley why` said that it might have taken `<none> ms`; for one that found no live upstream, that its admission level was `<none>` and the caller was told to come back after `<none> ms`.

Cause: the log writes an optional key without a value as `<none>`, while the explainer tells an absent value by the lack of the key. Its tests had lines without the key, which no box writes.

Evidence: the new case of a_request_is_explained_in_a_sentence failed before with `the request might have taken <none> ms) (its priority is <none>, the admission level was <none> thousandths as of <none> ms before, ...`.

Fix: parsing a line leaves such fields out, so that all readers of lines see them as absent. Omitting the keys in the log was ruled out: it would change existing lines.

--- a/crates/honeypulley_observe/src/explain.rs
+++ b/crates/honeypulley_observe/src/explain.rs
@@ -3,6 +3,9 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 
+/// Value of a field that a line has no value for.
+const NO_VALUE: &str = "<none>";
+
 /// A parsed log line.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Line {
@@ -38,6 +41,7 @@
         for omitted in ["level", "module", "position"] {
             fields.remove(omitted);
         }
+        fields.retain(|_, v| v != NO_VALUE);
         Some(Self { at, origin, message, fields })
     }
 
--- a/crates/honeypulley_observe/tests/explain.rs
+++ b/crates/honeypulley_observe/tests/explain.rs
@@ -43,6 +43,9 @@
 timestamp=2026-12-02T10:00:08.100Z level=INFO message="route: not sent again, the retry budget is spent" request=r15 service=s why=Failed priority=2 left_ms=900 box=a
 timestamp=2026-12-02T10:00:08.101Z level=WARN message="attempt: not sent to i-9: connect: refused" request=r15 upstream=i-9 box=a
 timestamp=2026-12-02T10:00:08.102Z level=WARN message="route: own answer, connect: refused" request=r15 status=503 outcome=NotRun retry_after_ms=200 box=a
+timestamp=2026-12-02T10:00:09.000Z level=INFO message="route: refused, the box stops before the request's time limit ends" request=r16 left_ms=2480 limit_ms=<none> box=a
+timestamp=2026-12-02T10:00:09.001Z level=INFO message="route: first not sent, no live upstream" request=r16 service=s aim_ms=<none> priority=<none> admission_level=<none> pressure=<none> level_age_ms=<none> box=a
+timestamp=2026-12-02T10:00:09.002Z level=WARN message="route: own answer, no live upstream" request=r16 status=503 outcome=NotRun retry_after_ms=<none> box=a
 "#;
 
 #[rstest]
@@ -99,6 +102,11 @@
     "r15",
     "answered 503 by the box: connect: refused (attempt: not sent to i-9: connect: refused); it was not run; the retry budget allowed no further attempt at priority 2; the caller was told to come back after 200 ms"
 )]
+// Guards against verdicts from fields that have no value, which the log writes as `<none>`.
+#[case::fields_without_a_value(
+    "r16",
+    "answered 503 by the box: no live upstream (it was to end within 2480 ms, and the request had no time limit); it was not run"
+)]
 fn a_request_is_explained_in_a_sentence(#[case] id: &str, #[case] expected: &str) {
     let found = explain::request(id, LINES.lines()).expect("the log names it");
     assert_eq!(found.verdict, expected);
