Log the box's own answer under the request's ID

What operators saw: for a request whose caller sent no ID, `route: own answer` had another request ID than all other lines of the request, so `honeypulley why` found no end for the one and nothing but an end for the other.

Cause: the handler drew a random ID for the request's lines and a second one for that line.

Fix: the ID is determined once, before the request runs, and used for all its lines.

--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -63,11 +63,15 @@
         Self { gate, relayed: Some(Arc::new(Semaphore::new(MAX_RELAYED))) }
     }
 
-    async fn run(&self, req: &mut Request, res: &mut Response) -> Result<(), LocalAnswer> {
+    async fn run(
+        &self,
+        req: &mut Request,
+        id: &str,
+        res: &mut Response,
+    ) -> Result<(), LocalAnswer> {
         let open = OpenGuard::new(&self.gate);
         let began = self.gate.now();
         let dialect = &self.gate.dialect;
-        let id = self.request_id(req);
         check_framing(req)?;
         let host = host_of(req)?;
         let relayed = self.accept_relayed(req)?;
@@ -75,7 +79,7 @@
             ready.await;
         }
         let wanted = RouteRequest {
-            request: &id,
+            request: id,
             host: &host,
             path: req.uri().path(),
             method: req.method(),
@@ -92,12 +96,12 @@
         let timeout = [requested, decision.timeout].into_iter().flatten().min();
         let deadline = timeout.map(|d| began + d);
         let on_upgrade = req.extensions_mut().remove::<OnUpgrade>();
-        let mut out = self.outgoing(req, &id);
+        let mut out = self.outgoing(req, id);
         out.caller = relayed.as_ref().map_or_else(|| req.remote_addr().ip(), |r| r.head.caller);
         dialect.set_organisation(&decision.owner, &mut out.headers);
         out.buffered = decision.buffered && !out.upgrade;
         decision.info.repeatable &= !out.upgrade;
-        let source = self.read_finishable(req, &id, decision.max_body, deadline).await?;
+        let source = self.read_finishable(req, id, decision.max_body, deadline).await?;
         out.body_bytes = source.length().unwrap_or(source.prefix().len() as u64);
         let identity = Identity {
             method: &out.method,
@@ -107,13 +111,13 @@
             caller_name: headers::text(req.headers(), &dialect.caller),
         };
         out.same = self.gate.fingerprints.fingerprint(&identity, &source);
-        self.check_hold(&id, out.same)?;
+        self.check_hold(id, out.same)?;
         let read_failure = source.failure();
         let service = decision.service.clone();
         let race = Race {
             gate: Arc::clone(&self.gate),
             decision,
-            id: id.clone(),
+            id: id.to_owned(),
             out: Arc::new(out),
             source,
             deadline,
@@ -125,10 +129,10 @@
             cause.map_or(own, |e| unread_body(&e))
         })?;
         let took = self.gate.now().since(began);
-        self.record_answer(&id, &service, answer.head.status, took);
+        self.record_answer(id, &service, answer.head.status, took);
         match on_upgrade {
             Some(caller) if answer.head.status == StatusCode::SWITCHING_PROTOCOLS => {
-                upgrade::relay(&self.gate, caller, answer, id, res);
+                upgrade::relay(&self.gate, caller, answer, id.to_owned(), res);
             }
             _ => self.forward(answer, open, res),
         }
@@ -312,16 +316,16 @@
 impl Handler for ProxyHandler {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         self.gate.count("requests");
-        if let Err(own) = self.run(req, res).await {
+        let id = self.request_id(req);
+        if let Err(own) = self.run(req, &id, res).await {
             self.gate.count("requests.refused");
-            let request = self.request_id(req);
             let outcome = if own.execution == Execution::NotRun { "refused" } else { "unknown" };
             self.gate.count_tagged(
                 "requests.own",
                 &[("outcome", outcome), ("status", own.status.as_str())],
             );
             log::warn!(
-                request = request.as_str(), status = own.status.as_u16(), outcome:debug = own.execution,
+                request = id.as_str(), status = own.status.as_u16(), outcome:debug = own.execution,
                 retry_after_ms = own.retry_after.map(|d| d.as_millis() as u64);
                 "route: own answer, {}", own.reason
             );
