Log requests that end without an upstream's whole answer

What operators saw: no line told of a request that was open when the process ended, or whose connection was closed under it, when it was accepted, to which upstream it was sent, and why it ended. The line of a request given up named no upstream.

Cause: the box only counted its open requests.

Change: `proxy::open` records each open request: its ID, when it was received and accepted, its service, its newest attempt, and whether an answer is forwarded. From this come - `stop: request open at the end of the process`, 200 lines at most and one with the number left out; - `route: connection closed before/within the answer`, with the counter `requests.abandoned`; - `route: answer broke off before its end`, if the upstream or the relaying box cut the body; - times and the newest attempt in flight on `route: given up ...`. `honeypulley why` has a verdict for each. A request that is served normally logs nothing new. Names of services and upstreams are shared in place of copied, so that the record allocates nothing per request.

Ruled out: looking the upstream's name up when the line is written, as the policy may have removed it by then, which is one of the cases to be told apart.

--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -4,6 +4,7 @@
 use honeypulley_policy::shutdown::PlannedStop;
 use honeypulley_proxy::gate::ProxyState;
 use honeypulley_proxy::handler::ProxyHandler;
+use honeypulley_proxy::open::log_all_open;
 use honeypulley_proxy::shared::StateUpdater;
 use honeypulley_supervisor::tree::{Duty, Shutdown, block_on};
 use parking_lot::Mutex;
@@ -12,7 +13,6 @@
 use salvo::prelude::{Router, Server, Service};
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Maximum pause within a request body.
@@ -97,7 +97,7 @@
         let began = Instant::now();
         gate.stop.begin(PlannedStop::new(gate.now(), self.limits.grace));
         let wait = self.limits.leave_wait;
-        log::info!(open = gate.open.load(Ordering::Relaxed); "stop: reporting not ready, closing the port in {wait:?}");
+        log::info!(open = gate.open.count(); "stop: reporting not ready, closing the port in {wait:?}");
         tokio::time::sleep(wait).await;
         handle.stop_graceful(None);
         relay_handle.inspect(|h| h.stop_graceful(None));
@@ -111,7 +111,7 @@
                 task.await.wrap_err("serve: task for relayed requests failed")?;
             }
             // The server does not count upgraded sessions, but the gate does.
-            while gate.open.load(Ordering::Relaxed) > 0 {
+            while gate.open.count() > 0 {
                 tokio::time::sleep(DRAIN_POLL).await;
             }
             Ok::<_, eyre::Report>(())
@@ -125,7 +125,8 @@
                 }
             }
         }
-        let open = gate.open.load(Ordering::Relaxed);
+        let open = gate.open.count();
+        log_all_open(&gate);
         log::info!(open; "stop: complete, {open} requests and sessions open");
         feed_task.abort();
         shutdown.stop.cancel();
--- a/crates/honeypulley_daemon/src/status.rs
+++ b/crates/honeypulley_daemon/src/status.rs
@@ -76,7 +76,7 @@
         relay: ctx.is_relay(),
         silence_ms: ctx.since_contact().as_millis() as u64,
         permits_valid: confirmed.is_some_and(|at| ctx.now().since(at) < LEASE),
-        open: ctx.shared.gate.open.load(Ordering::Relaxed),
+        open: ctx.shared.gate.open.count(),
         dropped: ctx.shared.feed.reports.dropped(),
         sent: ctx.sent_bytes.load(Ordering::Relaxed),
         upstreams: ctx.shared.upstream_status.load().iter().map(row).collect(),
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -348,7 +348,7 @@
                 route: NameId::of(&route.name),
                 regions,
             },
-            service: name.to_owned(),
+            service: name.into(),
             timeout: route.timeout,
             max_attempts: route.attempts,
             version: table.version,
--- a/crates/honeypulley_observe/src/explain.rs
+++ b/crates/honeypulley_observe/src/explain.rs
@@ -1,5 +1,7 @@
 //! Explains requests and upstreams from the logs of many boxes.
 
+mod ends;
+
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -130,14 +132,14 @@
     let sent = lines.iter().filter(|l| l.message.contains(" sent to ")).count();
     let failed: Vec<&Line> = lines.iter().filter(|l| l.message.starts_with("attempt:")).collect();
     let upstream = last_upstream(lines);
-    let end = lines.iter().rev().find(|l| {
-        l.message.starts_with("route: answered") || l.message.starts_with("route: own answer")
-    });
-    let Some(end) = end else {
+    let Some(end) = ends::find_end(lines) else {
         return Some(format!(
             "sent {sent} times, last to {upstream}; no end is on record: the caller left, the box ended, or the line was left out"
         ));
     };
+    if let Some(verdict) = ends::unanswered(end) {
+        return Some(verdict);
+    }
     let status = end.field("status");
     if end.message.starts_with("route: answered") {
         let took = end.field("took_ms");
@@ -162,8 +164,9 @@
     let advice = format!("{}{advice}", denied_phrase(lines));
     let attempt = failed.last().map(|l| format!(" ({})", l.message));
     let cause = stop_cause(lines).or(attempt).unwrap_or_default();
+    let given_up = ends::given_up_phrase(lines);
     let rank = format!("{}{}", rank_phrase(lines, end), reserve_phrase(lines));
-    Some(format!("answered {status} by the box: {why}{cause}{rank}; {execution}{advice}"))
+    Some(format!("answered {status} by the box: {why}{cause}{given_up}{rank}; {execution}{advice}"))
 }
 
 /// Returns how the admission by priority decided, or nothing if it did not.
--- a/crates/honeypulley_observe/tests/explain.rs
+++ b/crates/honeypulley_observe/tests/explain.rs
@@ -46,6 +46,24 @@
 timestamp=2026-12-02T10:00:09.000Z level=INFO message="route: refused, the box stops before the request's time limit ends" request=r16 left_ms=2480 limit_ms=<none> box=a
 timestamp=2026-12-02T10:00:09.001Z level=INFO message="route: first not sent, no live upstream" request=r16 service=s aim_ms=<none> priority=<none> admission_level=<none> pressure=<none> level_age_ms=<none> box=a
 timestamp=2026-12-02T10:00:09.002Z level=WARN message="route: own answer, no live upstream" request=r16 status=503 outcome=NotRun retry_after_ms=<none> box=a
+timestamp=2026-12-02T10:00:10.000Z level=INFO message="route: first sent to i-9" request=r17 upstream=i-9 box=a
+timestamp=2026-12-02T10:00:13.000Z level=WARN message="route: given up since the box stops" request=r17 service=s attempts=1 timeout_ms=<none> late_ms=<none> age_ms=3000 accepted_ms=2998 after_stop_ms=<none> upstream=i-9 peer=<none> sent_ms=2997 box=a
+timestamp=2026-12-02T10:00:13.001Z level=WARN message="route: own answer, the box stopped with 1 attempt(s) open" request=r17 status=504 outcome=Unknown retry_after_ms=1000 box=a
+timestamp=2026-12-02T10:00:13.000Z level=WARN message="route: given up at its deadline" request=r18 service=s attempts=1 timeout_ms=300 late_ms=1 age_ms=301 accepted_ms=300 after_stop_ms=<none> upstream=<none> peer=10.0.0.2:7001 sent_ms=299 box=a
+timestamp=2026-12-02T10:00:13.001Z level=WARN message="route: own answer, the deadline passed with 0 attempt(s) open" request=r18 status=504 outcome=Unknown retry_after_ms=1000 box=a
+timestamp=2026-12-02T10:00:14.000Z level=WARN message="stop: request open at the end of the process" request=r19 service=s age_ms=1500 accepted_ms=1400 after_stop_ms=2900 sent_ms=1399 upstream=i-9 peer=<none> attempts=1 answering=false stopping=true box=a
+timestamp=2026-12-02T10:00:13.000Z level=INFO message="route: answered" request=r20 service=s status=200 took_ms=40 box=a
+timestamp=2026-12-02T10:00:14.000Z level=WARN message="stop: request open at the end of the process" request=r20 service=s age_ms=5600 accepted_ms=5600 after_stop_ms=<none> sent_ms=5599 upstream=i-9 peer=<none> attempts=1 answering=true stopping=true box=a
+timestamp=2026-12-02T10:00:14.000Z level=WARN message="stop: request open at the end of the process" request=r21 service=s age_ms=900 accepted_ms=<none> after_stop_ms=<none> sent_ms=<none> upstream=<none> peer=<none> attempts=0 answering=false stopping=true box=a
+timestamp=2026-12-02T10:00:15.000Z level=INFO message="route: connection closed before the answer" request=r22 service=s age_ms=700 accepted_ms=699 after_stop_ms=<none> sent_ms=698 upstream=i-9 peer=<none> attempts=1 answering=false stopping=false box=a
+timestamp=2026-12-02T10:00:15.000Z level=INFO message="route: connection closed before the answer" request=r23 service=s age_ms=700 accepted_ms=699 after_stop_ms=<none> sent_ms=698 upstream=i-9 peer=<none> attempts=1 answering=false stopping=true box=a
+timestamp=2026-12-02T10:00:16.000Z level=INFO message="route: answered" request=r24 service=s status=200 took_ms=40 box=a
+timestamp=2026-12-02T10:00:16.100Z level=INFO message="route: connection closed within the answer" request=r24 service=s age_ms=140 accepted_ms=139 after_stop_ms=<none> sent_ms=138 upstream=i-9 peer=<none> attempts=1 answering=true stopping=false box=a
+timestamp=2026-12-02T10:00:16.000Z level=INFO message="route: answered" request=r25 service=s status=200 took_ms=40 box=a
+timestamp=2026-12-02T10:00:16.100Z level=WARN message="route: answer broke off before its end, Connection reset by peer (os error 104)" request=r25 service=s age_ms=140 accepted_ms=139 after_stop_ms=<none> sent_ms=138 upstream=<none> peer=10.0.0.2:7001 attempts=1 answering=true stopping=false box=a
+timestamp=2026-12-02T10:00:17.000Z level=INFO message="route: first relayed through 10.0.0.2:7001, connections from this box fail" request=r26 service=s peer=10.0.0.2:7001 box=a
+timestamp=2026-12-02T10:00:17.300Z level=WARN message="route: own answer, exchange: reset" request=r26 status=502 outcome=Unknown retry_after_ms=1000 box=a
+timestamp=2026-12-02T10:00:17.301Z level=INFO message="route: connection closed before the answer" request=r26 service=s age_ms=299 accepted_ms=298 after_stop_ms=<none> sent_ms=297 upstream=i-9 peer=<none> attempts=1 answering=false stopping=false box=b
 "#;
 
 #[rstest]
@@ -107,6 +125,47 @@
     "r16",
     "answered 503 by the box: no live upstream (it was to end within 2480 ms, and the request had no time limit); it was not run"
 )]
+#[case::given_up_at_a_stop(
+    "r17",
+    "answered 504 by the box: the box stopped with 1 attempt(s) open (received 3000 ms before, accepted before the stop began, sent to i-9 2997 ms before); it may have been run, and is not sent again; the caller was told to come back after 1000 ms"
+)]
+#[case::given_up_at_its_deadline(
+    "r18",
+    "answered 504 by the box: the deadline passed with 0 attempt(s) open (received 301 ms before, sent to the box at 10.0.0.2:7001 299 ms before); it may have been run, and is not sent again; the caller was told to come back after 1000 ms"
+)]
+#[case::open_at_the_end(
+    "r19",
+    "the process ended while i-9 had the request (received 1500 ms before, accepted 2900 ms after the stop began, sent to i-9 1399 ms before)"
+)]
+#[case::open_answer_at_the_end(
+    "r20",
+    "the process ended within the answer of i-9 (received 5600 ms before, accepted before the stop began, sent to i-9 5599 ms before)"
+)]
+#[case::not_accepted_at_the_end(
+    "r21",
+    "the process ended before the request was sent (received 900 ms before, not accepted by then)"
+)]
+#[case::closed(
+    "r22",
+    "the connection was closed before an answer (received 700 ms before, sent to i-9 698 ms before)"
+)]
+#[case::closed_during_a_stop(
+    "r23",
+    "the connection was closed before an answer (received 700 ms before, accepted before the stop began, sent to i-9 698 ms before)"
+)]
+#[case::closed_within_the_answer(
+    "r24",
+    "the connection was closed within the answer of i-9 (received 140 ms before, sent to i-9 138 ms before)"
+)]
+#[case::answer_cut(
+    "r25",
+    "the answer of the box at 10.0.0.2:7001 broke off before its end: Connection reset by peer (os error 104) (received 140 ms before, sent to the box at 10.0.0.2:7001 138 ms before)"
+)]
+// Guards against the end at the box that a request was relayed to, which comes later.
+#[case::closed_by_the_relaying_box(
+    "r26",
+    "answered 502 by the box: exchange: reset; it may have been run, and is not sent again; the caller was told to come back after 1000 ms"
+)]
 fn a_request_is_explained_in_a_sentence(#[case] id: &str, #[case] expected: &str) {
     let found = explain::request(id, LINES.lines()).expect("the log names it");
     assert_eq!(found.verdict, expected);
--- a/crates/honeypulley_policy/src/shutdown.rs
+++ b/crates/honeypulley_policy/src/shutdown.rs
@@ -66,6 +66,12 @@
         self.grace.map(|g| self.began + g.saturating_sub(ANSWER_MARGIN))
     }
 
+    /// Returns when the stop began.
+    #[must_use]
+    pub const fn began(&self) -> Time {
+        self.began
+    }
+
     /// Returns the time until the process ends, if the stop is bounded.
     #[must_use]
     pub fn left(&self, now: Time) -> Option<Duration> {
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -4,6 +4,7 @@
 use crate::dialect::Dialect;
 use crate::gate::ProxyState;
 use crate::liveness::refuses_connections;
+use crate::open::{Recipient, SentAttempt};
 use crate::paths::{self, CheckedService};
 use crate::signals::{self, ReceivedHead};
 use bytes::{Bytes, BytesMut};
@@ -139,13 +140,15 @@
     ///
     /// `None` if another box sent the request to the upstream.
     pub guard: Option<AttemptGuard>,
+    /// Attempt that was answered.
+    pub sent: SentAttempt,
 }
 
 /// Destination of an attempt.
 #[derive(Clone, Debug)]
 pub struct Destination {
     /// Name of the upstream instance, which is never reused.
-    pub name: String,
+    pub name: Arc<str>,
     /// Address of the upstream.
     pub addr: String,
 }
@@ -192,7 +195,8 @@
                 signals::record_complete(&gate, &head);
                 guard.ended(Outcome::Completed);
             }
-            Ok(Answer { head, body, guard: Some(guard) })
+            let sent = SentAttempt { to: Recipient::Upstream(to.name), at: began };
+            Ok(Answer { head, body, guard: Some(guard), sent })
         }
         Err(why) => {
             judge_failure(&gate, guard, Outcome::Malformed, (&to, &out), began).await;
@@ -227,7 +231,7 @@
 /// Checks whether an upstream has crashed after a failed exchange, and records it.
 async fn record_if_crashed(gate: &ProxyState, to: &Destination, out: &Outgoing, began: Time) {
     let has_ended = refuses_connections(&to.addr, gate.source).await;
-    let (name, same) = (to.name.as_str(), out.same.caller);
+    let (name, same) = (&*to.name, out.same.caller);
     let state = if has_ended { "has terminated" } else { "still runs" };
     log::warn!(
         upstream = name, same:display, content:display = out.same.content, has_ended;
--- a/crates/honeypulley_proxy/src/body.rs
+++ b/crates/honeypulley_proxy/src/body.rs
@@ -1,7 +1,7 @@
 //! Request and answer bodies that pass through the proxy.
 
-use crate::attempt::AttemptGuard;
-use crate::gate::OpenGuard;
+use crate::attempt::{AttemptGuard, innermost};
+use crate::open::OpenGuard;
 use bytes::{Bytes, BytesMut};
 use honeypulley_policy::router::Outcome;
 use http_body::{Body, Frame, SizeHint};
@@ -266,7 +266,7 @@
     prefix: Option<Bytes>,
     inner: reqwest::Body,
     guard: Option<AttemptGuard>,
-    _open: OpenGuard,
+    open: OpenGuard,
 }
 
 impl TrackedBody {
@@ -278,16 +278,26 @@
         guard: Option<AttemptGuard>,
         open: OpenGuard,
     ) -> Self {
-        Self { prefix, inner, guard, _open: open }
+        Self { prefix, inner, guard, open }
     }
 
     fn finish(&mut self, outcome: Outcome) {
+        self.open.finish();
         if let Some(mut g) = self.guard.take() {
             g.ended(outcome);
         }
     }
 }
 
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        // The server does not read a body that it knows to be empty.
+        if self.is_end_stream() {
+            self.open.finish();
+        }
+    }
+}
+
 impl Body for TrackedBody {
     type Data = Bytes;
     type Error = reqwest::Error;
@@ -302,7 +312,10 @@
         let polled = Pin::new(&mut self.inner).poll_frame(cx);
         match &polled {
             // The error is forwarded, so that the caller notices the truncation.
-            Poll::Ready(Some(Err(_))) => self.finish(Outcome::Malformed),
+            Poll::Ready(Some(Err(e))) => {
+                self.open.fail(&innermost(e));
+                self.finish(Outcome::Malformed);
+            }
             Poll::Ready(None) => self.finish(Outcome::Completed),
             Poll::Ready(Some(Ok(_))) if self.inner.is_end_stream() => {
                 self.finish(Outcome::Completed);
--- a/crates/honeypulley_proxy/src/gate.rs
+++ b/crates/honeypulley_proxy/src/gate.rs
@@ -4,6 +4,7 @@
 use crate::buffers::AnswerBuffers;
 use crate::dialect::Dialect;
 use crate::fingerprint::Fingerprinter;
+use crate::open::OpenRequests;
 use crate::relay::Relays;
 use crate::stop::StopState;
 use crate::suspects::RequestQuarantine;
@@ -20,7 +21,6 @@
 use std::fmt::{self, Debug};
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// Timeout for connecting to an upstream.
@@ -86,7 +86,7 @@
     /// Request to the policy for an upstream.
     pub info: RequestInfo,
     /// Name of the service.
-    pub service: String,
+    pub service: Arc<str>,
     /// Timeout of the request, if the route defines one.
     pub timeout: Option<Duration>,
     /// Maximum number of upstreams that may run the request.
@@ -151,15 +151,15 @@
     pub clock: Clock,
     /// Metrics client.
     pub metrics: Arc<StatsdClient>,
-    /// Number of open requests and upgraded sessions.
-    pub open: AtomicUsize,
+    /// Open requests and upgraded sessions.
+    pub open: OpenRequests,
     /// State of a planned stop.
     pub stop: Arc<StopState>,
 }
 
 impl Debug for ProxyState {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Gate").field("open", &self.open).finish_non_exhaustive()
+        f.debug_struct("Gate").field("open", &self.open.count()).finish_non_exhaustive()
     }
 }
 
@@ -217,22 +217,3 @@
         self.metrics.time_with_tags(name, d.as_millis() as u64).with_tag("service", service).send();
     }
 }
-
-/// Counts one open request or session while it lives.
-#[derive(Debug)]
-pub struct OpenGuard(Arc<ProxyState>);
-
-impl OpenGuard {
-    /// Increments the count of open requests and sessions.
-    #[must_use]
-    pub fn new(gate: &Arc<ProxyState>) -> Self {
-        gate.open.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(gate))
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -4,8 +4,9 @@
 use crate::attempt::{Answer, AnswerBody, Outgoing};
 use crate::body::{BodyError, Source, TrackedBody};
 use crate::fingerprint::Identity;
-use crate::gate::{OpenGuard, ProxyState, RouteRequest};
+use crate::gate::{ProxyState, RouteRequest};
 use crate::headers;
+use crate::open::{OpenGuard, OpenKey};
 use crate::race::Race;
 use crate::relay::{RelayHead, RelayOutcome};
 use crate::upgrade;
@@ -63,13 +64,13 @@
         Self { gate, relayed: Some(Arc::new(Semaphore::new(MAX_RELAYED))) }
     }
 
+    /// Runs a request, and returns its answer with the caller's half of an upgrade.
     async fn run(
         &self,
         req: &mut Request,
-        id: &str,
-        res: &mut Response,
-    ) -> Result<(), LocalAnswer> {
-        let open = OpenGuard::new(&self.gate);
+        id: &Arc<str>,
+        open: OpenKey,
+    ) -> Result<(Answer, Option<OnUpgrade>), LocalAnswer> {
         let began = self.gate.now();
         let dialect = &self.gate.dialect;
         check_framing(req)?;
@@ -88,6 +89,7 @@
             relayed: relayed.is_some(),
         };
         let mut decision = self.gate.routes.route(&wanted, self.gate.now())?;
+        self.gate.open.record_service(open, Arc::clone(&decision.service));
         if let Some(r) = &relayed {
             decision.max_attempts = decision.max_attempts.min(r.head.attempts);
         }
@@ -112,16 +114,18 @@
         };
         out.same = self.gate.fingerprints.fingerprint(&identity, &source);
         self.check_hold(id, out.same)?;
+        self.gate.open.record_accepted(open, self.gate.now());
         let read_failure = source.failure();
-        let service = decision.service.clone();
+        let service = Arc::clone(&decision.service);
         let race = Race {
             gate: Arc::clone(&self.gate),
             decision,
-            id: id.to_owned(),
+            id: Arc::clone(id),
             out: Arc::new(out),
             source,
             deadline,
             relayed: relayed.is_some(),
+            open,
         };
         let answer = race.run().await.map_err(|own| {
             // If the body could not be read, this is the cause of any later failure.
@@ -130,13 +134,7 @@
         })?;
         let took = self.gate.now().since(began);
         self.record_answer(id, &service, answer.head.status, took);
-        match on_upgrade {
-            Some(caller) if answer.head.status == StatusCode::SWITCHING_PROTOCOLS => {
-                upgrade::relay(&self.gate, caller, answer, id.to_owned(), res);
-            }
-            _ => self.forward(answer, open, res),
-        }
-        Ok(())
+        Ok((answer, on_upgrade))
     }
 
     /// Checks a request that another box relays; returns `None` if this one comes from a caller.
@@ -229,10 +227,10 @@
     }
 
     /// Returns the caller's request ID, or a random one.
-    fn request_id(&self, req: &Request) -> String {
+    fn request_id(&self, req: &Request) -> Arc<str> {
         let value = headers::text(req.headers(), &self.gate.dialect.request);
         let given = value.filter(|t| t.len() <= 128);
-        given.map_or_else(|| format!("{:016x}", fastrand::u64(..)), str::to_owned)
+        given.map_or_else(|| format!("{:016x}", fastrand::u64(..)).into(), Arc::from)
     }
 
     /// Builds the request to upstreams from the caller's request.
@@ -281,9 +279,27 @@
         }
     }
 
+    /// Logs, counts and writes an answer of the box itself.
+    fn write_own(&self, id: &str, own: &LocalAnswer, res: &mut Response) {
+        self.gate.count("requests.refused");
+        let outcome = if own.execution == Execution::NotRun { "refused" } else { "unknown" };
+        self.gate
+            .count_tagged("requests.own", &[("outcome", outcome), ("status", own.status.as_str())]);
+        log::warn!(
+            request = id, status = own.status.as_u16(), outcome:debug = own.execution,
+            retry_after_ms = own.retry_after.map(|d| d.as_millis() as u64);
+            "route: own answer, {}", own.reason
+        );
+        own.write(&self.gate.dialect, res);
+        if self.relayed.is_some() {
+            own.relay_outcome().set(res.headers_mut());
+            own.set_retry_after_ms(res.headers_mut());
+        }
+    }
+
     /// Forwards an upstream's answer to the caller.
-    fn forward(&self, answer: Answer, open: OpenGuard, res: &mut Response) {
-        let Answer { head, body, guard } = answer;
+    fn forward(&self, answer: Answer, mut open: OpenGuard, res: &mut Response) {
+        let Answer { head, body, guard, .. } = answer;
         let dialect = &self.gate.dialect;
         let mut h = head.headers;
         headers::strip_hop_by_hop(&mut h);
@@ -300,6 +316,7 @@
         *res.headers_mut() = h;
         let (prefix, rest) = match body {
             AnswerBody::Whole(all) => {
+                open.finish();
                 res.replace_body(ResBody::Once(all));
                 return;
             }
@@ -317,22 +334,20 @@
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         self.gate.count("requests");
         let id = self.request_id(req);
-        if let Err(own) = self.run(req, &id, res).await {
-            self.gate.count("requests.refused");
-            let outcome = if own.execution == Execution::NotRun { "refused" } else { "unknown" };
-            self.gate.count_tagged(
-                "requests.own",
-                &[("outcome", outcome), ("status", own.status.as_str())],
-            );
-            log::warn!(
-                request = id.as_str(), status = own.status.as_u16(), outcome:debug = own.execution,
-                retry_after_ms = own.retry_after.map(|d| d.as_millis() as u64);
-                "route: own answer, {}", own.reason
-            );
-            own.write(&self.gate.dialect, res);
-            if self.relayed.is_some() {
-                own.relay_outcome().set(res.headers_mut());
-                own.set_retry_after_ms(res.headers_mut());
+        let mut open = OpenGuard::new(&self.gate, Arc::clone(&id));
+        match self.run(req, &id, open.key()).await {
+            Ok((answer, on_upgrade)) => {
+                self.gate.open.record_answer(open.key(), answer.sent.clone());
+                match on_upgrade {
+                    Some(caller) if answer.head.status == StatusCode::SWITCHING_PROTOCOLS => {
+                        upgrade::relay(caller, answer, id, open, res);
+                    }
+                    _ => self.forward(answer, open, res),
+                }
+            }
+            Err(own) => {
+                open.finish();
+                self.write_own(&id, &own, res);
             }
         }
         let is_upgraded = res.status_code == Some(StatusCode::SWITCHING_PROTOCOLS);
--- a/crates/honeypulley_proxy/src/lib.rs
+++ b/crates/honeypulley_proxy/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`handler`] receives a request, [`race`] runs its attempts, and [`attempt`] implements a
 //! single exchange with an upstream. [`paths`] detects that this box reaches no upstream, and
 //! [`relay`] then sends requests through another box. All decisions are made by the policy; this crate sends,
-//! streams and answers. [`gate`] contains the state that they share, [`dialect`] the header
+//! streams and answers. [`open`] records the requests that have not ended. [`gate`] contains the state that they share, [`dialect`] the header
 //! names and formats, and [`shared`] the configuration by bundles and the product's own policy.
 
 pub mod answer;
@@ -18,6 +18,7 @@
 pub mod headers;
 pub mod liveness;
 pub mod named_limit;
+pub mod open;
 pub mod paths;
 pub mod race;
 pub mod relay;
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -7,6 +7,7 @@
 use crate::attempt::{Answer, AttemptGuard, Destination, Failure, Outgoing, send};
 use crate::body::Source;
 use crate::gate::{ProxyState, RouteDecision};
+use crate::open::{OpenKey, OpenRequest, Recipient, SentAttempt};
 use crate::paths::CheckedService;
 use crate::relay::RelayFailure;
 use futures::future::{AbortHandle, Abortable, BoxFuture};
@@ -41,7 +42,7 @@
     /// Result of routing.
     pub decision: RouteDecision,
     /// Request ID, for logs.
-    pub id: String,
+    pub id: Arc<str>,
     /// Request to be sent.
     pub out: Arc<Outgoing>,
     /// Request body.
@@ -50,6 +51,8 @@
     pub deadline: Option<Time>,
     /// Whether another box relays the request, so that it is not relayed again.
     pub relayed: bool,
+    /// The request among the open ones.
+    pub open: OpenKey,
 }
 
 type Running = FuturesUnordered<BoxFuture<'static, Result<Answer, Ended>>>;
@@ -70,7 +73,8 @@
     upstream: UpstreamKey,
     /// Name of the upstream, which is stored here because the policy may have removed it.
     name: NameId,
-    began: Time,
+    /// Receiver, and time of the send.
+    sent: SentAttempt,
     /// Cancels the attempt.
     abort: AbortHandle,
 }
@@ -203,7 +207,7 @@
         progress: &mut Progress,
         kind: &str,
     ) -> Result<(), Refusal> {
-        let (version, service) = (self.decision.version, self.decision.service.as_str());
+        let (version, service) = (self.decision.version, &*self.decision.service);
         let mut policy = self.gate.policy.lock();
         let now = self.gate.now();
         // The last allowed attempt can't be repeated.
@@ -224,14 +228,14 @@
         let location = policy
             .endpoint(pick.upstream)
             .expect("the policy knows an upstream that it has just picked");
-        let to = Destination { name: location.name.to_owned(), addr: location.addr.to_owned() };
+        let to = Destination { name: location.name.into(), addr: location.addr.to_owned() };
         let known = policy.inputs(pick.upstream, now);
         drop(policy);
         self.gate.count_tagged("attempts", &[("service", service), ("kind", kind)]);
         log::info!(
-            request = self.id.as_str(), same:display = self.out.same.caller,
+            request = &*self.id, same:display = self.out.same.caller,
             organisation = self.decision.owner.name(), service,
-            upstream = to.name.as_str(), reason:debug = pick.reason, version,
+            upstream = &*to.name, reason:debug = pick.reason, version,
             attempts = self.decision.max_attempts, repeatable = self.decision.info.repeatable,
             near = known.same_hall, sick = known.unhealthy as f32, path = known.path as f32, busy = known.busy as f32,
             load_age_ms = known.load_age.map(|d| d.as_millis() as u64),
@@ -241,13 +245,15 @@
             "route: {kind} sent to {}", to.name
         );
         let guard = AttemptGuard::new(&self.gate, pick, self.checked_service(), self.out.same);
+        let sent = SentAttempt { to: Recipient::Upstream(Arc::clone(&to.name)), at: now };
+        self.gate.open.record_sent(self.open, sent.clone());
         progress.attempted.push(pick.upstream);
         let (abort, abort_registration) = AbortHandle::new_pair();
         progress.in_flight.push(InFlight {
             key: pick.attempt,
             upstream: pick.upstream,
             name: NameId::of(&to.name),
-            began: now,
+            sent,
             abort,
         });
         let body =
@@ -268,7 +274,7 @@
         let policy = self.gate.policy.lock();
         let now = self.gate.now();
         let next =
-            |a: &InFlight| now + policy.recheck_delay(&self.decision.info, now.since(a.began));
+            |a: &InFlight| now + policy.recheck_delay(&self.decision.info, now.since(a.sent.at));
         progress.in_flight.iter().map(next).min()
     }
 
@@ -307,7 +313,7 @@
         drop(policy);
         let now = self.gate.now();
         for a in lost {
-            let crash = Crash { upstream: a.name, began: a.began, ended: now };
+            let crash = Crash { upstream: a.name, began: a.sent.at, ended: now };
             self.gate.suspects.record_crash(self.out.same, crash, now);
             a.abort.abort();
         }
@@ -403,10 +409,9 @@
         if !spent {
             let known = policy.budget_use(self.decision.info.service, now);
             drop(policy);
-            self.gate
-                .count_tagged("retries.denied", &[("service", self.decision.service.as_str())]);
+            self.gate.count_tagged("retries.denied", &[("service", &*self.decision.service)]);
             log::info!(
-                request = self.id.as_str(), service = self.decision.service.as_str(), why:debug = why,
+                request = &*self.id, service = &*self.decision.service, why:debug = why,
                 priority = info.priority, left_ms = info.remaining.map(|d| d.as_millis() as u64),
                 seen = known.requests, own = known.own, others = known.others, budget = known.budget as f32,
                 past_known = known.history_known;
@@ -463,15 +468,29 @@
             ("since the box stops", "box stopped")
         };
         let why = format!("the {what} with {n} attempt(s) open");
+        let open = self.open_request(progress);
+        let ages = open.as_ref().map(|r| r.ages(self.gate.stop.current(), now));
+        let peer = open.as_ref().and_then(OpenRequest::peer).map(|addr| addr.to_string());
         let late_ms = self.deadline.filter(|_| is_late).map(|d| now.since(d).as_millis() as u64);
         log::warn!(
-            request = self.id.as_str(), service = self.decision.service.as_str(), attempts = n,
-            timeout_ms = self.decision.timeout.map(|t| t.as_millis() as u64), late_ms;
+            request = &*self.id, service = &*self.decision.service, attempts = n,
+            timeout_ms = self.decision.timeout.map(|t| t.as_millis() as u64), late_ms,
+            age_ms = ages.map(|a| a.age_ms), accepted_ms = ages.and_then(|a| a.accepted_ms),
+            after_stop_ms = ages.and_then(|a| a.after_stop_ms),
+            upstream = open.as_ref().and_then(OpenRequest::upstream), peer = peer.as_deref(),
+            sent_ms = ages.and_then(|a| a.sent_ms);
             "route: given up {cause}"
         );
         LocalAnswer::unknown(StatusCode::GATEWAY_TIMEOUT, UNKNOWN_RETRY_AFTER, why)
     }
 
+    /// Returns this request with the newest attempt in flight.
+    fn open_request(&self, progress: &Progress) -> Option<OpenRequest> {
+        let open = self.gate.open.get(self.open)?;
+        let newest = progress.in_flight.last().map(|a| a.sent.clone()).or(open.newest);
+        Some(OpenRequest { newest, ..open })
+    }
+
     /// Waits until a point in time, or forever if there is none.
     async fn sleep_until(&self, t: Option<Time>) {
         match t {
--- a/crates/honeypulley_proxy/src/race/relaying.rs
+++ b/crates/honeypulley_proxy/src/race/relaying.rs
@@ -1,6 +1,7 @@
 //! Attempts through another box, while this one is partitioned from the service.
 
 use super::{Ended, Progress, Race, Running};
+use crate::open::{Recipient, SentAttempt};
 use crate::paths;
 use crate::relay::{self, RelayFailure, RelayHead, RelayRequest};
 use honeypulley_policy::collector::NameId;
@@ -83,16 +84,18 @@
             self.gate.policy.lock().forget_request(self.decision.info.service);
         }
         progress.relays.push(peer);
-        let service = self.decision.service.as_str();
+        let service = &*self.decision.service;
         self.gate.count_tagged("relays", &[("service", service)]);
         let left = self.left();
         let attempts = self.decision.max_attempts.saturating_sub(progress.maybe_ran());
         progress.passed_on += attempts;
         log::info!(
-            request = self.id.as_str(), same:display = self.out.same.caller, service,
+            request = &*self.id, same:display = self.out.same.caller, service,
             peer:display, attempts, left_ms = left.map(|d| d.as_millis() as u64);
             "route: {kind} relayed through {peer}, connections from this box fail"
         );
+        let sent = SentAttempt { to: Recipient::Peer(peer), at: self.gate.now() };
+        self.gate.open.record_sent(self.open, sent);
         let head = RelayHead { caller: self.out.caller, attempts };
         let key = &self.gate.relays.as_ref().expect("a box was chosen").key;
         let head = key.encode(&head, &self.out.path);
@@ -112,7 +115,7 @@
         failure: &RelayFailure,
         progress: &mut Progress,
     ) {
-        let (request, service) = (self.id.as_str(), self.decision.service.as_str());
+        let (request, service) = (&*self.id, &*self.decision.service);
         match failure {
             RelayFailure::Unusable { why } => {
                 progress.passed_on = 0;
--- a/crates/honeypulley_proxy/src/race/report.rs
+++ b/crates/honeypulley_proxy/src/race/report.rs
@@ -16,12 +16,12 @@
             policy.admission(info.service, self.gate.now()).unwrap_or_default()
         });
         if is_outranked {
-            let (service, priority) = (self.decision.service.as_str(), info.priority.to_string());
+            let (service, priority) = (&*self.decision.service, info.priority.to_string());
             let tags = [("service", service), ("priority", priority.as_str())];
             self.gate.count_tagged("priority.refused", &tags);
         }
         log::info!(
-            request = self.id.as_str(), service = self.decision.service.as_str(),
+            request = &*self.id, service = &*self.decision.service,
             version = self.decision.version,
             aim_ms = self.decision.info.target.map(|d| d.as_millis() as u64),
             expected_ms = expected.map(|d| d.as_millis() as u64),
@@ -38,7 +38,7 @@
         let policy = self.gate.policy.lock();
         let upstream = policy.endpoint(upstream).map_or("gone", |p| p.name);
         log::warn!(
-            request = self.id.as_str(), service = self.decision.service.as_str(), upstream,
+            request = &*self.id, service = &*self.decision.service, upstream,
             status = status.as_u16();
             "attempt: {upstream} answered with a failure"
         );
@@ -53,7 +53,7 @@
     ) {
         let policy = self.gate.policy.lock();
         let name = policy.endpoint(upstream).map_or("gone", |p| p.name);
-        let (request, service) = (self.id.as_str(), self.decision.service.as_str());
+        let (request, service) = (&*self.id, &*self.decision.service);
         let reason = match failure {
             Failure::NotSent { .. } => "not_sent",
             Failure::NotRun { .. } => "not_run",
--- a/crates/honeypulley_proxy/src/relay.rs
+++ b/crates/honeypulley_proxy/src/relay.rs
@@ -9,6 +9,7 @@
 use crate::attempt::{AnswerBody, is_bounded};
 use crate::gate::ProxyState;
 use crate::headers::{self, RELAY, RELAY_OUTCOME, RETRY_AFTER_MS};
+use crate::open::{Recipient, SentAttempt};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::regions::RegionSet;
 use honeypulley_policy::time::Time;
@@ -176,6 +177,7 @@
     body: reqwest::Body,
     left: Option<Duration>,
 ) -> Result<Answer, RelayFailure> {
+    let began = gate.now();
     let url = format!("http://{peer}{}", out.path);
     let headers = relayed_headers(&gate, &out, relay, left);
     let request = gate.client.request(out.method.clone(), url).headers(headers).body(body);
@@ -199,7 +201,8 @@
     } else {
         AnswerBody::Open(response)
     };
-    Ok(Answer { head, body, guard: None })
+    let sent = SentAttempt { to: Recipient::Peer(peer), at: began };
+    Ok(Answer { head, body, guard: None, sent })
 }
 
 /// Returns the headers with which a request goes to another box.
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -7,6 +7,7 @@
 use crate::fingerprint::Fingerprinter;
 use crate::gate::{ProxyState, RequestOwner, Reuse, RouteDecision, RouteRequest, Routes, client};
 use crate::headers;
+use crate::open::OpenRequests;
 use crate::suspects::LocalQuarantine;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_trait::async_trait;
@@ -154,7 +155,7 @@
             relays: None,
             clock,
             metrics,
-            open: AtomicUsize::new(0),
+            open: OpenRequests::default(),
             stop: Arc::default(),
         };
         Ok(Self {
@@ -253,7 +254,7 @@
 
     fn emit_gauges(&self) {
         let gate = &self.gate;
-        let _ = gate.metrics.gauge("requests.open", gate.open.load(Ordering::Relaxed) as u64);
+        let _ = gate.metrics.gauge("requests.open", gate.open.count() as u64);
         let _ = gate.metrics.gauge("bundle.version", self.version().0);
         let _ = gate.metrics.gauge("reports.dropped", self.feed.reports.dropped());
     }
@@ -300,7 +301,7 @@
                 route: NameId::of(name),
                 regions: None,
             },
-            service: name.to_owned(),
+            service: name.into(),
             timeout: Some(spec.deadline),
             max_attempts: MAX_ATTEMPTS,
             version: bundle,
--- a/crates/honeypulley_proxy/src/upgrade.rs
+++ b/crates/honeypulley_proxy/src/upgrade.rs
@@ -1,7 +1,7 @@
 //! Sessions that switch to another protocol, such as WebSocket.
 
 use crate::attempt::{Answer, AnswerBody};
-use crate::gate::{OpenGuard, ProxyState};
+use crate::open::OpenGuard;
 use honeypulley_policy::router::Outcome;
 use http::{HeaderValue, StatusCode, header};
 use hyper::upgrade::OnUpgrade;
@@ -14,13 +14,13 @@
 /// The session counts as open until then, because the graceful shutdown of the HTTP server does
 /// not cover it.
 pub fn relay(
-    gate: &Arc<ProxyState>,
     caller: OnUpgrade,
     answer: Answer,
-    id: String,
+    id: Arc<str>,
+    mut open: OpenGuard,
     res: &mut Response,
 ) {
-    let Answer { head, body, mut guard } = answer;
+    let Answer { head, body, mut guard, .. } = answer;
     let AnswerBody::Open(response) = body else { return };
     let protocol = head.headers.get(header::UPGRADE).cloned();
     for (k, v) in &head.headers {
@@ -31,9 +31,7 @@
     if let Some(p) = protocol {
         res.headers_mut().insert(header::UPGRADE, p);
     }
-    let open = OpenGuard::new(gate);
     tokio::spawn(async move {
-        let _open = open;
         let (Ok(caller), Ok(mut upstream)) = (caller.await, response.upgrade().await) else {
             if let Some(g) = &mut guard {
                 g.ended(Outcome::Failed);
@@ -42,14 +40,15 @@
         };
         let mut caller = TokioIo::new(caller);
         let result = tokio::io::copy_bidirectional(&mut caller, &mut upstream).await;
+        open.finish();
         if let Some(g) = &mut guard {
             g.ended(Outcome::Completed);
         }
         match result {
             Ok((up, down)) => {
-                log::info!(request = id.as_str(), up, down; "session: closed by caller or upstream");
+                log::info!(request = &*id, up, down; "session: closed by caller or upstream");
             }
-            Err(e) => log::info!(request = id.as_str(); "session: closed on an error: {e}"),
+            Err(e) => log::info!(request = &*id; "session: closed on an error: {e}"),
         }
     });
 }
--- a/crates/honeypulley_proxy/tests/race/main.rs
+++ b/crates/honeypulley_proxy/tests/race/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod ends;
 mod foreign;
+mod open;
 mod partition;
 mod relayed;
 mod stops;
--- a/crates/honeypulley_proxy/tests/race/support.rs
+++ b/crates/honeypulley_proxy/tests/race/support.rs
@@ -18,6 +18,7 @@
 use honeypulley_proxy::gate::{
     ProxyState, RequestOwner, Reuse, RouteDecision, RouteRequest, Routes, client,
 };
+use honeypulley_proxy::open::OpenRequests;
 use honeypulley_proxy::race::Race;
 use honeypulley_proxy::relay::Relays;
 use honeypulley_proxy::suspects::LocalQuarantine;
@@ -25,7 +26,6 @@
 use http::{HeaderMap, Method};
 use parking_lot::Mutex;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 /// Fingerprints of the request used in these tests.
@@ -83,7 +83,7 @@
         client: client(None, Reuse::Fresh).expect("the client can be built"),
         clock,
         metrics: Arc::new(StatsdClient::from_sink("test", NopMetricSink)),
-        open: AtomicUsize::new(0),
+        open: OpenRequests::default(),
         stop: Arc::default(),
     };
     TestGate { gate: Arc::new(gate), balancer, service }
@@ -104,7 +104,7 @@
     let decision = RouteDecision {
         owner: RequestOwner::NotConfigured,
         info,
-        service: "s".to_owned(),
+        service: "s".into(),
         timeout: None,
         max_attempts: 1,
         version: 1,
@@ -125,10 +125,11 @@
     Race {
         gate: Arc::clone(&test.gate),
         decision,
-        id: "r-1".to_owned(),
+        id: "r-1".into(),
         out: Arc::new(out),
         source: Source::Buffered(Bytes::new()),
         deadline: Some(test.gate.now() + left),
         relayed: false,
+        open: test.gate.open.insert("r-1".into(), test.gate.now()),
     }
 }
