--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -6,6 +6,7 @@
 use honeypulley_policy::shutdown::PlannedStop;
 use honeypulley_proxy::gate::ProxyState;
 use honeypulley_proxy::handler::ProxyHandler;
+use honeypulley_proxy::open::log_all_open;
 use honeypulley_proxy::shared::StateUpdater;
 use honeypulley_supervisor::tree::{Duty, Shutdown, block_on};
 use parking_lot::Mutex;
@@ -13,7 +14,6 @@
 use salvo::prelude::{Router, Server, Service};
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Maximum pause within a request body.
@@ -117,7 +117,7 @@
         let stop = gate.stop.begin(PlannedStop::new(gate.now(), self.limits.grace));
         let wait = self.limits.leave_wait;
         let notice_ms = gate.now().since(stop.earliest()).as_millis() as u64;
-        log::info!(open = gate.open.load(Ordering::Relaxed), notice_ms; "stop: reporting not ready, closing the port in {wait:?}");
+        log::info!(open = gate.open.count(), notice_ms; "stop: reporting not ready, closing the port in {wait:?}");
         let ports = [Some(port), relay_port].into_iter().flatten();
         tokio::select! {
             () = self.close_ports(wait, ports) => {}
@@ -131,7 +131,7 @@
                 task.await.wrap_err("serve: task for relayed requests failed")?;
             }
             // The server does not count upgraded sessions, but the gate does.
-            while gate.open.load(Ordering::Relaxed) > 0 {
+            while gate.open.count() > 0 {
                 tokio::time::sleep(DRAIN_POLL).await;
             }
             Ok::<_, eyre::Report>(())
@@ -141,7 +141,8 @@
             drained = drained => drained?,
             () = gate.stop.wait_end(gate.clock) => {}
         }
-        let open = gate.open.load(Ordering::Relaxed);
+        let open = gate.open.count();
+        log_all_open(&gate);
         log::info!(open; "stop: complete, {open} requests and sessions open");
         feed_task.abort();
         shutdown.stop.cancel();
--- a/crates/honeypulley_policy/src/shutdown.rs
+++ b/crates/honeypulley_policy/src/shutdown.rs
@@ -94,6 +94,12 @@
         self.grace.map(|g| began + g.saturating_sub(ANSWER_MARGIN))
     }
 
+    /// Returns when the signal was noticed.
+    #[must_use]
+    pub const fn noticed(&self) -> Time {
+        self.noticed
+    }
+
     /// Returns the time until the process may end, if the stop is bounded.
     #[must_use]
     pub fn left(&self, now: Time) -> Option<Duration> {
