--- a/crates/honeypulley_daemon/src/program.rs
+++ b/crates/honeypulley_daemon/src/program.rs
@@ -56,4 +56,5 @@
 
 const HELP: &str = "\
 Exit codes: 0 graceful shutdown complete, 1 invalid settings or a failed start, 2 usage.
-SIGTERM or SIGINT starts a graceful shutdown; open requests and sessions are completed.";
+SIGTERM or SIGINT starts a graceful shutdown; open requests and sessions are completed,
+within the grace if the settings name one.";
--- a/crates/honeypulley_daemon/src/settings.rs
+++ b/crates/honeypulley_daemon/src/settings.rs
@@ -3,6 +3,8 @@
 use honeypulley_bundle::sign::Trust;
 use honeypulley_ini::{Doc, IniError, Section, parse};
 use honeypulley_peer::key::FleetKey;
+use honeypulley_policy::shutdown::{PlannedStop, usable_grace};
+use honeypulley_policy::time::Time;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -33,6 +35,8 @@
     pub metrics: Option<SocketAddr>,
     /// Time between reporting not ready and closing the callers' port.
     pub leave_wait: Duration,
+    /// Time after SIGTERM in which the process is killed, if there is such a bound.
+    pub grace: Option<Duration>,
     /// Maximum number of concurrent caller connections.
     pub max_callers: usize,
     /// Maximum time to receive a request's header.
@@ -52,6 +56,7 @@
     "fleet-key",
     "metrics",
     "leave-wait",
+    "grace",
     "source",
     "max-callers",
     "head-time",
@@ -86,6 +91,7 @@
             leave_wait: s
                 .optional("leave-wait", parse::duration)?
                 .unwrap_or(Duration::from_secs(5)),
+            grace: s.optional("grace", parse::duration)?,
             max_callers: s.optional("max-callers", parse::any("a number"))?.unwrap_or(20_000),
             head_time: s.optional("head-time", parse::duration)?.unwrap_or(Duration::from_secs(10)),
             log: s
@@ -95,8 +101,24 @@
         if settings.listen == settings.admin {
             return Err(s.error("admin", "the operators' port must not be the callers' port"));
         }
+        settings.check_leave_wait(&s)?;
         Ok(settings)
     }
+
+    /// Checks that the callers' port is closed in the first half of a planned stop.
+    ///
+    /// In the second half, most requests of callers that still connect would be rejected.
+    fn check_leave_wait(&self, s: &Section<'_>) -> Result<(), IniError> {
+        let Some(grace) = self.grace.map(usable_grace) else { return Ok(()) };
+        let half = PlannedStop::new(Time::ZERO, Some(grace)).half().unwrap_or_default();
+        let half = half.since(Time::ZERO);
+        if self.leave_wait < half {
+            return Ok(());
+        }
+        let key = if s.iter().any(|(k, _)| k == "leave-wait") { "leave-wait" } else { "grace" };
+        let wait = self.leave_wait;
+        Err(s.error(key, format!("leave-wait, {wait:?}, must be shorter than {half:?}, half of the time that the box uses of its grace")))
+    }
 }
 
 fn seeds(s: &str) -> Result<Vec<SocketAddr>, String> {
--- a/crates/honeypulley_daemon/src/start.rs
+++ b/crates/honeypulley_daemon/src/start.rs
@@ -13,6 +13,7 @@
 use honeypulley_observe::logs::{self, LogGuard};
 use honeypulley_platform::http::HttpPlatform;
 use honeypulley_policy::router::Router;
+use honeypulley_policy::shutdown::usable_grace;
 use honeypulley_proxy::fingerprint::Fingerprinter;
 use honeypulley_proxy::shared::{BundleState, ServingQueues};
 use honeypulley_supervisor::clock::Clock;
@@ -60,14 +61,14 @@
     let shared = Arc::new(shared);
     let (name, hall) = (settings.name.as_str(), settings.hall.as_str());
     log::info!(
-        name, hall;
+        name, hall, grace_ms = settings.grace.map(|g| g.as_millis() as u64);
         "start: {name} in {hall}, listening for callers on {listen}, peers on {peer}, admin on {admin}"
     );
     let limits = ServeLimits {
         head_time: settings.head_time,
         max_callers: settings.max_callers,
         leave_wait: settings.leave_wait,
-        grace: None,
+        grace: settings.grace.map(usable_grace),
         write_stall: None,
     };
     let serve = ServeDuty {
--- a/crates/honeypulley_daemon/tests/settings.rs
+++ b/crates/honeypulley_daemon/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use honeypulley_daemon::settings::Settings;
 use rstest::rstest;
+use std::time::Duration;
 
 const VALID: &str = "[box]
 name = box1
@@ -21,6 +22,22 @@
     assert_eq!((s.name.as_str(), s.hall.as_str(), s.listen.port()), ("box1", "suva-1", 8080));
 }
 
+#[rstest]
+#[case::unbounded("", None, 5_000)]
+#[case::default_leave_wait("grace = 30s\n", Some(30_000), 5_000)]
+#[case::shorter_than_half("leave-wait = 1859ms\ngrace = 4s\n", Some(4_000), 1_859)]
+#[case::unbounded_with_a_long_leave_wait("leave-wait = 1h\n", None, 3_600_000)]
+fn a_planned_stop_is_bounded_by_the_grace(
+    #[case] lines: &str,
+    #[case] grace_ms: Option<u64>,
+    #[case] leave_ms: u64,
+) {
+    let text = VALID.replacen("[signers]", &format!("{lines}[signers]"), 1);
+    let s = Settings::read("box.ini", &text).expect("valid settings");
+    assert_eq!(s.grace, grace_ms.map(Duration::from_millis));
+    assert_eq!(s.leave_wait, Duration::from_millis(leave_ms));
+}
+
 #[rstest]
 #[case(
     "8080",
@@ -41,7 +58,7 @@
 #[case(
     "hall = ",
     "haal = ",
-    "box.ini:3: [box] haal: unknown key; known: name, hall, listen, peer, admin, platform, seeds, fleet-key, metrics, leave-wait, source, max-callers, head-time, log"
+    "box.ini:3: [box] haal: unknown key; known: name, hall, listen, peer, admin, platform, seeds, fleet-key, metrics, leave-wait, grace, source, max-callers, head-time, log"
 )]
 #[case("O2onv", "", "box.ini:10: [signers] alice: not an Ed25519 key in base64")]
 #[case("[signers]", "[signer]", "box.ini:9: [signer]: unknown section; known: box, signers")]
@@ -51,6 +68,21 @@
     "hall = suva-1\nleave-wait = 5",
     "box.ini:4: [box] leave-wait: expected a time with its unit, such as 250ms or 2s, not '5'"
 )]
+#[case(
+    "hall = suva-1",
+    "hall = suva-1\ngrace = 30",
+    "box.ini:4: [box] grace: expected a time with its unit, such as 250ms or 2s, not '30'"
+)]
+#[case(
+    "hall = suva-1",
+    "hall = suva-1\ngrace = 4s\nleave-wait = 1860ms",
+    "box.ini:5: [box] leave-wait: leave-wait, 1.86s, must be shorter than 1.86s, half of the time that the box uses of its grace"
+)]
+#[case::default_leave_wait(
+    "hall = suva-1",
+    "hall = suva-1\ngrace = 10s",
+    "box.ini:4: [box] grace: leave-wait, 5s, must be shorter than 4.65s, half of the time that the box uses of its grace"
+)]
 #[case(
     "hall = suva-1",
     "hall = suva-1\nlog = loud",
--- a/crates/honeypulley_policy/src/shutdown.rs
+++ b/crates/honeypulley_policy/src/shutdown.rs
@@ -8,6 +8,17 @@
 /// Twenty round trips of 10 ms, the longest within a region.
 pub const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
+/// Fraction of the grace period that a planned stop may use.
+///
+/// The remainder is for the end of the process after the last answer.
+const GRACE_FRACTION: f64 = 0.93;
+
+/// Returns the maximum duration of a planned stop, where the process is killed after `grace`.
+#[must_use]
+pub fn usable_grace(grace: Duration) -> Duration {
+    grace.mul_f64(GRACE_FRACTION)
+}
+
 /// A planned stop that has begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlannedStop {
