Close sessions in an orderly way before a bounded stop ends

What callers saw: a session (an upgraded connection) that was open at the end of a bounded stop ended with the process. If the box held bytes that it had not read, the kernel reset both connections, so that callers lost what had arrived before as well; no line named the session.

Cause: nothing closed sessions; the process ended with their tasks.

`proxy::session` relays the bytes now. At the time at which open requests are answered, 0.2 s before the end, the incoming directions end for it, as if both sides had closed. What was read is passed on, both directions are shut down, and what still arrives is discarded, for 150 ms at most in all. `session: closed since the box stops` has the age, the bytes, and whether all that was read was passed on. Stops without a bound wait for sessions as before.

Evidence, tools/fleet/tests/stops.rs with the upgrade as before: `no line on the session`, and `Connection reset by peer (os error 104)` for a session whose sides read nothing.

Ruled out: dropping the relaying future and shutting both sides down; it loses what was read and not yet written. Closing sessions at the half of the stop: they would be cut earlier than needed.

--- a/crates/honeypulley_proxy/src/lib.rs
+++ b/crates/honeypulley_proxy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod paths;
 pub mod race;
 pub mod relay;
+pub mod session;
 pub mod shared;
 pub mod signals;
 pub mod stop;
--- a/crates/honeypulley_proxy/src/upgrade.rs
+++ b/crates/honeypulley_proxy/src/upgrade.rs
@@ -2,17 +2,19 @@
 
 use crate::attempt::{Answer, AnswerBody};
 use crate::gate::{OpenGuard, ProxyState};
+use crate::session::{self, EndCause, SessionEnd};
 use honeypulley_policy::router::Outcome;
 use http::{HeaderValue, StatusCode, header};
 use hyper::upgrade::OnUpgrade;
 use hyper_util::rt::TokioIo;
 use salvo::prelude::Response;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Forwards a protocol switch and relays the session until it ends.
 ///
 /// The session counts as open until then, because the graceful shutdown of the HTTP server does
-/// not cover it.
+/// not cover it. If a planned stop is bounded, the session is closed shortly before its end.
 pub fn relay(
     gate: &Arc<ProxyState>,
     caller: OnUpgrade,
@@ -32,24 +34,37 @@
         res.headers_mut().insert(header::UPGRADE, p);
     }
     let open = OpenGuard::new(gate);
+    let (gate, began) = (Arc::clone(gate), gate.now());
     tokio::spawn(async move {
         let _open = open;
-        let (Ok(caller), Ok(mut upstream)) = (caller.await, response.upgrade().await) else {
+        let (Ok(caller), Ok(upstream)) = (caller.await, response.upgrade().await) else {
             if let Some(g) = &mut guard {
                 g.ended(Outcome::Failed);
             }
             return;
         };
-        let mut caller = TokioIo::new(caller);
-        let result = tokio::io::copy_bidirectional(&mut caller, &mut upstream).await;
+        let stop = gate.stop.wait_answer_by(gate.clock);
+        let end = session::relay(TokioIo::new(caller), upstream, stop).await;
         if let Some(g) = &mut guard {
             g.ended(Outcome::Completed);
         }
-        match result {
-            Ok((up, down)) => {
-                log::info!(request = id.as_str(), up, down; "session: closed by caller or upstream");
-            }
-            Err(e) => log::info!(request = id.as_str(); "session: closed on an error: {e}"),
-        }
+        log_end(&id, &end, gate.now().since(began));
     });
 }
+
+fn log_end(id: &str, end: &SessionEnd, age: Duration) {
+    let SessionEnd { up, down, cause } = end;
+    match cause {
+        EndCause::Closed => {
+            log::info!(request = id, up, down; "session: closed by caller or upstream");
+        }
+        EndCause::Failed(e) => log::info!(request = id; "session: closed on an error: {e}"),
+        EndCause::Stopped { is_flushed } => {
+            let age_ms = age.as_millis() as u64;
+            log::info!(
+                request = id, age_ms, up, down, flushed = is_flushed;
+                "session: closed since the box stops"
+            );
+        }
+    }
+}
--- a/tools/fleet/tests/stops.rs
+++ b/tools/fleet/tests/stops.rs
@@ -1,6 +1,6 @@
 //! Planned stops of `honeypulleyd` with and without a bound.
 
-use eyre::{Result, ensure};
+use eyre::{Result, WrapErr, ensure, eyre};
 use fleet::{Fleet, shape::FleetConfig, until};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -154,3 +154,84 @@
     assert!(exit.success(), "{exit}");
     Ok(())
 }
+
+/// Opens an echo session.
+async fn open_session(fleet: &Fleet) -> Result<TcpStream> {
+    let head = "GET /chat HTTP/1.1\r\nhost: guestlist.example\r\nx-request-id: chat\r\n\
+                connection: upgrade\r\nupgrade: echo\r\n\r\n";
+    let mut s = begin(fleet, head).await?;
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\n") {
+        answer.push(s.read_u8().await?);
+    }
+    ensure!(answer.starts_with(b"HTTP/1.1 101"), "{}", String::from_utf8_lossy(&answer));
+    Ok(s)
+}
+
+async fn echo(s: &mut TcpStream, text: &[u8]) -> Result<()> {
+    s.write_all(text).await?;
+    let mut echoed = vec![0; text.len()];
+    s.read_exact(&mut echoed).await?;
+    ensure!(echoed == text, "{echoed:?}");
+    Ok(())
+}
+
+/// Returns the line on the end of the session.
+fn session_line(fleet: &Fleet) -> Result<String> {
+    let log = std::fs::read_to_string(&fleet.boxes[0].process.log)?;
+    let line = log.lines().find(|l| l.contains("session: closed since the box stops"));
+    line.map(str::to_owned).ok_or_else(|| eyre!("no line on the session in {log}"))
+}
+
+/// Guards against a session that is cut by the end of the process without a word.
+#[tokio::test]
+async fn an_open_session_is_closed_before_the_end() -> Result<()> {
+    let mut fleet = bounded().await?;
+    let mut s = open_session(&fleet).await?;
+    fleet.boxes[0].process.terminate()?;
+    let began = Instant::now();
+    tokio::time::sleep(SECOND_HALF).await;
+    echo(&mut s, b"still open").await?;
+    assert_eq!(s.read(&mut [0; 1]).await?, 0);
+    assert!(fleet.boxes[0].process.ended().is_none(), "the process ended first");
+    wait_end(&mut fleet, began).await?;
+    let line = session_line(&fleet)?;
+    assert!(line.contains("request=chat") && line.contains("up=10 down=10"), "{line}");
+    let age_ms = line.split("age_ms=").nth(1).and_then(|t| t.split(' ').next());
+    assert!(age_ms.and_then(|t| t.parse().ok()).is_some_and(|t: u64| t > 2_400), "{line}");
+    Ok(())
+}
+
+/// Guards against a reset of a session whose bytes the box has not read.
+#[tokio::test]
+async fn a_session_whose_sides_read_nothing_is_not_reset() -> Result<()> {
+    let mut fleet = bounded().await?;
+    let mut s = open_session(&fleet).await?;
+    // The upstream echoes, so that the buffers of both directions fill up.
+    let flood = s.write_all(&[7; 64_000_000]);
+    let blocked = tokio::time::timeout(Duration::from_secs(1), flood).await;
+    assert!(blocked.is_err(), "the session takes all bytes");
+    fleet.boxes[0].process.terminate()?;
+    let began = Instant::now();
+    wait_end(&mut fleet, began).await?;
+    let mut echoed = Vec::new();
+    s.read_to_end(&mut echoed).await.wrap_err("read the echo until the end of the stream")?;
+    let line = session_line(&fleet)?;
+    assert!(line.contains(&format!("down={} ", echoed.len())), "{} of {line}", echoed.len());
+    assert!(line.contains("flushed=false"), "{line}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_stop_without_a_bound_waits_for_an_open_session() -> Result<()> {
+    let mut fleet = fleet("").await?;
+    let mut s = open_session(&fleet).await?;
+    fleet.boxes[0].process.terminate()?;
+    tokio::time::sleep(GRACE + Duration::from_secs(1)).await;
+    echo(&mut s, b"still open").await?;
+    assert!(fleet.boxes[0].process.ended().is_none(), "the process ended before its session");
+    drop(s);
+    let exit = fleet.boxes[0].process.wait_end(GRACE).await?;
+    assert!(exit.success(), "{exit}");
+    Ok(())
+}
