A stopping box logs each minute what it waits for

What operators saw: a box that was told to stop and did not end, with no line after `stop: reporting not ready`. An open session holds a stop without a bound for as long as it lasts.

`stop: waiting for N requests and sessions` is logged each minute until the stop is complete, in bounded stops as well. The interval is part of `ServeLimits`, so that the test needs no minute.

Ruled out: a line only in stops without a bound, as a long grace raises the same question.

--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -20,6 +20,9 @@
 /// Time between two checks for open requests and sessions during a shutdown.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// Usual time between two log lines on what a graceful shutdown waits for.
+pub const WAIT_LOG: Duration = Duration::from_secs(60);
+
 /// Limits on caller connections, and the timing of a graceful shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct ServeLimits {
@@ -31,6 +34,8 @@
     pub leave_wait: Duration,
     /// Maximum duration of a graceful shutdown, if it is bounded.
     pub grace: Option<Duration>,
+    /// Time between two log lines on what a graceful shutdown waits for.
+    pub wait_log: Duration,
     /// Time after which a connection is closed whose caller reads nothing, if it is bounded.
     pub write_stall: Option<Duration>,
 }
@@ -105,6 +110,7 @@
         // last handle of the socket is closed.
         drop(self.listener.lock().take());
         drop(self.relay_listener.lock().take());
+        let wait_log = tokio::spawn(log_open(Arc::clone(&gate), self.limits.wait_log));
         let drained = async {
             server_task.await.wrap_err("serve: server task failed")?;
             if let Some(task) = relay_task {
@@ -127,8 +133,18 @@
         }
         let open = gate.open.load(Ordering::Relaxed);
         log::info!(open; "stop: complete, {open} requests and sessions open");
+        wait_log.abort();
         feed_task.abort();
         shutdown.stop.cancel();
         Ok(())
     }
 }
+
+/// Logs at each interval how many requests and sessions are open, forever.
+async fn log_open(gate: Arc<ProxyState>, interval: Duration) {
+    loop {
+        tokio::time::sleep(interval).await;
+        let open = gate.open.load(Ordering::Relaxed);
+        log::info!(open; "stop: waiting for {open} requests and sessions");
+    }
+}
--- a/crates/honeypulley_daemon/src/start.rs
+++ b/crates/honeypulley_daemon/src/start.rs
@@ -6,7 +6,7 @@
 use crate::peer::PeerDuty;
 use crate::permit::PermitDuty;
 use crate::platform::PlatformDuty;
-use crate::serve::{ServeDuty, ServeLimits};
+use crate::serve::{ServeDuty, ServeLimits, WAIT_LOG};
 use crate::settings::Settings;
 use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 use eyre::{Result, WrapErr};
@@ -69,6 +69,7 @@
         max_callers: settings.max_callers,
         leave_wait: settings.leave_wait,
         grace: settings.grace.map(usable_grace),
+        wait_log: WAIT_LOG,
         write_stall: None,
     };
     let serve = ServeDuty {
