--- a/crates/honeypulley_daemon/src/start.rs
+++ b/crates/honeypulley_daemon/src/start.rs
@@ -6,7 +6,7 @@
 use crate::peer::PeerDuty;
 use crate::permit::PermitDuty;
 use crate::platform::PlatformDuty;
-use crate::serve::{ServeDuty, ServeLimits};
+use crate::serve::{ServeDuty, ServeLimits, WAIT_LOG};
 use crate::settings::Settings;
 use crate::ticks::{TICK, Ticks};
 use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
@@ -14,7 +14,7 @@
 use honeypulley_observe::logs::{self, LogGuard};
 use honeypulley_platform::http::HttpPlatform;
 use honeypulley_policy::router::Router;
-use honeypulley_policy::shutdown::PlannedStop;
+use honeypulley_policy::shutdown::{PlannedStop, usable_grace};
 use honeypulley_policy::time::Time;
 use honeypulley_proxy::fingerprint::Fingerprinter;
 use honeypulley_proxy::shared::{BundleState, ServingQueues};
@@ -68,14 +68,15 @@
     let shared = Arc::new(shared);
     let (name, hall) = (settings.name.as_str(), settings.hall.as_str());
     log::info!(
-        name, hall;
+        name, hall, grace_ms = settings.grace.map(|g| g.as_millis() as u64);
         "start: {name} in {hall}, listening for callers on {listen}, peers on {peer}, admin on {admin}"
     );
     let limits = ServeLimits {
         head_time: settings.head_time,
         max_callers: settings.max_callers,
         leave_wait: settings.leave_wait,
-        grace: None,
+        grace: settings.grace.map(usable_grace),
+        wait_log: WAIT_LOG,
         write_stall: None,
     };
     let stop = StopOnSignal {
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -344,7 +344,7 @@
                 self.gate.open.record_answer(open.key(), answer.sent.clone());
                 match on_upgrade {
                     Some(caller) if answer.head.status == StatusCode::SWITCHING_PROTOCOLS => {
-                        upgrade::relay(caller, answer, id, open, res);
+                        upgrade::relay(&self.gate, caller, answer, id, open, res);
                     }
                     _ => self.forward(answer, open, res),
                 }
--- a/crates/honeypulley_proxy/src/lib.rs
+++ b/crates/honeypulley_proxy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod paths;
 pub mod race;
 pub mod relay;
+pub mod session;
 pub mod shared;
 pub mod signals;
 pub mod stop;
