Keep a request at an upstream whose entry names another start

What callers saw: a request that an upstream was working on got 502 (unknown) at once when that upstream's entry showed another start time, and the upstream's work was lost. Each such request also counted as under way at a crash, which holds back its repeats.

Cause: the entry was taken as proof that the earlier process had ended. It is not: any writer of the store may change it, a start time that is missing or set back counts as another one, and the earlier process may still have the connection open.

Evidence: with the entry rewritten while an upstream worked (a later, an earlier and no start time, and removed and entered anew), all four cases got 502, "its upstream has started again (unknown)", where 200 was due.

Fix: if that process has ended, its machine closes the connection, and the attempt ends by itself. Only a box that no packet of the machine reaches would wait until the deadline. So an attempt is cancelled only if three connections in a row to its address time out; an address that accepts or refuses leaves it alone. A machine that lost power closes nothing even if it is reachable again. Attempts there stay open until their limit, but are hedged as hung ones are, where they got no hedge at all before: without this a repeatable request got 504 after its limit.

Ruled out: keepalive on every connection would tell an ended process exactly, but the limit for unacknowledged data bounds keepalive too, so that a partition of 3 s would cut requests at work.

--- a/crates/honeypulley_policy/src/balance/in_flight.rs
+++ b/crates/honeypulley_policy/src/balance/in_flight.rs
@@ -162,8 +162,15 @@
         k: AttemptKey,
         now: Time,
     ) -> Option<f64> {
-        let a = self.attempts.get(k).filter(|a| self.upstreams.contains_key(a.upstream))?;
-        let probability = self.fault_chance(a.upstream, now) * FAILS_SICK;
+        let a = self.attempts.get(k)?;
+        let fault = if self.upstreams.contains_key(a.upstream) {
+            self.fault_chance(a.upstream, now)
+        } else if self.restarted.contains(&a.upstream) {
+            1.0
+        } else {
+            return None;
+        };
+        let probability = fault * FAILS_SICK;
         // The hedging delay may have changed slightly since this check was scheduled.
         let due = now.since(a.started) + MIN_CHECK_INTERVAL >= self.hedge_delay(info);
         due.then_some(probability)
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -98,7 +98,9 @@
     fn sample(&mut self, _: ServiceKey, _failed: Option<UpstreamKey>, _n: usize) -> Vec<String> {
         Vec::new()
     }
-    /// Returns whether an upstream has restarted, which ends all attempts opened there before.
+    /// Returns whether an upstream is listed with another start than before.
+    ///
+    /// Its earlier process may still work on attempts that were opened there.
     fn has_restarted(&self, _: UpstreamKey) -> bool {
         false
     }
--- a/crates/honeypulley_policy/tests/balance/lives.rs
+++ b/crates/honeypulley_policy/tests/balance/lives.rs
@@ -110,6 +110,18 @@
     assert!(share_of_u0(&mut b, 111) > 0.3);
 }
 
+/// The earlier process may have ended without closing the connection.
+#[test]
+fn an_attempt_of_the_previous_incarnation_may_be_hedged() {
+    let mut b = two_upstreams();
+    let pick = pick_u0(&mut b, Time::ZERO);
+    b.set_upstream(incarnation("u0", 2_000), at(100));
+    let info = info(&b, true);
+    assert_eq!(b.hedge_value(&info, pick.attempt, at(1)), None, "it may still be answered in time");
+    let chance = b.hedge_value(&info, pick.attempt, at(5_000));
+    assert!(chance.is_some_and(|c| c > 0.5), "{chance:?}");
+}
+
 #[test]
 fn an_upstream_removed_from_the_list_has_not_restarted() {
     let mut b = two_upstreams();
--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -1,5 +1,6 @@
 //! Runs the attempts of a request: the first one, retries and hedges, within its deadline.
 
+mod lost;
 mod relaying;
 mod report;
 
@@ -14,7 +15,7 @@
 use honeypulley_policy::balance::RetryReason;
 use honeypulley_policy::chooser::RequestInfo;
 use honeypulley_policy::collector::NameId;
-use honeypulley_policy::quarantine::{Crash, Restriction};
+use honeypulley_policy::quarantine::Restriction;
 use honeypulley_policy::router::{AttemptKey, Refusal, UpstreamKey};
 use honeypulley_policy::time::Time;
 use http::StatusCode;
@@ -59,6 +60,8 @@
 enum Ended {
     /// It was sent to an upstream.
     Upstream(UpstreamKey, Failure),
+    /// It was sent to an upstream that has restarted since and is unreachable.
+    Lost(UpstreamKey),
     /// It was sent to another box.
     Peer(SocketAddr, RelayFailure),
 }
@@ -70,7 +73,11 @@
     upstream: UpstreamKey,
     /// Name of the upstream, which is stored here because the policy may have removed it.
     name: NameId,
+    /// Address to which it was sent, if that is an IP address.
+    addr: Option<SocketAddr>,
     began: Time,
+    /// When the upstream's machine was checked last, after a restart.
+    checked: Option<Time>,
     /// Cancels the attempt.
     abort: AbortHandle,
 }
@@ -247,7 +254,9 @@
             key: pick.attempt,
             upstream: pick.upstream,
             name: NameId::of(&to.name),
+            addr: to.addr.parse().ok(),
             began: now,
+            checked: None,
             abort,
         });
         let body =
@@ -256,8 +265,7 @@
         let upstream = pick.upstream;
         running.push(Box::pin(async move {
             let done = Abortable::new(attempt, abort_registration).await;
-            let restarted = || Err((upstream, Failure::Unknown { why: RESTARTED.to_owned() }));
-            let answer = done.unwrap_or_else(|_| restarted());
+            let answer = done.map_err(|_| Ended::Lost(upstream))?;
             answer.map_err(|(upstream, failure)| Ended::Upstream(upstream, failure))
         }));
         Ok(())
@@ -275,7 +283,7 @@
     /// Reports attempts in flight to the policy and sends a hedge if advised.
     fn check(&mut self, running: &mut Running, progress: &mut Progress) {
         let now = self.gate.now();
-        self.cancel_lost(progress);
+        self.check_restarted(progress);
         let is_partitioned = self.gate.paths.lock().is_partitioned(self.checked_service().id);
         let stuck = {
             let mut policy = self.gate.policy.lock();
@@ -296,23 +304,6 @@
         }
     }
 
-    /// Cancels the attempts whose upstreams have restarted, since they will not be answered.
-    ///
-    /// During a network partition no packet reports the closed connection, so these attempts
-    /// would otherwise wait until the deadline.
-    fn cancel_lost(&self, progress: &Progress) {
-        let policy = self.gate.policy.lock();
-        let lost: Vec<&InFlight> =
-            progress.in_flight.iter().filter(|a| policy.has_restarted(a.upstream)).collect();
-        drop(policy);
-        let now = self.gate.now();
-        for a in lost {
-            let crash = Crash { upstream: a.name, began: a.began, ended: now };
-            self.gate.suspects.record_crash(self.out.same, crash, now);
-            a.abort.abort();
-        }
-    }
-
     /// Returns whether a request with a failure answer should be retried on another upstream.
     fn should_retry(&self, progress: &mut Progress) -> bool {
         self.can_repeat(progress) && self.spend_retry(RetryReason::Failed)
@@ -381,7 +372,7 @@
             Ended::Upstream(_, Failure::NotRun { .. }) => {
                 !is_limited && is_safe && self.spend_retry(RetryReason::Failed)
             }
-            Ended::Upstream(_, Failure::Unknown { .. }) => {
+            Ended::Upstream(_, Failure::Unknown { .. }) | Ended::Lost(_) => {
                 !is_limited
                     && self.decision.info.repeatable
                     && self.spend_retry(RetryReason::Failed)
@@ -422,6 +413,12 @@
                 progress.in_flight.retain(|a| a.upstream != *upstream);
                 self.record_failure(*upstream, failure, progress);
             }
+            Ended::Lost(upstream) => {
+                self.record_lost(*upstream, progress);
+                progress.in_flight.retain(|a| a.upstream != *upstream);
+                let failure = Failure::Unknown { why: RESTARTED.to_owned() };
+                self.record_failure(*upstream, &failure, progress);
+            }
             Ended::Peer(peer, failure) => self.record_relay_failure(*peer, failure, progress),
         }
     }
