Answer a relayed request's time-out as a time-out

Callers of a box that relays got 502 when the other box gave their request up at its time limit. The same request sent from that box itself got 504.

Cause: every answer of the other box whose outcome is unknown became `RelayFailure::Unknown`, and an unknown outcome was always answered with 502.

Evidence: the new test got (502, Unknown) in place of (504, Unknown) before.

The failure now has the status for the caller. It is 504 only if the other box answered 504 with an outcome of its own; a 504 without an outcome, an exchange that broke off and other failures stay 502. Nothing else depends on the status: a request that may have run is still not sent again.

--- a/crates/honeypulley_proxy/src/race.rs
+++ b/crates/honeypulley_proxy/src/race.rs
@@ -94,7 +94,8 @@
     /// Number of those for which no connection to an upstream was established.
     not_sent: usize,
     in_flight: Vec<InFlight>,
-    unknown_reason: Option<String>,
+    /// Answer if it is unknown whether the request was run.
+    unknown: Option<LocalAnswer>,
     last_reason: String,
     /// Failure answer of an upstream, to be forwarded if no other attempt succeeds.
     failure: Option<Answer>,
@@ -107,6 +108,12 @@
     const fn maybe_ran(&self) -> usize {
         self.attempted.len() - self.not_run + self.passed_on
     }
+
+    /// Records an attempt that may have run the request, and the status for the caller.
+    fn record_unknown(&mut self, status: StatusCode, why: &str) {
+        let answer = LocalAnswer::unknown(status, UNKNOWN_RETRY_AFTER, why.to_owned());
+        self.unknown = Some(answer);
+    }
 }
 
 impl Race {
@@ -379,7 +386,7 @@
         }
         let restriction = self.restriction();
         let is_limited = restriction >= Restriction::NoRetry;
-        let is_safe = self.decision.info.repeatable || progress.unknown_reason.is_none();
+        let is_safe = self.decision.info.repeatable || progress.unknown.is_none();
         match ended {
             // Nothing was sent to an upstream, so another attempt does not count as a retry.
             Ended::Upstream(_, Failure::NotSent { .. })
@@ -436,8 +443,8 @@
 
     /// Returns the answer if no attempt is left.
     fn exhausted(&self, progress: &Progress) -> LocalAnswer {
-        if let Some(why) = &progress.unknown_reason {
-            return LocalAnswer::unknown(StatusCode::BAD_GATEWAY, UNKNOWN_RETRY_AFTER, why.clone());
+        if let Some(answer) = &progress.unknown {
+            return answer.clone();
         }
         let jitter = |wait: Duration| wait.mul_f64(1.0 + fastrand::f64() / 2.0);
         let wait = progress.retry_after.unwrap_or_else(|| jitter(self.rejected_wait()));
--- a/crates/honeypulley_proxy/src/race/relaying.rs
+++ b/crates/honeypulley_proxy/src/race/relaying.rs
@@ -131,12 +131,12 @@
                 progress.last_reason.clone_from(why);
                 progress.retry_after = *retry_after;
             }
-            RelayFailure::Unknown { why } => {
+            RelayFailure::Unknown { status, why } => {
                 log::warn!(
                     request, service, peer:display;
                     "attempt: relay through {peer} failed, outcome unknown: {why}"
                 );
-                progress.unknown_reason = Some(why.clone());
+                progress.record_unknown(*status, why);
             }
         }
     }
--- a/crates/honeypulley_proxy/src/race/report.rs
+++ b/crates/honeypulley_proxy/src/race/report.rs
@@ -77,7 +77,7 @@
                     request, service, upstream = name;
                     "attempt: {name} failed, outcome unknown: {why}"
                 );
-                progress.unknown_reason = Some(why.clone());
+                progress.record_unknown(StatusCode::BAD_GATEWAY, why);
             }
         }
     }
--- a/crates/honeypulley_proxy/src/relay.rs
+++ b/crates/honeypulley_proxy/src/relay.rs
@@ -13,7 +13,7 @@
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::regions::RegionSet;
 use honeypulley_policy::time::Time;
-use http::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use std::fmt::{self, Debug};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -160,11 +160,20 @@
     },
     /// It is unknown whether the request was run.
     Unknown {
+        /// Status for the caller.
+        status: StatusCode,
         /// What happened.
         why: String,
     },
 }
 
+impl RelayFailure {
+    /// Creates the failure of an exchange that broke off, or whose answer is not usable.
+    const fn unknown(why: String) -> Self {
+        Self::Unknown { status: StatusCode::BAD_GATEWAY, why }
+    }
+}
+
 /// Sends a request to another box and returns the answer of the upstream there.
 ///
 /// # Errors
@@ -186,17 +195,17 @@
         if e.is_connect() {
             RelayFailure::Unusable { why: format!("connect: {why}") }
         } else {
-            RelayFailure::Unknown { why: format!("exchange: {why}") }
+            RelayFailure::unknown(format!("exchange: {why}"))
         }
     })?;
     let mut head = AnswerHead { status: response.status(), headers: response.headers().clone() };
     check_outcome(&head)?;
     if !is_bounded(&response, &out.method) {
-        return Err(RelayFailure::Unknown { why: "the answer has no length".to_owned() });
+        return Err(RelayFailure::unknown("the answer has no length".to_owned()));
     }
     head.headers.remove(RELAY_OUTCOME);
     let body = if out.buffered {
-        let cut = |why| RelayFailure::Unknown { why: format!("the answer was cut: {why}") };
+        let cut = |why| RelayFailure::unknown(format!("the answer was cut: {why}"));
         read_body(response, &gate.buffers).await.map_err(cut)?
     } else {
         AnswerBody::Open(response)
@@ -237,6 +246,10 @@
             let retry_after = wait.map(Duration::from_millis);
             Err(RelayFailure::Rejected { retry_after, why: why() })
         }
-        Some(RelayOutcome::Unknown) | None => Err(RelayFailure::Unknown { why: why() }),
+        // The caller would get the same status without the relay.
+        Some(RelayOutcome::Unknown) if head.status == StatusCode::GATEWAY_TIMEOUT => {
+            Err(RelayFailure::Unknown { status: head.status, why: why() })
+        }
+        Some(RelayOutcome::Unknown) | None => Err(RelayFailure::unknown(why())),
     }
 }
--- a/crates/honeypulley_proxy/tests/race/relayed.rs
+++ b/crates/honeypulley_proxy/tests/race/relayed.rs
@@ -5,10 +5,12 @@
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::spec::{Member, MemberState, ServiceSpec};
 use honeypulley_policy::time::Time;
+use honeypulley_proxy::answer::Execution;
 use honeypulley_proxy::race::Race;
 use honeypulley_proxy::relay::{RelayKey, RelayPeers, RelayRequest, Relays};
 use honeypulley_supervisor::clock::Clock;
 use http::StatusCode;
+use rstest::rstest;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -21,6 +23,14 @@
 /// Rejection of a box to which a request was relayed.
 const RELAY_REJECTED: &str =
     "HTTP/1.1 503 Full\r\nhoneypulley-relay-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
+/// Answer of a box that gave up a relayed request at its time limit.
+const RELAY_LATE: &str =
+    "HTTP/1.1 504 Late\r\nhoneypulley-relay-outcome: unknown\r\ncontent-length: 0\r\n\r\n";
+/// Answer of a box whose upstream failed.
+const RELAY_FAILED: &str =
+    "HTTP/1.1 502 Failed\r\nhoneypulley-relay-outcome: unknown\r\ncontent-length: 0\r\n\r\n";
+/// Answer that names no outcome, so that a box may not have given it.
+const UNMARKED_LATE: &str = "HTTP/1.1 504 Late\r\ncontent-length: 0\r\n\r\n";
 const SERVED: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 
 /// Starts a server that answers each request with the same text, and counts the requests.
@@ -95,6 +105,28 @@
     assert_eq!((used.requests, used.own), (0, 0));
 }
 
+/// Guards against a time-out at a relaying box that its caller sees as a failed upstream.
+#[rstest]
+#[case::at_the_limit(RELAY_LATE, StatusCode::GATEWAY_TIMEOUT)]
+#[case::failed(RELAY_FAILED, StatusCode::BAD_GATEWAY)]
+#[case::without_an_outcome(UNMARKED_LATE, StatusCode::BAD_GATEWAY)]
+#[tokio::test]
+async fn a_time_out_at_another_box_is_answered_as_a_time_out(
+    #[case] answer: &'static str,
+    #[case] status: StatusCode,
+) {
+    let (peer, requests) = server(answer).await;
+    let mut addrs = Vec::new();
+    for _ in 0..6 {
+        addrs.push(closed_address().await);
+    }
+    let relays = Relays { peers: Arc::new(OnePeer(peer)), key: RelayKey::new([0; 32]) };
+    let test = test_gate_with_relays(&addrs, Clock::start(), Some(relays));
+    let own = race(&test, Duration::from_secs(5)).run().await.expect_err("the box has no answer");
+    assert_eq!((own.status, own.execution), (status, Execution::Unknown));
+    assert_eq!(requests.load(Ordering::Relaxed), 1);
+}
+
 /// Guards against relayed requests that pass the limit of an upstream that warms up.
 #[tokio::test]
 async fn relayed_requests_keep_within_the_warm_up_limit() {
