Accept connections that arrive just before the port closes

Callers whose connections the kernel had accepted shortly before a stopping box closed its port got a reset. For a request that another box relays, that is an unknown outcome.

Cause: the acceptor closed as soon as the runtime reported no connection. The runtime asks the kernel only between rounds of its tasks, so connections of the current round were not known yet.

Before it closes, the acceptor now yields once, after which the runtime has asked the kernel. A delay in place of it was ruled out, as each new connection would begin it again. The time between the last look and the close, without any other task between them, remains.

--- a/crates/honeypulley_daemon/src/port.rs
+++ b/crates/honeypulley_daemon/src/port.rs
@@ -81,10 +81,15 @@
         policy: Option<ArcFusePolicy>,
     ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
         if let Some(inner) = &mut self.inner {
+            let close = async {
+                self.closer.requested.cancelled().await;
+                // The runtime then reports connections that have arrived meanwhile.
+                tokio::task::yield_now().await;
+            };
             tokio::select! {
                 biased;
                 accepted = inner.accept(policy) => return accepted,
-                () = self.closer.requested.cancelled() => {}
+                () = close => {}
             }
         }
         self.inner = None;
