Complete a stop whose serving duty dies after its port was closed

A stopping box did not end by itself if its serving duty died after the close of the callers' port. Without a grace period it never ended.

Cause: the restarted duty has no listener, returned an error and was restarted again. Only this duty ends the process.

The connections end with the run that served them, so nothing is left to wait for: the restarted duty completes the stop.

--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -100,9 +100,14 @@
 
     async fn serve(&self, shutdown: &Shutdown) -> Result<()> {
         let gate = Arc::clone(&self.gate);
-        let callers = self.server(&self.listener)?;
-        let (callers, port) =
-            callers.ok_or_else(|| eyre!("serve: the listener is already closed"))?;
+        let Some((callers, port)) = self.server(&self.listener)? else {
+            if !gate.stop.has_begun() {
+                return Err(eyre!("serve: the listener is already closed"));
+            }
+            // All connections ended with the run that closed the port.
+            self.complete_stop(shutdown);
+            return Ok(());
+        };
         let handle = callers.handle();
         let service = |handler| Service::new(Router::with_path("{**rest}").goal(handler));
         let (relayed, relay_port) = self.server(&self.relay_listener)?.unzip();
@@ -147,14 +152,19 @@
             drained = drained => drained?,
             () = gate.stop.wait_end(gate.clock) => {}
         }
-        let open = gate.open.count();
-        log_all_open(&gate);
-        log::info!(open; "stop: complete, {open} requests and sessions open");
+        self.complete_stop(shutdown);
         wait_log.abort();
         feed_task.abort();
-        shutdown.stop.cancel();
         Ok(())
     }
+
+    /// Logs what is still open, and ends the process.
+    fn complete_stop(&self, shutdown: &Shutdown) {
+        let open = self.gate.open.count();
+        log_all_open(&self.gate);
+        log::info!(open; "stop: complete, {open} requests and sessions open");
+        shutdown.stop.cancel();
+    }
 }
 
 /// Logs at each interval how many requests and sessions are open, forever.
