Rank an organisation's requests within its limit also if it has a priority

Callers of an organisation with a priority of its own were refused over its limit whatever the priority of their routes, and the log gave the organisation's number for each route.

Cause: the organisation's priority replaced the route's before the limit was asked, so that all its requests were alike, and the preference for urgent requests was left out for such organisations. Within one limit all requests are of one organisation, whose own number therefore orders nothing. The limit now goes by the priority of the route alone.

Ruled out: holding back by the organisation's number as well, which is the same for all requests that share the limit.

--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -109,23 +109,25 @@
 
     /// Admits one request of an organisation, if its fleet-wide limit allows it.
     ///
-    /// Where the organisation's requests differ in priority (`mix`), the more urgent go first.
+    /// Where the organisation's requests differ in the priority of their routes (`mix`), the more
+    /// urgent go first.
     ///
     /// # Errors
     /// Returns the reason, and the time until the limit allows another request.
     fn admit(
         &mut self,
-        organisation: &Organisation,
+        organisation: NameId,
         priority: u8,
         mix: RouteMix,
         now: Time,
     ) -> Result<(), LimitRefusal> {
         self.set_scope(now);
-        let id = organisation.id;
-        let admitted = if organisation.priority.is_none() && mix.is_ranked() {
-            self.limits.admit_ranked(id, priority, mix.is_most_urgent(priority), now)
+        let admitted = if mix.is_ranked() {
+            self.limits.admit_ranked(organisation, priority, mix.is_most_urgent(priority), now)
         } else {
-            self.limits.admit(id, now).map_err(|wait| LimitRefusal { wait, reserved: None })
+            self.limits
+                .admit(organisation, now)
+                .map_err(|wait| LimitRefusal { wait, reserved: None })
         };
         self.prepare_limit_reports(now);
         if admitted.is_err_and(|r| r.reserved.is_some()) {
@@ -325,11 +327,11 @@
         policy.balancer().record_request(service, now);
         // A relayed request was admitted by the box that received it from the caller.
         if let Some(o) = organisation.as_ref().filter(|_| !wanted.relayed)
-            && let Err(refusal) = policy.admit(o, priority, table.limited_mix, now)
+            && let Err(refusal) = policy.admit(o.id, route.priority, table.limited_mix, now)
         {
             policy.balancer().record_rejection(service, now);
             let usage = policy.limits().usage(o.id, now).unwrap_or_default();
-            return Err(over_limit(wanted.request, o, priority, refusal, usage));
+            return Err(over_limit(wanted.request, o, route.priority, refusal, usage));
         }
         let owner = match (&table.organisations, organisation) {
             (None, _) => RequestOwner::NotConfigured,
--- a/crates/honeypulley_policy/tests/limits/priorities.rs
+++ b/crates/honeypulley_policy/tests/limits/priorities.rs
@@ -1,7 +1,8 @@
 //! Simulates organisations whose requests differ in priority.
 
 use crate::fleet::{Outcome, Plan, Strategy};
-use crate::{HEAVY_LOSS, LARGE, MEDIUM, averaged, overloaded, scenarios};
+use crate::{HEAVY_LOSS, LARGE, LIMIT_FACTOR, MEDIUM, averaged, overloaded, scenarios};
+use honeypulley_policy::fleet_limits::RateLimit;
 use rstest::rstest;
 
 /// Weights of the requests of priorities 0, 1 and 2.
@@ -11,6 +12,12 @@
     Plan { mix: Some(MIX), ..plan }
 }
 
+/// Returns a plan of an organisation that asks seven times its limit, an eighth of it urgent.
+fn mostly_usual(limit: RateLimit) -> Plan {
+    let hot = overloaded(Strategy::Ranked, limit.rate / LIMIT_FACTOR, 7.0 * LIMIT_FACTOR);
+    Plan { limit, mix: Some([1.0, 0.0, 7.0]), ..hot }
+}
+
 /// Returns a plan whose requests all have the least urgent priority.
 fn alike(plan: Plan) -> Plan {
     Plan { mix: Some([0.0, 0.0, 1.0]), ..plan }
@@ -62,6 +69,12 @@
             print_plan(&format!("{usual} at {times}, alike"), alike(hot));
         }
     }
+    for burst in [135.0, 270.0] {
+        print_plan(
+            &format!("mostly usual, {burst}"),
+            mostly_usual(RateLimit { rate: 135.0, burst }),
+        );
+    }
 }
 
 /// Prints the scenarios of organisations with a mix of priorities.
@@ -91,6 +104,17 @@
     }
 }
 
+/// Guards against urgent requests that are lost although they alone fit their limit.
+#[rstest]
+#[case::burst_of_one_second(135.0)]
+#[case::burst_of_two_seconds(270.0)]
+fn urgent_requests_that_fit_the_limit_go_first(#[case] burst: f64) {
+    let (o, told) = compare_plan(mostly_usual(RateLimit { rate: 135.0, burst }));
+    let ([first, _, third], [before, ..]) = (shares(&o), shares(&told));
+    assert!(first > 0.7 && first > 4.0 * before && third < 0.1, "{o:?}, before {told:?}");
+    assert!(o.worst <= 1.0 && o.used > 0.97, "{o:?}, before {told:?}");
+}
+
 /// Boxes of a medium organisation see few requests each, and learn the mix from them.
 #[rstest]
 #[case::six_times(6.0)]
