--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -10,6 +10,7 @@
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::fleet_limits::{FleetRateLimiter, LimitRefusal};
 use honeypulley_policy::organisations::Organisation;
+use honeypulley_policy::ranks::RequestPriority;
 use honeypulley_policy::regions::RegionSet;
 use honeypulley_policy::route_mix::RouteMix;
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, Refusal, ServiceKey, UpstreamKey};
@@ -109,23 +110,25 @@
 
     /// Admits one request of an organisation, if its fleet-wide limit allows it.
     ///
-    /// Where the organisation's requests differ in priority (`mix`), the more urgent go first.
+    /// Where the organisation's requests differ in the priority of their routes (`mix`), the more
+    /// urgent go first.
     ///
     /// # Errors
     /// Returns the reason, and the time until the limit allows another request.
     fn admit(
         &mut self,
-        organisation: &Organisation,
+        organisation: NameId,
         priority: u8,
         mix: RouteMix,
         now: Time,
     ) -> Result<(), LimitRefusal> {
         self.set_scope(now);
-        let id = organisation.id;
-        let admitted = if organisation.priority.is_none() && mix.is_ranked() {
-            self.limits.admit_ranked(id, priority, mix.is_most_urgent(priority), now)
+        let admitted = if mix.is_ranked() {
+            self.limits.admit_ranked(organisation, priority, mix.is_most_urgent(priority), now)
         } else {
-            self.limits.admit(id, now).map_err(|wait| LimitRefusal { wait, reserved: None })
+            self.limits
+                .admit(organisation, now)
+                .map_err(|wait| LimitRefusal { wait, reserved: None })
         };
         self.prepare_limit_reports(now);
         if admitted.is_err_and(|r| r.reserved.is_some()) {
@@ -313,7 +316,8 @@
             return Err(self.no_route(wanted, table.version, now));
         };
         let organisation = self.caller_organisation(&table, route, wanted, now)?;
-        let priority = organisation.as_ref().and_then(|o| o.priority).unwrap_or(route.priority);
+        let own = organisation.as_ref().and_then(|o| o.priority);
+        let priority = RequestPriority::new(own, route.priority);
         let regions = allowed_regions(route, organisation.as_ref());
         let name = route.target(fastrand::f64());
         let mut policy = self.policy.lock();
@@ -325,11 +329,11 @@
         policy.balancer().record_request(service, now);
         // A relayed request was admitted by the box that received it from the caller.
         if let Some(o) = organisation.as_ref().filter(|_| !wanted.relayed)
-            && let Err(refusal) = policy.admit(o, priority, table.limited_mix, now)
+            && let Err(refusal) = policy.admit(o.id, route.priority, table.limited_mix, now)
         {
             policy.balancer().record_rejection(service, now);
             let usage = policy.limits().usage(o.id, now).unwrap_or_default();
-            return Err(over_limit(wanted.request, o, priority, refusal, usage));
+            return Err(over_limit(wanted.request, o, route.priority, refusal, usage));
         }
         let owner = match (&table.organisations, organisation) {
             (None, _) => RequestOwner::NotConfigured,
@@ -341,13 +345,14 @@
             info: RequestInfo {
                 service,
                 repeatable: route.kind.is_repeatable(),
-                priority,
+                priority: table.ranks.rank(priority),
                 large_transfer: route.kind.is_large(),
                 target: route.target,
                 remaining: None,
                 route: NameId::of(&route.name),
                 regions,
             },
+            priority,
             service: name.into(),
             timeout: route.timeout,
             max_attempts: route.attempts,
