A stopping box takes no request that it may give up before its limit

A request on a route with a limit of 3 s that hung at its upstream and was taken 2.6 s after SIGTERM got 504 after 2.75 s: the box had accepted it in the first half of its time, and its time was over before the request's.

Cause: the first half ended when half of the usable time was left, 2.79 s of 6 s, less the margin in which answers are written. A request accepted then had 2.59 s at most.

Everything is now accepted until half of the grace period and the margin are left (2.38 s of 6 s), so that a request with a limit of up to half of the grace period surely ends whenever it is accepted. Longer limits remain possible until then: rejecting those from the signal on would refuse callers whom the platform still sends, for the few that hang.

Tests that named the former end of the first half (2,499 and 2,500 ms of 5 s, 1.86 s of 4 s) name the new one; those of the settings' error too. The cases of very short periods check the new end within 1 ms.

--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -21,7 +21,7 @@
 /// Time between the close of the port and the close of idle connections.
 ///
 /// Requests that are on their way are answered in it, with `Connection: close`.
-const CLOSE_DELAY: Duration = Duration::from_millis(900);
+const CLOSE_DELAY: Duration = Duration::from_millis(1_200);
 /// Time between two checks for open requests and sessions during a shutdown.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
--- a/crates/honeypulley_daemon/src/settings.rs
+++ b/crates/honeypulley_daemon/src/settings.rs
@@ -105,19 +105,17 @@
         Ok(settings)
     }
 
-    /// Checks that the callers' port is closed in the first half of a planned stop.
-    ///
-    /// In the second half, most requests of callers that still connect would be rejected.
+    /// Checks that the callers' port is closed before the box rejects requests.
     fn check_leave_wait(&self, s: &Section<'_>) -> Result<(), IniError> {
         let Some(grace) = self.grace.map(usable_grace) else { return Ok(()) };
-        let half = PlannedStop::new(Time::ZERO, Some(grace)).half().unwrap_or_default();
-        let half = half.since(Time::ZERO);
-        if self.leave_wait < half {
+        let strict = PlannedStop::new(Time::ZERO, Some(grace)).strict_from().unwrap_or_default();
+        let most = Duration::from_millis(strict.since(Time::ZERO).as_millis() as u64);
+        if self.leave_wait < most {
             return Ok(());
         }
         let key = if s.iter().any(|(k, _)| k == "leave-wait") { "leave-wait" } else { "grace" };
         let wait = self.leave_wait;
-        Err(s.error(key, format!("leave-wait, {wait:?}, must be shorter than {half:?}, half of the time that the box uses of its grace")))
+        Err(s.error(key, format!("leave-wait, {wait:?}, must be shorter than {most:?}, when the box begins to reject requests")))
     }
 }
 
--- a/crates/honeypulley_daemon/tests/settings.rs
+++ b/crates/honeypulley_daemon/tests/settings.rs
@@ -25,7 +25,7 @@
 #[rstest]
 #[case::unbounded("", None, 5_000)]
 #[case::default_leave_wait("grace = 30s\n", Some(30_000), 5_000)]
-#[case::shorter_than_half("leave-wait = 1859ms\ngrace = 4s\n", Some(4_000), 1_859)]
+#[case::before_rejections("leave-wait = 1519ms\ngrace = 4s\n", Some(4_000), 1_519)]
 #[case::unbounded_with_a_long_leave_wait("leave-wait = 1h\n", None, 3_600_000)]
 fn a_planned_stop_is_bounded_by_the_grace(
     #[case] lines: &str,
@@ -75,13 +75,13 @@
 )]
 #[case(
     "hall = suva-1",
-    "hall = suva-1\ngrace = 4s\nleave-wait = 1860ms",
-    "box.ini:5: [box] leave-wait: leave-wait, 1.86s, must be shorter than 1.86s, half of the time that the box uses of its grace"
+    "hall = suva-1\ngrace = 4s\nleave-wait = 1520ms",
+    "box.ini:5: [box] leave-wait: leave-wait, 1.52s, must be shorter than 1.52s, when the box begins to reject requests"
 )]
 #[case::default_leave_wait(
     "hall = suva-1",
     "hall = suva-1\ngrace = 10s",
-    "box.ini:4: [box] grace: leave-wait, 5s, must be shorter than 4.65s, half of the time that the box uses of its grace"
+    "box.ini:4: [box] grace: leave-wait, 5s, must be shorter than 4.1s, when the box begins to reject requests"
 )]
 #[case(
     "hall = suva-1",
--- a/crates/honeypulley_policy/src/shutdown.rs
+++ b/crates/honeypulley_policy/src/shutdown.rs
@@ -69,29 +69,29 @@
 
     /// Returns whether a request may be sent to an upstream that has seen nothing of it.
     ///
-    /// `deadline` is the end of the request's time limit. In the first half of the grace period
-    /// every request is accepted, since it has at least the second half to finish, less the time
-    /// in which answers are written.
+    /// `deadline` is the end of the request's time limit. Until [`Self::strict_from`] every request
+    /// is accepted, since those with a limit of up to half of the grace period surely end.
     ///
     /// # Errors
     /// Returns an error if the request may still run when the process ends.
     pub fn check(&self, deadline: Option<Time>, now: Time) -> Result<(), Unfinishable> {
-        let (Some(end), Some(half)) = (self.earliest_end(), self.half()) else { return Ok(()) };
+        let (Some(end), Some(strict)) = (self.earliest_end(), self.strict_from()) else {
+            return Ok(());
+        };
         let can_finish = deadline.is_some_and(|d| d + ANSWER_MARGIN <= end);
-        if now < half || can_finish {
+        if now < strict || can_finish {
             return Ok(());
         }
         Err(Unfinishable { left: end.since(now), limit: deadline.map(|d| d.since(now)) })
     }
 
-    /// Returns when the second half of the grace period begins, if the stop is bounded.
+    /// Returns from when only requests that surely end are accepted, if the stop is bounded.
     ///
-    /// It begins two answer margins before the end at the latest, as a request that is accepted
-    /// later than one margin before the end is answered with a time-out at once.
+    /// Half of the grace period and the time in which answers are written are left then.
     #[must_use]
-    pub fn half(&self) -> Option<Time> {
-        let first = |g: Duration| (g / 2).min(g.saturating_sub(2 * ANSWER_MARGIN));
-        self.grace.map(|g| self.earliest + first(g))
+    pub fn strict_from(&self) -> Option<Time> {
+        let last = |g: Duration| g.mul_f64(0.5 / GRACE_FRACTION) + ANSWER_MARGIN;
+        self.grace.map(|g| self.earliest + g.saturating_sub(last(g)))
     }
 
     /// Returns when a request that is open must be answered, if the stop is bounded.
--- a/crates/honeypulley_policy/tests/shutdown.rs
+++ b/crates/honeypulley_policy/tests/shutdown.rs
@@ -1,6 +1,6 @@
 //! Requests that a stopping box accepts.
 
-use honeypulley_policy::shutdown::{ANSWER_MARGIN, PlannedStop, Unfinishable};
+use honeypulley_policy::shutdown::{ANSWER_MARGIN, PlannedStop, Unfinishable, usable_grace};
 use honeypulley_policy::time::Time;
 use rstest::rstest;
 use std::time::Duration;
@@ -20,17 +20,17 @@
 /// Guards against rejecting callers while there is time to serve them.
 #[rstest]
 #[case::at_once(0, Some(60_000))]
-#[case::before_the_half(2_499, Some(60_000))]
-#[case::without_a_limit(2_499, None)]
-#[case::expired(2_499, Some(100))]
+#[case::before_the_half(2_111, Some(60_000))]
+#[case::without_a_limit(2_111, None)]
+#[case::expired(2_111, Some(100))]
 fn the_first_half_accepts_everything(#[case] now: u64, #[case] deadline: Option<u64>) {
     assert_eq!(stop().check(deadline.map(at), at(now)), Ok(()));
 }
 
 #[rstest]
-#[case::fits(2_500, 4_800, true)]
-#[case::outlasts_by_a_moment(2_500, 4_801, false)]
-#[case::outlasts_the_box(2_500, 5_500, false)]
+#[case::fits(2_112, 4_800, true)]
+#[case::outlasts_by_a_moment(2_112, 4_801, false)]
+#[case::outlasts_the_box(2_112, 5_500, false)]
 #[case::late_and_short(4_700, 4_750, true)]
 #[case::late_and_long(4_700, 4_900, false)]
 #[case::after_the_end(5_100, 5_200, false)]
@@ -63,7 +63,7 @@
     let unbounded = PlannedStop::new(at(0), None);
     assert_eq!(unbounded.check(None, at(now)), Ok(()));
     assert_eq!(unbounded.check(Some(at(now + 60_000)), at(now)), Ok(()));
-    assert_eq!((unbounded.half(), unbounded.answer_by(at(now))), (None, None));
+    assert_eq!((unbounded.strict_from(), unbounded.answer_by(at(now))), (None, None));
 }
 
 /// Guards against an end of a very short grace period that lies before its beginning.
@@ -78,15 +78,31 @@
 #[rstest]
 #[case::shorter_than_a_margin(100, 0)]
 #[case::two_margins(400, 0)]
-#[case::three_margins(600, 200)]
-#[case::four_margins(800, 400)]
-#[case::longer(5_000, 2_500)]
-fn the_first_half_ends_two_margins_before_the_end(#[case] grace: u64, #[case] half: u64) {
+#[case::three_margins(600, 78)]
+#[case::four_margins(800, 170)]
+#[case::longer(5_000, 2_112)]
+fn requests_are_accepted_two_margins_before_the_end_at_the_latest(
+    #[case] grace: u64,
+    #[case] strict: u64,
+) {
     let stop = PlannedStop::new(at(0), Some(Duration::from_millis(grace)));
-    assert_eq!(stop.half(), Some(at(half)));
-    let least = Duration::from_millis(half) + ANSWER_MARGIN;
-    assert!(half == 0 || stop.answer_by(at(half)).is_some_and(|by| at(0) + least <= by));
-    assert!(stop.check(None, at(half)).is_err(), "the second half has begun");
+    let from = stop.strict_from().expect("the stop is bounded");
+    assert!(from <= at(strict) && from + Duration::from_millis(1) > at(strict), "{from:?}");
+    let least = Duration::from_millis(strict) + ANSWER_MARGIN;
+    assert!(strict == 0 || stop.answer_by(at(strict)).is_some_and(|by| at(0) + least <= by));
+    assert!(stop.check(None, at(strict)).is_err(), "{from:?}");
+}
+
+/// Guards against requests that are taken late in a stop and given up before their limit.
+#[test]
+fn requests_limited_to_half_of_the_grace_surely_end() {
+    let (grace, limit) = (Duration::from_secs(6), Duration::from_secs(3));
+    let stop = PlannedStop::new(at(0), Some(usable_grace(grace)));
+    for ms in 0..6_000 {
+        let (now, deadline) = (at(ms), at(ms) + limit);
+        let is_certain = stop.answer_by(now).is_some_and(|by| deadline <= by);
+        assert_eq!(stop.check(Some(deadline), now).is_ok(), is_certain, "{ms} ms");
+    }
 }
 
 /// Returns a stop whose signal was noticed 2 s after it may have been sent.
@@ -96,11 +112,11 @@
 
 /// Guards against accepting requests by a signal that may have been sent earlier.
 #[rstest]
-#[case::first_half(2_499, None, true)]
-#[case::half_by_the_earliest_signal(2_500, None, false)]
-#[case::fits(2_500, Some(4_800), true)]
-#[case::outlasts_the_earliest_end(2_500, Some(4_801), false)]
-#[case::ends_before_the_latest_end(2_500, Some(6_800), false)]
+#[case::first_half(2_111, None, true)]
+#[case::half_by_the_earliest_signal(2_112, None, false)]
+#[case::fits(2_112, Some(4_800), true)]
+#[case::outlasts_the_earliest_end(2_112, Some(4_801), false)]
+#[case::ends_before_the_latest_end(2_112, Some(6_800), false)]
 #[case::after_the_earliest_end(5_500, Some(5_600), false)]
 fn requests_are_accepted_by_the_earliest_signal(
     #[case] now: u64,
--- a/crates/honeypulley_proxy/src/stop.rs
+++ b/crates/honeypulley_proxy/src/stop.rs
@@ -101,7 +101,7 @@
 
     /// Waits until a request with this deadline is not accepted any more, or forever.
     pub async fn wait_unfinishable(&self, deadline: Option<Time>, clock: Clock) -> Unfinishable {
-        self.wait_for(PlannedStop::half, clock).await;
+        self.wait_for(PlannedStop::strict_from, clock).await;
         match self.check(deadline, clock.now()) {
             Ok(()) => std::future::pending().await,
             Err(e) => e,
--- a/tools/fleet/tests/stops.rs
+++ b/tools/fleet/tests/stops.rs
@@ -8,7 +8,7 @@
 
 /// Time after SIGTERM within which the process ends.
 const GRACE: Duration = Duration::from_secs(4);
-/// Time from the signal to the second half of the stop, which begins after 1.86 s.
+/// Time from the signal to the second half of the stop, which begins after 1.52 s.
 const SECOND_HALF: Duration = Duration::from_millis(2_400);
 /// Time from the signal to requests of the first half.
 const FIRST_HALF: Duration = Duration::from_millis(1_000);
