Test of the floor while boxes reject requests at an organisation's limit

Where an organisation asks for seven times its limit and upstreams hang in spells, those that hung get nothing for longer than 2 s while more than a tenth of what callers ask is rejected: 0.60 to 0.67 of the sound upstreams have work in two seconds, of 0.7. The last sends were 2.3 to 3.8 s before the window, and the next came 5.4 to 6.3 s after them.

Cause: rejections do not count at services without placement by hazard, and are averaged over 4 s.

--- a/crates/honeypulley_policy/tests/balance/probes.rs
+++ b/crates/honeypulley_policy/tests/balance/probes.rs
@@ -232,3 +232,31 @@
     let tried = failed.iter().filter(|n| probed.contains(*n)).count();
     assert_eq!(tried == failed.len(), is_probed, "{tried} of {} were tried", failed.len());
 }
+
+/// Guards against upstreams that idle while boxes which see few requests reject some of them.
+///
+/// A rejection did not count for services without hazards, and never for a box that saw one in
+/// some seconds. Upstreams that had failed were then avoided for four seconds and longer.
+#[rstest]
+#[case::many_requests(10, 4)]
+#[case::few_requests(1, 1)]
+fn failed_upstreams_get_repeatable_requests_after_two_seconds(
+    #[case] requests: usize,
+    #[case] rejected: usize,
+) {
+    let mut b = balancer(30);
+    let service = b.service("s").expect("service is configured");
+    send(&mut b, 600, 10, true);
+    let failed: Vec<String> = (0..3).map(|i| format!("u{i}")).collect();
+    for name in &failed {
+        b.apply_update(NameId::of("other"), failure(name), Time::from_millis(6_500));
+    }
+    let sent = send(&mut b, 180, 6_510, true);
+    assert!(failed.iter().all(|n| !sent.contains_key(n)), "they failed just before: {sent:?}");
+    let at = Time::from_millis(8_400);
+    (0..requests).for_each(|_| b.record_request(service, at));
+    (0..rejected).for_each(|_| b.record_rejection(service, at));
+    let sent = send(&mut b, 40, 8_510, true);
+    let tried = failed.iter().filter(|n| sent.contains_key(*n)).count();
+    assert_eq!(tried, failed.len(), "they failed two seconds before: {sent:?}");
+}
--- a/crates/honeypulley_policy/tests/load/hall.rs
+++ b/crates/honeypulley_policy/tests/load/hall.rs
@@ -88,6 +88,8 @@
     /// As in the operators' definition of the floor, these are windows in which more than a tenth
     /// and less than half of the requests are lost.
     pub degraded_floor: f64,
+    /// The same over windows that begin every 50 ms instead of every 500 ms.
+    pub sliding_floor: f64,
     /// Most requests that a rate-limited upstream received in four seconds.
     ///
     /// Counted from some time after it first announced its limit.
@@ -151,20 +153,31 @@
 pub fn simulate(plan: Plan, secs: u64) -> Report {
     let until = secs * 1_000;
     let mut hall = Hall::new(plan, until);
-    let mut due = [0.0_f64; 2];
+    let mut due = [0.0_f64; 3];
+    let mut admitted = 0.0;
     for now in (0..until).step_by(STEP_MS as usize) {
         hall.step(now);
-        for (i, rate) in [plan.orders, plan.reads].into_iter().enumerate() {
+        let excess = if plan.overuse.is_active(now) { plan.overuse.rate } else { 0.0 };
+        let admissible = plan.overuse.limit * STEP_MS as f64 / 1e3;
+        admitted = f64::min(admitted + admissible, plan.overuse.limit);
+        for (i, rate) in [plan.orders, plan.reads, excess].into_iter().enumerate() {
             due[i] += rate * STEP_MS as f64 / 1e3;
             while due[i] >= 1.0 {
                 due[i] -= 1.0;
+                let is_rejected = i == 2 && admitted < 1.0;
+                if is_rejected {
+                    hall.reject(now);
+                    continue;
+                }
+                admitted -= f64::from(u8::from(i == 2));
                 hall.arrive(i == 1, now);
             }
         }
     }
-    hall.report.floor = hall.floor(until, |_| true);
-    hall.report.degraded_floor =
-        hall.floor(until, |lost_share| lost_share > 0.1 && lost_share < 0.5);
+    let is_degraded = |lost_share| lost_share > 0.1 && lost_share < 0.5;
+    hall.report.floor = hall.floor(until, 500, |_| true);
+    hall.report.degraded_floor = hall.floor(until, 500, is_degraded);
+    hall.report.sliding_floor = hall.floor(until, 50, is_degraded);
     hall.report.most_in_backoff =
         hall.workers.iter().map(Worker::most_in_backoff).max().unwrap_or(0);
     hall.report.rejected = hall.workers.iter().map(|w| w.rejected).sum();
@@ -211,6 +224,16 @@
         }
     }
 
+    /// Receives a request of the organisation that exceeds its limit, and rejects it.
+    fn reject(&mut self, now: u64) {
+        let (from, at) = (self.rng.usize(..self.plan.boxes), Time::from_millis(now));
+        let b = &mut self.boxes[from];
+        let service = b.service("s").expect("service is configured");
+        b.record_request(service, at);
+        b.record_rejection(service, at);
+        self.outcomes.push((now, false));
+    }
+
     /// Returns the timeout of a request, in ms.
     fn limit(&self) -> u64 {
         if self.plan.fails_after_ms > 0 { self.plan.fails_after_ms } else { TIMEOUT_MS }
@@ -432,7 +455,7 @@
     /// Returns the minimum share of healthy upstreams that received a request in a window.
     ///
     /// Considers windows of two seconds for which `counts` accepts the share of lost requests.
-    fn floor(&self, until: u64, counts: impl Fn(f64) -> bool) -> f64 {
+    fn floor(&self, until: u64, step: usize, counts: impl Fn(f64) -> bool) -> f64 {
         let share = |from: u64| {
             let span = from..from + 2_000;
             let healthy = self.workers.iter().filter(|w| w.was_healthy(span.start, span.end));
@@ -441,7 +464,7 @@
             busy.iter().filter(|b| **b).count() as f64 / healthy.len().max(1) as f64
         };
         let counted = |from: &u64| counts(self.lost_share(&(*from..from + 2_000)));
-        (WARM_UP_MS..until - 2_000).step_by(500).filter(counted).map(share).fold(1.0, f64::min)
+        (WARM_UP_MS..until - 2_000).step_by(step).filter(counted).map(share).fold(1.0, f64::min)
     }
 }
 
--- a/crates/honeypulley_policy/tests/load/main.rs
+++ b/crates/honeypulley_policy/tests/load/main.rs
@@ -4,11 +4,12 @@
 //! every fault, so that the results can be compared with the attainable ones.
 
 mod hall;
+mod overuse;
 mod plan;
 mod worker;
 
 use hall::{Report, simulate};
-use plan::{Datagrams, Partition, Plan, Policy, RateLimits, Shedding};
+use plan::{Datagrams, Overuse, Partition, Plan, Policy, RateLimits, Shedding};
 use rstest::rstest;
 
 /// Simulated seconds per run.
@@ -43,6 +44,7 @@
     partition: Partition { boxes: 0, upstreams: 0 },
     limits: RateLimits { upstreams: 0, rate: 0.0, from: 0 },
     datagrams: Datagrams { lost: 0.0, isolated: 0 },
+    overuse: Overuse { rate: 0.0, limit: 0.0, from: 0, period: 0 },
     seed: 1,
 };
 /// Baseline load in a small fleet, where the floor needs nearly all upstreams.
--- a/crates/honeypulley_policy/tests/load/plan.rs
+++ b/crates/honeypulley_policy/tests/load/plan.rs
@@ -60,6 +60,27 @@
     }
 }
 
+/// An organisation that exceeds its limit, so that boxes reject most of its requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Overuse {
+    /// Requests that it sends to all boxes, per second.
+    pub rate: f64,
+    /// Requests of it that all boxes admit, per second.
+    pub limit: f64,
+    /// Time from which it sends requests, in ms.
+    pub from: u64,
+    /// Interval in ms in which it sends for the first half only, or zero to send at all times.
+    pub period: u64,
+}
+
+impl Overuse {
+    /// Returns whether the organisation sends requests.
+    pub fn is_active(&self, now: u64) -> bool {
+        let Some(elapsed) = now.checked_sub(self.from) else { return false };
+        self.period == 0 || elapsed % self.period < self.period / 2
+    }
+}
+
 /// Parameters of a simulation.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -92,5 +113,6 @@
     pub partition: Partition,
     pub limits: RateLimits,
     pub datagrams: Datagrams,
+    pub overuse: Overuse,
     pub seed: u64,
 }
