--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -4,8 +4,9 @@
 use crate::http::{self, Message};
 use crate::record::Record;
 use crate::store::Store;
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 const SLOTS: usize = 3;
 /// Requests that a worker holds in its queue.
 const QUEUE: usize = 12;
+/// Pieces in which a download is sent; its length is a multiple of them.
+const PIECES: usize = 20;
 
 /// A request that a worker began to run.
 #[derive(Clone, Debug)]
@@ -46,6 +49,9 @@
     busy: Arc<AtomicUsize>,
     answers: Arc<AtomicUsize>,
     load: Arc<Mutex<Option<Box<LoadReport>>>>,
+    /// Length of answers, if they are downloads.
+    download: Option<usize>,
+    is_dark: Arc<AtomicBool>,
 }
 
 impl Worker {
@@ -59,6 +65,23 @@
         id: &str,
         service: &str,
         work: Duration,
+    ) -> Result<Self> {
+        Self::start_with(store, record, id, service, work, None)
+    }
+
+    /// Starts a worker whose answers are downloads of `download` bytes, if that is given.
+    ///
+    /// It sends a download in equal pieces over the time of its work.
+    ///
+    /// # Errors
+    /// Returns an error if no port can be bound.
+    pub fn start_with(
+        store: &Store,
+        record: &Record,
+        id: &str,
+        service: &str,
+        work: Duration,
+        download: Option<usize>,
     ) -> Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let addr = listener.local_addr()?;
@@ -72,6 +95,8 @@
             busy: Arc::default(),
             answers: Arc::default(),
             load: Arc::default(),
+            download,
+            is_dark: Arc::default(),
         };
         let accepting = worker.clone();
         thread::spawn(move || {
@@ -98,6 +123,41 @@
         *self.load.lock().expect("no writer panics") = report;
     }
 
+    /// Makes the worker silent, or brings it back.
+    ///
+    /// What it was doing when it became silent is lost: its connections of that time stay silent.
+    pub fn set_dark(&self, is_dark: bool) {
+        self.is_dark.store(is_dark, Ordering::SeqCst);
+    }
+
+    /// Says nothing more on a connection if the worker is dark.
+    fn check_dark(&self, id: &str) {
+        if self.is_dark.load(Ordering::SeqCst) {
+            self.record.line(&format!("dark     {id} at {}", self.id));
+            // The slot belongs to the lifetime that has ended.
+            self.busy.fetch_sub(1, Ordering::SeqCst);
+            loop {
+                thread::sleep(Duration::from_secs(3_600));
+            }
+        }
+    }
+
+    /// Sends a download in pieces.
+    fn send_download(&self, s: &mut TcpStream, id: &str, own: &str, length: usize) -> Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{own}Server-Seal: {}.{id}\r\nServer-Load: 1,0,{SLOTS}\r\nContent-Length: {length}\r\n\r\n",
+            self.id
+        );
+        s.write_all(head.as_bytes())?;
+        let piece = vec![b'x'; length / PIECES];
+        for _ in 0..PIECES {
+            self.check_dark(id);
+            s.write_all(&piece)?;
+            thread::sleep(self.work / PIECES as u32);
+        }
+        Ok(())
+    }
+
     fn serve(&self, mut s: TcpStream) {
         let _ = s.set_nodelay(true);
         while let Ok(Some(request)) = http::read(&mut s, false) {
@@ -131,6 +191,12 @@
         };
         self.record.line(&format!("run      {id} at {} ({}): {}", self.id, self.service, r.start));
         self.runs.lock().expect("no writer panics").push(run);
+        self.check_dark(id);
+        if let Some(length) = self.download {
+            let sent = self.send_download(s, id, &own, length);
+            self.busy.fetch_sub(1, Ordering::SeqCst);
+            return sent;
+        }
         thread::sleep(self.work);
         let left = self.busy.fetch_sub(1, Ordering::SeqCst) - 1;
         let (running, waiting) = (left.min(SLOTS), left.saturating_sub(SLOTS));
