Log when table and list are in force, and what the list cost

The logs of a start did not show when a box began to serve, from whom it had its list, and how many reads and pulls failed before. One line names these, with the processor time until then; a picture of the whole fleet follows from the lines of all boxes.

--- a/crates/honeypulley_mesh/src/balancer_updater.rs
+++ b/crates/honeypulley_mesh/src/balancer_updater.rs
@@ -5,7 +5,9 @@
 use crate::state::Mesh;
 use async_trait::async_trait;
 use honeypulley_policy::organisations::Organisations;
+use honeypulley_policy::time::Time;
 use honeypulley_proxy::shared::StateUpdater;
+use honeypulley_supervisor::clock::process_cpu_time;
 use parking_lot::Mutex;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -85,8 +87,25 @@
             }
         }
         policy.apply_received(now);
-        if listed && self.mesh.startup.is_pending() && self.mesh.in_force.load().is_some() {
-            self.mesh.startup.mark_complete();
+        if listed
+            && !self.mesh.startup.is_complete()
+            && self.mesh.in_force.load().is_some()
+            && self.mesh.startup.mark_complete()
+        {
+            self.log_startup();
         }
     }
+
+    /// Logs how this box obtained what it needs to serve, and what that cost.
+    fn log_startup(&self) {
+        let load = self.mesh.startup.list_load();
+        let took_ms = self.mesh.now().since(Time::ZERO).as_millis() as u64;
+        log::info!(
+            took_ms, cpu_ms = process_cpu_time().as_millis() as u64,
+            boxes = self.mesh.address_book().count(), upstreams = self.mesh.upstreams(),
+            pages = load.pages, fruitless_pulls = load.fruitless_pulls,
+            failed_pulls = load.failed_pulls, reads = load.reads, failed_reads = load.failed_reads;
+            "startup: table and list are in force"
+        );
+    }
 }
--- a/crates/honeypulley_mesh/src/setup.rs
+++ b/crates/honeypulley_mesh/src/setup.rs
@@ -4,7 +4,7 @@
 //! their requests wait for the platform's answer. If no answer is expected, a request is refused
 //! at once.
 
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -28,19 +28,91 @@
 pub struct Startup {
     stage: AtomicU8,
     changed: Notify,
+    /// Pages of the list pulled from peers.
+    pages: AtomicU32,
+    /// Peers that had no list, or no capacity for a transfer.
+    fruitless_pulls: AtomicU32,
+    failed_pulls: AtomicU32,
+    /// Reads of the list from the platform that were begun.
+    reads: AtomicU32,
+    failed_reads: AtomicU32,
 }
 
 impl Default for Startup {
     fn default() -> Self {
-        Self { stage: AtomicU8::new(Stage::Pending as u8), changed: Notify::new() }
+        Self {
+            stage: AtomicU8::new(Stage::Pending as u8),
+            changed: Notify::new(),
+            pages: AtomicU32::new(0),
+            fruitless_pulls: AtomicU32::new(0),
+            failed_pulls: AtomicU32::new(0),
+            reads: AtomicU32::new(0),
+            failed_reads: AtomicU32::new(0),
+        }
     }
 }
 
+/// How a box has obtained its first list of upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListLoadStats {
+    /// Pages pulled from peers; zero if the list was read from the platform.
+    pub pages: u32,
+    /// Pulls from peers that had no list, or no capacity for a transfer.
+    pub fruitless_pulls: u32,
+    /// Pulls from peers that failed.
+    pub failed_pulls: u32,
+    /// Reads of the platform's list that were begun.
+    pub reads: u32,
+    /// Reads of the platform's list that failed.
+    pub failed_reads: u32,
+}
+
 impl Startup {
     /// Marks the startup as complete: table and list are in force.
-    pub fn mark_complete(&self) {
-        self.stage.store(Stage::Complete as u8, Ordering::Release);
+    ///
+    /// Returns whether it was not complete before.
+    pub fn mark_complete(&self) -> bool {
+        let complete = Stage::Complete as u8;
+        let is_new = self.stage.swap(complete, Ordering::AcqRel) != complete;
         self.changed.notify_waiters();
+        is_new
+    }
+
+    /// Records a list that was pulled from peers in this number of pages.
+    pub fn record_pulled_list(&self, pages: u32) {
+        self.pages.store(pages, Ordering::Relaxed);
+    }
+
+    /// Records a pull from a peer that had no list, or no capacity.
+    pub fn record_fruitless_pull(&self) {
+        self.fruitless_pulls.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records a pull from a peer that failed.
+    pub fn record_failed_pull(&self) {
+        self.failed_pulls.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records that a read of the platform's list begins.
+    pub fn record_read(&self) {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records that a read of the platform's list failed.
+    pub fn record_failed_read(&self) {
+        self.failed_reads.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns how the list has been obtained so far.
+    #[must_use]
+    pub fn list_load(&self) -> ListLoadStats {
+        ListLoadStats {
+            pages: self.pages.load(Ordering::Relaxed),
+            fruitless_pulls: self.fruitless_pulls.load(Ordering::Relaxed),
+            failed_pulls: self.failed_pulls.load(Ordering::Relaxed),
+            reads: self.reads.load(Ordering::Relaxed),
+            failed_reads: self.failed_reads.load(Ordering::Relaxed),
+        }
     }
 
     /// Records that the platform could not provide the table or the list.
@@ -57,6 +129,12 @@
         self.stage.load(Ordering::Acquire) == Stage::Pending as u8
     }
 
+    /// Returns whether table and list are in force.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.stage.load(Ordering::Acquire) == Stage::Complete as u8
+    }
+
     /// Waits until no answer of the platform is expected, for at most 0.4 s.
     pub async fn wait_settled(&self) {
         let changed = async {
--- a/crates/honeypulley_supervisor/src/clock.rs
+++ b/crates/honeypulley_supervisor/src/clock.rs
@@ -36,6 +36,16 @@
     }
 }
 
+/// Returns the processor time that this process has used.
+///
+/// # Panics
+/// Panics if the system lacks `CLOCK_PROCESS_CPUTIME_ID`, which Linux has had since 2.6.12.
+#[must_use]
+pub fn process_cpu_time() -> Duration {
+    let id = ClockId::CLOCK_PROCESS_CPUTIME_ID;
+    clock_gettime(id).expect("Linux has CLOCK_PROCESS_CPUTIME_ID").into()
+}
+
 /// Returns the time since the machine booted, including suspensions.
 ///
 /// # Panics
