--- a/crates/honeypulley_platform/src/api.rs
+++ b/crates/honeypulley_platform/src/api.rs
@@ -50,7 +50,7 @@
 }
 
 /// Consistency of a list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Freshness {
     /// Reflects all writes before the call.
     Latest,
