Boxes without a list pull it from peers, and few read the platform

Causes: each box read the whole list from the store (boxes times upstreams, 24 s of its link at 987 boxes), whatever the number of boxes that did so at the same time. And boxes without a list took the empty list for complete once a reader without a list had announced it, so that none asked a peer for it.

Now a box without a list asks peers for it at intervals of 50 to 400 ms, whatever they announce; eight boxes of the fleet are expected to read the store at once, eight more after two seconds, and then twice as many every four seconds. A box admits a transfer only if its link has capacity for it, so that transfers end soon. A box that does not know the other boxes yet leaves reading to the seeds, as at a first start.

--- /dev/null
+++ b/crates/honeypulley_mesh/src/cold_load.rs
@@ -0,0 +1,128 @@
+//! Schedules by which a box without a list obtains one.
+//!
+//! After a loss of power, all boxes lack the list at once. If each of them read it from the
+//! platform, the load would grow with boxes times upstreams. A few boxes, drawn at random,
+//! read it; the others pull it from peers, and then serve it to further ones. Boxes that were drawn
+//! may fail, so that the draw is repeated.
+
+use honeypulley_policy::time::Time;
+use std::time::Duration;
+
+/// Expected number of boxes that read the list from the platform after each of the first draws.
+///
+/// From the third draw on it doubles, so that boxes that reach no peer get the list as well.
+pub const EXPECTED_READS: f64 = 8.0;
+/// Delay between the first two draws; it doubles with each further one.
+const MIN_DRAW_DELAY: Duration = Duration::from_secs(2);
+/// Maximum delay between draws.
+const MAX_DRAW_DELAY: Duration = Duration::from_secs(4);
+/// Time after a start during which a list that a peer has announced is awaited from peers.
+const PEERS_FIRST_TIME: Duration = Duration::from_secs(5);
+/// Delay after the first failed read; it doubles with each further one.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Maximum delay after a failed read.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Delay between the first two pulls.
+const MIN_PULL_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum interval between pulls.
+const MAX_PULL_INTERVAL: Duration = Duration::from_millis(400);
+/// Factor by which the interval grows with each pull.
+const PULL_INTERVAL_GROWTH: f64 = 1.5;
+
+/// What a box without a list knows of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetView {
+    /// Number of boxes, this one included; `None` if it is not known yet.
+    pub boxes: Option<usize>,
+    /// Whether a peer has announced a list.
+    pub is_list_announced: bool,
+}
+
+/// Decides when a box reads the whole list from the platform.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadSchedule {
+    due: Time,
+    /// Delay until the next draw.
+    delay: Duration,
+    /// Expected number of boxes that the next draw selects.
+    expected: f64,
+    retry_delay: Duration,
+}
+
+impl Default for ReadSchedule {
+    fn default() -> Self {
+        Self {
+            due: Time::ZERO,
+            delay: MIN_DRAW_DELAY,
+            expected: EXPECTED_READS,
+            retry_delay: MIN_RETRY_DELAY,
+        }
+    }
+}
+
+impl ReadSchedule {
+    /// Returns whether to read the list now; `draw` is uniformly random in `0.0..1.0`.
+    ///
+    /// Nothing is drawn until the number of boxes is known, or while a peer is likely to have the
+    /// list.
+    pub fn poll(&mut self, fleet: FleetView, draw: f64, now: Time) -> bool {
+        let awaits_peers = fleet.is_list_announced && now.since(Time::ZERO) < PEERS_FIRST_TIME;
+        let Some(boxes) = fleet.boxes.filter(|_| now >= self.due && !awaits_peers) else {
+            return false;
+        };
+        let probability = self.expected / boxes.max(1) as f64;
+        if self.delay == MAX_DRAW_DELAY {
+            self.expected *= 2.0;
+        }
+        self.due = now + self.delay;
+        self.delay = (self.delay * 2).min(MAX_DRAW_DELAY);
+        draw < probability
+    }
+
+    /// Records that a read failed, after which a few boxes retry soon.
+    ///
+    /// The boxes that retry are drawn anew, since after an outage all of them would read at once.
+    pub fn record_failure(&mut self, draw: f64, now: Time) {
+        self.due = now + self.retry_delay.mul_f64(0.5 + draw);
+        self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
+        (self.delay, self.expected) = (MIN_DRAW_DELAY, EXPECTED_READS);
+    }
+
+    /// Returns the time until the next draw.
+    #[must_use]
+    pub fn wait(&self, now: Time) -> Duration {
+        self.due.since(now)
+    }
+}
+
+/// Decides when a box without a list asks a peer for one.
+#[derive(Clone, Copy, Debug)]
+pub struct PullSchedule {
+    due: Time,
+    interval: Duration,
+}
+
+impl Default for PullSchedule {
+    fn default() -> Self {
+        Self { due: Time::ZERO, interval: MIN_PULL_INTERVAL }
+    }
+}
+
+impl PullSchedule {
+    /// Returns whether to ask a peer now; `draw` is uniformly random in `0.0..1.0`.
+    pub fn poll(&mut self, draw: f64, now: Time) -> bool {
+        if now < self.due {
+            return false;
+        }
+        self.due = now + self.interval.mul_f64(0.5 + draw);
+        self.interval = self.interval.mul_f64(PULL_INTERVAL_GROWTH).min(MAX_PULL_INTERVAL);
+        true
+    }
+
+    /// Returns the time until the next pull.
+    #[must_use]
+    pub fn wait(&self, now: Time) -> Duration {
+        self.due.since(now)
+    }
+}
--- a/crates/honeypulley_mesh/src/join.rs
+++ b/crates/honeypulley_mesh/src/join.rs
@@ -3,6 +3,7 @@
 //! Stale reads are sufficient, also when the whole fleet starts at once: they cost a tenth of a
 //! call and don't count against the platform's rate limit. The readers push all later changes.
 
+use crate::cold_load::ReadSchedule;
 use crate::state::Mesh;
 use crate::store::{MIN_BACKOFF, StoreDuty, back_off};
 use bytes::Bytes;
@@ -22,6 +23,13 @@
 /// The first stale read does not show the boxes that registered in the last seconds.
 const SECOND_READ_DELAY_MS: (u64, u64) = (3_000, 5_000);
 
+/// Time after a start from which requests are no longer held until the list arrives.
+const MAX_PENDING: Duration = Duration::from_secs(1);
+/// Minimum interval between checks whether this box is to read the list.
+const MIN_DRAW_WAIT: Duration = Duration::from_millis(50);
+/// Maximum interval between checks whether this box is to read the list.
+const MAX_DRAW_WAIT: Duration = Duration::from_millis(400);
+
 /// Age up to which a restore may have lost a record; backups are some seconds old.
 const MAX_BACKUP_AGE: Duration = Duration::from_secs(60);
 /// Rate at which all boxes together rewrite records after a restore, in records per second.
@@ -75,15 +83,26 @@
         }
     }
 
-    /// Reads the list of upstreams until this box has one.
+    /// Reads the list of upstreams if this box is drawn to, unless a peer supplies it first.
     async fn load_list(&self) {
-        let (mut wait, mut fresh) = (MIN_BACKOFF, Freshness::Stale);
+        let (mut schedule, mut fresh) = (ReadSchedule::default(), Freshness::Stale);
         while !self.mesh.has_list() {
-            if let Err(e) = self.read_list(fresh).await {
-                fresh = next_freshness(fresh, &e);
+            let fleet = self.mesh.fleet_view();
+            if schedule.poll(fleet, fastrand::f64(), self.mesh.now()) {
+                self.mesh.startup.record_read();
+                if let Err(e) = self.read_list(fresh).await {
+                    fresh = next_freshness(fresh, &e);
+                    schedule.record_failure(fastrand::f64(), self.mesh.now());
+                    self.mesh.startup.record_failed_read();
+                    self.mesh.startup.mark_unavailable();
+                }
+            }
+            let now = self.mesh.now();
+            if now.since(Time::ZERO) > MAX_PENDING {
                 self.mesh.startup.mark_unavailable();
-                back_off(&mut wait).await;
             }
+            let wait = schedule.wait(now).clamp(MIN_DRAW_WAIT, MAX_DRAW_WAIT);
+            let _ = tokio::time::timeout(wait, self.mesh.fleet_wakeup.notified()).await;
         }
     }
 
@@ -149,6 +168,7 @@
         let (key, record) = self.own_record();
         let all = self.platform.list(prefix, Freshness::Stale).await?;
         self.mesh.add_records(&all);
+        self.mesh.record_fleet_known();
         let stored = all.objects.iter().find(|o| o.key == key);
         let epoch = if stored.is_some_and(|o| record.matches(&o.value)) {
             all.version.epoch
--- a/crates/honeypulley_mesh/src/lib.rs
+++ b/crates/honeypulley_mesh/src/lib.rs
@@ -4,8 +4,9 @@
 //! and pull what they lack ([`peers`]). Each box keeps the list of upstreams ([`list`]), the
 //! addresses of the other boxes ([`book`]) and the routing table, and passes them to the serving
 //! thread ([`serving`], [`balancer_updater`]). A box detects gaps in the changes of the list and
-//! requests the missing ones ([`catch_up`]); a digest shows it that its list differs from a reader's
-//! ([`repair`]). Answers to such requests leave part of its link free ([`uplink`]). What a box
+//! requests the missing ones ([`catch_up`]). A box without a list pulls one from a peer; only a few
+//! read it from the platform ([`cold_load`]). A digest shows a box that its list differs from a
+//! reader's ([`repair`]). Answers to such requests leave part of its link free ([`uplink`]). What a box
 //! observes of an upstream is broadcast to all others at once. Operators evacuate data halls through
 //! the platform ([`evacuations`]). A box that reaches no upstream of a service finds others that do
 //! ([`relay_directory`]).
@@ -15,6 +16,7 @@
 pub mod balancer_updater;
 pub mod book;
 pub mod catch_up;
+pub mod cold_load;
 pub mod decoder;
 pub mod epoch;
 pub mod evacuation_watch;
@@ -22,6 +24,7 @@
 pub mod held;
 pub mod join;
 pub mod list;
+pub mod list_assembly;
 pub mod lists;
 pub mod numbers;
 mod over_limit;
--- a/crates/honeypulley_mesh/src/list.rs
+++ b/crates/honeypulley_mesh/src/list.rs
@@ -25,6 +25,7 @@
 use honeypulley_policy::time::Time;
 use row::{Order, Row, State, initial_state};
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound;
 use std::time::Duration;
 
 /// Retention of tombstones, which reject late updates of departed entries.
@@ -462,6 +463,20 @@
         self.rows.iter().map(|(name, row)| row.entry(name, now)).collect()
     }
 
+    /// Returns up to `limit` entries after a name, and whether more follow.
+    #[must_use]
+    pub fn page(&self, after: &str, limit: usize, now: Time) -> (Vec<Entry>, bool) {
+        let mut rows = self.rows.range::<str, _>((Bound::Excluded(after), Bound::Unbounded));
+        let entries = rows.by_ref().take(limit).map(|(name, row)| row.entry(name, now)).collect();
+        (entries, rows.next().is_some())
+    }
+
+    /// Returns whether the list came from a stale read and has not been confirmed since.
+    #[must_use]
+    pub const fn is_stale(&self) -> bool {
+        self.is_stale
+    }
+
     /// Returns the upstreams that are listed or may still return.
     pub fn present(&self) -> impl Iterator<Item = &UpstreamEntry> {
         self.rows.values().filter_map(|r| match &r.state {
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -7,10 +7,12 @@
 
 use crate::catch_up::Source;
 use crate::list::{ListChange, UpstreamList};
+use crate::list_assembly::AssembledList;
 use crate::pending_broadcast::PendingBroadcast;
 use crate::reassembly::Reassembler;
 use crate::state::Mesh;
 use honeypulley_peer::codec::{Beacon, ListUpdate};
+use honeypulley_peer::list_page::{ListPage, PAGE_ENTRIES};
 use honeypulley_peer::listing::{Entry, EntryState, ListSummary};
 use honeypulley_peer::server::{PulledList, Versioned};
 use honeypulley_platform::api::Changes;
@@ -426,6 +428,31 @@
         Versioned { version: lists.list.snapshot_version(), value: lists.list.entries(self.now()) }
     }
 
+    /// Returns a page of the list for a peer that pulls the whole list.
+    ///
+    /// Returns `None` if this box has no list, or if the link has no capacity for a transfer. A
+    /// transfer that `is_admitted` continues.
+    pub(crate) fn list_page(&self, after: &str, is_admitted: bool) -> Option<ListPage> {
+        let now = self.now();
+        let lists = self.lists.lock();
+        let list = &lists.list;
+        let may_send = list.is_loaded()
+            && (is_admitted || self.uplink.lock().admit_transfer(list.entry_count(), now));
+        may_send.then(|| {
+            let (entries, has_more) = list.page(after, PAGE_ENTRIES, now);
+            let (version, is_stale) = (list.snapshot_version(), list.is_stale());
+            ListPage { version, is_stale, has_more, entries }
+        })
+    }
+
+    /// Applies a full list that was assembled from pages of peers.
+    pub(crate) fn apply_assembled_list(&self, list: AssembledList, from: &str) {
+        self.replace(list.version, list.entries, from);
+        if list.is_stale {
+            self.lists.lock().list.mark_stale();
+        }
+    }
+
     /// Returns whether a full list has been applied.
     #[must_use]
     pub fn has_list(&self) -> bool {
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -5,6 +5,8 @@
 mod outbox;
 mod pull;
 
+use crate::cold_load::PullSchedule;
+use crate::list_assembly::ListAssembly;
 use crate::numbers::{DuplicateFilter, SequenceCounter};
 use crate::state::Mesh;
 use crate::update_batch::ReceivedUpdate;
@@ -12,6 +14,7 @@
 use eyre::{Result, WrapErr};
 use futures::future::LocalBoxFuture;
 use honeypulley_peer::codec::{Body, Datagram};
+use honeypulley_peer::list_page::ListPage;
 use honeypulley_peer::listing::BoxAddress;
 use honeypulley_peer::server::{self, PeerView, PulledList, Versioned};
 use honeypulley_peer::socket::receive;
@@ -46,6 +49,10 @@
     outbox: Outbox,
     /// Number of list pulls in progress.
     pulls: Cell<u32>,
+    /// When to ask a peer for the list while this box has none.
+    cold_pulls: RefCell<PullSchedule>,
+    /// Pages of the list received while this box has none.
+    assembly: RefCell<ListAssembly>,
     sequence: RefCell<SequenceCounter>,
     seen: RefCell<DuplicateFilter>,
     /// Boxes that sent a hello and have not been announced yet.
@@ -73,6 +80,8 @@
                 socket,
                 outbox: Outbox::new(),
                 pulls: Cell::new(0),
+                cold_pulls: RefCell::default(),
+                assembly: RefCell::default(),
                 sequence: RefCell::new(SequenceCounter::random_start(&mut fastrand::Rng::new())),
                 seen: RefCell::default(),
                 newcomers: RefCell::default(),
@@ -207,4 +216,8 @@
         // The peer ignores an empty list and asks another box.
         self.0.list_for_peer(after)
     }
+
+    fn list_page(&self, after: &str, is_admitted: bool) -> Option<ListPage> {
+        self.0.list_page(after, is_admitted)
+    }
 }
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -5,6 +5,7 @@
     Actions, LocalList, ORIGIN_PULLS, ORIGIN_REQUESTS, Progress, origin_probability,
     read_probability,
 };
+use crate::list_assembly::{AssembledList, ListAssembly};
 use crate::state::PendingTable;
 use crate::store::fetch_table;
 use crate::tree;
@@ -14,6 +15,7 @@
 use honeypulley_platform::api::Object;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::revision::Revision;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +34,14 @@
 ///
 /// More than one, so that a hanging pull does not delay the next.
 const MAX_LIST_PULLS: u32 = 2;
+/// Timeout for one page of a list.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Maximum number of concurrent pulls while this box has no list.
+const MAX_COLD_PULLS: u32 = 3;
+/// Time without a page after which the list is pulled from another peer as well.
+const TRANSFER_STALL: Duration = Duration::from_millis(400);
+/// Number of known peers of the data hall below which seeds are asked for the list as well.
+const FEW_PEERS: usize = 8;
 /// Maximum random delay before a list that differs is pulled.
 ///
 /// All boxes may differ from the same reader.
@@ -50,6 +60,9 @@
 
     /// Runs the actions that are due; returns the time until the next ones.
     fn catch_up_once(self: &Rc<Self>) -> Duration {
+        if !self.mesh.has_list() {
+            return self.load_list_once().max(MIN_WAIT);
+        }
         let now = self.mesh.now();
         let list = self.mesh.list_status();
         let readers = self.mesh.readers().reader_contact(now);
@@ -67,6 +80,85 @@
         wait.max(MIN_WAIT)
     }
 
+    /// Pulls the list if a pull is due while this box has none; returns the time until the next.
+    fn load_list_once(self: &Rc<Self>) -> Duration {
+        let now = self.mesh.now();
+        let advanced = self.assembly.borrow().advanced();
+        let is_advancing = advanced.is_some_and(|at| now.since(at) < TRANSFER_STALL);
+        let is_busy = self.pulls.get() >= MAX_COLD_PULLS || is_advancing && self.pulls.get() > 0;
+        let mut schedule = self.cold_pulls.borrow_mut();
+        if schedule.poll(fastrand::f64(), now)
+            && !is_busy
+            && let Some(from) = self.cold_source()
+        {
+            self.pull_pages(from);
+        }
+        schedule.wait(now)
+    }
+
+    /// Returns the box to ask for a list while this box has none.
+    fn cold_source(&self) -> Option<SocketAddr> {
+        let announced = self.mesh.catch_up().source().is_some();
+        let book = self.mesh.address_book();
+        if announced && fastrand::f64() < origin_probability(book.count(), ORIGIN_PULLS) {
+            drop(book);
+            return self.pull_source();
+        }
+        let mut peers: Vec<SocketAddr> = book.hall_addresses().collect();
+        if peers.len() < FEW_PEERS {
+            peers.extend(book.addresses());
+            peers.extend(self.mesh.seeds());
+        }
+        fastrand::choice(peers)
+    }
+
+    /// Pulls pages of the list from one box, concurrently with other pulls.
+    fn pull_pages(self: &Rc<Self>, from: SocketAddr) {
+        let node = Rc::clone(self);
+        node.pulls.set(node.pulls.get() + 1);
+        tokio::task::spawn_local(async move {
+            match node.pull_full_list(from, &node.assembly).await {
+                Ok(Some(list)) if !node.mesh.has_list() => {
+                    node.mesh.startup.record_pulled_list(list.pages);
+                    node.mesh.apply_assembled_list(list, &from.to_string());
+                }
+                Ok(Some(_)) => {}
+                Ok(None) => node.mesh.startup.record_fruitless_pull(),
+                Err(e) => {
+                    node.mesh.startup.record_failed_pull();
+                    log::info!("list: not pulled: {e}");
+                }
+            }
+            node.pulls.set(node.pulls.get() - 1);
+            if node.mesh.has_list() {
+                node.assembly.take();
+                node.mesh.query_wakeup.notify_one();
+            }
+        });
+    }
+
+    /// Pulls a list from one box, from the page on that the assembly has reached.
+    ///
+    /// Returns `None` if the box has no list or no capacity.
+    async fn pull_full_list(
+        &self,
+        from: SocketAddr,
+        assembly: &RefCell<ListAssembly>,
+    ) -> Result<Option<AssembledList>, PeerError> {
+        let connect = PeerClient::connect(from, &self.mesh.settings.key);
+        let peer = with_step_timeout(from, "connect", PULL_TIMEOUT, connect).await?;
+        loop {
+            let after = assembly.borrow().cursor().to_owned();
+            let page = peer.list_page(&after);
+            let page = with_step_timeout(from, "list page", PAGE_TIMEOUT, page).await?;
+            let Some(page) = page else { return Ok(None) };
+            let list = assembly.borrow_mut().add(&after, page, self.mesh.now());
+            if list.is_some() {
+                return Ok(list);
+            }
+        }
+    }
+
     fn run_actions(self: &Rc<Self>, actions: Actions, local: LocalList) {
         if actions.ask {
             self.request_changes(local);
@@ -189,8 +281,13 @@
             let Some(reader) = self.mesh.take_repair_source() else { continue };
             let from = self.mesh.address_book().source_address(reader);
             // The lists differ at the same revision, so that changes after it would not suffice.
-            let pull = self.pull_list_from(from, Revision::ZERO);
-            pull_with_timeout("list", from, PULL_TIMEOUT, pull).await;
+            match self.pull_full_list(from, &RefCell::default()).await {
+                Ok(Some(list)) => self.mesh.apply_assembled_list(list, &from.to_string()),
+                Ok(None) => {
+                    log::info!(peer:display = from; "list: {from} has no capacity to send it")
+                }
+                Err(e) => log::info!("list: not pulled: {e}"),
+            }
         }
     }
 
@@ -276,6 +373,17 @@
     }
 }
 
+/// Runs one step of a transfer with a time limit.
+async fn with_step_timeout<T>(
+    peer: SocketAddr,
+    step: &'static str,
+    limit: Duration,
+    call: impl Future<Output = Result<T, PeerError>>,
+) -> Result<T, PeerError> {
+    let timed_out = |_| PeerError { peer, step, cause: "timed out".to_owned() };
+    tokio::time::timeout(limit, call).await.map_err(timed_out)?
+}
+
 /// Awaits a pull for up to `limit`, logging a failure; returns whether it succeeded.
 async fn pull_with_timeout(
     what: &str,
--- a/crates/honeypulley_mesh/src/readers.rs
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -291,6 +291,12 @@
         self.last_beacon.map_or(since(Time::ZERO) > STARTUP_GRACE, |t| since(t) > SILENCE_TIMEOUT)
     }
 
+    /// Returns whether a starting box should still leave reading to the seeds.
+    #[must_use]
+    pub fn is_waiting_for_seeds(&self, now: Time) -> bool {
+        self.last_beacon.is_none() && now.since(Time::ZERO) < STARTUP_GRACE
+    }
+
     /// Returns the reachable readers, whether or not the platform answers them.
     #[must_use]
     pub fn live(&self, now: Time) -> Vec<NameId> {
@@ -318,10 +324,7 @@
     /// Must be called at intervals of [`Readers::decide_interval`]. Returns whether the role
     /// changed.
     pub fn decide(&mut self, boxes: usize, draw: f64, now: Time) -> bool {
-        if self.yields_to_seeds
-            && self.last_beacon.is_none()
-            && now.since(Time::ZERO) < STARTUP_GRACE
-        {
+        if self.yields_to_seeds && self.is_waiting_for_seeds(now) {
             return false;
         }
         let was_reading = self.reading_since.is_some();
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -3,6 +3,7 @@
 use crate::admission::AdmissionView;
 use crate::book::AddressBook;
 use crate::catch_up::CatchUp;
+use crate::cold_load::FleetView;
 use crate::decoder::Decoder;
 use crate::epoch::Epoch;
 use crate::evacuations::Evacuations;
@@ -36,7 +37,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -160,6 +161,8 @@
     pub reread_wakeup: Notify,
     /// Wakes the peer duty when other boxes were found in the store.
     pub hello_wakeup: Notify,
+    /// Wakes the store duty when the number of boxes is known.
+    pub fleet_wakeup: Notify,
     /// Wakes the store duty when this box becomes or ceases to be a reader.
     pub reader_changed: Notify,
     /// Wakes tasks that must reread the platform after a restore.
@@ -168,6 +171,8 @@
     pub table_received: Notify,
     /// Progress of this box's startup.
     pub startup: Startup,
+    /// Set once the platform's records of the boxes have been read.
+    fleet_known: AtomicBool,
     /// Set once the list of upstreams has been received.
     pub list_known: AtomicBool,
     /// Set while the other boxes may not know this box's address.
@@ -236,10 +241,12 @@
             repair_wakeup: Notify::new(),
             reread_wakeup: Notify::new(),
             hello_wakeup: Notify::new(),
+            fleet_wakeup: Notify::new(),
             reader_changed: Notify::new(),
             restore_wakeup: Notify::new(),
             table_received: Notify::new(),
             startup: Startup::default(),
+            fleet_known: AtomicBool::new(false),
             list_known: AtomicBool::new(false),
             unannounced: AtomicBool::new(settings.first_start),
             stop,
@@ -313,6 +320,34 @@
         self.book.lock().upsert(b)
     }
 
+    /// Records that the platform's records of the boxes have been read.
+    pub(crate) fn record_fleet_known(&self) {
+        self.fleet_known.store(true, Ordering::Release);
+        self.fleet_wakeup.notify_one();
+    }
+
+    /// Returns the number of boxes in the fleet, this one included, if it is known.
+    ///
+    /// In the first seconds of a fleet's first start, the platform has few records. A box then
+    /// leaves reading to the seeds.
+    #[must_use]
+    pub fn fleet_size(&self) -> Option<usize> {
+        let settings = &self.settings;
+        let yields = settings.first_start && !settings.is_seed;
+        if !self.fleet_known.load(Ordering::Acquire)
+            || yields && self.readers().is_waiting_for_seeds(self.now())
+        {
+            return None;
+        }
+        Some(self.address_book().count())
+    }
+
+    /// Returns what this box knows of the fleet while it has no list.
+    pub(crate) fn fleet_view(&self) -> FleetView {
+        let is_list_announced = !self.catch_up().newest_announced().is_zero();
+        FleetView { boxes: self.fleet_size(), is_list_announced }
+    }
+
     /// Updates a balancer's view of the boxes that share its fleet-wide counts.
     pub fn update_fleet_scope(&self, balancer: &mut Balancer, now: Time) {
         let book = self.book.lock();
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -95,7 +95,16 @@
         tokio::time::sleep(delay).await;
         let mut was_in_touch = true;
         loop {
-            let in_touch = self.mesh.readers().in_touch(self.mesh.now());
+            let now = self.mesh.now();
+            // A box that does not know the other boxes yet would take itself for one of few.
+            if !self.mesh.settings.is_seed
+                && self.mesh.fleet_size().is_none()
+                && self.mesh.readers().is_waiting_for_seeds(now)
+            {
+                tokio::time::sleep(Duration::from_millis(DECIDE_INTERVAL_MS.0)).await;
+                continue;
+            }
+            let in_touch = self.mesh.readers().in_touch(now);
             if in_touch != was_in_touch {
                 was_in_touch = in_touch;
                 let word = if in_touch { "is known again" } else { "is not known any more" };
--- a/crates/honeypulley_mesh/src/uplink.rs
+++ b/crates/honeypulley_mesh/src/uplink.rs
@@ -15,6 +15,8 @@
 const BURST_TIME: Duration = Duration::from_millis(100);
 /// Average size of an encoded list entry, in bytes.
 const ENTRY_BYTES: usize = 150;
+/// Average size of an entry in a compressed page of the list, in bytes.
+const PAGE_ENTRY_BYTES: usize = 50;
 
 /// Token bucket for the answers of one box.
 ///
@@ -39,13 +41,24 @@
 
     /// Returns whether an answer with this number of list entries may be sent now.
     pub fn admit(&mut self, entries: usize, now: Time) -> bool {
+        self.admit_bytes(entries.max(1) * ENTRY_BYTES, now)
+    }
+
+    /// Returns whether a transfer of this number of list entries may begin now.
+    ///
+    /// A transfer is charged when it begins, so that few run at a time and end soon.
+    pub fn admit_transfer(&mut self, entries: usize, now: Time) -> bool {
+        self.admit_bytes(entries.max(1) * PAGE_ENTRY_BYTES, now)
+    }
+
+    fn admit_bytes(&mut self, bytes: usize, now: Time) -> bool {
         let refill = self.rate * now.since(self.updated).as_secs_f64();
         self.updated = now.max(self.updated);
         self.tokens = (self.tokens + refill).min(self.rate * BURST_TIME.as_secs_f64());
         if self.tokens <= 0.0 {
             return false;
         }
-        self.tokens -= (entries.max(1) * ENTRY_BYTES) as f64;
+        self.tokens -= bytes as f64;
         true
     }
 }
--- a/crates/honeypulley_mesh/tests/boxes/pulls.rs
+++ b/crates/honeypulley_mesh/tests/boxes/pulls.rs
@@ -1,11 +1,13 @@
 //! Pulls of the list from a peer, of which only the missing changes are transferred.
 
-use crate::support::{TestBox, at, key, upstream_object};
+use crate::support::{TestBox, at, key, reader_beacon, upstream_object};
 use honeypulley_peer::client::PeerClient;
+use honeypulley_peer::list_page::{ListPage, PAGE_ENTRIES};
 use honeypulley_peer::server::PulledList;
 use honeypulley_platform::api::Changes;
 use honeypulley_policy::revision::Revision;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 /// Pulls the list of a box after a revision.
 fn pull(from: SocketAddr, after: Revision) -> PulledList {
@@ -51,3 +53,60 @@
     let pulled = pull(b.addr, at(10));
     assert_eq!(pulled.since.unwrap_or(Revision::ZERO), Revision::ZERO, "{pulled:?}");
 }
+
+/// Returns the first page of the list of a box.
+fn first_page(from: SocketAddr) -> Option<ListPage> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime.expect("a runtime can be built"), async {
+        let peer = PeerClient::connect(from, &key()).await.expect("the box accepts");
+        peer.list_page("").await.expect("the box answers")
+    })
+}
+
+#[test]
+fn a_box_without_a_list_sends_no_page() {
+    let b = TestBox::start_empty("a", "hall-a");
+    assert_eq!(first_page(b.addr), None);
+}
+
+/// Guards against boxes that hold nothing and take the lists of each other for complete.
+#[test]
+fn boxes_without_a_list_get_one_from_the_only_box_that_has_it() {
+    let empty: Vec<TestBox> =
+        (0..3).map(|i| TestBox::start_empty(&format!("empty{i}"), "hall-a")).collect();
+    for b in &empty {
+        empty.iter().filter(|o| o.addr != b.addr).for_each(|o| b.add_peer(o, o.addr));
+        // A reader without a list announces that its empty list is current.
+        b.mesh.apply_beacon(empty[0].mesh.id, empty[0].addr, reader_beacon(Revision::ZERO));
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    let full = TestBox::start("full", "hall-a");
+    empty.iter().for_each(|b| b.add_peer(&full, full.addr));
+    let began = Instant::now();
+    while !empty.iter().all(|b| b.mesh.upstreams() == 10) {
+        assert!(began.elapsed() < Duration::from_secs(5), "some boxes have no list");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert!(empty.iter().all(|b| b.mesh.list_status().version == at(10)));
+}
+
+/// A list of several pages arrives whole, with its departed entries.
+#[test]
+fn a_long_list_is_pulled_in_pages() {
+    let full = TestBox::start_empty("full", "hall-a");
+    let count = 2 * PAGE_ENTRIES as u64 + 7;
+    let objects = (0..count).map(|i| upstream_object(&format!("u{i:05}"), "live", i + 1)).collect();
+    let all = Changes { version: at(count), objects, removed: Vec::new() };
+    full.mesh.apply_full_list(&all, "the test");
+    let first = first_page(full.addr).expect("the box has a list");
+    assert_eq!((first.entries.len(), first.has_more), (PAGE_ENTRIES, true));
+    let empty = TestBox::start_empty("empty", "hall-a");
+    empty.add_peer(&full, full.addr);
+    let began = Instant::now();
+    while empty.mesh.upstreams() < count as usize {
+        assert!(began.elapsed() < Duration::from_secs(5), "{} upstreams", empty.mesh.upstreams());
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(empty.mesh.startup.list_load().pages, 3);
+}
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -229,6 +229,11 @@
   }
 }
 
+# Entries of one page of a list.
+struct ListEntries {
+  entries @0 :List(Datagram.Entry);
+}
+
 # Bootstrap interface of a connection. A login with a keyed digest of the challenge returns the
 # authenticated interface.
 interface Gate {
@@ -259,6 +264,12 @@
   upstreams @7 (after :UInt64, afterEpoch :UInt64) -> (version :UInt64,
       entries :List(Datagram.Entry), epoch :UInt64, partial :Bool, since :UInt64,
       sinceEpoch :UInt64);
+  # One page of the list of upstreams, in the order of their names: the entries after the name
+  # `after`, all of them complete up to the version. Not `found` if the box has no list, or no
+  # capacity for a transfer. The entries are a `ListEntries` message, compressed by LZ4 and
+  # preceded by its length in four bytes, least significant first.
+  listPage @8 (after :Text) -> (found :Bool, version :UInt64, epoch :UInt64, stale :Bool,
+      more :Bool, entries :Data);
 
   struct Change {
     bucket @0 :UInt32;
--- a/crates/honeypulley_peer/src/client.rs
+++ b/crates/honeypulley_peer/src/client.rs
@@ -1,6 +1,7 @@
 //! RPC client that fetches data from a peer.
 
 use crate::key::FleetKey;
+use crate::list_page::{ListPage, decompress};
 use crate::listing::read_entries;
 use crate::peer_capnp::{gate, peer};
 use crate::server::{HeldPermits, MAX_PARTS, PulledList, Versioned};
@@ -233,6 +234,37 @@
         with_timeout(self.addr, "upstreams", call).await
     }
 
+    /// Returns the page of the peer's list of upstreams that follows a name.
+    ///
+    /// Returns `None` if the peer has no list, or no capacity for a transfer.
+    ///
+    /// # Errors
+    /// Returns a [`PeerError`] on a time-out or a malformed answer.
+    pub async fn list_page(&self, after: &str) -> Result<Option<ListPage>, PeerError> {
+        let call = async {
+            let mut request = self.peer.list_page_request();
+            request.get().set_after(after);
+            let answer = request.send().promise.await?;
+            let r = answer.get()?;
+            if !r.get_found() {
+                return Ok(None);
+            }
+            Ok::<_, capnp::Error>(Some(ListPage {
+                version: Revision::new(r.get_epoch(), r.get_version()),
+                is_stale: r.get_stale(),
+                has_more: r.get_more(),
+                entries: decompress(r.get_entries()?)?,
+            }))
+        };
+        match with_timeout(self.addr, "list page", call).await? {
+            // The next page would begin at the same name again.
+            Some(p) if p.has_more && p.entries.is_empty() => {
+                Err(self.error("list page", &"an empty page is not the last"))
+            }
+            page => Ok(page),
+        }
+    }
+
     fn error(&self, step: &'static str, cause: &dyn fmt::Display) -> PeerError {
         PeerError { peer: self.addr, step, cause: cause.to_string() }
     }
--- a/crates/honeypulley_peer/src/lib.rs
+++ b/crates/honeypulley_peer/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod codec;
 pub mod key;
+pub mod list_page;
 pub mod listing;
 pub mod requests;
 pub mod server;
--- a/crates/honeypulley_peer/src/server.rs
+++ b/crates/honeypulley_peer/src/server.rs
@@ -1,6 +1,7 @@
 //! RPC server that answers the calls of peers and operators.
 
 use crate::key::FleetKey;
+use crate::list_page::{ListPage, compress};
 use crate::listing::{Entry, write_entries};
 use crate::peer_capnp::{gate, peer};
 use bytes::Bytes;
@@ -11,7 +12,7 @@
 use futures::future::LocalBoxFuture;
 use honeypulley_bundle::parts::{Digest, Manifest};
 use honeypulley_policy::revision::Revision;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Debug;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -101,6 +102,13 @@
     fn upstreams(&self, _: Revision) -> PulledList {
         PulledList::default()
     }
+    /// Returns the page of the list of upstreams that follows a name.
+    ///
+    /// Returns `None` if there is no list, or no capacity for another transfer. Further pages of an
+    /// admitted transfer (`is_admitted`) need no capacity.
+    fn list_page(&self, _after: &str, _is_admitted: bool) -> Option<ListPage> {
+        None
+    }
 }
 
 /// Serves a connection until it closes.
@@ -167,7 +175,7 @@
         if !nonce.is_some_and(|n| self.key.check(&n, proof)) {
             return Err(Error::failed("login refused: the fleet keys differ".to_owned()));
         }
-        let server = PeerServer { view: Rc::clone(&self.view) };
+        let server = PeerServer { view: Rc::clone(&self.view), has_transfer: Cell::new(false) };
         results.get().set_peer(capnp_rpc::new_client(server));
         Ok(())
     }
@@ -176,6 +184,8 @@
 /// Serves authenticated peers from a [`PeerView`].
 struct PeerServer {
     view: Rc<dyn PeerView>,
+    /// Whether a transfer of the list over this connection has been admitted.
+    has_transfer: Cell<bool>,
 }
 
 impl peer::Server for PeerServer {
@@ -293,4 +303,24 @@
         write_entries(r.init_entries(list.entries.len() as u32), &list.entries);
         Ok(())
     }
+
+    async fn list_page(
+        self: Rc<Self>,
+        params: peer::ListPageParams,
+        mut results: peer::ListPageResults,
+    ) -> Result<(), Error> {
+        let after = params.get()?.get_after()?.to_str()?;
+        let Some(page) = self.view.list_page(after, self.has_transfer.get()) else {
+            return Ok(());
+        };
+        self.has_transfer.set(true);
+        let mut r = results.get();
+        r.set_found(true);
+        r.set_version(page.version.number);
+        r.set_epoch(page.version.epoch);
+        r.set_stale(page.is_stale);
+        r.set_more(page.has_more);
+        r.set_entries(&compress(&page.entries));
+        Ok(())
+    }
 }
