--- a/crates/honeypulley_mesh/src/book.rs
+++ b/crates/honeypulley_mesh/src/book.rs
@@ -78,6 +78,7 @@
                 let is_hall_new = known.hall.is_empty() && !b.hall.is_empty();
                 known.addr = b.addr;
                 known.relay_port = b.relay_port.or(known.relay_port);
+                known.fast_link |= b.fast_link;
                 if !b.hall.is_empty() && known.hall != b.hall {
                     move_hall(&mut self.halls, &known.hall, &b.hall);
                     known.hall = b.hall;
@@ -196,6 +197,21 @@
         self.boxes.values().filter(|b| b.hall == self.hall).map(|b| b.addr)
     }
 
+    /// Returns the number of peers with a fast link.
+    #[must_use]
+    pub fn fast_link_count(&self) -> usize {
+        self.boxes.values().filter(|b| b.fast_link).count()
+    }
+
+    /// Returns the addresses of the peers with a fast link, of this data hall if it has any.
+    #[must_use]
+    pub fn fast_link_addresses(&self) -> Vec<SocketAddr> {
+        let fast = || self.boxes.values().filter(|b| b.fast_link);
+        let near: Vec<SocketAddr> =
+            fast().filter(|b| b.hall == self.hall).map(|b| b.addr).collect();
+        if near.is_empty() { fast().map(|b| b.addr).collect() } else { near }
+    }
+
     /// Returns the data hall of this box.
     #[must_use]
     pub fn hall(&self) -> &str {
--- a/crates/honeypulley_mesh/src/cold_load.rs
+++ b/crates/honeypulley_mesh/src/cold_load.rs
@@ -16,7 +16,7 @@
 const MIN_DRAW_DELAY: Duration = Duration::from_secs(2);
 /// Maximum delay between draws.
 const MAX_DRAW_DELAY: Duration = Duration::from_secs(4);
-/// Time after a start during which a list that a peer has announced is awaited from peers.
+/// Time after a start during which the list is awaited from boxes that are likelier to have it.
 const PEERS_FIRST_TIME: Duration = Duration::from_secs(5);
 /// Delay after the first failed read; it doubles with each further one.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -35,10 +35,30 @@
 pub struct FleetView {
     /// Number of boxes, this one included; `None` if it is not known yet.
     pub boxes: Option<usize>,
+    /// Number of other boxes with fast links.
+    pub fast: usize,
+    /// Whether this box has a fast link.
+    pub has_fast_link: bool,
     /// Whether a peer has announced a list.
     pub is_list_announced: bool,
 }
 
+impl FleetView {
+    /// Returns the number of boxes among which the readers are drawn, this one included.
+    ///
+    /// If there are boxes with fast links, only these read at first, since the list is soon at them
+    /// and they serve many others. Returns `None` if this box is not to read.
+    fn candidates(&self, age: Duration) -> Option<usize> {
+        let is_early = age < PEERS_FIRST_TIME;
+        match self.boxes {
+            Some(_) if is_early && self.is_list_announced => None,
+            Some(_) if is_early && self.has_fast_link => Some(self.fast + 1),
+            Some(_) if is_early && self.fast > 0 => None,
+            boxes => boxes,
+        }
+    }
+}
+
 /// Decides when a box reads the whole list from the platform.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadSchedule {
@@ -67,8 +87,8 @@
     /// Nothing is drawn until the number of boxes is known, or while a peer is likely to have the
     /// list.
     pub fn poll(&mut self, fleet: FleetView, draw: f64, now: Time) -> bool {
-        let awaits_peers = fleet.is_list_announced && now.since(Time::ZERO) < PEERS_FIRST_TIME;
-        let Some(boxes) = fleet.boxes.filter(|_| now >= self.due && !awaits_peers) else {
+        let candidates = fleet.candidates(now.since(Time::ZERO));
+        let Some(boxes) = candidates.filter(|_| now >= self.due) else {
             return false;
         };
         let probability = self.expected / boxes.max(1) as f64;
--- a/crates/honeypulley_mesh/src/join.rs
+++ b/crates/honeypulley_mesh/src/join.rs
@@ -45,6 +45,9 @@
     /// Port for relayed requests; records of earlier versions have none.
     #[serde(default)]
     relay: Option<u16>,
+    /// Whether the link is fast; records of earlier versions lack it.
+    #[serde(default)]
+    fast_link: bool,
 }
 
 impl StoreDuty {
@@ -210,7 +213,8 @@
         let settings = &self.mesh.settings;
         let key = format!("{}{}", self.mesh.decoder.keys().box_prefix, settings.name);
         let (peer, hall, relay) = (settings.peer, settings.hall.clone(), settings.relay_port);
-        (key, BoxRecord { peer, hall, relay })
+        let fast_link = settings.has_fast_link();
+        (key, BoxRecord { peer, hall, relay, fast_link })
     }
 
     /// Registers this box with the platform and returns the epoch of its record.
@@ -282,6 +286,7 @@
                         addr: r.peer,
                         hall: r.hall,
                         relay_port: r.relay,
+                        fast_link: r.fast_link,
                     });
                 }
                 Err(e) => log::warn!(key = o.key.as_str(); "join: skipped {name}: {e}"),
--- a/crates/honeypulley_mesh/src/list_assembly.rs
+++ b/crates/honeypulley_mesh/src/list_assembly.rs
@@ -1,6 +1,8 @@
 //! Assembly of a whole list from pages, possibly of several peers.
 //!
-//! A transfer that fails is continued at the page that it had reached. Each page is complete up to
+//! A transfer that fails is continued at the page that it had reached. Pages are passed on to other
+//! boxes as soon as they have arrived, so that a list spreads through a fleet in little more time
+//! than one box needs to receive it. Each page is complete up to
 //! its own version, and therefore the whole list up to the lowest of them; what is newer follows as
 //! changes.
 
@@ -44,6 +46,22 @@
         self.advanced
     }
 
+    /// Returns up to `limit` of the entries received so far after a name, for another box.
+    ///
+    /// Returns `None` if nothing after the name has been received yet.
+    #[must_use]
+    pub fn page(&self, after: &str, limit: usize) -> Option<ListPage> {
+        let list = self.list.as_ref()?;
+        let start = list.entries.partition_point(|e| e.name.as_str() <= after);
+        let entries: Vec<Entry> = list.entries.iter().skip(start).take(limit).cloned().collect();
+        (!entries.is_empty()).then(|| ListPage {
+            version: list.version,
+            is_stale: list.is_stale,
+            has_more: true,
+            entries,
+        })
+    }
+
     /// Adds the page after the name `after`; returns the list once it is whole.
     ///
     /// A page that does not continue the list is ignored. A page of another epoch starts the list
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -430,19 +430,21 @@
 
     /// Returns a page of the list for a peer that pulls the whole list.
     ///
-    /// Returns `None` if this box has no list, or if the link has no capacity for a transfer. A
-    /// transfer that `is_admitted` continues.
+    /// While this box is receiving a list, it passes on the pages that it has. Returns `None` if it
+    /// has none after the name, or if the link has no capacity for a transfer. A transfer that
+    /// `is_admitted` continues.
     pub(crate) fn list_page(&self, after: &str, is_admitted: bool) -> Option<ListPage> {
         let now = self.now();
         let lists = self.lists.lock();
         let list = &lists.list;
-        let may_send = list.is_loaded()
-            && (is_admitted || self.uplink.lock().admit_transfer(list.entry_count(), now));
-        may_send.then(|| {
+        let page = if list.is_loaded() {
             let (entries, has_more) = list.page(after, PAGE_ENTRIES, now);
             let (version, is_stale) = (list.snapshot_version(), list.is_stale());
             ListPage { version, is_stale, has_more, entries }
-        })
+        } else {
+            self.assembly.lock().page(after, PAGE_ENTRIES)?
+        };
+        self.uplink.lock().admit_page(page.entries.len(), is_admitted, now).then_some(page)
     }
 
     /// Applies a full list that was assembled from pages of peers.
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -7,7 +7,6 @@
 mod pull;
 
 use crate::cold_load::PullSchedule;
-use crate::list_assembly::ListAssembly;
 use crate::numbers::{DuplicateFilter, SequenceCounter};
 use crate::state::Mesh;
 use crate::update_batch::ReceivedUpdate;
@@ -53,8 +52,6 @@
     pulls: Cell<u32>,
     /// When to ask a peer for the address book or the list while this box has none.
     cold_pulls: RefCell<PullSchedule>,
-    /// Pages of the list received while this box has none.
-    assembly: RefCell<ListAssembly>,
     sequence: RefCell<SequenceCounter>,
     seen: RefCell<DuplicateFilter>,
     /// Boxes that sent a hello and have not been announced yet.
@@ -83,7 +80,6 @@
                 outbox: Outbox::new(),
                 pulls: Cell::new(0),
                 cold_pulls: RefCell::default(),
-                assembly: RefCell::default(),
                 sequence: RefCell::new(SequenceCounter::random_start(&mut fastrand::Rng::new())),
                 seen: RefCell::default(),
                 newcomers: RefCell::default(),
@@ -140,8 +136,8 @@
         match d.body {
             // Only a hello is certain to come from its sender's own address; any other
             // datagram may have been forwarded by a box of this data hall.
-            Body::Hello { hall, relay_port, wants_book, wants_beliefs } => {
-                let sender = BoxAddress { id: d.sender, addr: from, hall, relay_port };
+            Body::Hello { hall, relay_port, fast_link, wants_book, wants_beliefs } => {
+                let sender = BoxAddress { id: d.sender, addr: from, hall, relay_port, fast_link };
                 let is_new = self.mesh.add_address(sender.clone());
                 self.handle_hello(sender, is_new, wants_book);
                 if wants_beliefs {
--- a/crates/honeypulley_mesh/src/peers/cold.rs
+++ b/crates/honeypulley_mesh/src/peers/cold.rs
@@ -6,6 +6,7 @@
 use super::Node;
 use super::pull::{PAGE_TIMEOUT, with_step_timeout};
 use crate::catch_up::{ORIGIN_PULLS, origin_probability};
+use crate::list_assembly::ListAssembly;
 use honeypulley_peer::client::{PeerClient, PeerError};
 use honeypulley_peer::list_page::BoxAnswer;
 use honeypulley_policy::collector::NameId;
@@ -42,7 +43,7 @@
     /// Asks a peer if that is due; returns the time until the next attempt.
     fn load_once(self: &Rc<Self>) -> Duration {
         let now = self.mesh.now();
-        let advanced = self.assembly.borrow().advanced();
+        let advanced = self.mesh.assembly.lock().advanced();
         let is_advancing = advanced.is_some_and(|at| now.since(at) < TRANSFER_STALL);
         let is_busy = self.pulls.get() >= MAX_PULLS || is_advancing && self.pulls.get() > 0;
         let mut schedule = self.cold_pulls.borrow_mut();
@@ -65,11 +66,14 @@
             peers.extend(book.addresses());
             peers.extend(self.mesh.seeds());
         }
+        let fast = book.fast_link_addresses();
         drop(book);
         if is_announced && asks_origin {
             return self.pull_source();
         }
-        fastrand::choice(peers)
+        // Others may have the list as well, or have it sooner.
+        let asks_fast = fastrand::bool();
+        fastrand::choice(fast).filter(|_| asks_fast).or_else(|| fastrand::choice(peers))
     }
 
     /// Pulls what this box lacks from one peer, concurrently with other pulls.
@@ -83,7 +87,7 @@
             }
             node.pulls.set(node.pulls.get() - 1);
             if node.mesh.has_list() {
-                node.assembly.take();
+                *node.mesh.assembly.lock() = ListAssembly::default();
                 node.mesh.query_wakeup.notify_one();
             }
         });
@@ -97,7 +101,7 @@
         if self.mesh.has_list() {
             return Ok(());
         }
-        match self.pull_list_pages(&peer, from, &self.assembly).await? {
+        match self.pull_list_pages(&peer, from, &self.mesh.assembly).await? {
             Some(list) if !self.mesh.has_list() => {
                 self.mesh.startup.record_pulled_list(list.pages);
                 self.mesh.apply_assembled_list(list, &from.to_string());
--- a/crates/honeypulley_mesh/src/peers/discovery.rs
+++ b/crates/honeypulley_mesh/src/peers/discovery.rs
@@ -149,9 +149,8 @@
     }
 
     fn hello(&self, wants_book: bool, wants_beliefs: bool) -> Body {
-        let s = &self.mesh.settings;
-        let (hall, relay_port) = (s.hall.clone(), s.relay_port);
-        Body::Hello { hall, relay_port, wants_book, wants_beliefs }
+        let BoxAddress { hall, relay_port, fast_link, .. } = self.mesh.own_address();
+        Body::Hello { hall, relay_port, fast_link, wants_book, wants_beliefs }
     }
 
     /// Answers a hello with this box's address, and the whole address book if wanted.
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -15,7 +15,7 @@
 use honeypulley_platform::api::Object;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::revision::Revision;
-use std::cell::RefCell;
+use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -81,7 +81,7 @@
     async fn pull_full_list(
         &self,
         from: SocketAddr,
-        assembly: &RefCell<ListAssembly>,
+        assembly: &Mutex<ListAssembly>,
     ) -> Result<Option<AssembledList>, PeerError> {
         let peer = self.connect(from).await?;
         self.pull_list_pages(&peer, from, assembly).await
@@ -98,14 +98,14 @@
         &self,
         peer: &PeerClient,
         from: SocketAddr,
-        assembly: &RefCell<ListAssembly>,
+        assembly: &Mutex<ListAssembly>,
     ) -> Result<Option<AssembledList>, PeerError> {
         loop {
-            let after = assembly.borrow().cursor().to_owned();
+            let after = assembly.lock().cursor().to_owned();
             let page = peer.list_page(&after);
             let page = with_step_timeout(from, "list page", PAGE_TIMEOUT, page).await?;
             let Some(page) = page else { return Ok(None) };
-            let list = assembly.borrow_mut().add(&after, page, self.mesh.now());
+            let list = assembly.lock().add(&after, page, self.mesh.now());
             if list.is_some() {
                 return Ok(list);
             }
@@ -234,7 +234,7 @@
             let Some(reader) = self.mesh.take_repair_source() else { continue };
             let from = self.mesh.address_book().source_address(reader);
             // The lists differ at the same revision, so that changes after it would not suffice.
-            match self.pull_full_list(from, &RefCell::default()).await {
+            match self.pull_full_list(from, &Mutex::default()).await {
                 Ok(Some(list)) => self.mesh.apply_assembled_list(list, &from.to_string()),
                 Ok(None) => {
                     log::info!(peer:display = from; "list: {from} has no capacity to send it")
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -7,6 +7,7 @@
 use crate::decoder::Decoder;
 use crate::epoch::Epoch;
 use crate::evacuations::Evacuations;
+use crate::list_assembly::ListAssembly;
 use crate::lists::Lists;
 use crate::readers::Readers;
 use crate::relay_directory::RelayDirectory;
@@ -93,6 +94,14 @@
     pub is_seed: bool,
 }
 
+impl MeshSettings {
+    /// Returns whether the link is known to be fast enough to serve many boxes at a time.
+    #[must_use]
+    pub fn has_fast_link(&self) -> bool {
+        self.link_mbps.is_some_and(|l| l >= SLOW_LINK_MBPS)
+    }
+}
+
 /// The newest routing table that this box has received, in stored form.
 #[derive(Clone, Debug, Default)]
 struct HeldTable {
@@ -192,6 +201,8 @@
     pub(crate) admission: Mutex<AdmissionView>,
     book: Mutex<AddressBook>,
     pub(crate) lists: Mutex<Lists>,
+    /// Pages of the list received while this box has none; locked after the list.
+    pub(crate) assembly: Mutex<ListAssembly>,
     readers: Mutex<Readers>,
     table: Mutex<HeldTable>,
     next_table: Mutex<Option<Arc<RouteTable>>>,
@@ -263,6 +274,7 @@
             admission: Mutex::default(),
             book: Mutex::new(AddressBook::new(id, &settings.hall)),
             lists: Mutex::new(Lists::default()),
+            assembly: Mutex::default(),
             catch_up: Mutex::new(CatchUp::new(settings.first_start)),
             repair: Mutex::default(),
             uplink: Mutex::new(UplinkLimiter::new(settings.link_mbps)),
@@ -353,13 +365,11 @@
     pub(crate) fn box_page(&self, after: NameId, is_admitted: bool) -> BoxAnswer {
         let is_known = self.is_fleet_known();
         let (now, book) = (self.now(), self.book.lock());
-        let may_send =
-            is_known && (is_admitted || self.uplink.lock().admit_transfer(book.count(), now));
-        if !may_send {
+        let (rest, has_more) = book.page(after, PAGE_ENTRIES);
+        if !is_known || !self.uplink.lock().admit_page(rest.len(), is_admitted, now) {
             let boxes = [self.own_address()].into_iter().chain(book.sample(BOX_SAMPLE)).collect();
             return BoxAnswer::Sample { is_known, boxes };
         }
-        let (rest, has_more) = book.page(after, PAGE_ENTRIES);
         // The next page is requested by the last id, so that this box's own comes first.
         let own = (after == NameId(0)).then(|| self.own_address());
         BoxAnswer::Page(BoxPage { has_more, boxes: own.into_iter().chain(rest).collect() })
@@ -370,7 +380,7 @@
     pub fn own_address(&self) -> BoxAddress {
         let s = &self.settings;
         let (hall, relay_port) = (s.hall.clone(), s.relay_port);
-        BoxAddress { id: self.id, addr: s.peer, hall, relay_port }
+        BoxAddress { id: self.id, addr: s.peer, hall, relay_port, fast_link: s.has_fast_link() }
     }
 
     /// Returns the number of boxes in the fleet, this one included, if it is known.
@@ -390,7 +400,10 @@
     /// Returns what this box knows of the fleet while it has no list.
     pub(crate) fn fleet_view(&self) -> FleetView {
         let is_list_announced = !self.catch_up().newest_announced().is_zero();
-        FleetView { boxes: self.fleet_size(), is_list_announced }
+        let boxes = self.fleet_size();
+        let fast = self.address_book().fast_link_count();
+        let has_fast_link = self.settings.has_fast_link();
+        FleetView { boxes, fast, has_fast_link, is_list_announced }
     }
 
     /// Updates a balancer's view of the boxes that share its fleet-wide counts.
--- a/crates/honeypulley_mesh/src/uplink.rs
+++ b/crates/honeypulley_mesh/src/uplink.rs
@@ -44,11 +44,17 @@
         self.admit_bytes(entries.max(1) * ENTRY_BYTES, now)
     }
 
-    /// Returns whether a transfer of this number of list entries may begin now.
+    /// Returns whether a page with this number of entries may be sent now.
     ///
-    /// A transfer is charged when it begins, so that few run at a time and end soon.
-    pub fn admit_transfer(&mut self, entries: usize, now: Time) -> bool {
-        self.admit_bytes(entries.max(1) * PAGE_ENTRY_BYTES, now)
+    /// The pages of a transfer that `is_admitted` are only charged for, so that few transfers run at
+    /// a time and each of them ends soon.
+    pub fn admit_page(&mut self, entries: usize, is_admitted: bool, now: Time) -> bool {
+        let bytes = entries.max(1) * PAGE_ENTRY_BYTES;
+        let has_capacity = self.admit_bytes(bytes, now);
+        if is_admitted && !has_capacity {
+            self.tokens -= bytes as f64;
+        }
+        is_admitted || has_capacity
     }
 
     fn admit_bytes(&mut self, bytes: usize, now: Time) -> bool {
--- a/crates/honeypulley_mesh/tests/fleet.rs
+++ b/crates/honeypulley_mesh/tests/fleet.rs
@@ -118,6 +118,7 @@
                 addr: address(i),
                 hall: hall(i),
                 relay_port: None,
+                fast_link: false,
             })
             .collect();
         let sim_box = |i: usize| {
--- a/crates/honeypulley_mesh/tests/uplink.rs
+++ b/crates/honeypulley_mesh/tests/uplink.rs
@@ -32,3 +32,16 @@
     assert!(!limiter.admit(1, Time::from_millis(400)), "the first answer is not paid for yet");
     assert!(limiter.admit(5_000, Time::from_millis(800)));
 }
+
+/// Guards against many transfers at a time over a slow link, of which none ends soon.
+#[test]
+fn a_slow_link_carries_few_transfers_at_a_time() {
+    let mut limiter = UplinkLimiter::new(Some(20.0));
+    let begun = (0..100).filter(|_| limiter.admit_page(1_000, false, Time::ZERO)).count();
+    assert!((1..=4).contains(&begun), "{begun} transfers");
+    for _ in 0..9 {
+        assert!(limiter.admit_page(1_000, true, Time::ZERO), "a transfer that has begun goes on");
+    }
+    assert!(!limiter.admit_page(1_000, false, Time::from_millis(300)), "its pages are charged for");
+    assert!(limiter.admit_page(1_000, false, Time::from_millis(600)));
+}
--- a/crates/honeypulley_peer/schema/peer.capnp
+++ b/crates/honeypulley_peer/schema/peer.capnp
@@ -40,6 +40,8 @@
       wantsBeliefs @34 :Bool;
       # Port on which the sender accepts relayed requests; zero if it accepts none.
       helloRelayPort @49 :UInt16;
+      # Whether the sender's link is fast enough to serve many boxes at a time.
+      helloFastLink @50 :Bool;
     }
     # Boxes that the sender knows.
     book :group {
@@ -113,6 +115,8 @@
     hall @3 :Text;
     # Port on which the box accepts relayed requests; zero if it accepts none or is not known.
     relayPort @4 :UInt16;
+    # Whether the box's link is known to be fast enough to serve many boxes at a time.
+    fastLink @5 :Bool;
   }
 
   struct NewsItem {
--- a/crates/honeypulley_peer/src/codec.rs
+++ b/crates/honeypulley_peer/src/codec.rs
@@ -66,6 +66,8 @@
         hall: String,
         /// Port on which the sender accepts relayed requests, if it does.
         relay_port: Option<u16>,
+        /// Whether the sender's link is known to be fast enough to serve many boxes at a time.
+        fast_link: bool,
         /// Whether to return all boxes that the receiver knows, or the receiver alone.
         wants_book: bool,
         /// Whether to return the health probabilities of upstreams, as needed after a start.
@@ -235,9 +237,10 @@
             Self::Rumour { bundle } => root.init_rumour().set_rumour_bundle(bundle.0),
             Self::Report { service, items } => write_report(root, *service, items),
             Self::Verdict(v) => write_verdict(root, v),
-            Self::Hello { hall, relay_port, wants_book, wants_beliefs } => {
+            Self::Hello { hall, relay_port, fast_link, wants_book, wants_beliefs } => {
                 let mut b = root.init_hello();
                 b.set_hello_relay_port(relay_port.unwrap_or(0));
+                b.set_hello_fast_link(*fast_link);
                 b.set_wants_beliefs(*wants_beliefs);
                 b.set_hello_hall(hall.as_str());
                 b.set_wants_book(*wants_book);
@@ -330,6 +333,7 @@
             Ok(wire::Hello(r)) => Self::Hello {
                 hall: r.get_hello_hall()?.to_string()?,
                 relay_port: Some(r.get_hello_relay_port()).filter(|p| *p > 0),
+                fast_link: r.get_hello_fast_link(),
                 wants_book: r.get_wants_book(),
                 wants_beliefs: r.get_wants_beliefs(),
             },
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -60,6 +60,8 @@
     pub hall: String,
     /// Port on which it accepts relayed requests, if it does and is known to.
     pub relay_port: Option<u16>,
+    /// Whether its link is known to be fast enough to serve many boxes at a time.
+    pub fast_link: bool,
 }
 
 impl BoxAddress {
@@ -138,6 +140,7 @@
         }
         row.set_hall(b.hall.as_str());
         row.set_relay_port(b.relay_port.unwrap_or(0));
+        row.set_fast_link(b.fast_link);
     }
 }
 
@@ -148,7 +151,8 @@
         let addr = SocketAddrV4::new(Ipv4Addr::from(r.get_ip()), r.get_port());
         let hall = r.get_hall()?.to_string()?;
         let relay_port = Some(r.get_relay_port()).filter(|p| *p > 0);
-        Ok(BoxAddress { id: NameId(r.get_id()), addr: addr.into(), hall, relay_port })
+        let (id, fast_link) = (NameId(r.get_id()), r.get_fast_link());
+        Ok(BoxAddress { id, addr: addr.into(), hall, relay_port, fast_link })
     };
     list.iter().map(read).collect()
 }
--- a/crates/honeypulley_peer/src/peer_capnp.rs
+++ b/crates/honeypulley_peer/src/peer_capnp.rs
@@ -278,6 +278,7 @@
             self.builder.set_bool_field(144, false);
             self.builder.set_bool_field(160, false);
             self.builder.set_data_field::<u16>(11, 0u16);
+            self.builder.set_bool_field(161, false);
             self.builder.into()
         }
         #[inline]
@@ -805,6 +806,10 @@
             pub fn get_relay_port(self) -> u16 {
                 self.reader.get_data_field::<u16>(7)
             }
+            #[inline]
+            pub fn get_fast_link(self) -> bool {
+                self.reader.get_bool_field(128)
+            }
         }
 
         pub struct Builder<'a> {
@@ -812,7 +817,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -947,6 +952,14 @@
             pub fn set_relay_port(&mut self, value: u16) {
                 self.builder.set_data_field::<u16>(7, value);
             }
+            #[inline]
+            pub fn get_fast_link(self) -> bool {
+                self.builder.get_bool_field(128)
+            }
+            #[inline]
+            pub fn set_fast_link(&mut self, value: bool) {
+                self.builder.set_bool_field(128, value);
+            }
         }
 
         pub struct Pipeline {
@@ -959,17 +972,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(91, 244, 139, 48, 238, 19, 62, 132),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(76, 103, 206, 105, 250, 105, 6, 145),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -977,42 +990,49 @@
                 ::capnp::word(114, 97, 109, 46, 66, 111, 120, 65),
                 ::capnp::word(100, 100, 114, 101, 115, 115, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 128, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(177, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1054,6 +1074,15 @@
                 ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 97, 115, 116, 76, 105, 110, 107),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -1062,6 +1091,7 @@
                     2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     4 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -1080,9 +1110,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 0, 1, 2, 4];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 3, 0, 1, 2, 4];
             pub(crate) const TYPE_ID: u64 = 0x843e_13ee_308b_f45b;
         }
     }
@@ -5335,6 +5365,10 @@
             pub fn get_hello_relay_port(self) -> u16 {
                 self.reader.get_data_field::<u16>(11)
             }
+            #[inline]
+            pub fn get_hello_fast_link(self) -> bool {
+                self.reader.get_bool_field(161)
+            }
         }
 
         pub struct Builder<'a> {
@@ -5469,6 +5503,14 @@
             pub fn set_hello_relay_port(&mut self, value: u16) {
                 self.builder.set_data_field::<u16>(11, value);
             }
+            #[inline]
+            pub fn get_hello_fast_link(self) -> bool {
+                self.builder.get_bool_field(161)
+            }
+            #[inline]
+            pub fn set_hello_fast_link(&mut self, value: bool) {
+                self.builder.set_bool_field(161, value);
+            }
         }
 
         pub struct Pipeline {
@@ -5481,7 +5523,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(98, 65, 103, 156, 55, 162, 104, 248),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 9, 0),
@@ -5491,42 +5533,49 @@
                 ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
                 ::capnp::word(114, 97, 109, 46, 104, 101, 108, 108),
                 ::capnp::word(111, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 144, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 160, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 106, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 11, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 49, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(121, 0, 0, 0, 122, 0, 0, 0),
+                ::capnp::word(149, 0, 0, 0, 122, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 161, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 114, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(104, 101, 108, 108, 111, 72, 97, 108),
                 ::capnp::word(108, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -5563,6 +5612,15 @@
                 ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 101, 108, 108, 111, 70, 97, 115),
+                ::capnp::word(116, 76, 105, 110, 107, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -5570,6 +5628,7 @@
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5588,9 +5647,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 2, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 0, 3, 2, 1];
             pub(crate) const TYPE_ID: u64 = 0xf868_a237_9c67_4162;
         }
     }
