A load report is a bounded type; an implausible one is ignored

Cause: any finite number was accepted and multiplied into a Duration, which panics; the guard of the attempt then called the policy while it unwound, and its second panic aborted the process.

A report holds numbers from 0 to 1,000,000 and is built by one fallible function. Others are counted, logged and treated as absent. A guard that runs while it unwinds catches a panic of the policy, so that the supervisor can restart the duty.

Tests: malformed and extreme reports, arbitrary numbers and bytes, decisions under the highest report.

--- a/crates/honeypulley_policy/src/balance/signals.rs
+++ b/crates/honeypulley_policy/src/balance/signals.rs
@@ -85,7 +85,7 @@
         let Some(&a) = self.attempts.get(k) else { return SignalChanges::default() };
         if let (Some(load), Some(u)) = (s.load, self.upstreams.get_mut(a.upstream)) {
             // The load report includes the request that it answers.
-            let count = (load.busy - u.hall_in_flight(now)).max(0.0);
+            let count = (load.busy() - u.hall_in_flight(now)).max(0.0);
             u.remote = Some(RemoteLoad { count, at: now });
         }
         let rng = &mut self.rng;
--- a/crates/honeypulley_policy/src/chooser.rs
+++ b/crates/honeypulley_policy/src/chooser.rs
@@ -34,12 +34,45 @@
 }
 
 /// Load that an upstream reported in a response.
+///
+/// Both numbers are finite, not negative and at most [`MAX_LOAD`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadReport {
-    /// Running and queued requests.
-    pub busy: f64,
-    /// Requests that the upstream processes concurrently.
-    pub slots: f64,
+    busy: f64,
+    slots: f64,
+}
+
+/// Highest number of requests or slots in a load report.
+pub const MAX_LOAD: f64 = 1_000_000.0;
+
+/// Number in a load report that is negative, too high or not finite.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+#[error("{0} is not between 0 and 1,000,000")]
+pub struct LoadOutOfRange(pub f64);
+
+impl LoadReport {
+    /// Creates a report of running and queued requests, and of slots.
+    ///
+    /// # Errors
+    /// Returns [`LoadOutOfRange`] if a number is negative, above [`MAX_LOAD`] or not finite.
+    pub fn new(busy: f64, slots: f64) -> Result<Self, LoadOutOfRange> {
+        match [busy, slots].into_iter().find(|n| !(0.0..=MAX_LOAD).contains(n)) {
+            Some(invalid) => Err(LoadOutOfRange(invalid)),
+            None => Ok(Self { busy, slots }),
+        }
+    }
+
+    /// Returns the number of running and queued requests.
+    #[must_use]
+    pub const fn busy(&self) -> f64 {
+        self.busy
+    }
+
+    /// Returns the number of requests that the upstream processes concurrently.
+    #[must_use]
+    pub const fn slots(&self) -> f64 {
+        self.slots
+    }
 }
 
 /// Name and address of an upstream.
--- a/crates/honeypulley_policy/src/router/evidence.rs
+++ b/crates/honeypulley_policy/src/router/evidence.rs
@@ -64,7 +64,7 @@
             return SignalChanges::default();
         };
         if let Some(load) = s.load {
-            self.record_load(upstream, load.busy / load.slots.max(1.0), now);
+            self.record_load(upstream, load.busy() / load.slots().max(1.0), now);
         }
         let Some(u) = self.upstreams.get_mut(upstream) else { return SignalChanges::default() };
         let leaving = s.leaving && !u.is_leaving(now);
--- a/crates/honeypulley_policy/tests/balance/main.rs
+++ b/crates/honeypulley_policy/tests/balance/main.rs
@@ -87,7 +87,7 @@
 
 /// Reports a load, for three slots, in the answer to an attempt.
 fn report_load(b: &mut Balancer, pick: &Pick, busy: f64, now: Time) {
-    let load = Some(LoadReport { busy, slots: 3.0 });
+    let load = LoadReport::new(busy, 3.0).ok();
     b.record_signals(pick.attempt, &Signals { load, ..Signals::default() }, now);
 }
 
--- a/crates/honeypulley_policy/tests/balance/restart_hall.rs
+++ b/crates/honeypulley_policy/tests/balance/restart_hall.rs
@@ -447,7 +447,7 @@
         let outcome = match a.outcome {
             Ok(()) => {
                 b.response_started(a.key, true, at);
-                let load = Some(LoadReport { busy: busy as f64, slots: SLOTS as f64 });
+                let load = LoadReport::new(busy as f64, SLOTS as f64).ok();
                 b.record_signals(a.key, &Signals { load, ..Signals::default() }, at);
                 Outcome::Completed
             }
--- a/crates/honeypulley_policy/tests/balance/signals.rs
+++ b/crates/honeypulley_policy/tests/balance/signals.rs
@@ -1,8 +1,8 @@
 //! Signals that upstreams send in their answers, and how long they apply.
 
-use super::{balancer, info, listed, send};
+use super::{balancer, info, listed, report_load, send};
 use honeypulley_policy::balance::{Balancer, Update, UpstreamEntry};
-use honeypulley_policy::chooser::RoutingPolicy;
+use honeypulley_policy::chooser::{MAX_LOAD, RoutingPolicy};
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::router::{Outcome, Pick, RefusalKind};
 use honeypulley_policy::signals::Signals;
@@ -270,3 +270,23 @@
         b.pick(&info, &[], at(110)).expect_err("one upstream is leaving, the other in backoff");
     assert_eq!(refused.kind, RefusalKind::Backoff);
 }
+
+/// Guards against a panic of the routing policy by the load report of a single upstream.
+#[test]
+fn the_highest_load_report_leaves_all_decisions_possible() {
+    let mut b = balancer(2);
+    let [p, q] = [pick(&mut b, "u0", 0), pick(&mut b, "u1", 0)];
+    for (k, pick) in [p, q].into_iter().enumerate() {
+        report_load(&mut b, &pick, MAX_LOAD, at(10 + k as u64));
+    }
+    let info = info(&b, true);
+    let _ = b.expected_latency(&info, at(20));
+    for i in 0..200 {
+        if let Ok(pick) = b.pick(&info, &[], at(20 + i)) {
+            b.record_in_flight(pick.attempt, at(21 + i));
+            let _ = b.hedge_value(&info, pick.attempt, at(600 + i));
+            b.finish(pick.attempt, Outcome::TimedOut, at(30 + i));
+        }
+        let _ = b.admission(info.service, at(30 + i));
+    }
+}
--- a/crates/honeypulley_policy/tests/priority/fleet.rs
+++ b/crates/honeypulley_policy/tests/priority/fleet.rs
@@ -276,7 +276,7 @@
         let busy = self.work[i].iter().filter(|&&e| e > now).count() as f64;
         let b = &mut self.boxes[r.from];
         if r.end.is_none() {
-            let load = Some(LoadReport { busy: busy + 1.0, slots: SLOTS as f64 });
+            let load = LoadReport::new(busy + 1.0, SLOTS as f64).ok();
             b.record_signals(r.key, &Signals { load, ..Signals::default() }, at);
             b.response_started(r.key, true, at);
         }
--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -82,7 +82,15 @@
         let is_cut = self.outcome == Outcome::Cancelled
             && self.gate.paths.lock().is_partitioned(self.service.id);
         let outcome = if is_cut { Outcome::Partitioned } else { self.outcome };
-        self.gate.policy.lock().finish(self.key, outcome, now);
+        let finish = || self.gate.policy.lock().finish(self.key, outcome, now);
+        if std::thread::panicking() {
+            // A second panic would abort the process, whereas the duty is restarted after one.
+            if std::panic::catch_unwind(std::panic::AssertUnwindSafe(finish)).is_err() {
+                log::error!("attempt: its end was not recorded, the policy panicked");
+            }
+            return;
+        }
+        finish();
         if self.succeeded && self.outcome == Outcome::Completed {
             self.gate.suspects.record_success(self.request, now);
         }
--- a/crates/honeypulley_proxy/src/dialect.rs
+++ b/crates/honeypulley_proxy/src/dialect.rs
@@ -5,7 +5,7 @@
 use crate::gate::RequestOwner;
 use crate::headers;
 use crate::named_limit::{self, InvalidLimit};
-use crate::signals::{self, InvalidBackoff, InvalidShutdown};
+use crate::signals::{self, InvalidBackoff, InvalidLoad, InvalidShutdown};
 use honeypulley_policy::chooser::LoadReport;
 use honeypulley_policy::organisations::KeyDigest;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
@@ -119,22 +119,27 @@
         }
     }
 
-    /// Reads an upstream's load report.
-    #[must_use]
-    pub fn load(&self, h: &HeaderMap) -> Option<LoadReport> {
-        match self.load_format {
-            LoadFormat::Share => {
-                let busy = headers::number::<f64>(h, &self.load).filter(|l| l.is_finite())?;
-                Some(LoadReport { busy, slots: 1.0 })
-            }
-            LoadFormat::Counts => {
-                let text = headers::text(h, &self.load)?;
-                let mut parts = text.split(',').map(|p| p.trim().parse::<f64>().ok());
-                let (running, waiting, slots) = (parts.next()??, parts.next()??, parts.next()??);
-                let report = LoadReport { busy: running + waiting, slots };
-                (report.busy.is_finite() && slots.is_finite()).then_some(report)
+    /// Reads an upstream's load report, if there is one.
+    ///
+    /// # Errors
+    /// Returns an [`InvalidLoad`] if the value is malformed or out of range.
+    pub fn load(&self, h: &HeaderMap) -> Result<Option<LoadReport>, InvalidLoad> {
+        let Some(value) = h.get(&self.load) else { return Ok(None) };
+        let text = signals::text(value);
+        let malformed = || InvalidLoad::Malformed(signals::excerpt(&text));
+        let numbers: Option<Vec<f64>> = text.split(',').map(|p| p.trim().parse().ok()).collect();
+        let numbers = numbers.ok_or_else(malformed)?;
+        let report = match (self.load_format, numbers.as_slice()) {
+            (LoadFormat::Share, &[busy]) => LoadReport::new(busy, 1.0),
+            (LoadFormat::Counts, &[running, waiting, slots, ..]) => {
+                // Each count is checked by itself, so that a negative one can't offset another.
+                LoadReport::new(running, slots)
+                    .and_then(|_| LoadReport::new(waiting, slots))
+                    .and_then(|_| LoadReport::new(running + waiting, slots))
             }
-        }
+            _ => return Err(malformed()),
+        };
+        Ok(Some(report?))
     }
 
     /// Reads the rate limit over all boxes that an upstream advertises, if any.
--- a/crates/honeypulley_proxy/src/signals.rs
+++ b/crates/honeypulley_proxy/src/signals.rs
@@ -5,6 +5,7 @@
 use crate::dialect::Dialect;
 use crate::headers;
 use crate::named_limit::InvalidLimit;
+use honeypulley_policy::chooser::LoadOutOfRange;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 pub(crate) use record::{ReceivedHead, record, record_complete};
 use std::time::Duration;
@@ -34,9 +35,23 @@
     NotSeconds(String),
 }
 
+/// Reason why a load report is ignored.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum InvalidLoad {
+    /// The value is not the expected number of decimal numbers.
+    #[error("load '{0}' is malformed")]
+    Malformed(String),
+    /// A number is out of range.
+    #[error("load: {0}")]
+    OutOfRange(#[from] LoadOutOfRange),
+}
+
 /// Reason why a signal is ignored.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum InvalidSignal {
+    /// The load report is invalid.
+    #[error(transparent)]
+    Load(#[from] InvalidLoad),
     /// The rate limit is invalid.
     #[error(transparent)]
     Limit(#[from] InvalidLimit),
--- a/crates/honeypulley_proxy/src/signals/record.rs
+++ b/crates/honeypulley_proxy/src/signals/record.rs
@@ -30,7 +30,11 @@
     /// Reads all signals and returns the valid ones, and errors for the others.
     fn read(&self, d: &Dialect) -> (Signals, Vec<InvalidSignal>) {
         let mut faults = Vec::new();
-        let mut signals = Signals { load: d.load(self.headers), ..Signals::default() };
+        let mut signals = Signals::default();
+        match d.load(self.headers) {
+            Ok(load) => signals.load = load,
+            Err(fault) => faults.push(fault.into()),
+        }
         match d.limit(self.headers) {
             Ok(limit) => signals.limit = limit,
             Err(fault) => faults.push(fault.into()),
--- a/crates/honeypulley_proxy/tests/signals.rs
+++ b/crates/honeypulley_proxy/tests/signals.rs
@@ -1,9 +1,10 @@
 //! Tests the parsing of shutdown announcements and backoffs in answers.
 
-use honeypulley_proxy::dialect::Dialect;
+use honeypulley_policy::chooser::{LoadReport, MAX_LOAD};
+use honeypulley_proxy::dialect::{Dialect, LoadFormat};
 use honeypulley_proxy::headers;
 use honeypulley_proxy::signals::{
-    InvalidBackoff, InvalidShutdown, MAX_BACKOFF, may_request_backoff, read_backoff,
+    InvalidBackoff, InvalidLoad, InvalidShutdown, MAX_BACKOFF, may_request_backoff, read_backoff,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use proptest::prelude::*;
@@ -27,6 +28,46 @@
     read_backoff(&head(&header::RETRY_AFTER, values))
 }
 
+fn load(format: LoadFormat, value: &str) -> Result<Option<LoadReport>, InvalidLoad> {
+    Dialect::builder().load_format(format).build().load(&head(&headers::LOAD, &[value]))
+}
+
+#[rstest]
+#[case::counts(LoadFormat::Counts, "3,1,8", 4.0, 8.0)]
+#[case::blanks(LoadFormat::Counts, " 3 , 0 , 8 ", 3.0, 8.0)]
+#[case::further_fields(LoadFormat::Counts, "3,1,8,7", 4.0, 8.0)]
+#[case::share(LoadFormat::Share, "0.75", 0.75, 1.0)]
+fn a_load_report_is_read(
+    #[case] format: LoadFormat,
+    #[case] value: &str,
+    #[case] busy: f64,
+    #[case] slots: f64,
+) {
+    let report = LoadReport::new(busy, slots).expect("the numbers are in range");
+    assert_eq!(load(format, value), Ok(Some(report)));
+}
+
+/// Guards against numbers whose product with a duration exceeds its range.
+#[rstest]
+#[case::digits(LoadFormat::Counts, "9999999999999999999999993,0,8")]
+#[case::sum(LoadFormat::Counts, "800000,800000,8")]
+#[case::slots(LoadFormat::Counts, "3,0,99999999999999999999")]
+#[case::negative(LoadFormat::Counts, "-3,4,8")]
+#[case::infinite(LoadFormat::Counts, "inf,0,8")]
+#[case::not_a_number(LoadFormat::Counts, "NaN,0,8")]
+#[case::too_few(LoadFormat::Counts, "3,1")]
+#[case::empty(LoadFormat::Counts, "")]
+#[case::share_of_digits(LoadFormat::Share, "99999999999999999999")]
+#[case::share_of_counts(LoadFormat::Share, "3,1,8")]
+fn an_invalid_load_report_is_rejected(#[case] format: LoadFormat, #[case] value: &str) {
+    assert!(load(format, value).is_err(), "{:?}", load(format, value));
+}
+
+#[test]
+fn an_absent_load_report_is_no_fault() {
+    assert_eq!(Dialect::default().load(&HeaderMap::new()), Ok(None));
+}
+
 #[rstest]
 #[case::none(&[], false)]
 #[case::one(&["1"], true)]
@@ -118,6 +159,7 @@
         for v in &values {
             if let Ok(v) = HeaderValue::from_bytes(v) {
                 h.append(header::RETRY_AFTER, v.clone());
+                h.append(&d.load, v.clone());
                 h.append(&d.leaving, v);
             }
         }
@@ -125,6 +167,16 @@
             prop_assert!(!wait.is_zero() && wait <= MAX_BACKOFF);
         }
         let _ = d.leaving(&h);
+        let _ = d.load(&h);
+    }
+
+    /// Counts of any size yield a report within its range, or none.
+    #[test]
+    fn arbitrary_loads_are_in_range(running in any::<f64>(), waiting in any::<f64>(), slots in any::<f64>()) {
+        if let Ok(Some(report)) = load(LoadFormat::Counts, &format!("{running},{waiting},{slots}")) {
+            prop_assert!((0.0..=MAX_LOAD).contains(&report.busy()));
+            prop_assert!((0.0..=MAX_LOAD).contains(&report.slots()));
+        }
     }
 
     #[test]
