--- a/crates/honeypulley_mesh/src/admin.rs
+++ b/crates/honeypulley_mesh/src/admin.rs
@@ -82,6 +82,8 @@
         let beacon = self.beacon();
         let boxes = self.address_book().count();
         let upstreams = self.upstreams();
+        let (load, (pages_sent, pages_rejected)) =
+            (self.startup.list_load(), self.startup.page_requests());
         let (suspected, held) = (self.suspected_requests(), self.quarantined_requests().len());
         format!(
             "{}honeypulley_boxes {boxes}\nhoneypulley_upstreams {upstreams}\n\
@@ -95,7 +97,14 @@
              honeypulley_routes_unknown_kind {}\n\
              honeypulley_halls_evacuated {}\n\
              honeypulley_services_partitioned {}\n\
-             honeypulley_requests_outranked_total {}\n",
+             honeypulley_requests_outranked_total {}\n\
+             honeypulley_startup_pages {}\n\
+             honeypulley_startup_pulls_fruitless_total {}\n\
+             honeypulley_startup_pulls_failed_total {}\n\
+             honeypulley_startup_reads_total {}\n\
+             honeypulley_startup_reads_failed_total {}\n\
+             honeypulley_list_pages_sent_total {pages_sent}\n\
+             honeypulley_list_pages_rejected_total {pages_rejected}\n",
             self.registry.text(),
             beacon.table,
             beacon.list.number,
@@ -111,6 +120,11 @@
             self.evacuated_halls().len(),
             self.partitioned_services().len(),
             self.outranked.load(Ordering::Relaxed),
+            load.pages,
+            load.fruitless_pulls,
+            load.failed_pulls,
+            load.reads,
+            load.failed_reads,
         )
     }
 
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -444,7 +444,14 @@
         } else {
             self.assembly.lock().page(after, PAGE_ENTRIES)?
         };
-        self.uplink.lock().admit_page(page.entries.len(), is_admitted, now).then_some(page)
+        self.admit_page(page.entries.len(), is_admitted, now).then_some(page)
+    }
+
+    /// Returns whether the link has capacity for a page with this number of entries, and counts it.
+    pub(crate) fn admit_page(&self, entries: usize, is_admitted: bool, now: Time) -> bool {
+        let is_sent = self.uplink.lock().admit_page(entries, is_admitted, now);
+        self.startup.record_page_request(is_sent);
+        is_sent
     }
 
     /// Applies a full list that was assembled from pages of peers.
--- a/crates/honeypulley_mesh/src/setup.rs
+++ b/crates/honeypulley_mesh/src/setup.rs
@@ -36,6 +36,10 @@
     /// Reads of the list from the platform that were begun.
     reads: AtomicU32,
     failed_reads: AtomicU32,
+    /// Pages of the list or the address book sent to peers.
+    pages_sent: AtomicU32,
+    /// Requests for pages that the link had no capacity for.
+    pages_rejected: AtomicU32,
 }
 
 impl Default for Startup {
@@ -48,6 +52,8 @@
             failed_pulls: AtomicU32::new(0),
             reads: AtomicU32::new(0),
             failed_reads: AtomicU32::new(0),
+            pages_sent: AtomicU32::new(0),
+            pages_rejected: AtomicU32::new(0),
         }
     }
 }
@@ -103,6 +109,18 @@
         self.failed_reads.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Records a request of a peer for a page, which was sent unless the link had no capacity.
+    pub fn record_page_request(&self, is_sent: bool) {
+        let counter = if is_sent { &self.pages_sent } else { &self.pages_rejected };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of pages sent to peers, and of those that the link had no capacity for.
+    #[must_use]
+    pub fn page_requests(&self) -> (u32, u32) {
+        (self.pages_sent.load(Ordering::Relaxed), self.pages_rejected.load(Ordering::Relaxed))
+    }
+
     /// Returns how the list has been obtained so far.
     #[must_use]
     pub fn list_load(&self) -> ListLoadStats {
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -366,7 +366,7 @@
         let is_known = self.is_fleet_known();
         let (now, book) = (self.now(), self.book.lock());
         let (rest, has_more) = book.page(after, PAGE_ENTRIES);
-        if !is_known || !self.uplink.lock().admit_page(rest.len(), is_admitted, now) {
+        if !is_known || !self.admit_page(rest.len(), is_admitted, now) {
             let boxes = [self.own_address()].into_iter().chain(book.sample(BOX_SAMPLE)).collect();
             return BoxAnswer::Sample { is_known, boxes };
         }
