Boxes of earlier versions send their list whole, and the near hall is asked first

During a rolling upgrade a new box would have found no peer that knows pages, and would have waited for a draw to read the platform. A peer without that call is asked for its whole list; its address book is read from the platform. A box that got its address book from a seed of another data hall then asks its own hall for the list, since bytes between halls are dear.

--- a/crates/honeypulley_mesh/src/balancer_updater.rs
+++ b/crates/honeypulley_mesh/src/balancer_updater.rs
@@ -7,7 +7,6 @@
 use honeypulley_policy::organisations::Organisations;
 use honeypulley_policy::time::Time;
 use honeypulley_proxy::shared::StateUpdater;
-use honeypulley_supervisor::clock::process_cpu_time;
 use parking_lot::Mutex;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -101,7 +100,7 @@
         let load = self.mesh.startup.list_load();
         let took_ms = self.mesh.now().since(Time::ZERO).as_millis() as u64;
         log::info!(
-            took_ms, cpu_ms = process_cpu_time().as_millis() as u64,
+            took_ms, cpu_ms = self.mesh.startup.cpu_time().as_millis() as u64,
             boxes = self.mesh.address_book().count(), upstreams = self.mesh.upstreams(),
             pages = load.pages, fruitless_pulls = load.fruitless_pulls,
             failed_pulls = load.failed_pulls, reads = load.reads, failed_reads = load.failed_reads;
--- a/crates/honeypulley_mesh/src/list_assembly.rs
+++ b/crates/honeypulley_mesh/src/list_assembly.rs
@@ -54,12 +54,8 @@
         let list = self.list.as_ref()?;
         let start = list.entries.partition_point(|e| e.name.as_str() <= after);
         let entries: Vec<Entry> = list.entries.iter().skip(start).take(limit).cloned().collect();
-        (!entries.is_empty()).then(|| ListPage {
-            version: list.version,
-            is_stale: list.is_stale,
-            has_more: true,
-            entries,
-        })
+        let (version, is_stale) = (list.version, list.is_stale);
+        (!entries.is_empty()).then_some(ListPage { version, is_stale, has_more: true, entries })
     }
 
     /// Adds the page after the name `after`; returns the list once it is whole.
--- a/crates/honeypulley_mesh/src/peers.rs
+++ b/crates/honeypulley_mesh/src/peers.rs
@@ -52,6 +52,8 @@
     pulls: Cell<u32>,
     /// When to ask a peer for the address book or the list while this box has none.
     cold_pulls: RefCell<PullSchedule>,
+    /// Wakes the task that asks peers for them.
+    cold_wakeup: Notify,
     sequence: RefCell<SequenceCounter>,
     seen: RefCell<DuplicateFilter>,
     /// Boxes that sent a hello and have not been announced yet.
@@ -80,6 +82,7 @@
                 outbox: Outbox::new(),
                 pulls: Cell::new(0),
                 cold_pulls: RefCell::default(),
+                cold_wakeup: Notify::new(),
                 sequence: RefCell::new(SequenceCounter::random_start(&mut fastrand::Rng::new())),
                 seen: RefCell::default(),
                 newcomers: RefCell::default(),
--- a/crates/honeypulley_mesh/src/peers/cold.rs
+++ b/crates/honeypulley_mesh/src/peers/cold.rs
@@ -27,8 +27,8 @@
     /// Pulls the address book and the list from peers until this box has both.
     pub(super) async fn load_from_peers(self: &Rc<Self>) {
         while self.lacks_book() || !self.mesh.has_list() {
-            let wait = self.load_once();
-            tokio::time::sleep(wait.max(MIN_WAIT)).await;
+            let wait = self.load_once().max(MIN_WAIT);
+            let _ = tokio::time::timeout(wait, self.cold_wakeup.notified()).await;
         }
         std::future::pending::<()>().await;
     }
@@ -101,6 +101,11 @@
         if self.mesh.has_list() {
             return Ok(());
         }
+        if self.has_nearer_peer(from) {
+            self.cold_pulls.take();
+            self.cold_wakeup.notify_one();
+            return Ok(());
+        }
         match self.pull_list_pages(&peer, from, &self.mesh.assembly).await? {
             Some(list) if !self.mesh.has_list() => {
                 self.mesh.startup.record_pulled_list(list.pages);
@@ -112,6 +117,15 @@
         Ok(())
     }
 
+    /// Returns whether a list should be pulled from this data hall and not from a seed elsewhere.
+    ///
+    /// Before it has the address book, a box knows no others.
+    fn has_nearer_peer(&self, from: SocketAddr) -> bool {
+        let book = self.mesh.address_book();
+        let is_seed = self.mesh.seeds().contains(&from);
+        is_seed && book.hall_addresses().count() > 0 && book.hall_addresses().all(|a| a != from)
+    }
+
     /// Pulls the address book of a peer, or learns of a few other boxes.
     async fn load_book(&self, peer: &PeerClient, from: SocketAddr) -> Result<(), PeerError> {
         let mut after = NameId(0);
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -237,7 +237,7 @@
             match self.pull_full_list(from, &Mutex::default()).await {
                 Ok(Some(list)) => self.mesh.apply_assembled_list(list, &from.to_string()),
                 Ok(None) => {
-                    log::info!(peer:display = from; "list: {from} has no capacity to send it")
+                    log::info!(peer:display = from; "list: {from} has no capacity to send it");
                 }
                 Err(e) => log::info!("list: not pulled: {e}"),
             }
--- a/crates/honeypulley_mesh/src/setup.rs
+++ b/crates/honeypulley_mesh/src/setup.rs
@@ -4,6 +4,7 @@
 //! their requests wait for the platform's answer. If no answer is expected, a request is refused
 //! at once.
 
+use honeypulley_supervisor::clock::process_cpu_time;
 use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -26,6 +27,8 @@
 /// Startup state of a box, on which requests can wait.
 #[derive(Debug)]
 pub struct Startup {
+    /// Processor time of the process when the startup began.
+    cpu_time: Duration,
     stage: AtomicU8,
     changed: Notify,
     /// Pages of the list pulled from peers.
@@ -45,6 +48,7 @@
 impl Default for Startup {
     fn default() -> Self {
         Self {
+            cpu_time: process_cpu_time(),
             stage: AtomicU8::new(Stage::Pending as u8),
             changed: Notify::new(),
             pages: AtomicU32::new(0),
@@ -84,6 +88,12 @@
         is_new
     }
 
+    /// Returns the processor time used since the startup began.
+    #[must_use]
+    pub fn cpu_time(&self) -> Duration {
+        process_cpu_time().saturating_sub(self.cpu_time)
+    }
+
     /// Records a list that was pulled from peers in this number of pages.
     pub fn record_pulled_list(&self, pages: u32) {
         self.pages.store(pages, Ordering::Relaxed);
--- a/crates/honeypulley_peer/src/client.rs
+++ b/crates/honeypulley_peer/src/client.rs
@@ -237,7 +237,8 @@
 
     /// Returns the page of the peer's list of upstreams that follows a name.
     ///
-    /// Returns `None` if the peer has no list, or no capacity for a transfer.
+    /// Returns `None` if the peer has no list, or no capacity for a transfer. A peer of an earlier
+    /// version sends its whole list as the first page.
     ///
     /// # Errors
     /// Returns a [`PeerError`] on a time-out or a malformed answer.
@@ -245,19 +246,26 @@
         let call = async {
             let mut request = self.peer.list_page_request();
             request.get().set_after(after);
-            let answer = request.send().promise.await?;
+            let Some(answer) = supported(request.send().promise.await)? else {
+                return Ok(PageAnswer::Unsupported);
+            };
             let r = answer.get()?;
             if !r.get_found() {
-                return Ok(None);
+                return Ok(PageAnswer::None);
             }
-            Ok::<_, capnp::Error>(Some(ListPage {
+            Ok::<_, capnp::Error>(PageAnswer::Page(ListPage {
                 version: Revision::new(r.get_epoch(), r.get_version()),
                 is_stale: r.get_stale(),
                 has_more: r.get_more(),
                 entries: decompress_entries(r.get_entries()?)?,
             }))
         };
-        match with_timeout(self.addr, "list page", call).await? {
+        let page = match with_timeout(self.addr, "list page", call).await? {
+            PageAnswer::Page(page) => Some(page),
+            PageAnswer::Unsupported if after.is_empty() => self.whole_list().await?,
+            PageAnswer::Unsupported | PageAnswer::None => None,
+        };
+        match page {
             // The next page would begin at the same name again.
             Some(p) if p.has_more && p.entries.is_empty() => {
                 Err(self.error("list page", &"an empty page is not the last"))
@@ -274,7 +282,9 @@
         let call = async {
             let mut request = self.peer.box_page_request();
             request.get().set_after(after.0);
-            let answer = request.send().promise.await?;
+            let Some(answer) = supported(request.send().promise.await)? else {
+                return Ok(BoxAnswer::Sample { is_known: false, boxes: Vec::new() });
+            };
             let r = answer.get()?;
             if !r.get_found() {
                 let boxes = read_boxes(r.get_sample()?)?;
@@ -291,11 +301,35 @@
         }
     }
 
+    /// Returns the peer's whole list as a single page, if it has one.
+    async fn whole_list(&self) -> Result<Option<ListPage>, PeerError> {
+        let PulledList { version, entries, .. } = self.upstreams(Revision::ZERO).await?;
+        let page = ListPage { version, is_stale: false, has_more: false, entries };
+        Ok(Some(page).filter(|p| !p.version.is_zero()))
+    }
+
     fn error(&self, step: &'static str, cause: &dyn fmt::Display) -> PeerError {
         PeerError { peer: self.addr, step, cause: cause.to_string() }
     }
 }
 
+/// Answer to a request for a page of the list.
+enum PageAnswer {
+    Page(ListPage),
+    /// The peer has no list, or no capacity.
+    None,
+    /// The peer's version does not know the call.
+    Unsupported,
+}
+
+/// Returns the result of a call, or `None` if the peer's version does not know the call.
+fn supported<T>(answer: Result<T, capnp::Error>) -> Result<Option<T>, capnp::Error> {
+    match answer {
+        Err(e) if e.kind == capnp::ErrorKind::Unimplemented => Ok(None),
+        answer => answer.map(Some),
+    }
+}
+
 /// Runs one step with the time-out [`PULL_TIME`].
 async fn with_timeout<T, E: fmt::Display>(
     peer: SocketAddr,
--- a/crates/honeypulley_peer/src/list_page.rs
+++ b/crates/honeypulley_peer/src/list_page.rs
@@ -53,7 +53,8 @@
 }
 
 /// Encodes and compresses the entries of a page.
-pub(crate) fn compress_entries(entries: &[Entry]) -> Vec<u8> {
+#[must_use]
+pub fn compress_entries(entries: &[Entry]) -> Vec<u8> {
     let mut message = Builder::new_default();
     let root = message.init_root::<list_entries::Builder<'_>>();
     write_entries(root.init_entries(entries.len() as u32), entries);
@@ -64,14 +65,15 @@
 ///
 /// # Errors
 /// Returns an error if the data is malformed or too large.
-pub(crate) fn decompress_entries(data: &[u8]) -> Result<Vec<Entry>, capnp::Error> {
+pub fn decompress_entries(data: &[u8]) -> Result<Vec<Entry>, capnp::Error> {
     let bytes = decompress(data)?;
     let message = serialize::read_message(bytes.as_slice(), ReaderOptions::new())?;
     read_entries(message.get_root::<list_entries::Reader<'_>>()?.get_entries()?)
 }
 
 /// Encodes and compresses the addresses of a page.
-pub(crate) fn compress_boxes(boxes: &[BoxAddress]) -> Vec<u8> {
+#[must_use]
+pub fn compress_boxes(boxes: &[BoxAddress]) -> Vec<u8> {
     let mut message = Builder::new_default();
     let root = message.init_root::<box_entries::Builder<'_>>();
     write_boxes(root.init_boxes(boxes.len() as u32), boxes);
@@ -82,7 +84,7 @@
 ///
 /// # Errors
 /// Returns an error if the data is malformed or too large.
-pub(crate) fn decompress_boxes(data: &[u8]) -> Result<Vec<BoxAddress>, capnp::Error> {
+pub fn decompress_boxes(data: &[u8]) -> Result<Vec<BoxAddress>, capnp::Error> {
     let bytes = decompress(data)?;
     let message = serialize::read_message(bytes.as_slice(), ReaderOptions::new())?;
     read_boxes(message.get_root::<box_entries::Reader<'_>>()?.get_boxes()?)
