Readers are chosen among the boxes with fast links

Cause: a reader with a tenth of a core and 20 Mbit/s broadcasts to its data hall of 192, and is asked for tables and lists by boxes of all halls. Boxes with slow links already left reading to others, but only once three others of any kind read.

Boxes know from address books whose links are fast. If any are, only readers with fast links count for these; others start to read with a tenth of the probability, and stop once three fast ones read. Test: fleets with 4 of 100 and 11 of 300 fast boxes, of which slow ones read first.

--- a/crates/honeypulley_mesh/src/book.rs
+++ b/crates/honeypulley_mesh/src/book.rs
@@ -203,6 +203,12 @@
         self.boxes.values().filter(|b| b.fast_link).count()
     }
 
+    /// Returns whether a box is known, and not known to have a fast link.
+    #[must_use]
+    pub fn has_slow_link(&self, id: NameId) -> bool {
+        self.boxes.get(&id).is_some_and(|b| !b.fast_link)
+    }
+
     /// Returns the addresses of the peers with a fast link, of this data hall if it has any.
     #[must_use]
     pub fn fast_link_addresses(&self) -> Vec<SocketAddr> {
--- a/crates/honeypulley_mesh/src/readers.rs
+++ b/crates/honeypulley_mesh/src/readers.rs
@@ -58,6 +58,17 @@
 /// The first one to start announces itself at once, which keeps the rest from starting.
 const EXPECTED_STARTS: f64 = 8.0;
 
+/// The boxes among which readers are chosen, as known to one box.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReaderFleet {
+    /// Number of boxes, this one included.
+    pub boxes: usize,
+    /// Number of other boxes that are known to have fast links.
+    pub fast: usize,
+    /// Those of the live readers that are not known to have fast links.
+    pub slow_readers: Vec<NameId>,
+}
+
 /// The last beacon of one reader.
 #[derive(Clone, Copy, Debug)]
 struct ReaderBeacon {
@@ -324,17 +335,28 @@
     /// Must be called at intervals of [`Readers::decide_interval`]. Returns whether the role
     /// changed.
     pub fn decide(&mut self, boxes: usize, draw: f64, now: Time) -> bool {
+        self.decide_among(&ReaderFleet { boxes, ..ReaderFleet::default() }, draw, now)
+    }
+
+    /// As [`Self::decide`]; boxes with fast links are preferred if there are any.
+    ///
+    /// A reader broadcasts to its whole data hall and is asked for tables and lists by many boxes,
+    /// so that one with a slow link falls behind itself.
+    pub fn decide_among(&mut self, fleet: &ReaderFleet, draw: f64, now: Time) -> bool {
         if self.yields_to_seeds && self.is_waiting_for_seeds(now) {
             return false;
         }
         let was_reading = self.reading_since.is_some();
         let no_reader = self.is_silent(now) || self.live(now).is_empty();
-        let fresh = if no_reader { 0 } else { self.fresh(now).count() };
+        let prefers_fast = fleet.fast > 0;
+        let counts = |id: &NameId| !prefers_fast || !fleet.slow_readers.contains(id);
+        let fresh = if no_reader { 0 } else { self.fresh(now).filter(counts).count() };
+        let rank = self.fresh(now).filter(counts).filter(|id| *id < self.me).count();
         if let Some(since) = self.reading_since {
             let is_recent = now.since(since) < MAX_FRESH_AGE && !self.is_read_failing();
             let is_trusted = is_recent || self.read_age(now) < MAX_FRESH_AGE;
             let is_surplus =
-                if is_trusted { self.rank(now) >= TARGET_READERS } else { fresh >= TARGET_READERS };
+                if is_trusted { rank >= TARGET_READERS } else { fresh >= TARGET_READERS };
             let is_yielding =
                 self.slow_link && fresh >= TARGET_READERS && draw < SLOW_LINK_STOP_PROBABILITY;
             if is_surplus || is_yielding {
@@ -342,13 +364,15 @@
             }
         } else if fresh < TARGET_READERS {
             let missing = (TARGET_READERS - fresh) as f64;
-            let boxes = boxes.max(1) as f64;
+            let is_fast = prefers_fast && !self.slow_link;
+            let boxes = if is_fast { fleet.fast + 1 } else { fleet.boxes.max(1) } as f64;
             let probability = if no_reader {
                 MAX_START_PROBABILITY.min(EXPECTED_STARTS / boxes)
             } else {
                 1.5 * missing / boxes
             };
-            let link_factor = if self.slow_link && !no_reader { SLOW_LINK_FACTOR } else { 1.0 };
+            let yields = self.slow_link && (prefers_fast || !no_reader);
+            let link_factor = if yields { SLOW_LINK_FACTOR } else { 1.0 };
             if draw < probability * link_factor {
                 self.reading_since = Some(now);
             }
--- a/crates/honeypulley_mesh/src/state.rs
+++ b/crates/honeypulley_mesh/src/state.rs
@@ -9,7 +9,7 @@
 use crate::evacuations::Evacuations;
 use crate::list_assembly::ListAssembly;
 use crate::lists::Lists;
-use crate::readers::Readers;
+use crate::readers::{ReaderFleet, Readers};
 use crate::relay_directory::RelayDirectory;
 use crate::repair::ListRepair;
 use crate::setup::Startup;
@@ -397,6 +397,18 @@
         Some(self.address_book().count())
     }
 
+    /// Returns the boxes among which readers are chosen.
+    pub(crate) fn reader_fleet(&self) -> ReaderFleet {
+        let live = self.readers().live(self.now());
+        let book = self.address_book();
+        let is_slow = |id: &NameId| book.has_slow_link(*id);
+        ReaderFleet {
+            boxes: book.count(),
+            fast: book.fast_link_count(),
+            slow_readers: live.into_iter().filter(is_slow).collect(),
+        }
+    }
+
     /// Returns what this box knows of the fleet while it has no list.
     pub(crate) fn fleet_view(&self) -> FleetView {
         let is_list_announced = !self.catch_up().newest_announced().is_zero();
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -111,9 +111,9 @@
                 log::warn!(in_touch; "readers: what the platform holds {word} to this box");
             }
             let (changed, reading) = {
-                let boxes = self.mesh.address_book().count();
+                let fleet = self.mesh.reader_fleet();
                 let mut readers = self.mesh.readers();
-                let changed = readers.decide(boxes, fastrand::f64(), self.mesh.now());
+                let changed = readers.decide_among(&fleet, fastrand::f64(), self.mesh.now());
                 (changed, readers.is_reading())
             };
             if changed {
--- a/crates/honeypulley_mesh/tests/readers.rs
+++ b/crates/honeypulley_mesh/tests/readers.rs
@@ -1,6 +1,6 @@
 //! Selection of readers, in simulated time.
 
-use honeypulley_mesh::readers::{BEACON_INTERVAL, Readers, TARGET_READERS};
+use honeypulley_mesh::readers::{BEACON_INTERVAL, ReaderFleet, Readers, TARGET_READERS};
 use honeypulley_peer::codec::Beacon;
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::revision::Revision;
@@ -34,6 +34,8 @@
     isolated: Vec<bool>,
     /// Whether the store answers each box.
     answered: Vec<bool>,
+    /// Whether each box has a fast link.
+    fast: Vec<bool>,
     rng: fastrand::Rng,
     now: u64,
 }
@@ -42,7 +44,28 @@
     fn new(n: usize, seed: u64) -> Self {
         let boxes = (0..n).map(|i| Readers::new(NameId(i as u64 + 1))).collect();
         let rng = fastrand::Rng::with_seed(seed);
-        Self { boxes, isolated: vec![false; n], answered: vec![true; n], rng, now: 0 }
+        let (isolated, answered, fast) = (vec![false; n], vec![true; n], vec![false; n]);
+        Self { boxes, isolated, answered, fast, rng, now: 0 }
+    }
+
+    /// Gives fast links to the last boxes, and slow ones to all others.
+    fn with_fast_links(mut self, count: usize) -> Self {
+        let n = self.boxes.len();
+        for (i, b) in self.boxes.iter_mut().enumerate() {
+            self.fast[i] = i >= n - count;
+            *b = b.clone().with_slow_link(!self.fast[i]);
+        }
+        self
+    }
+
+    /// Returns what a box knows of the others.
+    fn view(&self, i: usize, now: Time) -> ReaderFleet {
+        let live = self.boxes[i].live(now);
+        ReaderFleet {
+            boxes: self.boxes.len(),
+            fast: self.fast.iter().filter(|f| **f).count() - usize::from(self.fast[i]),
+            slow_readers: live.into_iter().filter(|id| !self.fast[id.0 as usize - 1]).collect(),
+        }
     }
 
     fn run(&mut self, ms: u64) {
@@ -59,7 +82,8 @@
                 let due = (self.now + i as u64 * STEP).is_multiple_of(250);
                 if due {
                     let draw = self.rng.f64();
-                    self.boxes[i].decide(n, draw, now);
+                    let fleet = self.view(i, now);
+                    self.boxes[i].decide_among(&fleet, draw, now);
                 }
                 let beacon = self.now.is_multiple_of(BEACON_INTERVAL.as_millis() as u64);
                 if beacon && self.boxes[i].is_reading() && !self.isolated[i] {
@@ -105,6 +129,34 @@
     }
 }
 
+/// Guards against readers whose slow links make them the last to get what they announce.
+#[rstest]
+#[case::few(100, 4)]
+#[case::some(300, 11)]
+fn boxes_with_fast_links_read(#[case] n: usize, #[case] fast: usize) {
+    for seed in 0..10 {
+        let mut f = Fleet::new(n, seed).with_fast_links(fast);
+        // Readers with slow links, with the lowest ids, as they may be after an outage.
+        for i in 0..3 {
+            f.boxes[i].decide(1, 0.0, Time::from_millis(1));
+        }
+        f.run(15_000);
+        let slow = f.readers().iter().filter(|i| !f.fast[**i]).count();
+        assert_eq!((f.working_readers() >= TARGET_READERS, slow), (true, 0), "{:?}", f.readers());
+    }
+}
+
+#[test]
+fn without_boxes_with_fast_links_the_others_read() {
+    for seed in 0..10 {
+        let mut f = Fleet::new(100, seed).with_fast_links(4);
+        f.run(6_000);
+        (96..100).for_each(|i| f.isolated[i] = true);
+        f.run(4_000);
+        assert!(f.working_readers() >= 1, "seed {seed}: no box reads");
+    }
+}
+
 #[test]
 fn failed_readers_are_replaced_within_two_and_a_half_seconds() {
     for seed in 0..20 {
