The deadline of a request also limits the transfer of its answer

Cause: the deadline held until the head of an answer; a longer one was streamed by TrackedBody without any limit.

The body is cut at the deadline, with an error by which the caller sees that it is not whole; the connection to the upstream is dropped. It counts as a time-out of the upstream only if the box was waiting for it. The own daemon's routes keep their meaning (until the head), since their answers may be event streams.

Tests: a body that goes silent and one that trickles are cut; without the deadline both wait forever. Not done: silence noticed before the deadline.

--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -358,6 +358,7 @@
             max_attempts: route.attempts,
             version: table.version,
             buffered: true,
+            limits_answer: true,
             max_body: table.limits.body_bytes,
         })
     }
--- a/crates/honeypulley_proxy/src/body.rs
+++ b/crates/honeypulley_proxy/src/body.rs
@@ -1,16 +1,20 @@
 //! Request and answer bodies that pass through the proxy.
 
 use crate::attempt::{AttemptGuard, innermost};
+use crate::gate::ProxyState;
 use crate::open::OpenGuard;
 use bytes::{Bytes, BytesMut};
 use honeypulley_policy::router::Outcome;
+use honeypulley_policy::time::Time;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use parking_lot::Mutex;
 use salvo::http::ReqBody;
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use tokio::time::Sleep;
 
 /// Longest request body that is buffered for retries, in bytes.
 pub const MAX_BUFFERED: usize = 64 * 1_024;
@@ -267,6 +271,27 @@
     inner: reqwest::Body,
     guard: Option<AttemptGuard>,
     open: OpenGuard,
+    deadline: Option<BodyDeadline>,
+    /// Whether the upstream has yet to send what follows.
+    is_waiting: bool,
+}
+
+/// Time at which an answer that is not whole is cut.
+#[derive(Debug)]
+struct BodyDeadline {
+    at: Time,
+    gate: Arc<ProxyState>,
+    /// Wakes the task; it doesn't count suspensions, unlike the clock.
+    timer: Pin<Box<Sleep>>,
+}
+
+impl BodyDeadline {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.gate.now() >= self.at {
+            return Poll::Ready(());
+        }
+        self.timer.as_mut().poll(cx)
+    }
 }
 
 impl TrackedBody {
@@ -278,7 +303,21 @@
         guard: Option<AttemptGuard>,
         open: OpenGuard,
     ) -> Self {
-        Self { prefix, inner, guard, open }
+        Self { prefix, inner, guard, open, deadline: None, is_waiting: false }
+    }
+
+    /// Cuts the answer at `deadline`, so that the caller notices that it is not whole.
+    ///
+    /// # Panics
+    /// Panics outside of a tokio runtime.
+    #[must_use]
+    pub fn with_deadline(mut self, deadline: Option<Time>, gate: &Arc<ProxyState>) -> Self {
+        self.deadline = deadline.map(|at| BodyDeadline {
+            at,
+            gate: Arc::clone(gate),
+            timer: Box::pin(tokio::time::sleep(at.since(gate.now()))),
+        });
+        self
     }
 
     fn finish(&mut self, outcome: Outcome) {
@@ -300,16 +339,25 @@
 
 impl Body for TrackedBody {
     type Data = Bytes;
-    type Error = reqwest::Error;
+    type Error = std::io::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        if self.deadline.as_mut().is_some_and(|d| d.poll(cx).is_ready()) {
+            let why = "the deadline passed within the answer";
+            self.open.fail(why);
+            // If the upstream has sent everything so far, the caller reads too slowly.
+            let outcome = if self.is_waiting { Outcome::TimedOut } else { Outcome::Cancelled };
+            self.finish(outcome);
+            return Poll::Ready(Some(Err(std::io::Error::new(ErrorKind::TimedOut, why))));
+        }
         if let Some(prefix) = self.prefix.take() {
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
         let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        self.is_waiting = polled.is_pending();
         match &polled {
             // The error is forwarded, so that the caller notices the truncation.
             Poll::Ready(Some(Err(e))) => {
@@ -322,7 +370,7 @@
             }
             _ => {}
         }
-        polled
+        polled.map(|frame| frame.map(|f| f.map_err(std::io::Error::other)))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/honeypulley_proxy/src/gate.rs
+++ b/crates/honeypulley_proxy/src/gate.rs
@@ -98,6 +98,8 @@
     pub version: u64,
     /// Whether short answers are buffered before they are forwarded.
     pub buffered: bool,
+    /// Whether the deadline also limits the transfer of the answer, and not only its head.
+    pub limits_answer: bool,
     /// Longest accepted body, in bytes.
     pub max_body: u64,
 }
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -51,6 +51,15 @@
     _permit: OwnedSemaphorePermit,
 }
 
+/// An upstream's answer to a request.
+struct Answered {
+    answer: Answer,
+    /// The caller's half of an upgrade.
+    on_upgrade: Option<OnUpgrade>,
+    /// Time at which an answer that is not whole is cut.
+    deadline: Option<Time>,
+}
+
 impl ProxyHandler {
     /// Creates the handler with the state of the serving path.
     #[must_use]
@@ -64,13 +73,13 @@
         Self { gate, relayed: Some(Arc::new(Semaphore::new(MAX_RELAYED))) }
     }
 
-    /// Runs a request, and returns its answer with the caller's half of an upgrade.
+    /// Runs a request, and returns its answer.
     async fn run(
         &self,
         req: &mut Request,
         id: &Arc<str>,
         open: OpenKey,
-    ) -> Result<(Answer, Option<OnUpgrade>), LocalAnswer> {
+    ) -> Result<Answered, LocalAnswer> {
         let began = self.gate.now();
         let dialect = &self.gate.dialect;
         check_framing(req)?;
@@ -118,6 +127,7 @@
         self.gate.open.record_accepted(open, accepted);
         let read_failure = source.failure();
         let service = Arc::clone(&decision.service);
+        let answer_deadline = deadline.filter(|_| decision.limits_answer);
         let race = Race {
             gate: Arc::clone(&self.gate),
             decision,
@@ -136,7 +146,7 @@
         })?;
         let took = self.gate.now().since(began);
         self.record_answer(id, &service, answer.head.status, took);
-        Ok((answer, on_upgrade))
+        Ok(Answered { answer, on_upgrade, deadline: answer_deadline })
     }
 
     /// Checks a request that another box relays; returns `None` if this one comes from a caller.
@@ -302,7 +312,13 @@
     }
 
     /// Forwards an upstream's answer to the caller.
-    fn forward(&self, answer: Answer, mut open: OpenGuard, res: &mut Response) {
+    fn forward(
+        &self,
+        answer: Answer,
+        deadline: Option<Time>,
+        mut open: OpenGuard,
+        res: &mut Response,
+    ) {
         let Answer { head, body, guard, .. } = answer;
         let dialect = &self.gate.dialect;
         let mut h = head.headers;
@@ -328,7 +344,8 @@
             AnswerBody::Begun(prefix, rest) => (Some(prefix), rest),
         };
         let rest: http::Response<reqwest::Body> = rest.into();
-        let body = TrackedBody::new(prefix, rest.into_body(), guard, open);
+        let body = TrackedBody::new(prefix, rest.into_body(), guard, open)
+            .with_deadline(deadline, &self.gate);
         res.replace_body(ResBody::Boxed(Box::pin(body.map_err(salvo::BoxedError::from))));
     }
 }
@@ -340,13 +357,13 @@
         let id = self.request_id(req);
         let mut open = OpenGuard::new(&self.gate, Arc::clone(&id));
         match self.run(req, &id, open.key()).await {
-            Ok((answer, on_upgrade)) => {
+            Ok(Answered { answer, on_upgrade, deadline }) => {
                 self.gate.open.record_answer(open.key(), answer.sent.clone());
                 match on_upgrade {
                     Some(caller) if answer.head.status == StatusCode::SWITCHING_PROTOCOLS => {
                         upgrade::relay(&self.gate, caller, answer, id, open, res);
                     }
-                    _ => self.forward(answer, open, res),
+                    _ => self.forward(answer, deadline, open, res),
                 }
             }
             Err(own) => {
--- a/crates/honeypulley_proxy/src/shared.rs
+++ b/crates/honeypulley_proxy/src/shared.rs
@@ -308,6 +308,8 @@
             max_attempts: MAX_ATTEMPTS,
             version: bundle,
             buffered: false,
+            // Answers may be event streams, which have no end.
+            limits_answer: false,
             max_body: u64::MAX,
         })
     }
--- a/crates/honeypulley_proxy/tests/race/open.rs
+++ b/crates/honeypulley_proxy/tests/race/open.rs
@@ -3,12 +3,14 @@
 use crate::support::test_gate;
 use bytes::Bytes;
 use cadence::{MetricSink, StatsdClient};
+use futures::StreamExt;
 use honeypulley_proxy::body::TrackedBody;
 use honeypulley_proxy::gate::ProxyState;
 use honeypulley_proxy::open::{OpenGuard, Recipient, SentAttempt};
 use honeypulley_supervisor::clock::Clock;
 use http_body_util::{BodyExt, StreamBody};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// Keeps all metrics.
 #[derive(Clone, Debug, Default)]
@@ -107,3 +109,37 @@
     drop(answering(&gate, reqwest::Body::from("")));
     assert!(metrics.lines().is_empty(), "{metrics:?}");
 }
+
+/// Guards against answers of upstreams that go silent in the middle and are never ended.
+#[tokio::test]
+async fn an_answer_that_is_not_whole_is_cut_at_its_deadline() {
+    let (gate, metrics) = observed_gate();
+    let half = http_body::Frame::data(Bytes::from_static(b"half"));
+    let frames = futures::stream::iter([Ok::<_, std::io::Error>(half)]);
+    let silent = reqwest::Body::wrap(StreamBody::new(frames.chain(futures::stream::pending())));
+    let deadline = gate.now() + Duration::from_millis(100);
+    let mut answer = answering(&gate, silent).with_deadline(Some(deadline), &gate);
+    assert!(answer.frame().await.is_some_and(|f| f.is_ok()));
+    let next = tokio::time::timeout(Duration::from_millis(600), answer.frame()).await;
+    let cut =
+        next.expect("the answer is ended").expect("the end can't be taken for a whole answer");
+    assert_eq!(cut.map_err(|e| e.kind()).err(), Some(std::io::ErrorKind::TimedOut));
+    drop(answer);
+    assert_eq!((gate.open.count(), metrics.lines().len()), (0, 0));
+}
+
+/// Bytes that trickle are not taken for progress beyond the deadline.
+#[tokio::test]
+async fn an_answer_that_trickles_is_cut_at_its_deadline() {
+    let (gate, _) = observed_gate();
+    let trickle = futures::stream::unfold((), |()| async {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let frame = http_body::Frame::data(Bytes::from_static(b"x"));
+        Some((Ok::<_, std::io::Error>(frame), ()))
+    });
+    let trickle = reqwest::Body::wrap(StreamBody::new(Box::pin(trickle)));
+    let deadline = gate.now() + Duration::from_millis(100);
+    let answer = answering(&gate, trickle).with_deadline(Some(deadline), &gate);
+    let whole = tokio::time::timeout(Duration::from_millis(600), answer.collect()).await;
+    assert!(whole.expect("the answer is ended").is_err());
+}
--- a/crates/honeypulley_proxy/tests/race/support.rs
+++ b/crates/honeypulley_proxy/tests/race/support.rs
@@ -128,6 +128,7 @@
         max_attempts: 1,
         version: 1,
         buffered: false,
+        limits_answer: false,
         max_body: 1_000,
     };
     let out = Outgoing {
