A data hall without a list asks the origin of an announced one as often as intended

The way out, a few boxes that ask the reader which announced a list, was drawn twice (cold_source, then pull_source), so that 16 in 987 of 16 in 987 asked.

The simulation asked readers by a draw of its own before, so that it could not show the fault.

--- a/crates/honeypulley_mesh/src/cold_load.rs
+++ b/crates/honeypulley_mesh/src/cold_load.rs
@@ -5,7 +5,9 @@
 //! read it; the others pull it from peers, and then serve it to further ones. Boxes that were drawn
 //! may fail, so that the draw is repeated.
 
+use crate::catch_up::{ORIGIN_PULLS, origin_probability};
 use honeypulley_policy::time::Time;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Expected number of boxes that read the list from the platform after each of the first draws.
@@ -116,6 +118,32 @@
     }
 }
 
+/// Peers that a box may ask for the address book or the list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PullCandidates {
+    /// Number of boxes, this one included.
+    pub boxes: usize,
+    /// The box that announced the newest list.
+    pub origin: Option<SocketAddr>,
+    /// Boxes with fast links, of this data hall if it has any.
+    pub fast: Vec<SocketAddr>,
+    /// Boxes of this data hall, or all known ones and the seeds if there are few.
+    pub peers: Vec<SocketAddr>,
+}
+
+impl PullCandidates {
+    /// Returns the peer to ask next.
+    ///
+    /// A few boxes of the fleet ask the origin, so that the list reaches each data hall. Half of the
+    /// others ask boxes with fast links.
+    pub fn choose(&self, rng: &mut fastrand::Rng) -> Option<SocketAddr> {
+        let asks_origin = rng.f64() < origin_probability(self.boxes, ORIGIN_PULLS);
+        let origin = self.origin.filter(|_| asks_origin);
+        let fast = rng.choice(&self.fast).filter(|_| rng.bool());
+        origin.or(fast.copied()).or_else(|| rng.choice(&self.peers).copied())
+    }
+}
+
 /// Decides when a box without a list asks a peer for one.
 #[derive(Clone, Copy, Debug)]
 pub struct PullSchedule {
--- a/crates/honeypulley_mesh/src/peers/cold.rs
+++ b/crates/honeypulley_mesh/src/peers/cold.rs
@@ -5,7 +5,7 @@
 
 use super::Node;
 use super::pull::{PAGE_TIMEOUT, with_step_timeout};
-use crate::catch_up::{ORIGIN_PULLS, origin_probability};
+use crate::cold_load::PullCandidates;
 use crate::list_assembly::ListAssembly;
 use honeypulley_peer::client::{PeerClient, PeerError};
 use honeypulley_peer::list_page::BoxAnswer;
@@ -49,31 +49,28 @@
         let mut schedule = self.cold_pulls.borrow_mut();
         if schedule.poll(fastrand::f64(), now)
             && !is_busy
-            && let Some(from) = self.cold_source()
+            && let Some(from) = self.pull_candidates().choose(&mut fastrand::Rng::new())
         {
             self.spawn_load(from);
         }
         schedule.wait(now)
     }
 
-    /// Returns the box to ask.
-    fn cold_source(&self) -> Option<SocketAddr> {
-        let is_announced = self.mesh.catch_up().source().is_some();
+    /// Returns the peers that may be asked.
+    fn pull_candidates(&self) -> PullCandidates {
+        let source = self.mesh.catch_up().source();
         let book = self.mesh.address_book();
-        let asks_origin = fastrand::f64() < origin_probability(book.count(), ORIGIN_PULLS);
         let mut peers: Vec<SocketAddr> = book.hall_addresses().collect();
         if peers.len() < FEW_PEERS {
             peers.extend(book.addresses());
             peers.extend(self.mesh.seeds());
         }
-        let fast = book.fast_link_addresses();
-        drop(book);
-        if is_announced && asks_origin {
-            return self.pull_source();
+        PullCandidates {
+            boxes: book.count(),
+            origin: source.map(|s| book.source_address(s)),
+            fast: book.fast_link_addresses(),
+            peers,
         }
-        // Others may have the list as well, or have it sooner.
-        let asks_fast = fastrand::bool();
-        fastrand::choice(fast).filter(|_| asks_fast).or_else(|| fastrand::choice(peers))
     }
 
     /// Pulls what this box lacks from one peer, concurrently with other pulls.
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -183,7 +183,7 @@
     ///
     /// That is mostly one of this data hall. The origin of the newest version serves a few boxes,
     /// from which it spreads.
-    pub(super) fn pull_source(&self) -> Option<SocketAddr> {
+    fn pull_source(&self) -> Option<SocketAddr> {
         let source = self.mesh.catch_up().source();
         let book = self.mesh.address_book();
         let origin = source.map(|s| book.source_address(s));
--- a/crates/honeypulley_mesh/tests/cold_load.rs
+++ b/crates/honeypulley_mesh/tests/cold_load.rs
@@ -1,12 +1,15 @@
 //! How boxes without a list obtain one: draws, pulls, and pages of several peers.
 
-use honeypulley_mesh::cold_load::{EXPECTED_READS, FleetView, PullSchedule, ReadSchedule};
+use honeypulley_mesh::cold_load::{
+    EXPECTED_READS, FleetView, PullCandidates, PullSchedule, ReadSchedule,
+};
 use honeypulley_mesh::list_assembly::ListAssembly;
 use honeypulley_peer::list_page::ListPage;
 use honeypulley_peer::listing::{Entry, EntryState};
 use honeypulley_policy::revision::Revision;
 use honeypulley_policy::time::Time;
 use rstest::rstest;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 const fn view(boxes: Option<usize>) -> FleetView {
@@ -161,3 +164,30 @@
     assert_eq!((second.entries[0].name.as_str(), second.has_more), ("c", true));
     assert_eq!(assembly.page("c", 2), None, "nothing further has arrived");
 }
+
+/// Guards against a data hall without any box that has the list: it has to come from elsewhere.
+#[rstest]
+#[case(36)]
+#[case(987)]
+#[case(4_600)]
+fn a_few_boxes_of_the_fleet_ask_the_origin_of_a_list(#[case] boxes: usize) {
+    let address = |i: u32| SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + i), 7000));
+    let (origin, fast) = (address(0), vec![address(1), address(2)]);
+    let peers: Vec<SocketAddr> = (1..200).map(address).collect();
+    let candidates = PullCandidates { boxes, origin: Some(origin), fast: fast.clone(), peers };
+    let mut rng = fastrand::Rng::with_seed(5);
+    let draws = 100_000;
+    let chosen: Vec<SocketAddr> = (0..draws).filter_map(|_| candidates.choose(&mut rng)).collect();
+    let share = |wanted: &[SocketAddr]| {
+        chosen.iter().filter(|a| wanted.contains(a)).count() as f64 / f64::from(draws)
+    };
+    let asking = share(&[origin]) * boxes as f64;
+    assert!((12.0..20.0).contains(&asking), "{asking} of {boxes} boxes ask the origin");
+    let to_fast = share(&fast) / (1.0 - share(&[origin]));
+    assert!((0.45..0.55).contains(&to_fast), "{to_fast} ask boxes with fast links");
+}
+
+#[test]
+fn a_box_that_knows_nobody_asks_nobody() {
+    assert_eq!(PullCandidates::default().choose(&mut fastrand::Rng::with_seed(1)), None);
+}
--- a/crates/honeypulley_mesh/tests/fleet_restart.rs
+++ b/crates/honeypulley_mesh/tests/fleet_restart.rs
@@ -4,13 +4,13 @@
 //! are queues; each box has ten upstreams, 3.5 % of the boxes have fast links, and all start within
 //! a second. Run with `--nocapture` for the figures.
 
-use honeypulley_mesh::catch_up::{ORIGIN_PULLS, origin_probability};
-use honeypulley_mesh::cold_load::{FleetView, PullSchedule, ReadSchedule};
+use honeypulley_mesh::cold_load::{FleetView, PullCandidates, PullSchedule, ReadSchedule};
 use honeypulley_mesh::uplink::UplinkLimiter;
 use honeypulley_policy::time::Time;
 use rstest::rstest;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::ops::Range;
 use std::time::Duration;
 
@@ -44,6 +44,15 @@
 /// Time within which service has to be back in the strictest deployment.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 
+fn address(i: usize) -> SocketAddr {
+    (Ipv4Addr::from(0x0a00_0000 + i as u32), 7000).into()
+}
+
+fn index(a: SocketAddr) -> usize {
+    let SocketAddr::V4(a) = a else { panic!("all addresses are IPv4") };
+    (u32::from(*a.ip()) - 0x0a00_0000) as usize
+}
+
 /// A link that sends one message after the other.
 #[derive(Clone, Copy)]
 struct Link {
@@ -214,19 +223,7 @@
         }
         let b = &mut self.boxes[who];
         if b.pulls.poll(self.rng.f64(), age) && !b.is_receiving {
-            let hall = who % HALLS;
-            let asks_reader = self.rng.f64() < origin_probability(total, ORIGIN_PULLS);
-            let peer = if announced && asks_reader {
-                self.rng.usize(READERS)
-            } else if b.has_book && self.has_fast_links && self.rng.bool() {
-                let of_hall = FAST_EVERY * HALLS;
-                (hall * FAST_EVERY + of_hall * self.rng.usize(..total.div_ceil(of_hall))) % total
-            } else if b.has_book {
-                hall + HALLS * self.rng.usize(..total / HALLS)
-            } else {
-                let known: Vec<usize> = b.known.iter().copied().chain(0..SEEDS).collect();
-                self.rng.choice(known).expect("there are seeds")
-            };
+            let peer = self.choose_peer(who);
             if peer != who {
                 self.schedule(now + PEER_CALL, peer, Event::Asked { by: who, is_admitted: false });
             }
@@ -236,6 +233,26 @@
         self.schedule(now + wait, who, Event::Poll);
     }
 
+    /// Chooses the box to ask, as the product does with what the box knows.
+    fn choose_peer(&mut self, who: usize) -> usize {
+        let (total, hall) = (self.boxes.len(), who % HALLS);
+        let in_hall = (hall..total).step_by(HALLS).filter(|i| *i != who);
+        let (fast, peers): (Vec<usize>, Vec<usize>) = if self.boxes[who].has_book {
+            let is_fast = |i: &usize| self.boxes[*i].link.mbps > SLOW_MBPS;
+            (in_hall.clone().filter(is_fast).collect(), in_hall.collect())
+        } else {
+            (Vec::new(), self.boxes[who].known.iter().copied().chain(0..SEEDS).collect())
+        };
+        let announced = self.is_announced.then(|| self.rng.usize(READERS));
+        let candidates = PullCandidates {
+            boxes: if self.boxes[who].has_book { total } else { peers.len() },
+            origin: announced.map(address),
+            fast: fast.into_iter().map(address).collect(),
+            peers: peers.into_iter().map(address).collect(),
+        };
+        candidates.choose(&mut self.rng).map_or(who, index)
+    }
+
     /// Answers a box that lacks the address book or pages of the list.
     fn answer(&mut self, who: usize, by: usize, is_admitted: bool, now: Time) {
         let (total, total_pages) = (self.boxes.len(), self.total_pages());
