A starting box gives up connecting to a peer after 0.25 s

Cause: a box that starts before its seeds sends them packets that vanish, waited a second for each connection, and had its three pulls taken up by them; the boxes served 1.1 s after their start instead of 0.03 s.

A connection that isn't there after 0.25 s is given up, and in the first 3 s the next pulls follow at the shortest intervals.

--- a/crates/honeypulley_mesh/src/peers/cold.rs
+++ b/crates/honeypulley_mesh/src/peers/cold.rs
@@ -10,6 +10,7 @@
 use honeypulley_peer::client::{PeerClient, PeerError};
 use honeypulley_peer::list_page::BoxAnswer;
 use honeypulley_policy::collector::NameId;
+use honeypulley_policy::time::Time;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +21,12 @@
 const TRANSFER_STALL: Duration = Duration::from_millis(400);
 /// Number of known peers of the data hall below which other boxes and seeds are asked as well.
 const FEW_PEERS: usize = 8;
+/// Timeout for connecting to a peer and logging in.
+///
+/// After a loss of power of all boxes, packets to a box that has not started yet vanish.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after a start during which peers that don't answer are probably starting as well.
+const PEERS_START_TIME: Duration = Duration::from_secs(3);
 /// Minimum wait between checks whether a pull is due.
 const MIN_WAIT: Duration = Duration::from_millis(5);
 
@@ -81,6 +88,9 @@
             if let Err(e) = node.load_from(from).await {
                 node.mesh.startup.record_failed_pull();
                 log::info!("startup: not pulled: {e}");
+                if node.mesh.now().since(Time::ZERO) < PEERS_START_TIME {
+                    node.retry_soon();
+                }
             }
             node.pulls.set(node.pulls.get() - 1);
             if node.mesh.has_list() {
@@ -91,7 +101,7 @@
     }
 
     async fn load_from(&self, from: SocketAddr) -> Result<(), PeerError> {
-        let peer = self.connect(from).await?;
+        let peer = self.connect(from, CONNECT_TIMEOUT).await?;
         if self.lacks_book() {
             self.load_book(&peer, from).await?;
         }
@@ -99,8 +109,7 @@
             return Ok(());
         }
         if self.has_nearer_peer(from) {
-            self.cold_pulls.take();
-            self.cold_wakeup.notify_one();
+            self.retry_soon();
             return Ok(());
         }
         match self.pull_list_pages(&peer, from, &self.mesh.assembly).await? {
@@ -114,6 +123,12 @@
         Ok(())
     }
 
+    /// Makes the next pulls follow at the shortest intervals.
+    fn retry_soon(&self) {
+        self.cold_pulls.take();
+        self.cold_wakeup.notify_one();
+    }
+
     /// Returns whether a list should be pulled from this data hall and not from a seed elsewhere.
     ///
     /// Before it has the address book, a box knows no others.
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -83,14 +83,18 @@
         from: SocketAddr,
         assembly: &Mutex<ListAssembly>,
     ) -> Result<Option<AssembledList>, PeerError> {
-        let peer = self.connect(from).await?;
+        let peer = self.connect(from, PULL_TIMEOUT).await?;
         self.pull_list_pages(&peer, from, assembly).await
     }
 
     /// Connects to a peer for a transfer.
-    pub(super) async fn connect(&self, to: SocketAddr) -> Result<PeerClient, PeerError> {
+    pub(super) async fn connect(
+        &self,
+        to: SocketAddr,
+        limit: Duration,
+    ) -> Result<PeerClient, PeerError> {
         let connect = PeerClient::connect(to, &self.mesh.settings.key);
-        with_step_timeout(to, "connect", PULL_TIMEOUT, connect).await
+        with_step_timeout(to, "connect", limit, connect).await
     }
 
     /// Pulls the pages that an assembly lacks; returns `None` if the box sends none.
