The records of the boxes are read in one place

The second read at a first start repeated what read_records does, and a loop's condition had a function of its own that only negated two others. Behaviour is unchanged: at the second read the fleet is known already, since the first has succeeded.

--- a/crates/honeypulley_mesh/src/join.rs
+++ b/crates/honeypulley_mesh/src/join.rs
@@ -123,7 +123,7 @@
     /// with the square of the fleet's size. The seeds read them at once.
     async fn load_book(&self) {
         let mut wait = MIN_BACKOFF;
-        while self.reads_book_later() {
+        while !self.reads_book_first() && !self.mesh.is_fleet_known() {
             let delay = fastrand::u64(BOOK_DELAY_MS.0..BOOK_DELAY_MS.1);
             tokio::time::sleep(Duration::from_millis(delay)).await;
             let has_holder =
@@ -131,21 +131,13 @@
             if self.mesh.is_fleet_known() || self.mesh.book_holder().is_some_and(has_holder) {
                 continue;
             }
-            match self.read_records().await {
-                Ok(_) => {}
-                Err(e) => {
-                    log::info!("join: {e}");
-                    back_off(&mut wait).await;
-                }
+            if let Err(e) = self.read_records().await {
+                log::info!("join: {e}");
+                back_off(&mut wait).await;
             }
         }
     }
 
-    /// Returns whether this box still waits for the addresses of the other boxes from peers.
-    fn reads_book_later(&self) -> bool {
-        !self.reads_book_first() && !self.mesh.is_fleet_known()
-    }
-
     /// Returns whether this box reads the addresses of the other boxes when it registers.
     fn reads_book_first(&self) -> bool {
         self.mesh.settings.is_seed || self.mesh.settings.first_start
@@ -180,11 +172,8 @@
         if self.mesh.settings.first_start {
             let delay = fastrand::u64(SECOND_READ_DELAY_MS.0..SECOND_READ_DELAY_MS.1);
             tokio::time::sleep(Duration::from_millis(delay)).await;
-            let boxes =
-                self.platform.list(&self.mesh.decoder.keys().box_prefix, Freshness::Stale).await;
-            match boxes {
-                Ok(all) => self.mesh.add_records(&all),
-                Err(e) => log::info!("join: {e}"),
+            if let Err(e) = self.read_records().await {
+                log::info!("join: {e}");
             }
         }
     }
