--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -252,7 +252,8 @@
     Ok(table.lines().filter_map(queue).sum())
 }
 
-async fn is_ready(addr: SocketAddr) -> bool {
+/// Returns whether a box answers that it is ready.
+pub async fn is_ready(addr: SocketAddr) -> bool {
     let text = format!("GET /ready HTTP/1.1\r\nHost: {addr}\r\nConnection: close\r\n\r\n");
     let Ok(mut s) = TcpStream::connect(addr).await else { return false };
     let mut got = Vec::new();
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -10,17 +10,27 @@
 pub struct Record {
     began: Instant,
     lines: Arc<Mutex<Vec<String>>>,
+    is_silent: bool,
 }
 
 impl Default for Record {
     fn default() -> Self {
-        Self { began: Instant::now(), lines: Arc::default() }
+        Self { began: Instant::now(), lines: Arc::default(), is_silent: false }
     }
 }
 
 impl Record {
+    /// Creates a record that keeps nothing.
+    #[must_use]
+    pub fn silent() -> Self {
+        Self { is_silent: true, ..Self::default() }
+    }
+
     /// Adds a line about a request, or about none if `request` is empty.
     pub fn add(&self, what: &str, request: &str) {
+        if self.is_silent {
+            return;
+        }
         let at = self.began.elapsed().as_secs_f64();
         let of = if request.is_empty() { String::new() } else { format!(" [{request}]") };
         self.lines.lock().expect("no thread panics").push(format!("{at:8.3} s{of} {what}"));
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -199,7 +199,8 @@
     Ok(outcome)
 }
 
-async fn read_answer(s: &mut TcpStream) -> Outcome {
+/// Reads an answer; its status is zero if the connection ends without one.
+pub async fn read_answer(s: &mut TcpStream) -> Outcome {
     let none = Outcome { status: 0, seal: String::new(), whole: false };
     let Ok(head) = read_head(s).await else { return none };
     let status = head.first.get(9..12).and_then(|t| t.parse().ok()).unwrap_or(0);
