--- a/review/standins-2/src/bin/case-5.rs
+++ b/review/standins-2/src/bin/case-5.rs
@@ -4,17 +4,20 @@
 use review_standins_2::record::{Record, finish, has_trouble};
 use review_standins_2::worker::{Worker, read_answer};
 use review_standins_2::{Deployment, HOST, is_ready};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-/// Requesters of each box, each with one connection; a machine has 4,100 descriptors.
-const REQUESTERS: usize = 1_400;
+/// Requesters of the whole deployment, as many as `glanrhyd-shops-grown` has.
+const REQUESTERS: usize = 1_500;
+/// Connections of a requester, which keeps one for each request that it has at a time.
+const CONNECTIONS: usize = 2;
 /// Rest of a kept connection, within four fifths of the manifest's `idle-timeout` of 15 s.
 const REST: Duration = Duration::from_secs(9);
 /// Time after which a requester gives up a daemon that has not read its request.
@@ -30,7 +33,7 @@
 #[derive(Debug, Default)]
 struct Counts {
     /// Requesters that tried a new connection.
-    tried: AtomicUsize,
+    tried: Mutex<BTreeSet<usize>>,
     /// Requests on new connections that were answered.
     answered_new: AtomicUsize,
     /// Requests on kept connections that were answered.
@@ -76,9 +79,13 @@
     let entry = Arc::new(Entry { fronts, is_in });
     tokio::spawn(check_readiness(Arc::clone(&entry), checks.clone()));
     let counts = Arc::new(Counts::default());
-    record.add(&format!("{REQUESTERS} requesters connect to each of two boxes"), "");
-    for n in 0..2 * REQUESTERS {
-        tokio::spawn(request_forever(n, Arc::clone(&entry), Arc::clone(&counts)));
+    record.add(
+        &format!("{REQUESTERS} requesters connect to two boxes, {CONNECTIONS} times each"),
+        "",
+    );
+    for n in 0..REQUESTERS * CONNECTIONS {
+        let (requester, entry) = (n / CONNECTIONS, Arc::clone(&entry));
+        tokio::spawn(request_forever((requester, n), entry, Arc::clone(&counts)));
         if n % 10 == 0 {
             sleep(Duration::from_millis(15)).await;
         }
@@ -91,16 +98,16 @@
     let mut taken = Vec::new();
     for _ in 0..WATCHED_SECS {
         let now = |c: &AtomicUsize| c.swap(0, Ordering::Relaxed);
-        now(&counts.tried);
+        take(&counts.tried);
         now(&counts.answered_new);
         now(&counts.answered_kept);
         sleep(Duration::from_secs(1)).await;
         let ready = is_ready(checks[0]).await;
-        let (tried, new) = (now(&counts.tried), now(&counts.answered_new));
+        let (tried, new) = (take(&counts.tried), now(&counts.answered_new));
         record.add(
             &format!(
-                "front-1: ready {ready}; new connections tried {tried}, answered on them {new}; \
-                 answered on kept ones {}",
+                "front-1: ready {ready}; requesters that try a new connection {tried}, requests \
+                 answered on new ones {new}, on kept ones {}",
                 now(&counts.answered_kept)
             ),
             "",
@@ -111,6 +118,11 @@
     Ok(broken)
 }
 
+/// Returns how many requesters have tried, and begins anew.
+fn take(tried: &Mutex<BTreeSet<usize>>) -> usize {
+    std::mem::take(&mut *tried.lock().expect("no thread panics")).len()
+}
+
 /// Asks each daemon each second whether it is ready; two misses take it out.
 async fn check_readiness(entry: Arc<Entry>, checks: Vec<SocketAddr>) {
     let mut misses = vec![0; checks.len()];
@@ -124,13 +136,13 @@
 }
 
 /// Keeps a connection for many requests; after a failure, takes a new one.
-async fn request_forever(n: usize, entry: Arc<Entry>, counts: Arc<Counts>) {
+async fn request_forever((requester, n): (usize, usize), entry: Arc<Entry>, counts: Arc<Counts>) {
     let mut number = 0;
     loop {
-        let daemon = entry.daemon_of(n);
+        let daemon = entry.daemon_of(requester);
         let is_first = daemon == 0;
         if is_first {
-            counts.tried.fetch_add(1, Ordering::Relaxed);
+            counts.tried.lock().expect("no thread panics").insert(requester);
         }
         let connected = timeout(UNREAD, TcpStream::connect(entry.fronts[daemon])).await;
         if let Ok(Ok(mut s)) = connected {
