Names of objects are encoded in URLs of the store

What callers saw: after a restart of all boxes while an entry of another writer stood in the list of workers, almost every request was rejected with 503, for as long as the entry stood.

Why this works: one module encodes names with the library that the HTTP client uses, all but the unreserved characters, so that usual names stay as they were on the wire. A blank becomes `%20`, which decodes the same in URLs and in form data. No URL can hold a segment that is empty or a dot segment, as URL parsers resolve those even when encoded: such a key is an error without a call.

--- a/crates/honeypulley_platform/src/http.rs
+++ b/crates/honeypulley_platform/src/http.rs
@@ -8,6 +8,7 @@
 //! Each answer contains the platform's epoch in `platform-epoch`, if the platform counts epochs.
 
 use crate::api::{Changes, Expect, Object, Platform, PlatformError};
+use crate::encode;
 use crate::epoch::{KnownEpoch, outdated, same_epoch};
 use async_trait::async_trait;
 use base64::{Engine, engine::general_purpose::STANDARD as BASE64};
@@ -75,8 +76,14 @@
         })
     }
 
-    fn url(&self, key: &str) -> String {
-        format!("{}/objects/{key}", self.base)
+    /// Returns the URL of an object.
+    fn url(&self, step: &'static str, key: &str) -> Result<String, PlatformError> {
+        let path = encode::path(key).ok_or_else(|| PlatformError::Unavailable {
+            peer: self.base.clone(),
+            step,
+            cause: format!("no URL can hold the key {key:?}"),
+        })?;
+        Ok(format!("{}/objects/{path}", self.base))
     }
 
     /// Classifies a failed call.
@@ -122,7 +129,7 @@
 #[async_trait]
 impl Platform for HttpPlatform {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let (answer, epoch) = self.read("read", self.url(key), CALL_TIMEOUT).await?;
+        let (answer, epoch) = self.read("read", self.url("read", key)?, CALL_TIMEOUT).await?;
         match answer.status() {
             StatusCode::OK => {}
             StatusCode::NOT_FOUND => return Ok(None),
@@ -139,7 +146,7 @@
         value: Bytes,
         expect: Expect,
     ) -> Result<Revision, PlatformError> {
-        let request = self.client.put(self.url(key)).timeout(CALL_TIMEOUT).body(value);
+        let request = self.client.put(self.url("write", key)?).timeout(CALL_TIMEOUT).body(value);
         let request = match expect {
             Expect::Absent => request.header(header::IF_NONE_MATCH, "*"),
             Expect::Version(v) if v.epoch < self.epoch.get() => return Err(outdated(key)),
@@ -170,6 +177,7 @@
         wait: Duration,
     ) -> Result<Changes, PlatformError> {
         let (ms, number) = (wait.as_millis(), after.number);
+        let prefix = encode::query_value(prefix);
         let url = format!("{}/watch?prefix={prefix}&after={number}&wait_ms={ms}", self.base);
         if number > 0 && after.epoch < self.epoch.get() {
             same_epoch(&self.base, "watch", after.epoch, self.epoch.get())?;
--- a/crates/honeypulley_platform/src/lib.rs
+++ b/crates/honeypulley_platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accept;
 pub mod api;
+pub mod encode;
 pub mod epoch;
 pub mod http;
 pub mod memory;
--- a/crates/honeypulley_standin/src/platform.rs
+++ b/crates/honeypulley_standin/src/platform.rs
@@ -14,6 +14,7 @@
 use honeypulley_policy::revision::Revision;
 use http::{HeaderValue, Method, StatusCode, header};
 use parking_lot::Mutex;
+use percent_encoding::percent_decode_str;
 use salvo::async_trait;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::ResBody;
@@ -224,7 +225,7 @@
     }
 
     async fn get(&self, path: &str, res: &mut Response) -> Result<(), PlatformError> {
-        match self.0.store.get(object_key(path)).await? {
+        match self.0.store.get(&object_key(path)).await? {
             None => {
                 res.status_code(StatusCode::NOT_FOUND);
             }
@@ -250,15 +251,17 @@
             res.status_code(StatusCode::PAYLOAD_TOO_LARGE);
             return Ok(());
         }
-        let version = self.0.store.put(object_key(path), body, expect).await?;
+        let version = self.0.store.put(&object_key(path), body, expect).await?;
         set_etag(res, version.number);
         res.status_code(StatusCode::OK);
         Ok(())
     }
 }
 
-fn object_key(path: &str) -> &str {
-    path.strip_prefix("/objects/").unwrap_or(path)
+/// Returns the key that a path names, after decoding.
+fn object_key(path: &str) -> String {
+    let encoded = path.strip_prefix("/objects/").unwrap_or(path);
+    percent_decode_str(encoded).decode_utf8_lossy().into_owned()
 }
 
 fn set_etag(res: &mut Response, version: u64) {
