A list of the store ends whatever the store sends, and its part counts

What callers saw: a store that repeats a page, or announces more objects behind an empty page, kept a starting box reading the same page without a pause, and the box answered 503 for as long as that lasted.

Cause: `read_pages` went on as long as the page said `has-more`, whether or not it had brought anything new, and an error discarded all pages that had been read.

Where it ends early, the error carries step, peer and the objects read. Those are valid: table, upstreams, address book and evacuations use them, without taking the absence of others for a departure. A box without a list starts with them at the lowest revision, so that every change of a peer still applies.

--- a/crates/honeypulley_mesh/src/evacuation_watch.rs
+++ b/crates/honeypulley_mesh/src/evacuation_watch.rs
@@ -92,7 +92,12 @@
         };
         let all = self.platform.list(prefix, f).await.inspect_err(|e| {
             log::info!("evacuation: not read from the platform: {e}");
-        })?;
+        });
+        if let Err(PlatformError::Incomplete { read, .. }) = &all {
+            let halls = self.mesh.evacuations.lock().with_changes(prefix, read);
+            self.mesh.apply_evacuations(read.version, halls, "platform");
+        }
+        let all = all?;
         let halls = all.objects.iter().map(|o| hall_name(prefix, &o.key).to_owned()).collect();
         self.mesh.apply_evacuations(all.version, halls, "platform");
         Ok(all.version)
--- a/crates/honeypulley_mesh/src/join.rs
+++ b/crates/honeypulley_mesh/src/join.rs
@@ -143,10 +143,16 @@
         self.mesh.settings.is_seed || self.mesh.settings.first_start
     }
 
-    /// Reads the platform's records of all boxes.
+    /// Reads the platform's records of all boxes, or those that a list which ends early contains.
     async fn read_records(&self) -> Result<Changes, PlatformError> {
         let prefix = &self.mesh.decoder.keys().box_prefix;
-        let all = self.platform.list(prefix, Freshness::Stale).await?;
+        let all = match self.platform.list(prefix, Freshness::Stale).await {
+            Err(e @ PlatformError::Incomplete { .. }) => {
+                log::warn!("join: {e}");
+                e.into_read()
+            }
+            all => all?,
+        };
         self.mesh.add_records(&all);
         self.mesh.record_fleet_known();
         Ok(all)
--- a/crates/honeypulley_mesh/src/lists.rs
+++ b/crates/honeypulley_mesh/src/lists.rs
@@ -270,6 +270,26 @@
         self.lists.lock().list.mark_stale();
     }
 
+    /// Applies the entries of a list that ended early.
+    ///
+    /// Nothing is known of the others, so none departs. A box without a list starts with these.
+    pub fn apply_partial_list(&self, c: &Changes, from: &str) {
+        let hold = self.readers().departure_hold(self.now());
+        let entries = self.decode_entries(c, hold);
+        log::warn!(from, entries = entries.len(); "list: {from} sent only a part of the list");
+        if !self.has_list() {
+            // The lowest revision, so that the changes and lists of peers apply.
+            self.replace(Revision::new(c.version.epoch, 1), entries, from);
+            self.lists.lock().list.mark_stale();
+            return;
+        }
+        let mut lists = self.lists.lock();
+        let changes = lists.list.apply_entries(cap_holds(entries, hold), self.now());
+        lists.enqueue(changes, from, self.now());
+        drop(lists);
+        self.serve_wakeup.notify_one();
+    }
+
     /// Replaces the list by the full list of `version`.
     pub fn replace(&self, version: Revision, entries: Vec<Entry>, from: &str) {
         self.replace_list(ListOrigin::Other, version, entries, from);
--- a/crates/honeypulley_mesh/src/store.rs
+++ b/crates/honeypulley_mesh/src/store.rs
@@ -65,11 +65,11 @@
         let keys = self.mesh.decoder.keys();
         // A list, not a get: it returns the store's revision as well as the table's own.
         let all = self.platform.list(&keys.table_prefix, f).await;
-        let all = self.record_result("table", f, all)?;
-        if let Some(o) = all.objects.iter().find(|o| o.key == keys.table_key) {
+        let all = self.record_result("table", f, all);
+        if let Some(o) = objects(&all).iter().find(|o| o.key == keys.table_key) {
             self.mesh.apply_table(o, "platform");
         }
-        Ok(all.version)
+        Ok(all?.version)
     }
 
     /// Reads the full list of upstreams and returns the revision from which to watch.
@@ -78,7 +78,11 @@
     pub(crate) async fn read_list(&self, f: Freshness) -> Result<Revision, PlatformError> {
         let prefix = &self.mesh.decoder.keys().upstream_prefix;
         let all = self.platform.list(prefix, f).await;
-        let all = self.record_result("list", f, all)?;
+        let all = self.record_result("list", f, all).inspect_err(|e| {
+            if let PlatformError::Incomplete { read, .. } = e {
+                self.mesh.apply_partial_list(read, "platform");
+            }
+        })?;
         if f == Freshness::Stale {
             self.mesh.apply_stale_list(&all, "platform");
             return Ok(Revision::ZERO);
@@ -340,6 +344,15 @@
     }
 }
 
+/// Returns the objects of a list, also if it ended early.
+fn objects(list: &Result<Changes, PlatformError>) -> &[Object] {
+    match list {
+        Ok(all) => &all.objects,
+        Err(PlatformError::Incomplete { read, .. }) => &read.objects,
+        Err(_) => &[],
+    }
+}
+
 /// Fetches the routing table's object from the platform.
 ///
 /// # Errors
--- a/crates/honeypulley_mesh/tests/boxes/foreign.rs
+++ b/crates/honeypulley_mesh/tests/boxes/foreign.rs
@@ -1,10 +1,17 @@
 //! Objects of another writer among the entries of the upstreams.
 
+use crate::restore::{Reader, initial_platform};
 use crate::support::{TestBox, at, upstream_object};
+use async_trait::async_trait;
+use bytes::Bytes;
 use honeypulley_mesh::list::ListChange;
-use honeypulley_platform::api::{Changes, Object};
+use honeypulley_platform::api::{Changes, Expect, Freshness, Object, Platform, PlatformError};
+use honeypulley_platform::memory::MemoryPlatform;
+use honeypulley_policy::revision::Revision;
 use honeypulley_policy::spec::MemberState;
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
 /// Applies objects to a box as if received from the platform's watch.
 fn apply_watched(b: &TestBox, objects: Vec<Object>) {
@@ -73,3 +80,58 @@
     apply_watched(&b, vec![upstream_object("u3", "{]", 11), upstream_object("stranger", "", 12)]);
     assert_eq!(b.mesh.invalid_entries(), 2);
 }
+
+/// A platform whose lists end early.
+#[derive(Debug)]
+struct EndingLists(MemoryPlatform);
+
+#[async_trait]
+impl Platform for EndingLists {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        self.0.get(key).await
+    }
+
+    async fn put(&self, key: &str, value: Bytes, e: Expect) -> Result<Revision, PlatformError> {
+        self.0.put(key, value, e).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, PlatformError> {
+        self.0.watch(prefix, after, wait).await
+    }
+
+    async fn list(&self, prefix: &str, f: Freshness) -> Result<Changes, PlatformError> {
+        let read = Box::new(self.0.list(prefix, f).await?);
+        let (peer, cause) = ("memory".to_owned(), "no new object".to_owned());
+        Err(PlatformError::Incomplete { peer, step: "list", cause, read })
+    }
+
+    async fn members(&self) -> Result<Bytes, PlatformError> {
+        self.0.members().await
+    }
+}
+
+/// Guards against a box that serves nothing because a list of the platform does not end.
+#[test]
+fn a_box_starts_with_the_part_of_the_lists_that_it_can_read() {
+    let r = Reader::start_on(Arc::new(EndingLists(initial_platform())));
+    assert_eq!((r.mesh.table_version(), r.mesh.upstreams()), (1, 1));
+}
+
+#[test]
+fn a_part_of_a_list_adds_entries_and_removes_none() {
+    let b = TestBox::start("box1", "hall-a");
+    pending_changes(&b);
+    let objects = vec![upstream_object("u3", "leaving", 12), upstream_object("u77", "live", 13)];
+    let part = Changes { version: at(13), objects, removed: Vec::new() };
+    b.mesh.apply_partial_list(&part, "the test");
+    let live = |name: &str, state| (name.to_owned(), Some(state));
+    let expected = [live("u3", MemberState::Leaving), live("u77", MemberState::Live)];
+    assert_eq!(pending_changes(&b), BTreeMap::from(expected));
+    assert_eq!(b.mesh.list_status().version, at(10), "nothing is known of other changes");
+    assert_eq!(b.mesh.upstreams(), 11);
+}
--- a/crates/honeypulley_mesh/tests/boxes/restore.rs
+++ b/crates/honeypulley_mesh/tests/boxes/restore.rs
@@ -24,8 +24,8 @@
 const REWRITE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// A box that reads a platform until it is dropped.
-struct Reader {
-    mesh: Arc<Mesh>,
+pub struct Reader {
+    pub mesh: Arc<Mesh>,
     /// The platform, unless the test supplies its own.
     memory: Arc<MemoryPlatform>,
     shutdown: Shutdown,
@@ -41,7 +41,7 @@
         reader
     }
 
-    fn start_on(inner: Arc<dyn Platform>) -> Self {
+    pub fn start_on(inner: Arc<dyn Platform>) -> Self {
         let addr: SocketAddr = "10.0.0.7:7000".parse().expect("the address is valid");
         let settings = MeshSettings::builder().name("box1").hall("hall-a").peer(addr).key(key());
         let mesh = mesh(settings.build());
@@ -69,7 +69,7 @@
 }
 
 /// Builds a platform with a table and one upstream, before any box has started.
-fn initial_platform() -> MemoryPlatform {
+pub fn initial_platform() -> MemoryPlatform {
     let memory = MemoryPlatform::default();
     write(&memory, "t/main", "1");
     write(&memory, "u/u0", "live");
--- a/crates/honeypulley_platform/src/accept.rs
+++ b/crates/honeypulley_platform/src/accept.rs
@@ -163,7 +163,9 @@
             PlatformError::Unavailable { .. } | PlatformError::Compacted { .. } => {}
             // The condition makes a retry safe, but only reading the head shows
             // whether the first write took effect.
-            PlatformError::Unknown { .. } | PlatformError::Restored { .. } => uncertain = true,
+            PlatformError::Unknown { .. }
+            | PlatformError::Restored { .. }
+            | PlatformError::Incomplete { .. } => uncertain = true,
             PlatformError::Conflict { .. } => return resolve(p, head, uncertain).await,
         }
         last = Some(error);
--- a/crates/honeypulley_platform/src/api.rs
+++ b/crates/honeypulley_platform/src/api.rs
@@ -103,6 +103,18 @@
         /// Epoch of the answer.
         found: u64,
     },
+    /// A list ended before it was complete.
+    #[error("platform at {peer}: {step}: ended after {} objects: {cause}", read.objects.len())]
+    Incomplete {
+        /// Address of the platform.
+        peer: String,
+        /// Name of the operation.
+        step: &'static str,
+        /// What prevents the list from advancing.
+        cause: String,
+        /// Objects that were read, which are valid; nothing is known of the others.
+        read: Box<Changes>,
+    },
     /// No answer was received; a write may have taken effect.
     #[error("platform at {peer}: {step}: no answer, outcome unknown: {cause}")]
     Unknown {
@@ -121,6 +133,15 @@
     pub const fn has_lost_place(&self) -> bool {
         matches!(self, Self::Compacted { .. } | Self::Restored { .. })
     }
+
+    /// Returns the objects that were read before the error, which only a list may have.
+    #[must_use]
+    pub fn into_read(self) -> Changes {
+        match self {
+            Self::Incomplete { read, .. } => *read,
+            _ => Changes::default(),
+        }
+    }
 }
 
 /// The platform's object API.
--- a/crates/honeypulley_standin/src/platform.rs
+++ b/crates/honeypulley_standin/src/platform.rs
@@ -283,7 +283,7 @@
             res.status_code(StatusCode::GONE);
         }
         // A gateway time-out leaves open whether the write took effect.
-        PlatformError::Unknown { .. } => {
+        PlatformError::Unknown { .. } | PlatformError::Incomplete { .. } => {
             res.status_code(StatusCode::GATEWAY_TIMEOUT);
         }
     }
