Long names of foreign entries no longer make datagrams too long

What callers saw: nothing yet; found while looking for the cause of RECOVER elsewhere. A foreign entry with a name of 1 kB among changed entries, or among the evacuations, made a datagram of more than 1,400 bytes, which every box drops: its neighbours in that datagram were learnt late by a pull, and evacuations not at all.

Cause: changes of the list were split by their number, with an assumed size of an entry; the names of evacuated data halls were not split.

Why this works: fragments are split by size as well as by number. Changes with an entry that fits into no datagram are not broadcast; the beacon announces their revision and peers pull them, as for too many changes. Of the evacuations the shortest names go first, as many as fit.

--- a/crates/honeypulley_mesh/src/evacuation_watch.rs
+++ b/crates/honeypulley_mesh/src/evacuation_watch.rs
@@ -67,8 +67,7 @@
     /// Returns the datagram body with the evacuated data halls, if they are known.
     pub(crate) fn evacuation_body(&self) -> Option<Body> {
         let known = self.evacuations.lock();
-        let halls = known.halls.iter().cloned().collect();
-        Some(Body::Evacuations { upto: known.upto?, halls })
+        Some(Body::evacuations(known.upto?, &known.halls))
     }
 }
 
--- a/crates/honeypulley_peer/src/codec.rs
+++ b/crates/honeypulley_peer/src/codec.rs
@@ -13,10 +13,13 @@
 use honeypulley_policy::collector::{Judgement, NameId, Report, ReportItem, Verdict};
 use honeypulley_policy::quarantine::RequestUpdate;
 use honeypulley_policy::revision::Revision;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Maximum size of a datagram in bytes, below the usual path MTU.
 pub const MAX_DATAGRAM: usize = 1_400;
+/// Maximum size of the entries or names in a datagram in bytes; the rest is for its own fields.
+const MAX_TEXT: usize = 1_150;
 /// Maximum number of items in a datagram.
 pub const MAX_ITEMS: usize = 64;
 /// Maximum number of fragments for changes of the list of upstreams.
@@ -132,7 +135,8 @@
 impl ListUpdate {
     /// Splits changes into fragments of one datagram each.
     ///
-    /// Returns `None` if there are more than [`MAX_FRAGMENTS`] fragments.
+    /// Returns `None` if there are more than [`MAX_FRAGMENTS`] fragments, or if an entry is too
+    /// long for a datagram.
     #[must_use]
     pub fn split(
         since: Revision,
@@ -140,16 +144,34 @@
         age: Duration,
         entries: &[Entry],
     ) -> Option<Vec<Self>> {
-        let count = entries.len().div_ceil(MAX_ENTRIES).max(1);
+        let mut chunks = vec![Vec::new()];
+        let mut bytes = 0;
+        for e in entries {
+            let size = e.encoded_size();
+            if size > MAX_TEXT {
+                return None;
+            }
+            let is_full = chunks.last().is_some_and(|c| c.len() == MAX_ENTRIES);
+            if is_full || bytes + size > MAX_TEXT {
+                chunks.push(Vec::new());
+                bytes = 0;
+            }
+            bytes += size;
+            chunks.last_mut().expect("there is always a chunk").push(e.clone());
+        }
+        let count = chunks.len();
         if count > MAX_FRAGMENTS {
             return None;
         }
-        let fragment = |i: usize| {
-            let entries = entries.iter().skip(i * MAX_ENTRIES).take(MAX_ENTRIES).cloned();
-            let entries = entries.collect();
-            Self { since, upto, part: i as u16, parts: count as u16, age, entries }
+        let fragment = |(i, entries): (usize, Vec<Entry>)| Self {
+            since,
+            upto,
+            part: i as u16,
+            parts: count as u16,
+            age,
+            entries,
         };
-        Some((0..count).map(fragment).collect())
+        Some(chunks.into_iter().enumerate().map(fragment).collect())
     }
 }
 
@@ -222,6 +244,23 @@
 }
 
 impl Body {
+    /// Creates the body with the evacuated data halls, as many as fit into a datagram.
+    ///
+    /// The names come from the platform, where other writers may store longer ones than those of
+    /// data halls. The shortest come first.
+    #[must_use]
+    pub fn evacuations(upto: Revision, halls: &BTreeSet<String>) -> Self {
+        let mut halls: Vec<String> = halls.iter().cloned().collect();
+        halls.sort_by_key(String::len);
+        let mut bytes = 0;
+        halls.retain(|h| {
+            // A pointer, and padding to whole words.
+            bytes += h.len() + 16;
+            bytes <= MAX_TEXT
+        });
+        Self::Evacuations { upto, halls }
+    }
+
     fn write(&self, root: wire::Builder<'_>) {
         match self {
             Self::Ask { nonce } => root.init_ask().set_nonce(*nonce),
--- a/crates/honeypulley_peer/src/listing.rs
+++ b/crates/honeypulley_peer/src/listing.rs
@@ -12,6 +12,8 @@
 
 /// Maximum number of entries in a datagram; each takes up to 150 bytes.
 pub const MAX_ENTRIES: usize = 6;
+/// Maximum size of an entry without its texts, in bytes.
+const ENTRY_FIELDS: usize = 70;
 /// Maximum number of addresses in a datagram; each takes up to 40 bytes.
 pub const MAX_BOXES: usize = 30;
 
@@ -72,6 +74,19 @@
     }
 }
 
+impl Entry {
+    /// Returns an upper bound of the size in a datagram, in bytes.
+    pub(crate) fn encoded_size(&self) -> usize {
+        let texts = match &self.state {
+            EntryState::Gone { .. } => 0,
+            EntryState::Present(l) => {
+                l.member.service.len() + l.member.addr.len() + l.member.hall.len()
+            }
+        };
+        ENTRY_FIELDS + self.name.len() + texts
+    }
+}
+
 pub(crate) fn write_entries(
     mut list: capnp::struct_list::Builder<'_, wire::entry::Owned>,
     entries: &[Entry],
--- a/crates/honeypulley_peer/tests/wire.rs
+++ b/crates/honeypulley_peer/tests/wire.rs
@@ -15,6 +15,7 @@
 use honeypulley_policy::revision::Revision;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 fn revision() -> impl Strategy<Value = Revision> {
@@ -244,3 +245,48 @@
     let len = outer.seal(&key).len();
     assert!(len <= MAX_DATAGRAM, "{len}");
 }
+
+/// Returns the size of a datagram that another box forwards.
+fn forwarded_size(body: Body) -> usize {
+    let key = FleetKey::derive("a fleet key of tests");
+    let sealed = Datagram { sender: NameId(u64::MAX), body }.seal(&key);
+    let body = Body::Forward(sealed.into());
+    Datagram { sender: NameId(u64::MAX), body }.seal(&key).len()
+}
+
+/// Guards against datagrams that no box accepts because a foreign entry in them is long.
+#[test]
+fn list_changes_with_long_names_fit_their_datagrams() {
+    let upto = Revision::new(u64::MAX, u64::MAX - 7);
+    let entry = |i: usize, length: usize| Entry {
+        name: format!("{i:0length$}"),
+        version: upto,
+        state: EntryState::Gone { hold: Duration::from_millis(u64::from(u32::MAX)) },
+    };
+    for length in (10..1_080).step_by(107) {
+        let entries: Vec<Entry> = (0..12).map(|i| entry(i, length)).collect();
+        let fragments = ListUpdate::split(upto, upto, Duration::MAX, &entries).expect("they fit");
+        let sent: Vec<Entry> = fragments.iter().flat_map(|f| f.entries.clone()).collect();
+        assert_eq!(sent, entries);
+        for f in fragments {
+            let size = forwarded_size(Body::Changes(f));
+            assert!(size <= MAX_DATAGRAM, "{size} bytes with names of {length}");
+        }
+    }
+    let long = [entry(0, 20), entry(1, MAX_DATAGRAM)];
+    assert_eq!(ListUpdate::split(upto, upto, Duration::MAX, &long), None, "peers pull instead");
+}
+
+/// Guards against evacuations that no box learns because a foreign object among them is long.
+#[test]
+fn evacuations_with_long_names_fit_a_datagram() {
+    let upto = Revision::new(u64::MAX, u64::MAX);
+    let halls = (0..3).map(|i| format!("hall-{i}"));
+    let foreign = (0..40).map(|i| format!("{i}").repeat(10 * (i + 1)));
+    let all: BTreeSet<String> = halls.clone().chain(foreign).collect();
+    let body = Body::evacuations(upto, &all);
+    let Body::Evacuations { halls: sent, .. } = &body else { panic!("{body:?}") };
+    assert!(halls.into_iter().all(|h| sent.contains(&h)), "{sent:?}");
+    let size = forwarded_size(body);
+    assert!(size <= MAX_DATAGRAM, "{size} bytes");
+}
