A transfer of a list from a peer ends if its pages do not advance

A peer whose page promises more but brings no later name was asked for the same page without a pause.

Cause: pulled lists and address books continue behind the last name or id that they hold, as long as the peer says that there are more.

Evidence: `a_page_that_promises_more_has_to_advance` states the rule; there was no check before, as the loop compared nothing.

Why this works: a page that promises more has to end behind the name that was asked for. Otherwise the pull fails with its step and peer, what was assembled stays, and another peer or the platform continues it.

--- a/crates/honeypulley_mesh/src/peers/cold.rs
+++ b/crates/honeypulley_mesh/src/peers/cold.rs
@@ -149,7 +149,9 @@
                     page.boxes.into_iter().for_each(|b| {
                         self.mesh.add_address(b);
                     });
-                    let Some(last) = last.filter(|_| page.has_more) else { break };
+                    let Some(last) = last.filter(|id| page.has_more && id.0 > after.0) else {
+                        break;
+                    };
                     after = last;
                 }
                 BoxAnswer::Sample { is_known, boxes } => {
--- a/crates/honeypulley_mesh/src/peers/pull.rs
+++ b/crates/honeypulley_mesh/src/peers/pull.rs
@@ -109,6 +109,10 @@
             let page = peer.list_page(&after);
             let page = with_step_timeout(from, "list page", PAGE_TIMEOUT, page).await?;
             let Some(page) = page else { return Ok(None) };
+            if !page.advances(&after) {
+                let cause = format!("the page after {after:?} brings nothing new");
+                return Err(PeerError { peer: from, step: "list page", cause });
+            }
             let list = assembly.lock().add(&after, page, self.mesh.now());
             if list.is_some() {
                 return Ok(list);
--- a/crates/honeypulley_peer/src/list_page.rs
+++ b/crates/honeypulley_peer/src/list_page.rs
@@ -29,6 +29,14 @@
     pub entries: Vec<Entry>,
 }
 
+impl ListPage {
+    /// Returns whether a transfer that continues behind this page, the one after `after`, ends.
+    #[must_use]
+    pub fn advances(&self, after: &str) -> bool {
+        !self.has_more || self.entries.last().is_some_and(|e| e.name.as_str() > after)
+    }
+}
+
 /// One page of an address book, in the order of ids.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct BoxPage {
--- a/crates/honeypulley_peer/tests/pages.rs
+++ b/crates/honeypulley_peer/tests/pages.rs
@@ -1,7 +1,7 @@
 //! Encoding of the pages of lists and address books, and malformed ones.
 
 use honeypulley_peer::list_page::{
-    compress_boxes, compress_entries, decompress_boxes, decompress_entries,
+    ListPage, compress_boxes, compress_entries, decompress_boxes, decompress_entries,
 };
 use honeypulley_peer::listing::{BoxAddress, Entry, EntryState};
 use honeypulley_policy::balance::UpstreamEntry;
@@ -82,3 +82,16 @@
         prop_assert!(decompress_entries(&page).is_err());
     }
 }
+
+/// Guards against a transfer that asks for the same page forever.
+#[test]
+fn a_page_that_promises_more_has_to_advance() {
+    let page = |has_more, entries| ListPage { has_more, entries, ..ListPage::default() };
+    let one = entry(1);
+    let name = one.name.clone();
+    assert!(page(true, vec![one.clone()]).advances(""));
+    assert!(!page(true, vec![one.clone()]).advances(&name));
+    assert!(!page(true, vec![one]).advances("j"));
+    assert!(!page(true, Vec::new()).advances(""));
+    assert!(page(false, Vec::new()).advances(&name), "the last page may be empty");
+}
