A success has to echo the id of its attempt

What callers saw: a 200 without `Attempt-Id`, or with a second, other id, as the answer to their request.

Cause: the id was compared only if there was one, and only its first value.

A success without it proves nothing, so that it is refused as run-unknown. All values have to be the id. Failures may lack it: nothing of the worker's is passed on as a success, and a worker that got no id can't echo one. In the product's own interface echoing stays optional, as documented.

--- a/crates/honeypulley_proxy/src/attempt.rs
+++ b/crates/honeypulley_proxy/src/attempt.rs
@@ -315,7 +315,7 @@
         guard.ended(Outcome::Malformed);
         return Err(Failure::Unknown { why: format!("not an answer: {e}") });
     }
-    if id.is_some() && h.get(&d.attempt).is_some_and(|echo| Some(echo) != id) {
+    if id.is_some_and(|id| !d.is_own_answer(r.status(), h, id)) {
         guard.ended(Outcome::Malformed);
         return Err(Failure::Unknown { why: "the answer belongs to another request".to_owned() });
     }
--- a/crates/honeypulley_proxy/src/dialect.rs
+++ b/crates/honeypulley_proxy/src/dialect.rs
@@ -46,6 +46,9 @@
     /// Whether the caller's value is used as the attempt ID.
     #[builder(default)]
     pub caller_attempt: bool,
+    /// Whether each success has to echo the attempt ID.
+    #[builder(default)]
+    pub requires_echo: bool,
     /// Milliseconds left until the deadline.
     #[builder(default = headers::DEADLINE)]
     pub deadline: HeaderName,
@@ -158,6 +161,18 @@
         signals::read_shutdown(h, &self.leaving)
     }
 
+    /// Returns whether an answer may belong to the attempt with this ID.
+    ///
+    /// Another ID shows that it does not. A success without one proves nothing where upstreams
+    /// echo the ID in every answer.
+    #[must_use]
+    pub fn is_own_answer(&self, status: StatusCode, h: &HeaderMap, id: &HeaderValue) -> bool {
+        let mut echoes = h.get_all(&self.attempt).iter().peekable();
+        let is_missing = echoes.peek().is_none();
+        let is_needed = self.requires_echo && status.is_success();
+        echoes.all(|echo| echo == id) && !(is_missing && is_needed)
+    }
+
     /// Returns whether an answer states that the request was not run.
     #[must_use]
     pub fn is_not_run(&self, status: StatusCode, h: &HeaderMap) -> bool {
--- a/crates/honeypulley_proxy/tests/head.rs
+++ b/crates/honeypulley_proxy/tests/head.rs
@@ -1,5 +1,6 @@
 //! Heads of answers that are accepted or refused.
 
+use honeypulley_proxy::dialect::Dialect;
 use honeypulley_proxy::head::{Expected, InvalidHead, Received, check};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Version};
 use proptest::prelude::*;
@@ -148,6 +149,23 @@
     assert_eq!(check_head(&Head { status, method, ..USUAL }, lines), expected);
 }
 
+#[rstest]
+#[case(200, "", false)]
+#[case(500, "", true)]
+#[case(200, "honeypulley-attempt: a-1", true)]
+#[case(200, "honeypulley-attempt: a-1|honeypulley-attempt: a-1", true)]
+#[case(200, "honeypulley-attempt: a-1|honeypulley-attempt: a-2", false)]
+#[case(500, "honeypulley-attempt: a-2", false)]
+fn a_success_has_to_echo_the_id(#[case] status: u16, #[case] lines: &str, #[case] expected: bool) {
+    let status = StatusCode::from_u16(status).expect("the status is valid");
+    let (h, id) = (headers(lines), HeaderValue::from_static("a-1"));
+    let dialect = Dialect::builder().requires_echo(true).build();
+    assert_eq!(dialect.is_own_answer(status, &h, &id), expected);
+    if lines.is_empty() {
+        assert!(Dialect::default().is_own_answer(status, &h, &id), "echoing is optional");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         failure_persistence: None,
