All connections of callers together have limits on places and memory

What callers saw: a crowd whose heads are too long or never end took the memory of a box until its process was ended, and a crowd that holds all 2,500 connections kept new callers from being accepted while the box said that it is ready.

Cause: each connection alone was bounded, by some 400 kB for a head and 30 s, and nothing bounded their sum. The server stopped accepting at the maximum, whatever the accepted connections did. The time limits of the table were decoded and never read.

Why this works: the bounds hold over all connections of a port. Heads that have not ended take 4 MiB together; the largest is closed first, which is never that of a caller that sends its head at once. At most one in five connections may be without a request for longer than a second; after a pause of the process all are new, so that none is closed for its number then. At the maximum of connections the box makes room: a head that does not end goes first, then the connection that has rested for longest; one with a request in flight is never closed, and a new one is rejected only if all are busy. Time limits of the table in force apply to open connections too, with a margin. Windows and lists of HTTP/2 connections have bounds as well. What is closed is logged in at most one line per reason and half a second.

--- a/crates/honeypulley_daemon/src/lib.rs
+++ b/crates/honeypulley_daemon/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admin;
 pub mod collect;
+pub mod connections;
 pub mod context;
 pub mod peer;
 pub mod permit;
--- a/crates/honeypulley_daemon/src/serve.rs
+++ b/crates/honeypulley_daemon/src/serve.rs
@@ -1,8 +1,10 @@
 //! Serves callers, and shuts down once every open session has ended.
 
+use crate::connections::{ConnectionPolicy, PortConnections};
 use crate::port::{PortAcceptor, PortCloser};
 use eyre::{Result, WrapErr, eyre};
 use futures::future::join_all;
+use honeypulley_policy::connections::ConnectionLimits;
 use honeypulley_policy::shutdown::PlannedStop;
 use honeypulley_proxy::gate::ProxyState;
 use honeypulley_proxy::handler::ProxyHandler;
@@ -10,6 +12,7 @@
 use honeypulley_proxy::shared::StateUpdater;
 use honeypulley_supervisor::tree::{Duty, Shutdown, block_on};
 use parking_lot::Mutex;
+use salvo::conn::Acceptor;
 use salvo::fuse::FuseConfig;
 use salvo::prelude::{Router, Server, Service};
 use std::net::TcpListener;
@@ -28,10 +31,31 @@
 /// Usual time between two log lines on what a graceful shutdown waits for.
 pub const WAIT_LOG: Duration = Duration::from_secs(60);
 
+/// Maximum size of the buffers of an HTTP/1 connection in bytes, and thereby of a head.
+///
+/// Four times the longest head that the default limits of a table allow.
+const MAX_BUFFER: usize = 64 * 1_024;
+/// Maximum number of bytes in all heads that have not ended.
+///
+/// 256 heads of the longest size that the default limits of a table allow.
+const MAX_HEAD_BYTES: usize = 4 * 1_024 * 1_024;
+/// One in so many connections may have no request.
+const HEADLESS_SHARE: usize = 5;
+/// Time after which the server itself closes a connection that waits for a request.
+///
+/// The limits on connections close it earlier; see [`PortConnections::expire`].
+const SERVER_HEAD_TIME: Duration = Duration::from_secs(3_600);
+/// Maximum number of concurrent streams of an HTTP/2 connection.
+const MAX_STREAMS: u32 = 32;
+/// Bytes that a caller may send over an HTTP/2 connection, or stream, before they are read.
+const STREAM_WINDOW: u32 = 65_535;
+
 /// Limits on caller connections, and the timing of a graceful shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct ServeLimits {
-    /// Maximum time to receive a request's header.
+    /// Maximum time to receive a request's header, and to wait for one.
+    ///
+    /// The limits of a routing table replace it.
     pub head_time: Duration,
     /// Maximum number of concurrent caller connections.
     pub max_callers: usize,
@@ -45,6 +69,19 @@
     pub write_stall: Option<Duration>,
 }
 
+impl ServeLimits {
+    /// Returns the limits on the connections of a port.
+    fn connections(&self) -> ConnectionLimits {
+        ConnectionLimits::builder()
+            .max_open(self.max_callers)
+            .max_headless(self.max_callers.div_ceil(HEADLESS_SHARE))
+            .head_bytes(MAX_HEAD_BYTES)
+            .head_time(self.head_time)
+            .idle_time(self.head_time)
+            .build()
+    }
+}
+
 /// Serves callers.
 #[derive(Debug)]
 pub struct ServeDuty {
@@ -60,6 +97,26 @@
     pub relay_listener: Mutex<Option<TcpListener>>,
 }
 
+/// Creates a server whose connections are limited in number, memory and time.
+pub(crate) fn limited_server<A: Acceptor + Send>(
+    acceptor: A,
+    connections: &Arc<PortConnections>,
+    timeouts: FuseConfig,
+) -> Server<A> {
+    let timeouts = timeouts.with_http1_header_timeout(Some(SERVER_HEAD_TIME));
+    let policy = ConnectionPolicy { connections: Arc::clone(connections), timeouts };
+    let mut server = Server::new(acceptor).fuse_policy(policy);
+    server.http1_mut().max_buf_size(MAX_BUFFER);
+    server
+        .http2_mut()
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(STREAM_WINDOW)
+        .max_header_list_size(MAX_BUFFER as u32)
+        .max_send_buf_size(MAX_BUFFER);
+    server
+}
+
 impl Duty for ServeDuty {
     fn name(&self) -> &'static str {
         "serve"
@@ -75,17 +132,17 @@
     fn server(
         &self,
         listener: &Mutex<Option<TcpListener>>,
+        connections: &Arc<PortConnections>,
     ) -> Result<Option<(Server<PortAcceptor>, PortCloser)>> {
         let listener = listener.lock().as_ref().map(TcpListener::try_clone).transpose()?;
         let Some(listener) = listener else { return Ok(None) };
         let acceptor = PortAcceptor::new(listener)?;
         let closer = acceptor.closer();
-        let fuse = FuseConfig::default()
-            .with_http1_header_timeout(Some(self.limits.head_time))
+        let timeouts = FuseConfig::default()
             .with_request_body_timeout(Some(BODY_TIMEOUT))
             .with_write_stall_timeout(self.limits.write_stall);
-        let server = Server::new(acceptor).fuse_config(fuse);
-        Ok(Some((server.max_connections(self.limits.max_callers), closer)))
+        let server = limited_server(acceptor, connections, timeouts);
+        Ok(Some((server, closer)))
     }
 
     /// Closes the ports after `wait`, and returns when idle connections are to be closed.
@@ -100,7 +157,10 @@
 
     async fn serve(&self, shutdown: &Shutdown) -> Result<()> {
         let gate = Arc::clone(&self.gate);
-        let Some((callers, port)) = self.server(&self.listener)? else {
+        let limits = self.limits.connections();
+        let [caller_connections, relay_connections] =
+            ["callers", "relay"].map(|port| PortConnections::new(limits, gate.clock, port));
+        let Some((callers, port)) = self.server(&self.listener, &caller_connections)? else {
             if !gate.stop.has_begun() {
                 return Err(eyre!("serve: the listener is already closed"));
             }
@@ -110,17 +170,27 @@
         };
         let handle = callers.handle();
         let service = |handler| Service::new(Router::with_path("{**rest}").goal(handler));
-        let (relayed, relay_port) = self.server(&self.relay_listener)?.unzip();
+        let (relayed, relay_port) = self.server(&self.relay_listener, &relay_connections)?.unzip();
         let relay_handle = relayed.as_ref().map(Server::handle);
         let relay_task = relayed.map(|server| {
-            let handler = ProxyHandler::for_peers(Arc::clone(&gate));
+            let handler =
+                ProxyHandler::for_peers(Arc::clone(&gate))
+                    .with_connections(Arc::<PortConnections>::clone(&relay_connections));
             tokio::spawn(server.serve(service(handler)))
         });
+        let handler = ProxyHandler::new(Arc::clone(&gate))
+            .with_connections(Arc::<PortConnections>::clone(&caller_connections));
         let feed_task = tokio::spawn({
             let feeder = Arc::clone(&self.feeder);
             async move { feeder.run().await }
         });
-        let handler = ProxyHandler::new(Arc::clone(&gate));
+        let expire_task = tokio::spawn({
+            let gate = Arc::clone(&gate);
+            async move {
+                let limits = || gate.routes.caller_limits();
+                tokio::join!(caller_connections.expire(limits), relay_connections.expire(limits));
+            }
+        });
         let server_task = tokio::spawn(callers.serve(service(handler)));
         shutdown.drain.cancelled().await;
         // The signal duty has begun the stop; this one counts if nobody has.
@@ -155,6 +225,7 @@
         self.complete_stop(shutdown);
         wait_log.abort();
         feed_task.abort();
+        expire_task.abort();
         Ok(())
     }
 
--- a/crates/honeypulley_mesh/src/serving.rs
+++ b/crates/honeypulley_mesh/src/serving.rs
@@ -14,7 +14,7 @@
 use honeypulley_policy::regions::RegionSet;
 use honeypulley_policy::route_mix::RouteMix;
 use honeypulley_policy::router::{AttemptKey, Outcome, Pick, Refusal, ServiceKey, UpstreamKey};
-use honeypulley_policy::routes::{Route, RouteTable};
+use honeypulley_policy::routes::{CallerLimits, Route, RouteTable};
 use honeypulley_policy::signals::{SignalChanges, Signals};
 use honeypulley_policy::time::Time;
 use honeypulley_proxy::answer::LocalAnswer;
@@ -304,6 +304,10 @@
         startup.is_pending().then(|| -> BoxFuture<'_, ()> { Box::pin(startup.wait_settled()) })
     }
 
+    fn caller_limits(&self) -> Option<CallerLimits> {
+        self.mesh.in_force.load().as_ref().map(|table| table.limits)
+    }
+
     fn route(&self, wanted: &RouteRequest<'_>, now: Time) -> Result<RouteDecision, LocalAnswer> {
         let Some(table) = self.mesh.in_force.load_full() else {
             return Err(not_ready("no routing table is in force on this box yet".to_owned()));
--- a/crates/honeypulley_policy/src/lib.rs
+++ b/crates/honeypulley_policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod belief;
 pub mod chooser;
 pub mod collector;
+pub mod connections;
 pub mod fleet_limits;
 pub mod join;
 pub mod ledger;
--- a/crates/honeypulley_proxy/src/gate.rs
+++ b/crates/honeypulley_proxy/src/gate.rs
@@ -15,6 +15,7 @@
 use honeypulley_policy::organisations::KeyDigest;
 use honeypulley_policy::paths::PathMonitor;
 use honeypulley_policy::ranks::RequestPriority;
+use honeypulley_policy::routes::CallerLimits;
 use honeypulley_policy::time::Time;
 use honeypulley_supervisor::clock::Clock;
 use http::{HeaderMap, Method};
@@ -111,6 +112,11 @@
         None
     }
 
+    /// Returns the limits on callers' requests and connections, if any are in force.
+    fn caller_limits(&self) -> Option<CallerLimits> {
+        None
+    }
+
     /// Finds the route of a request and applies the rate limits.
     ///
     /// # Errors
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -3,6 +3,7 @@
 use crate::answer::{Execution, LocalAnswer};
 use crate::attempt::{Answer, AnswerBody, Outgoing};
 use crate::body::{BodyError, Source, TrackedBody};
+use crate::connections::{BusyConnection, ConnectionTracker};
 use crate::fingerprint::Identity;
 use crate::gate::{ProxyState, RouteRequest};
 use crate::headers;
@@ -42,6 +43,8 @@
     gate: Arc<ProxyState>,
     /// Limits the relayed requests in flight, if the handler serves other boxes.
     relayed: Option<Arc<Semaphore>>,
+    /// Connections of the port, if they are limited.
+    connections: Option<Arc<dyn ConnectionTracker>>,
 }
 
 /// A relayed request that was accepted.
@@ -64,13 +67,27 @@
     /// Creates the handler with the state of the serving path.
     #[must_use]
     pub const fn new(gate: Arc<ProxyState>) -> Self {
-        Self { gate, relayed: None }
+        Self { gate, relayed: None, connections: None }
     }
 
     /// Creates the handler for requests that other boxes relay.
     #[must_use]
     pub fn for_peers(gate: Arc<ProxyState>) -> Self {
-        Self { gate, relayed: Some(Arc::new(Semaphore::new(MAX_RELAYED))) }
+        let relayed = Some(Arc::new(Semaphore::new(MAX_RELAYED)));
+        Self { gate, relayed, connections: None }
+    }
+
+    /// Sets the tracker of the connections over which the requests arrive.
+    #[must_use]
+    pub fn with_connections(mut self, connections: Arc<dyn ConnectionTracker>) -> Self {
+        self.connections = Some(connections);
+        self
+    }
+
+    /// Marks the connection of a request as busy.
+    fn busy_connection(&self, req: &Request) -> Option<BusyConnection> {
+        let from = req.remote_addr().clone().into_std()?;
+        self.connections.as_ref().map(|c| BusyConnection::new(c, from, req.version()))
     }
 
     /// Runs a request, and returns its answer.
@@ -355,7 +372,8 @@
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         self.gate.count("requests");
         let id = self.request_id(req);
-        let mut open = OpenGuard::new(&self.gate, Arc::clone(&id));
+        let busy = self.busy_connection(req);
+        let mut open = OpenGuard::new(&self.gate, Arc::clone(&id)).with_connection(busy);
         match self.run(req, &id, open.key()).await {
             Ok(Answered { answer, on_upgrade, deadline }) => {
                 self.gate.open.record_answer(open.key(), answer.sent.clone());
--- a/crates/honeypulley_proxy/src/lib.rs
+++ b/crates/honeypulley_proxy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod body;
 pub mod buffers;
 pub mod callers;
+pub mod connections;
 pub mod dialect;
 pub mod fingerprint;
 pub mod gate;
--- a/crates/honeypulley_proxy/src/open.rs
+++ b/crates/honeypulley_proxy/src/open.rs
@@ -1,5 +1,6 @@
 //! Open requests, for log lines about those that end without an upstream's answer.
 
+use crate::connections::BusyConnection;
 use crate::gate::ProxyState;
 use honeypulley_policy::shutdown::PlannedStop;
 use honeypulley_policy::time::Time;
@@ -209,6 +210,8 @@
     gate: Arc<ProxyState>,
     key: OpenKey,
     has_ended: bool,
+    /// Connection of the request, if connections are tracked.
+    _connection: Option<BusyConnection>,
 }
 
 impl OpenGuard {
@@ -216,7 +219,14 @@
     #[must_use]
     pub fn new(gate: &Arc<ProxyState>, request: Arc<str>) -> Self {
         let key = gate.open.insert(request, gate.now());
-        Self { gate: Arc::clone(gate), key, has_ended: false }
+        Self { gate: Arc::clone(gate), key, has_ended: false, _connection: None }
+    }
+
+    /// Keeps the connection of the request busy as long as the guard lives.
+    #[must_use]
+    pub fn with_connection(mut self, connection: Option<BusyConnection>) -> Self {
+        self._connection = connection;
+        self
     }
 
     /// Returns the key of the request.
