The admin port has limits on its connections and their memory

What callers saw: a crowd at the admin port ended the process like one at the callers' port.

Cause: its server had the library's defaults alone, 400 kB for each head and no maximum of connections.

Why this works: the admin port gets the same limits over all of its connections, with 256 places and 512 KiB for heads that have not ended. Pages that are asked for over a kept connection keep it: it counts as busy during a request and may rest for 90 s.

--- a/crates/honeypulley_daemon/src/admin.rs
+++ b/crates/honeypulley_daemon/src/admin.rs
@@ -1,18 +1,33 @@
 //! Admin endpoints over HTTP on a separate port: readiness, status, metrics and holds.
 
+use crate::connections::{BusyHandler, PortConnections};
+use crate::port::PortAcceptor;
+use crate::serve::limited_server;
 use eyre::{Result, WrapErr};
+use honeypulley_policy::connections::ConnectionLimits;
 use honeypulley_policy::quarantine::{Fingerprint, Hold, Scope};
 use honeypulley_policy::time::Time;
 use honeypulley_proxy::suspects::RequestQuarantine;
+use honeypulley_supervisor::clock::Clock;
 use honeypulley_supervisor::tree::{Duty, Shutdown, block_on};
 use salvo::async_trait;
-use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FuseConfig;
 use salvo::http::StatusCode;
-use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, Router, Server};
+use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, Router};
 use salvo::writing::Text;
 use std::fmt::Debug;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Maximum number of connections to the admin port.
+const MAX_CONNECTIONS: usize = 256;
+/// Maximum number of bytes in all heads that have not ended.
+const MAX_HEAD_BYTES: usize = 512 * 1_024;
+/// Maximum time for the head of a request.
+const HEAD_TIME: Duration = Duration::from_secs(5);
+/// Maximum time for which a connection rests; monitoring asks at least as often.
+const IDLE_TIME: Duration = Duration::from_secs(90);
 
 /// State of a box that the admin endpoints expose.
 pub trait AdminView: Debug + Send + Sync {
@@ -47,15 +62,18 @@
 
     fn run(&self, shutdown: &Shutdown) -> Result<()> {
         block_on(async {
-            let listener = tokio::net::TcpListener::from_std(self.listener.try_clone()?)?;
-            let acceptor = TcpAcceptor::try_from(listener).wrap_err("admin: listen")?;
+            let acceptor =
+                PortAcceptor::new(self.listener.try_clone()?).wrap_err("admin: listen")?;
+            let connections = PortConnections::new(connection_limits(), Clock::start(), "admin");
+            let busy = BusyHandler(Arc::clone(&connections));
             let page = PageHandler(Arc::clone(&self.view));
             let lift =
                 Router::with_path("held/{request}").delete(LiftHandler(Arc::clone(&self.view)));
             let pages = Router::with_path("{name}").get(page);
-            let server = Server::new(acceptor).serve(Router::new().push(lift).push(pages));
+            let server = limited_server(acceptor, &connections, FuseConfig::default());
             tokio::select! {
-                () = server => {}
+                () = server.serve(Router::new().hoop(busy).push(lift).push(pages)) => {}
+                () = connections.expire(|| None) => {}
                 () = shutdown.stop.cancelled() => {}
             }
             Ok(())
@@ -63,6 +81,16 @@
     }
 }
 
+fn connection_limits() -> ConnectionLimits {
+    ConnectionLimits::builder()
+        .max_open(MAX_CONNECTIONS)
+        .max_headless(MAX_CONNECTIONS / 2)
+        .head_bytes(MAX_HEAD_BYTES)
+        .head_time(HEAD_TIME)
+        .idle_time(IDLE_TIME)
+        .build()
+}
+
 #[derive(Debug)]
 struct PageHandler(Arc<dyn AdminView>);
 
