Connections of callers are read in small pieces

What callers saw: bodies with a chunk size of endless zeros took 0.5 MB a connection: 125 MB with 200 connections, where 38 MB are allowed.

Cause: the HTTP server doubles its read buffer whenever a read fills it, up to the largest head, and keeps it. A client that sends faster than its bytes are handled decides how much memory its connection takes.

A head may still grow to its limit, and counts there.

--- a/crates/honeypulley_daemon/src/lib.rs
+++ b/crates/honeypulley_daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod collect;
 pub mod connections;
 pub mod context;
+pub mod paced;
 pub mod peer;
 pub mod permit;
 pub mod platform;
--- a/crates/honeypulley_daemon/src/port.rs
+++ b/crates/honeypulley_daemon/src/port.rs
@@ -3,8 +3,9 @@
 //! The HTTP server keeps its acceptor until the last connection has ended. Until then the kernel
 //! would go on accepting connections that nobody serves, and reset them at the end.
 
+use crate::paced::PacedStream;
 use eyre::{Result, WrapErr};
-use salvo::conn::tcp::TcpAcceptor;
+use salvo::conn::tcp::{TcpAcceptor, TcpCoupler};
 use salvo::conn::{Accepted, Acceptor, Holding};
 use salvo::fuse::ArcFusePolicy;
 use std::fmt::{self, Debug};
@@ -69,8 +70,8 @@
 }
 
 impl Acceptor for PortAcceptor {
-    type Coupler = <TcpAcceptor as Acceptor>::Coupler;
-    type Stream = <TcpAcceptor as Acceptor>::Stream;
+    type Coupler = TcpCoupler<Self::Stream>;
+    type Stream = PacedStream<<TcpAcceptor as Acceptor>::Stream>;
 
     fn holdings(&self) -> &[Holding] {
         &self.holdings
@@ -88,7 +89,9 @@
             };
             tokio::select! {
                 biased;
-                accepted = inner.accept(policy) => return accepted,
+                accepted = inner.accept(policy) => {
+                    return Ok(accepted?.map_into(|_| TcpCoupler::new(), PacedStream));
+                }
                 () = close => {}
             }
         }
