A head longer than the table allows is refused with 431

What callers saw: a head of any size below the library's 400 kB was served, whatever `max-header-bytes` of the table in force said.

Cause: the limit was decoded and never read.

Why this works: the handler compares the head with the table in force before routing, so that a change also holds on open connections. It counts the smallest size that the head can have had on the wire, and never refuses one within the limit. No upstream has seen the request.

--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -100,6 +100,7 @@
         let began = self.gate.now();
         let dialect = &self.gate.dialect;
         check_framing(req)?;
+        self.check_head_size(req)?;
         let host = host_of(req)?;
         let relayed = self.accept_relayed(req)?;
         if let Some(ready) = self.gate.routes.wait_ready() {
@@ -166,6 +167,21 @@
         Ok(Answered { answer, on_upgrade, deadline: answer_deadline })
     }
 
+    /// Rejects a head that is longer than the routing table allows.
+    ///
+    /// Another box has checked the head of a relayed request, to which it added fields.
+    fn check_head_size(&self, req: &Request) -> Result<(), LocalAnswer> {
+        let limit = self.gate.routes.caller_limits().filter(|_| self.relayed.is_none());
+        match limit.filter(|l| head_size(req) > l.head_bytes) {
+            None => Ok(()),
+            Some(l) => {
+                let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+                let why = format!("the head is longer than {} bytes", l.head_bytes);
+                Err(LocalAnswer::not_run(status, None, why))
+            }
+        }
+    }
+
     /// Checks a request that another box relays; returns `None` if this one comes from a caller.
     fn accept_relayed(&self, req: &Request) -> Result<Option<Relayed>, LocalAnswer> {
         let Some(limit) = &self.relayed else { return Ok(None) };
@@ -396,6 +412,15 @@
     }
 }
 
+/// Returns the smallest size of a request's head on the wire, in bytes.
+fn head_size(req: &Request) -> usize {
+    // Two blanks, the version, and the line ends of the request line and of the head.
+    const FIXED: usize = "  HTTP/1.1\r\n\r\n".len();
+    const PER_FIELD: usize = ":\r\n".len();
+    let fields = req.headers().iter().map(|(k, v)| k.as_str().len() + v.len() + PER_FIELD);
+    FIXED + req.method().as_str().len() + path_of(req).len() + fields.sum::<usize>()
+}
+
 /// Returns the path with its query.
 fn path_of(req: &Request) -> &str {
     req.uri().path_and_query().map_or("/", http::uri::PathAndQuery::as_str)
