All request bodies together have a limit on memory

What callers saw: a crowd whose bodies stop before their end took a box beyond the memory of its machine.

Cause: each body was bounded, by 64 KiB that are buffered for retries, and nothing bounded their sum. A streamed body was read as fast as the caller sent it into the buffers of the upstream's connection.

Why this works: the bodies of all requests at a port hold 32 MiB together, counted by what is allocated for them. A request whose body has no room is rejected with 503 before any upstream has seen it, which is true as a promise, and told to return soon. A streamed body may have 64 KiB that are read and not sent, for which it has its share from the beginning, so that one that is under way is never broken off for memory.

--- a/crates/honeypulley_proxy/src/body.rs
+++ b/crates/honeypulley_proxy/src/body.rs
@@ -1,6 +1,7 @@
 //! Request and answer bodies that pass through the proxy.
 
 use crate::attempt::{AttemptGuard, innermost};
+use crate::buffers::{BodyBudget, BudgetExhausted, STREAM_WINDOW, StreamWindow};
 use crate::gate::ProxyState;
 use crate::open::OpenGuard;
 use bytes::{Bytes, BytesMut};
@@ -28,6 +29,9 @@
     /// The body is longer than the routing table allows.
     #[error("the body is longer than {0} bytes")]
     TooLong(u64),
+    /// The box has no memory for it.
+    #[error(transparent)]
+    NoMemory(#[from] BudgetExhausted),
 }
 
 /// A request body, either buffered or streamed.
@@ -54,6 +58,7 @@
 struct CallerBody {
     prefix: Option<Bytes>,
     rest: ReqBody,
+    window: Arc<StreamWindow>,
     /// Bytes that may still be read from the caller.
     remaining: u64,
     /// Longest accepted body.
@@ -65,25 +70,36 @@
     /// Buffers a body of up to [`MAX_BUFFERED`] bytes; a longer one is streamed.
     ///
     /// # Errors
-    /// Returns an error if reading from the caller fails or the body exceeds `max_bytes`.
-    pub async fn read(mut body: ReqBody, max_bytes: u64) -> Result<Self, BodyError> {
+    /// Returns an error if reading from the caller fails, the body exceeds `max_bytes`, or the
+    /// budget is exhausted.
+    pub async fn read(
+        mut body: ReqBody,
+        max_bytes: u64,
+        budget: &BodyBudget,
+    ) -> Result<Self, BodyError> {
         if body.size_hint().lower() > max_bytes {
             return Err(BodyError::TooLong(max_bytes));
         }
+        let mut share = budget.begin();
         let mut buffer = BytesMut::new();
         while buffer.len() <= MAX_BUFFERED {
             let Some(frame) = body.frame().await else {
-                return Ok(Self::Buffered(buffer.freeze()));
+                return Ok(Self::Buffered(share.attach(buffer.freeze())));
             };
             let frame = frame.map_err(|e| BodyError::Unreadable(e.to_string()))?;
             if let Ok(data) = frame.into_data() {
+                let capacity = buffer.capacity();
+                buffer.reserve(data.len());
+                share.add(buffer.capacity() - capacity)?;
                 buffer.extend_from_slice(&data);
             }
             if buffer.len() as u64 > max_bytes {
                 return Err(BodyError::TooLong(max_bytes));
             }
         }
-        Ok(Self::Streamed(Stream::new(buffer.freeze(), body, max_bytes)))
+        share.add(STREAM_WINDOW)?;
+        let prefix = share.attach(buffer.freeze());
+        Ok(Self::Streamed(Stream::new(prefix, body, max_bytes)))
     }
 
     /// Returns the body for another attempt, if it is still available.
@@ -140,6 +156,7 @@
         let body = CallerBody {
             prefix: Some(prefix.clone()),
             rest,
+            window: Arc::default(),
             remaining: max_bytes - read,
             max_bytes,
             failure: Arc::clone(&failure),
@@ -230,6 +247,9 @@
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
         loop {
+            if self.window.poll_room(cx).is_pending() {
+                return Poll::Pending;
+            }
             let frame = match Pin::new(&mut self.rest).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => frame,
                 Poll::Ready(Some(Err(e))) => {
@@ -243,7 +263,8 @@
             // requests, such as the organisation or the key.
             let Ok(data) = frame.into_data() else { continue };
             let counted = self.count(data.len());
-            return Poll::Ready(Some(counted.map(|()| Frame::data(data))));
+            let frame = counted.map(|()| Frame::data(self.window.attach(data)));
+            return Poll::Ready(Some(frame));
         }
     }
 
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -3,6 +3,7 @@
 use crate::answer::{Execution, LocalAnswer};
 use crate::attempt::{Answer, AnswerBody, Outgoing};
 use crate::body::{BodyError, Source, TrackedBody};
+use crate::buffers::BodyBudget;
 use crate::connections::{BusyConnection, ConnectionTracker};
 use crate::fingerprint::Identity;
 use crate::gate::{ProxyState, RouteRequest};
@@ -27,6 +28,11 @@
 /// Timeout for reading the buffered part of a caller's body, unless the deadline is earlier.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Minimum `Retry-After` of a request for whose body this box has no memory.
+///
+/// Bodies that stall hold their memory for up to [`BODY_TIMEOUT`]; another box may have more.
+const BODY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Maximum number of relayed requests in flight.
 ///
 /// It leaves most of the memory and connections of a box to its own callers.
@@ -45,6 +51,8 @@
     relayed: Option<Arc<Semaphore>>,
     /// Connections of the port, if they are limited.
     connections: Option<Arc<dyn ConnectionTracker>>,
+    /// Memory for the bodies of requests.
+    bodies: BodyBudget,
 }
 
 /// A relayed request that was accepted.
@@ -66,15 +74,15 @@
 impl ProxyHandler {
     /// Creates the handler with the state of the serving path.
     #[must_use]
-    pub const fn new(gate: Arc<ProxyState>) -> Self {
-        Self { gate, relayed: None, connections: None }
+    pub fn new(gate: Arc<ProxyState>) -> Self {
+        Self { gate, relayed: None, connections: None, bodies: BodyBudget::default() }
     }
 
     /// Creates the handler for requests that other boxes relay.
     #[must_use]
     pub fn for_peers(gate: Arc<ProxyState>) -> Self {
         let relayed = Some(Arc::new(Semaphore::new(MAX_RELAYED)));
-        Self { gate, relayed, connections: None }
+        Self { relayed, ..Self::new(gate) }
     }
 
     /// Sets the tracker of the connections over which the requests arrive.
@@ -221,7 +229,7 @@
         let timeout = left.map_or(BODY_TIMEOUT, |l| l.min(BODY_TIMEOUT));
         let source = tokio::select! {
             biased;
-            source = read_body(req, max_bytes, timeout) => source?,
+            source = read_body(req, max_bytes, timeout, &self.bodies) => source?,
             e = stop.wait_unfinishable(deadline, clock) => return Err(self.reject_at_stop(id, e)),
         };
         stop.wait_noticed(clock).await;
@@ -431,8 +439,9 @@
     req: &mut Request,
     max_bytes: u64,
     timeout: Duration,
+    budget: &BodyBudget,
 ) -> Result<Source, LocalAnswer> {
-    match tokio::time::timeout(timeout, Source::read(req.take_body(), max_bytes)).await {
+    match tokio::time::timeout(timeout, Source::read(req.take_body(), max_bytes, budget)).await {
         Ok(Ok(s)) => Ok(s),
         Ok(Err(e)) => Err(unread_body(&e)),
         Err(_) => {
@@ -461,11 +470,15 @@
 
 /// Rejects a request whose body was not read to its end, so that no upstream got it whole.
 fn unread_body(e: &BodyError) -> LocalAnswer {
-    let status = match e {
-        BodyError::Unreadable(_) => StatusCode::BAD_REQUEST,
-        BodyError::TooLong(_) => StatusCode::PAYLOAD_TOO_LARGE,
+    let (status, retry_after) = match e {
+        BodyError::Unreadable(_) => (StatusCode::BAD_REQUEST, None),
+        BodyError::TooLong(_) => (StatusCode::PAYLOAD_TOO_LARGE, None),
+        BodyError::NoMemory(_) => {
+            let wait = BODY_RETRY_AFTER.mul_f64(1.0 + fastrand::f64());
+            (StatusCode::SERVICE_UNAVAILABLE, Some(wait))
+        }
     };
-    LocalAnswer::not_run(status, None, e.to_string())
+    LocalAnswer::not_run(status, retry_after, e.to_string())
 }
 
 fn bad_request(why: &str) -> LocalAnswer {
--- a/crates/honeypulley_proxy/tests/buffers.rs
+++ b/crates/honeypulley_proxy/tests/buffers.rs
@@ -1,7 +1,7 @@
-//! Tests the bound on the memory for buffered answers.
+//! Bounds on the memory for buffered answers and request bodies.
 
 use bytes::Bytes;
-use honeypulley_proxy::buffers::AnswerBuffers;
+use honeypulley_proxy::buffers::{AnswerBuffers, BodyBudget, BodyShare, BudgetExhausted};
 
 const MB: usize = 1_024 * 1_024;
 
@@ -46,3 +46,27 @@
     assert!(others.iter_mut().all(|held| held.add(MB)));
     assert!(!buffers.begin().add(1), "a slice keeps its answer's count");
 }
+
+/// Guards against bodies of many requests that take the memory of a box together.
+#[test]
+fn all_request_bodies_together_are_bounded() {
+    let budget = BodyBudget::default();
+    let shares: Vec<BodyShare> = (0..32)
+        .map(|_| {
+            let mut share = budget.begin();
+            share.add(MB).expect("there is memory");
+            share
+        })
+        .collect();
+    let mut late = budget.begin();
+    assert_eq!(late.add(1), Err(BudgetExhausted));
+    drop(shares);
+    assert_eq!((budget.held(), late.add(1)), (0, Ok(())));
+    let bytes = late.attach(Bytes::from_static(b"x"));
+    assert_eq!((&bytes[..], budget.held()), (&b"x"[..], 1));
+    let copy = bytes.clone();
+    drop(bytes);
+    assert_eq!(budget.held(), 1, "a copy is still there");
+    drop(copy);
+    assert_eq!(budget.held(), 0);
+}
