Strangers at the peer port have limits on calls, connections and time

What callers saw: 200 connections to the port for other boxes that send eight bytes and some data took 8.9 GB, so that a few of them end a box. Found while looking for the cause of the crowds elsewhere.

Cause: the memory for a call is allocated by its announced size, up to the RPC library's 64 MB, before the peer has logged in. Connections without a login had no end and no maximum, and took the descriptors of callers. An error of accepting, such as a lack of descriptors, ended the duty.

Why this works: a call to a box is at most 32 KiB, which the longest one (64 digests) does not reach; answers, which may be long, are read by the client. A connection has three seconds for its login, and the oldest of more than 512 without one is closed first. A connection that can't be accepted is logged, and accepting goes on.

--- a/crates/honeypulley_peer/src/server.rs
+++ b/crates/honeypulley_peer/src/server.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use capnp::Error;
 use capnp::capability::Rc;
+use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::AsyncReadExt;
 use futures::future::LocalBoxFuture;
@@ -14,15 +15,31 @@
 use honeypulley_policy::collector::NameId;
 use honeypulley_policy::revision::Revision;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::fmt::Debug;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio_util::compat::TokioAsyncReadCompatExt;
+use tokio_util::sync::CancellationToken;
 
 /// Maximum number of parts returned by one call.
 pub const MAX_PARTS: u32 = 64;
 
+/// Maximum size of a call in words of eight bytes; the longest names 64 digests.
+///
+/// The memory for a call is allocated by its announced size, before a login.
+const MAX_CALL_WORDS: usize = 4_096;
+
+/// Maximum number of connections without a login.
+const MAX_STRANGERS: usize = 512;
+
+/// Maximum time until a login.
+const LOGIN_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Delay after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
 /// Maximum time for which a request for a newer routing table is delayed.
 ///
 /// Well above the time that clients wait; it bounds how long a peer can keep a call open.
@@ -123,40 +140,105 @@
 /// # Errors
 /// Returns an error unless the connection is closed normally.
 pub async fn serve(stream: TcpStream, key: FleetKey, view: Rc<dyn PeerView>) -> Result<(), Error> {
+    serve_with_login(stream, key, view, CancellationToken::new()).await
+}
+
+/// Serves a connection until it closes, and cancels `login` once the peer has logged in.
+async fn serve_with_login(
+    stream: TcpStream,
+    key: FleetKey,
+    view: Rc<dyn PeerView>,
+    login: CancellationToken,
+) -> Result<(), Error> {
     stream.set_nodelay(true)?;
     let (reader, writer) = stream.compat().split();
-    let network =
-        VatNetwork::new(reader, writer, Side::Server, capnp::message::ReaderOptions::new());
-    let gate = GateServer { key, view, nonce: RefCell::new(None) };
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_CALL_WORDS));
+    let network = VatNetwork::new(reader, writer, Side::Server, options);
+    let gate = GateServer { key, view, nonce: RefCell::new(None), login };
     let client: gate::Client = capnp_rpc::new_client(gate);
     RpcSystem::new(Box::new(network), Some(client.client)).await
 }
 
 /// Accepts connections and serves each on its own task.
 ///
+/// A connection without a login is closed after a few seconds, or earlier if there are many.
+///
 /// # Errors
-/// Returns an error if accepting a connection fails.
+/// Never returns: an error of one connection, or a lack of descriptors, passes.
 pub async fn accept_on(
     listener: &TcpListener,
     key: &FleetKey,
     view: &Rc<dyn PeerView>,
 ) -> std::io::Result<()> {
+    let mut strangers = VecDeque::new();
     loop {
-        let (stream, from) = listener.accept().await?;
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                log::warn!("peer: a connection was not accepted: {e}");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+                continue;
+            }
+        };
+        strangers.retain(|s: &Stranger| !s.is_settled());
+        if strangers.len() >= MAX_STRANGERS
+            && let Some(oldest) = strangers.pop_front()
+        {
+            oldest.closed.cancel();
+        }
+        let stranger = Stranger::default();
+        strangers.push_back(stranger.clone());
         let (key, view) = (key.clone(), Rc::clone(view));
         spawn_local(async move {
-            if let Err(e) = serve(stream, key, view).await {
-                log::debug!(peer:display = from; "peer: {from}: {e}");
+            let login = stranger.login.clone();
+            tokio::select! {
+                result = serve_with_login(stream, key, view, login) => {
+                    if let Err(e) = result {
+                        log::debug!(peer:display = from; "peer: {from}: {e}");
+                    }
+                }
+                () = stranger.wait_rejected() => {
+                    log::debug!(peer:display = from; "peer: {from} closed without a login");
+                }
             }
+            stranger.closed.cancel();
         });
     }
 }
 
+/// A connection that has to log in.
+#[derive(Clone, Debug, Default)]
+struct Stranger {
+    /// Cancelled once the peer has logged in.
+    login: CancellationToken,
+    /// Cancelled to close the connection before a login, and once it is closed.
+    closed: CancellationToken,
+}
+
+impl Stranger {
+    /// Returns whether the peer has logged in or the connection is closed.
+    fn is_settled(&self) -> bool {
+        self.login.is_cancelled() || self.closed.is_cancelled()
+    }
+
+    /// Returns once the connection is to be closed for lack of a login.
+    async fn wait_rejected(&self) {
+        tokio::select! {
+            () = self.login.cancelled() => std::future::pending().await,
+            () = self.closed.cancelled() => {}
+            () = tokio::time::sleep(LOGIN_TIMEOUT) => {}
+        }
+    }
+}
+
 /// Serves unauthenticated connections: a login returns the authenticated interface.
 struct GateServer {
     key: FleetKey,
     view: Rc<dyn PeerView>,
     nonce: RefCell<Option<[u8; 32]>>,
+    /// Cancelled by a login.
+    login: CancellationToken,
 }
 
 impl gate::Server for GateServer {
@@ -182,6 +264,7 @@
         if !nonce.is_some_and(|n| self.key.check(&n, proof)) {
             return Err(Error::failed("login refused: the fleet keys differ".to_owned()));
         }
+        self.login.cancel();
         let server = PeerServer { view: Rc::clone(&self.view), has_transfer: Cell::new(false) };
         results.get().set_peer(capnp_rpc::new_client(server));
         Ok(())
