--- a/crates/honeypulley_proxy/src/answer.rs
+++ b/crates/honeypulley_proxy/src/answer.rs
@@ -61,6 +61,12 @@
         Self { status, execution: Execution::NotRun, retry_after, reason, elsewhere: false }
     }
 
+    /// Creates the answer to a malformed request.
+    #[must_use]
+    pub fn bad_request(why: &str) -> Self {
+        Self::not_run(StatusCode::BAD_REQUEST, None, why.to_owned())
+    }
+
     /// Marks the answer as one that holds for this box alone.
     #[must_use]
     pub const fn with_elsewhere(mut self) -> Self {
--- a/crates/honeypulley_proxy/src/handler.rs
+++ b/crates/honeypulley_proxy/src/handler.rs
@@ -11,12 +11,13 @@
 use crate::open::{OpenGuard, OpenKey};
 use crate::race::Race;
 use crate::relay::{RelayHead, RelayOutcome};
+use crate::request_head::{check_framing, head_size, host_of, path_of, prefers_request_line};
 use crate::upgrade;
 use async_trait::async_trait;
 use honeypulley_policy::quarantine::{Fingerprint, Fingerprints, Restriction};
 use honeypulley_policy::shutdown::Unfinishable;
 use honeypulley_policy::time::Time;
-use http::{HeaderValue, Method, StatusCode, Version, header};
+use http::{HeaderValue, StatusCode, Version, header};
 use http_body_util::BodyExt;
 use hyper::upgrade::OnUpgrade;
 use salvo::http::ResBody;
@@ -196,7 +197,7 @@
         let path = path_of(req);
         let key = self.gate.relays.as_ref().map(|r| &r.key);
         let Some(head) = key.and_then(|k| k.decode(req.headers(), path)) else {
-            return Err(bad_request("no box of this fleet has relayed the request"));
+            return Err(LocalAnswer::bad_request("no box of this fleet has relayed the request"));
         };
         let reject = |why: &str| {
             let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -420,20 +421,6 @@
     }
 }
 
-/// Returns the smallest size of a request's head on the wire, in bytes.
-fn head_size(req: &Request) -> usize {
-    // Two blanks, the version, and the line ends of the request line and of the head.
-    const FIXED: usize = "  HTTP/1.1\r\n\r\n".len();
-    const PER_FIELD: usize = ":\r\n".len();
-    let fields = req.headers().iter().map(|(k, v)| k.as_str().len() + v.len() + PER_FIELD);
-    FIXED + req.method().as_str().len() + path_of(req).len() + fields.sum::<usize>()
-}
-
-/// Returns the path with its query.
-fn path_of(req: &Request) -> &str {
-    req.uri().path_and_query().map_or("/", http::uri::PathAndQuery::as_str)
-}
-
 /// Reads a caller's body, which is buffered if it is small.
 async fn read_body(
     req: &mut Request,
@@ -451,23 +438,6 @@
     }
 }
 
-/// Rejects CONNECT, several hosts and ambiguous framing (RFC 9112 section 6.3).
-fn check_framing(req: &Request) -> Result<(), LocalAnswer> {
-    let h = req.headers();
-    let lengths = h.get_all(header::CONTENT_LENGTH).iter().count();
-    let coded = h.contains_key(header::TRANSFER_ENCODING);
-    if lengths > 1 || (lengths == 1 && coded) {
-        return Err(bad_request("ambiguous framing: one length or one transfer coding, not both"));
-    }
-    if h.get_all(header::HOST).iter().count() > 1 {
-        return Err(bad_request("more than one host"));
-    }
-    if *req.method() == Method::CONNECT {
-        return Err(bad_request("CONNECT is not served"));
-    }
-    Ok(())
-}
-
 /// Rejects a request whose body was not read to its end, so that no upstream got it whole.
 fn unread_body(e: &BodyError) -> LocalAnswer {
     let (status, retry_after) = match e {
@@ -480,27 +450,3 @@
     };
     LocalAnswer::not_run(status, retry_after, e.to_string())
 }
-
-fn bad_request(why: &str) -> LocalAnswer {
-    LocalAnswer::not_run(StatusCode::BAD_REQUEST, None, why.to_owned())
-}
-
-/// Returns the host without its port, in lower case.
-///
-/// In HTTP/1 the request line takes precedence over the header (RFC 9112 section 3.2.2). In
-/// HTTP/2 every request has an authority, so an additional host header was set on purpose and
-/// takes precedence.
-fn host_of(req: &Request) -> Result<String, LocalAnswer> {
-    let value = headers::text(req.headers(), &header::HOST);
-    let from_uri = req.uri().host();
-    let host = if prefers_request_line(req) { from_uri.or(value) } else { value.or(from_uri) };
-    let host = host.ok_or_else(|| bad_request("no host is named"))?;
-    let host_only =
-        if host.starts_with('[') { host } else { host.split(':').next().unwrap_or(host) };
-    Ok(host_only.to_ascii_lowercase())
-}
-
-/// Returns whether a host in the request line takes precedence over the header.
-fn prefers_request_line(req: &Request) -> bool {
-    req.version() <= Version::HTTP_11
-}
--- a/crates/honeypulley_proxy/src/lib.rs
+++ b/crates/honeypulley_proxy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod paths;
 pub mod race;
 pub mod relay;
+mod request_head;
 pub mod session;
 pub mod shared;
 pub mod signals;
