--- a/crates/honeypulley_daemon/src/connections.rs
+++ b/crates/honeypulley_daemon/src/connections.rs
@@ -108,7 +108,7 @@
         for (reason, count) in state.closed.drain() {
             log::warn!(
                 port, reason:?, count, open;
-                "connections: closed {count} without a whole request ({reason:?})"
+                "connections: closed {count} without a request in flight ({reason:?})"
             );
         }
         let rejected = std::mem::take(&mut state.rejected);
