Names are encoded by the URL library that the HTTP client has

The URL library encodes and decodes for the store's clients and for the stand-ins; a map of the standard library keeps the controls of connections.

--- a/crates/honeypulley_daemon/src/connections.rs
+++ b/crates/honeypulley_daemon/src/connections.rs
@@ -11,7 +11,6 @@
 use salvo::conn::{ConnCtrl, SocketAddr as ServerAddr};
 use salvo::fuse::{ArcConnObserver, ConnObserver, FuseAction, FuseConfig, FuseInfo, FusePolicy};
 use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response};
-use slotmap::SecondaryMap;
 use std::collections::HashMap;
 use std::fmt::{self, Debug};
 use std::net::SocketAddr;
@@ -38,7 +37,7 @@
 
 struct State {
     connections: Connections,
-    controls: SecondaryMap<ConnectionKey, ConnCtrl>,
+    controls: HashMap<ConnectionKey, ConnCtrl>,
     by_address: HashMap<SocketAddr, ConnectionKey>,
     /// Closed connections since the last log line.
     closed: HashMap<CloseReason, u64>,
@@ -55,7 +54,7 @@
     fn close(&mut self, closing: &[Closing]) {
         for c in closing {
             *self.closed.entry(c.reason).or_default() += 1;
-            let Some(control) = self.controls.remove(c.key) else { continue };
+            let Some(control) = self.controls.remove(&c.key) else { continue };
             if c.reason == CloseReason::Idle {
                 // A request that has just arrived is still answered.
                 control.graceful_shutdown();
@@ -72,7 +71,7 @@
     pub fn new(limits: ConnectionLimits, clock: Clock, port: &'static str) -> Arc<Self> {
         let state = State {
             connections: Connections::new(limits),
-            controls: SecondaryMap::new(),
+            controls: HashMap::new(),
             by_address: HashMap::new(),
             closed: HashMap::new(),
             rejected: 0,
@@ -133,7 +132,7 @@
     fn remove(&self, key: ConnectionKey, from: SocketAddr) {
         let mut state = self.state.lock();
         state.connections.close(key);
-        state.controls.remove(key);
+        state.controls.remove(&key);
         // The address may belong to a new connection by now.
         if state.by_address.get(&from) == Some(&key) {
             state.by_address.remove(&from);
--- a/crates/honeypulley_standin/src/platform.rs
+++ b/crates/honeypulley_standin/src/platform.rs
@@ -9,12 +9,12 @@
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use honeypulley_platform::api::{Expect, Platform, PlatformError};
+use honeypulley_platform::encode::decode_path;
 use honeypulley_platform::http::{EPOCH, WireChanges, WireObject};
 use honeypulley_platform::memory::{Backup, Faults, MemoryPlatform};
 use honeypulley_policy::revision::Revision;
 use http::{HeaderValue, Method, StatusCode, header};
 use parking_lot::Mutex;
-use percent_encoding::percent_decode_str;
 use salvo::async_trait;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::ResBody;
@@ -261,7 +261,7 @@
 /// Returns the key that a path names, after decoding.
 fn object_key(path: &str) -> String {
     let encoded = path.strip_prefix("/objects/").unwrap_or(path);
-    percent_decode_str(encoded).decode_utf8_lossy().into_owned()
+    decode_path(encoded)
 }
 
 fn set_etag(res: &mut Response, version: u64) {
